--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,26 @@
+//! What the decision module can do in the world: whoever runs it implements this.
+
+use crate::types::{CallOutNo, FunctionId, RpcId, Time, WakeId, WorkerId};
+
+pub trait Host {
+    /// Sends the RPC to a worker, to be answered within `limit`. Call-outs of an RPC count from 0.
+    fn call_out(&mut self, rpc: RpcId, worker: WorkerId, limit: Time);
+    /// Ends the wait for a call-out; its end is still reported.
+    fn cancel(&mut self, rpc: RpcId, no: CallOutNo);
+    /// Final answer: denied, and when to come back (nought: no advice).
+    fn deny(&mut self, rpc: RpcId, retry_after: Time);
+    /// Final answer: aborted; it promises nothing about the effect.
+    fn abort(&mut self, rpc: RpcId);
+    /// Orders a worker to hold at least so many copies; the end is reported.
+    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64);
+    /// Has a worker's idle copies unloaded; nothing is reported.
+    fn unload(&mut self, worker: WorkerId, function: FunctionId);
+    /// Asks a worker for a load report.
+    fn probe(&mut self, worker: WorkerId);
+    /// Asks for a wake-up after `delay`; it cannot be taken back.
+    fn wake(&mut self, delay: Time, id: WakeId);
+    /// Asks for changes of the list of workers from now on, where they have to be asked for.
+    fn watch_list(&mut self);
+    /// Adds a line to the operators' log.
+    fn log(&mut self, line: &str);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! curlewpoint: places RPCs on a fleet of workers that load functions on demand.
+//!
+//! [`brain`] takes every decision, [`host`] is what it acts through, [`types`] the words both use.
+
+pub mod brain;
+pub mod host;
+pub mod types;
