--- a/crates/curlewpoint-drill/src/main.rs
+++ b/crates/curlewpoint-drill/src/main.rs
@@ -194,6 +194,7 @@
                         Time::from_ms(row.maybe("since")?.unwrap_or(0.0)),
                         ZoneId(row.maybe("locality")?.unwrap_or(0)),
                         CellId(row.maybe("group")?.unwrap_or(0)),
+                        row.maybe("heft")?.unwrap_or(1.0),
                     );
                 }
                 srv.list_read(now, (kind != 0).then_some(&named));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,6 +61,7 @@
 
 struct Worker {
     standing: Standing,
+    size: f64,
     since: Time,
     /// Since when it may be cold: its listed start, or a death that I saw myself.
     cold_since: Option<Time>,
@@ -159,6 +160,7 @@
     first_line: VecDeque<RpcId>,
     second_line: VecDeque<RpcId>,
     taken: VecDeque<Time>,
+    answered: VecDeque<Time>,
     orders: VecDeque<Time>,
     retries: f64,
     panic: bool,
@@ -186,6 +188,7 @@
             first_line: VecDeque::new(),
             second_line: VecDeque::new(),
             taken: VecDeque::new(),
+            answered: VecDeque::new(),
             orders: VecDeque::new(),
             retries: RETRY_CAP,
             panic: false,
@@ -208,10 +211,12 @@
         since: Time,
         zone: ZoneId,
         cell: CellId,
+ size: f64,
     ) {
         let warm_within = self.span("contract", "warmWithin");
         let w = self.workers.entry(id).or_insert_with(|| Worker {
             standing,
+            size,
             since,
             cold_since: (since > Time(0)).then_some(since),
             zone,
@@ -227,7 +232,7 @@
             probed: Time(0),
         });
         let lost = standing != Standing::Ready && w.standing == Standing::Ready;
-        (w.standing, w.zone, w.cell) = (standing, zone, cell);
+        (w.standing, w.zone, w.cell, w.size) = (standing, zone, cell, size);
         if since != w.since && standing == Standing::Ready {
             // A restart under the same id: a new, cold process, of which nothing old holds.
             (w.since, w.cold_since, w.evidence, w.suspect) = (since, Some(since), 0.0, false);
@@ -329,6 +334,7 @@
         let alive = w.since <= sent;
         match outcome {
             Outcome::Ok if alive => {
+                self.answered.push_back(now);
                 let falsified = was_warm && copy == Copy::BeganLoad;
                 belief.copies = Copies::Warm(now);
                 w.ceiling = (w.ceiling + 1).min(CEILING);
@@ -682,8 +688,9 @@
     // 2. Slow start.
 
     /// Guards against schedulers that together push a cold worker over. Each gives it, in any window, its
-    /// present share of capacity times what this scheduler gives a worker on the mean; as all do alike, the
-    /// sum stays under the stated multiple. Where the fleet idles it may starve a cold worker of little.
+    /// present share of capacity times what this scheduler gets answered by a worker of its size on the mean:
+    /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple, also
+    /// when clients' retries swell what is taken. Where the fleet idles it gives a cold worker little.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
@@ -694,14 +701,24 @@
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
         let ready = self.workers.values().filter(|w| w.standing == Standing::Ready).count().max(1) as f64;
         let window = Time(50_000);
-        let recent = self.taken.iter().rev().take_while(|&&t| t + window > now).count() as f64;
-        let per_window = recent / ready * fall.0 as f64 / window.0 as f64;
+        let recent = self.answered.iter().rev().take_while(|&&t| t + window > now).count() as f64;
+        let per_window = recent * self.size_share(w) / ready * fall.0 as f64 / window.0 as f64;
         let multiple = self.number("contract", "fallMultiple", 2.0);
         let budget = (0.7 * multiple * capacity * per_window).max(1.0);
         let sent = w.sends.iter().rev().take_while(|&&t| t + fall > now).count() as f64;
         sent + 1.0 <= budget
     }
 
+    /// A worker's size against the mean of those listed, where the list tells sizes.
+    fn size_share(&self, w: &Worker) -> f64 {
+        let told = self.settings.get("weightKind").and_then(Value::as_str);
+        if !matches!(told, Some("nominal" | "rough")) {
+            return 1.0;
+        }
+        let sizes: f64 = self.workers.values().map(|w| w.size).sum();
+        w.size * self.workers.len() as f64 / f64::max(sizes, 1e-9)
+    }
+
     // 3. The second line.
 
     /// Serves first call-outs, then further ones.
@@ -799,6 +816,9 @@
         while self.taken.front().is_some_and(|&t| t + keep < now) {
             self.taken.pop_front();
         }
+        while self.answered.front().is_some_and(|&t| t + keep < now) {
+            self.answered.pop_front();
+        }
         while self.orders.front().is_some_and(|&t| t + keep < now) {
             self.orders.pop_front();
         }
