--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,10 @@
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
 const WARM: f64 = 0.8;
-const CEILING: u64 = 8;
+const CEILING: f64 = 8.0;
+/// How much a ceiling climbs at an answer in good time.
+const CLIMB: f64 = 0.25;
+const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK: f64 = 1.0;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
@@ -68,7 +71,10 @@
     zone: ZoneId,
     cell: CellId,
     mine: u64,
-    ceiling: u64,
+    ceiling: f64,
+    /// A 'full' reply holds until then, longer with each in a row.
+    full_until: Time,
+    fulls: u32,
     util: Option<f64>,
     beliefs: BTreeMap<FunctionId, Belief>,
     evidence: f64,
@@ -112,6 +118,7 @@
     function: FunctionId,
     tenant: TenantId,
     lanes: f64,
+    taken: Time,
     deadline: Time,
     outs: Vec<CallOut>,
     line: Line,
@@ -204,14 +211,8 @@
     // What happens.
 
     pub fn worker_listed(
-        &mut self,
-        now: Time,
-        id: WorkerId,
-        standing: Standing,
-        since: Time,
-        zone: ZoneId,
-        cell: CellId,
- size: f64,
+        &mut self, now: Time, id: WorkerId, standing: Standing, since: Time, zone: ZoneId, cell: CellId,
+        size: f64,
     ) {
         let warm_within = self.span("contract", "warmWithin");
         let w = self.workers.entry(id).or_insert_with(|| Worker {
@@ -223,6 +224,8 @@
             cell,
             mine: 0,
             ceiling: CEILING,
+            full_until: Time(0),
+            fulls: 0,
             util: None,
             beliefs: BTreeMap::new(),
             evidence: 0.0,
@@ -236,7 +239,7 @@
         if since != w.since && standing == Standing::Ready {
             // A restart under the same id: a new, cold process, of which nothing old holds.
             (w.since, w.cold_since, w.evidence, w.suspect) = (since, Some(since), 0.0, false);
-            (w.ceiling, w.util) = (CEILING, None);
+            (w.ceiling, w.full_until, w.util) = (CEILING, now, None);
             w.forget_copies();
         }
         if w.cold_since.is_some_and(|c| c + warm_within <= now) {
@@ -267,14 +270,8 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn rpc(
-        &mut self,
-        now: Time,
-        id: RpcId,
-        method: MethodId,
-        function: FunctionId,
-        tenant: TenantId,
-        left: Time,
-        lanes: f64,
+        &mut self, now: Time, id: RpcId, method: MethodId, function: FunctionId, tenant: TenantId,
+        left: Time, lanes: f64,
     ) {
         self.taken.push_back(now);
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_CAP);
@@ -285,6 +282,7 @@
             function,
             tenant,
             lanes,
+            taken: now,
             deadline,
             outs,
             line: Line::First,
@@ -309,16 +307,8 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn call_out_ended(
-        &mut self,
-        now: Time,
-        id: RpcId,
-        no: CallOutNo,
-        outcome: Outcome,
-        elapsed: Time,
-        done: bool,
-        copy: Copy,
-        _crowd: u64,
-        report: &[f64],
+        &mut self, now: Time, id: RpcId, no: CallOutNo, outcome: Outcome, elapsed: Time, done: bool,
+        copy: Copy, _crowd: u64, report: &[f64],
     ) {
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let (function, method) = (rpc.function, rpc.method);
@@ -327,6 +317,7 @@
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
         let limit = self.limit(method, function, was_warm);
+        let in_time = Time::from_ms(0.7 * self.aim(method));
         let w = self.workers.get_mut(&worker).expect("called");
         w.mine = w.mine.saturating_sub(1);
         let belief = w.beliefs.entry(function).or_default();
@@ -337,7 +328,10 @@
                 self.answered.push_back(now);
                 let falsified = was_warm && copy == Copy::BeganLoad;
                 belief.copies = Copies::Warm(now);
-                w.ceiling = (w.ceiling + 1).min(CEILING);
+                let late = copy == Copy::Warm && elapsed > in_time;
+                w.ceiling =
+                    if late { (w.ceiling / 1.5).max(1.0) } else { (w.ceiling + CLIMB).min(CEILING) };
+                w.fulls = 0;
                 let (pace, all) =
                     (self.functions.entry(function).or_default(), self.methods.entry(method).or_default());
                 match copy {
@@ -368,7 +362,9 @@
             }
             Outcome::Ok => {}
             Outcome::Full => {
-                w.ceiling = w.mine.max(1);
+                w.ceiling = w.mine.max(1) as f64;
+                w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
+                w.fulls = (w.fulls + 1).min(4);
                 if belief.copies == Copies::Loading && belief.mine == 0 {
                     belief.copies = Copies::Unknown;
                 }
@@ -416,12 +412,7 @@
     }
 
     pub fn load_ended(
-        &mut self,
-        now: Time,
-        worker: WorkerId,
-        function: FunctionId,
-        outcome: Outcome,
-        copies: u64,
+        &mut self, now: Time, worker: WorkerId, function: FunctionId, outcome: Outcome, copies: u64,
     ) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
         let belief = w.beliefs.entry(function).or_default();
@@ -532,9 +523,12 @@
                 continue;
             }
             let trickle = !side_effect && now - w.last_sent >= TRICKLE_EVERY && w.mine == 0;
-            let room = w.mine < w.ceiling && (!w.suspect || trickle) && !tried.contains(&wid);
+            let room = (w.mine as f64) < w.ceiling
+                && w.full_until <= now
+                && (!w.suspect || trickle)
+                && !tried.contains(&wid);
             let affinity = self.affinity(now, w, function);
-            let depth = 1.0 - w.mine as f64 / w.ceiling as f64;
+            let depth = 1.0 - (w.mine as f64 / w.ceiling).min(1.0);
             let util = 1.0 - w.util.unwrap_or(neutral).clamp(0.0, 1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * depth + UTIL_WEIGHT * util;
             usable.push((wid, score, room, (w.mine as f64) < crowded));
@@ -584,9 +578,7 @@
         if let Some((.., wid)) = best {
             return Some(wid);
         }
-        let healthy =
-            |u: &&(WorkerId, f64, bool, bool)| (self.workers[&u.0].suspect, self.workers[&u.0].mine);
-        usable.iter().filter(|u| !tried.contains(&u.0)).min_by_key(healthy).map(|u| u.0)
+        usable.iter().filter(|u| u.2).min_by_key(|u| self.workers[&u.0].mine).map(|u| u.0)
     }
 
     fn harmless_always(&self, method: MethodId) -> bool {
@@ -662,9 +654,13 @@
         }
     }
 
+    fn aim(&self, method: MethodId) -> f64 {
+        self.of_method(method, "aim").and_then(Value::as_f64).unwrap_or(1000.0)
+    }
+
     /// How long a call-out may take before it counts as overdue.
     fn limit(&self, method: MethodId, function: FunctionId, warm: bool) -> Time {
-        let aim = self.of_method(method, "aim").and_then(Value::as_f64).unwrap_or(1000.0);
+        let aim = self.aim(method);
         let of = |p: Option<&Pace>| {
             p.map(|p| {
                 if warm {
@@ -730,6 +726,7 @@
             }
             match self.pick(now, id) {
                 Some(to) => self.send(now, id, to),
+                None if self.hopeless(now, id) => self.give_up(now, id),
                 None => self.first_line.push_back(id),
             }
         }
@@ -762,6 +759,7 @@
                     self.send(now, id, to);
                 }
                 _ if second => self.rpcs.get_mut(&id).expect("held").line = Line::None,
+                _ if self.hopeless(now, id) => self.give_up(now, id),
                 _ => self.second_line.push_back(id),
             }
         }
@@ -864,6 +862,14 @@
 
     // 5. Admission.
 
+    /// Whether an RPC that waits for room can no longer be in time. Guards against queues that make every answer
+    /// late; should hold for any overload. May hurt where a late answer is worth nearly as much as one in time.
+    fn hopeless(&self, now: Time, id: RpcId) -> bool {
+        let rpc = &self.rpcs[&id];
+        let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p.warm.mean);
+        now + Time::from_ms(usual) > rpc.taken + Time::from_ms(self.aim(rpc.method))
+    }
+
     /// The final answer for an RPC that cannot be answered in time: a denial where that is harmless.
     fn give_up(&mut self, now: Time, id: RpcId) {
         let rpc = &self.rpcs[&id];
