--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,10 +26,10 @@
 const WARM: f64 = 0.8;
 const CEILING: f64 = 8.0;
 /// How much a ceiling climbs at an answer in good time.
-const CLIMB: f64 = 0.25;
+const CLIMB: f64 = 1.0;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
-const SLACK: f64 = 1.0;
+const SLACK: f64 = 3.0;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
@@ -75,6 +75,8 @@
     /// A 'full' reply holds until then, longer with each in a row.
     full_until: Time,
     fulls: u32,
+    /// No memory for another copy until then.
+    no_load_until: Time,
     util: Option<f64>,
     beliefs: BTreeMap<FunctionId, Belief>,
     evidence: f64,
@@ -226,6 +228,7 @@
             ceiling: CEILING,
             full_until: Time(0),
             fulls: 0,
+            no_load_until: Time(0),
             util: None,
             beliefs: BTreeMap::new(),
             evidence: 0.0,
@@ -317,7 +320,7 @@
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
         let limit = self.limit(method, function, was_warm);
-        let in_time = Time::from_ms(0.7 * self.aim(method));
+
         let w = self.workers.get_mut(&worker).expect("called");
         w.mine = w.mine.saturating_sub(1);
         let belief = w.beliefs.entry(function).or_default();
@@ -328,9 +331,8 @@
                 self.answered.push_back(now);
                 let falsified = was_warm && copy == Copy::BeganLoad;
                 belief.copies = Copies::Warm(now);
-                let late = copy == Copy::Warm && elapsed > in_time;
-                w.ceiling =
-                    if late { (w.ceiling / 1.5).max(1.0) } else { (w.ceiling + CLIMB).min(CEILING) };
+
+                w.ceiling = (w.ceiling + CLIMB).min(CEILING);
                 w.fulls = 0;
                 let (pace, all) =
                     (self.functions.entry(function).or_default(), self.methods.entry(method).or_default());
@@ -362,9 +364,13 @@
             }
             Outcome::Ok => {}
             Outcome::Full => {
-                w.ceiling = w.mine.max(1) as f64;
-                w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
+                // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
+                w.no_load_until = now + Time(4 * FULL_HOLD.0 << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
+                if was_warm {
+                    w.ceiling = w.mine.max(1) as f64;
+                    w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
+                }
                 if belief.copies == Copies::Loading && belief.mine == 0 {
                     belief.copies = Copies::Unknown;
                 }
@@ -528,6 +534,7 @@
                 && (!w.suspect || trickle)
                 && !tried.contains(&wid);
             let affinity = self.affinity(now, w, function);
+            let room = room && (affinity >= 0.5 || w.no_load_until <= now);
             let depth = 1.0 - (w.mine as f64 / w.ceiling).min(1.0);
             let util = 1.0 - w.util.unwrap_or(neutral).clamp(0.0, 1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * depth + UTIL_WEIGHT * util;
