--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
 const WARM: f64 = 0.8;
-const CEILING: f64 = 8.0;
+const CEILING: f64 = 24.0;
 /// How much a ceiling climbs at an answer in good time.
 const CLIMB: f64 = 1.0;
 const FULL_HOLD: Time = Time(500);
