--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,12 +24,13 @@
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
 const WARM: f64 = 0.8;
-const CEILING: f64 = 24.0;
+/// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
+const CEILING_LANES: f64 = 4.0;
 /// How much a ceiling climbs at an answer in good time.
 const CLIMB: f64 = 1.0;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
-const SLACK: f64 = 3.0;
+const SLACK_LANES: f64 = 0.5;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
@@ -172,6 +173,7 @@
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
     retries: f64,
+    lanes: Usual,
     panic: bool,
 }
 
@@ -200,6 +202,7 @@
             answered: VecDeque::new(),
             orders: VecDeque::new(),
             retries: RETRY_CAP,
+            lanes: Usual::default(),
             panic: false,
         };
         if new.settings.get("discovery").and_then(Value::as_str) == Some("subscribe") {
@@ -225,7 +228,7 @@
             zone,
             cell,
             mine: 0,
-            ceiling: CEILING,
+            ceiling: f64::MAX,
             full_until: Time(0),
             fulls: 0,
             no_load_until: Time(0),
@@ -242,7 +245,7 @@
         if since != w.since && standing == Standing::Ready {
             // A restart under the same id: a new, cold process, of which nothing old holds.
             (w.since, w.cold_since, w.evidence, w.suspect) = (since, Some(since), 0.0, false);
-            (w.ceiling, w.full_until, w.util) = (CEILING, now, None);
+            (w.ceiling, w.full_until, w.util) = (f64::MAX, now, None);
             w.forget_copies();
         }
         if w.cold_since.is_some_and(|c| c + warm_within <= now) {
@@ -277,6 +280,7 @@
         left: Time, lanes: f64,
     ) {
         self.taken.push_back(now);
+        self.lanes.add(lanes);
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_CAP);
         self.functions.entry(function).or_default();
         let (deadline, outs) = (now + left, Vec::new());
@@ -320,7 +324,7 @@
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
         let limit = self.limit(method, function, was_warm);
-
+        let most = self.slots();
         let w = self.workers.get_mut(&worker).expect("called");
         w.mine = w.mine.saturating_sub(1);
         let belief = w.beliefs.entry(function).or_default();
@@ -332,7 +336,7 @@
                 let falsified = was_warm && copy == Copy::BeganLoad;
                 belief.copies = Copies::Warm(now);
 
-                w.ceiling = (w.ceiling + CLIMB).min(CEILING);
+                w.ceiling = (w.ceiling + CLIMB).min(most);
                 w.fulls = 0;
                 let (pace, all) =
                     (self.functions.entry(function).or_default(), self.methods.entry(method).or_default());
@@ -508,12 +512,12 @@
     /// Chooses the worker for an RPC's next call-out; none: it waits.
     fn pick(&mut self, now: Time, id: RpcId) -> Option<WorkerId> {
         let rpc = &self.rpcs[&id];
-        let function = rpc.function;
+        let (function, most) = (rpc.function, self.slots());
         let fresh = rpc.outs.is_empty();
         let tried: BTreeSet<WorkerId> = rpc.outs.iter().map(|o| o.worker).collect();
         let ready = self.workers.values().filter(|w| w.standing == Standing::Ready);
         let (count, mine) = ready.fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
-        let crowded = CROWD * mine / f64::max(count, 1.0) + SLACK;
+        let crowded = CROWD * mine / f64::max(count, 1.0) + (SLACK_LANES * rpc.lanes).max(1.0);
         let utils = || self.workers.values().filter_map(|w| w.util);
         let mean_util = utils().sum::<f64>() / utils().count().max(1) as f64;
         let neutral = if utils().next().is_some() { mean_util } else { NEUTRAL_UTIL };
@@ -529,13 +533,14 @@
                 continue;
             }
             let trickle = !side_effect && now - w.last_sent >= TRICKLE_EVERY && w.mine == 0;
-            let room = (w.mine as f64) < w.ceiling
+            let ceiling = w.ceiling.min(most);
+            let room = (w.mine as f64) < ceiling
                 && w.full_until <= now
                 && (!w.suspect || trickle)
                 && !tried.contains(&wid);
             let affinity = self.affinity(now, w, function);
             let room = room && (affinity >= 0.5 || w.no_load_until <= now);
-            let depth = 1.0 - (w.mine as f64 / w.ceiling).min(1.0);
+            let depth = 1.0 - (w.mine as f64 / ceiling).min(1.0);
             let util = 1.0 - w.util.unwrap_or(neutral).clamp(0.0, 1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * depth + UTIL_WEIGHT * util;
             usable.push((wid, score, room, (w.mine as f64) < crowded));
@@ -661,6 +666,10 @@
         }
     }
 
+    fn slots(&self) -> f64 {
+        (CEILING_LANES * self.lanes.mean).max(2.0)
+    }
+
     fn aim(&self, method: MethodId) -> f64 {
         self.of_method(method, "aim").and_then(Value::as_f64).unwrap_or(1000.0)
     }
