Admit by tenant share while warm answers are late

Cause of the losses: a few pausing or slow workers made enough answers late to shed on an idle fleet.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,10 @@
 const CEILING_LANES: f64 = 4.0;
 /// How much a ceiling climbs at an answer in good time.
 const CLIMB: f64 = 1.0;
+const LATE_SHARE: f64 = 0.6;
+const PRESSURE_STEP: f64 = 0.03;
+const PRESSED: f64 = 0.2;
+const LEAST_ADMITTED: f64 = 0.3;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
@@ -173,6 +177,11 @@
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
     retries: f64,
+    /// Share of late among recent answers that met a warm copy, and the share of RPCs admitted for it.
+    pressure: f64,
+    admitted: f64,
+    /// RPCs of each tenant of late, fading.
+    asked: BTreeMap<TenantId, f64>,
     lanes: Usual,
     panic: bool,
 }
@@ -202,6 +211,9 @@
             answered: VecDeque::new(),
             orders: VecDeque::new(),
             retries: RETRY_CAP,
+            pressure: 0.0,
+            admitted: 1.0,
+            asked: BTreeMap::new(),
             lanes: Usual::default(),
             panic: false,
         };
@@ -298,8 +310,14 @@
         };
         self.rpcs.insert(id, rpc);
         self.host.wake(left, WakeId(id.0));
-        self.first_line.push_back(id);
-        self.serve(now);
+        *self.asked.entry(tenant).or_default() += 1.0;
+        if self.rng.rand_float() >= self.admission(tenant) {
+            return self.give_up(now, id);
+        }
+        match self.pick(now, id) {
+            Some(to) => self.send(now, id, to),
+            None => self.first_line.push_back(id),
+        }
     }
 
     pub fn rpc_gone(&mut self, now: Time, id: RpcId) {
@@ -324,7 +342,7 @@
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
         let limit = self.limit(method, function, was_warm);
-        let most = self.slots();
+        let (most, aim) = (self.slots(), self.aim(method));
         let w = self.workers.get_mut(&worker).expect("called");
         w.mine = w.mine.saturating_sub(1);
         let belief = w.beliefs.entry(function).or_default();
@@ -338,6 +356,10 @@
 
                 w.ceiling = (w.ceiling + CLIMB).min(most);
                 w.fulls = 0;
+                if copy == Copy::Warm {
+                    let late = elapsed.ms() > LATE_SHARE * aim;
+                    self.pressure += PRESSURE_STEP * (f64::from(u8::from(late)) - self.pressure);
+                }
                 let (pace, all) =
                     (self.functions.entry(function).or_default(), self.methods.entry(method).or_default());
                 match copy {
@@ -735,7 +757,12 @@
 
     /// Serves first call-outs, then further ones.
     fn serve(&mut self, now: Time) {
+        // Once a few found no room the rest is left for the next event.
+        let mut stuck = 0;
         for _ in 0..self.first_line.len() {
+            if stuck >= 3 {
+                break;
+            }
             let Some(id) = self.first_line.pop_front() else { break };
             if !self.rpcs.get(&id).is_some_and(|r| !r.done && r.line == Line::First) {
                 continue;
@@ -743,10 +770,17 @@
             match self.pick(now, id) {
                 Some(to) => self.send(now, id, to),
                 None if self.hopeless(now, id) => self.give_up(now, id),
-                None => self.first_line.push_back(id),
+                None => {
+                    self.first_line.push_back(id);
+                    stuck += 1;
+                }
             }
         }
         for _ in 0..self.second_line.len() {
+            if stuck >= 3 {
+                break;
+            }
+
             let Some(id) = self.second_line.pop_front() else { break };
             let Some(rpc) = self.rpcs.get(&id).filter(|r| !r.done && r.line == Line::Second) else {
                 continue;
@@ -776,7 +810,10 @@
                 }
                 _ if second => self.rpcs.get_mut(&id).expect("held").line = Line::None,
                 _ if self.hopeless(now, id) => self.give_up(now, id),
-                _ => self.second_line.push_back(id),
+                _ => {
+                    self.second_line.push_back(id);
+                    stuck += 1;
+                }
             }
         }
     }
@@ -816,6 +853,14 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
+        let pressed = self.pressure > PRESSED;
+        let before = self.admitted;
+        self.admitted =
+            (self.admitted + if pressed { -0.01 * before } else { 0.003 }).clamp(LEAST_ADMITTED, 1.0);
+        if (self.admitted < 1.0) != (before < 1.0) {
+            self.host.log(&format!("{}: shedding {pressed}, late {:.2}", now.0, self.pressure));
+        }
+        self.asked.values_mut().for_each(|n| *n *= 0.99);
         if self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull")
             && self.allowed("limits", "probes")
         {
@@ -878,6 +923,32 @@
 
     // 5. Admission.
 
+    /// The chance to be admitted: tenants furthest over their share are cut first. Guards against overload;
+    /// should hold for whatever makes warm answers late across the fleet. May hurt where answers are late for
+    /// another cause than load: then it sheds what shedding does not help.
+    fn admission(&self, tenant: TenantId) -> f64 {
+        let total: f64 = self.asked.values().sum();
+        let room = self.admitted * total;
+        let share = |t: &TenantId| {
+            let told = self.settings.get("tenants").and_then(|l| l.get(t.0)?.get("share")?.as_f64());
+            told.unwrap_or(1.0)
+        };
+        // Fills every tenant up to the same level of what it asks, against its share.
+        let mut asks: Vec<(f64, f64)> = self.asked.iter().map(|(t, n)| (n / share(t), share(t))).collect();
+        asks.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut left, mut shares) = (room, asks.iter().map(|a| a.1).sum::<f64>());
+        let mut level = f64::MAX;
+        for (need, part) in asks {
+            if need * shares > left {
+                level = left / shares;
+                break;
+            }
+            left -= need * part;
+            shares -= part;
+        }
+        (level * share(&tenant) / self.asked[&tenant]).min(1.0)
+    }
+
     /// Whether an RPC that waits for room can no longer be in time. Guards against queues that make every answer
     /// late; should hold for any overload. May hurt where a late answer is worth nearly as much as one in time.
     fn hopeless(&self, now: Time, id: RpcId) -> bool {
@@ -890,7 +961,12 @@
     fn give_up(&mut self, now: Time, id: RpcId) {
         let rpc = &self.rpcs[&id];
         if self.harmless(now, rpc, None) {
-            self.host.deny(id, Time(0));
+            let stay = if self.allowed("limits", "retryAfter") {
+                self.span("limits", "maxRetryAfter")
+            } else {
+                Time(0)
+            };
+            self.host.deny(id, Time(stay.0 / 2));
         } else {
             self.host.abort(id);
         }
