--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,7 +29,7 @@
 /// How much a ceiling climbs at an answer in good time.
 const CLIMB: f64 = 1.0;
 const LATE_SHARE: f64 = 0.6;
-const PRESSURE_STEP: f64 = 0.03;
+const LATE_STEP: f64 = 0.1;
 const PRESSED: f64 = 0.2;
 const LEAST_ADMITTED: f64 = 0.3;
 const FULL_HOLD: Time = Time(500);
@@ -80,6 +80,8 @@
     /// A 'full' reply holds until then, longer with each in a row.
     full_until: Time,
     fulls: u32,
+    /// Share of late among recent answers that met a warm copy.
+    late: f64,
     /// No memory for another copy until then.
     no_load_until: Time,
     util: Option<f64>,
@@ -177,8 +179,7 @@
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
     retries: f64,
-    /// Share of late among recent answers that met a warm copy, and the share of RPCs admitted for it.
-    pressure: f64,
+    /// The share of RPCs admitted.
     admitted: f64,
     /// RPCs of each tenant of late, fading.
     asked: BTreeMap<TenantId, f64>,
@@ -211,7 +212,6 @@
             answered: VecDeque::new(),
             orders: VecDeque::new(),
             retries: RETRY_CAP,
-            pressure: 0.0,
             admitted: 1.0,
             asked: BTreeMap::new(),
             lanes: Usual::default(),
@@ -243,6 +243,7 @@
             ceiling: f64::MAX,
             full_until: Time(0),
             fulls: 0,
+            late: 0.0,
             no_load_until: Time(0),
             util: None,
             beliefs: BTreeMap::new(),
@@ -358,7 +359,7 @@
                 w.fulls = 0;
                 if copy == Copy::Warm {
                     let late = elapsed.ms() > LATE_SHARE * aim;
-                    self.pressure += PRESSURE_STEP * (f64::from(u8::from(late)) - self.pressure);
+                    w.late += LATE_STEP * (f64::from(u8::from(late)) - w.late);
                 }
                 let (pace, all) =
                     (self.functions.entry(function).or_default(), self.methods.entry(method).or_default());
@@ -853,12 +854,17 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
-        let pressed = self.pressure > PRESSED;
+        // The median worker tells the fleet's trouble from a few workers'.
+        let ready = self.workers.values().filter(|w| w.standing == Standing::Ready);
+        let mut lates: Vec<f64> = ready.map(|w| w.late).collect();
+        lates.sort_by(f64::total_cmp);
+        let late = lates.get(lates.len() / 2).copied().unwrap_or(0.0);
+        let pressed = late > PRESSED;
         let before = self.admitted;
         self.admitted =
             (self.admitted + if pressed { -0.01 * before } else { 0.003 }).clamp(LEAST_ADMITTED, 1.0);
         if (self.admitted < 1.0) != (before < 1.0) {
-            self.host.log(&format!("{}: shedding {pressed}, late {:.2}", now.0, self.pressure));
+            self.host.log(&format!("{}: shedding {pressed}, late {:.2}", now.0, late));
         }
         self.asked.values_mut().for_each(|n| *n *= 0.99);
         if self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull")
