--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,7 +23,6 @@
 const UTIL_WEIGHT: f64 = 0.15;
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
-const WARM_HOME_WEIGHT: f64 = 0.15;
 const WARM: f64 = 0.8;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
 const CEILING_LANES: f64 = 4.0;
@@ -570,7 +569,7 @@
             usable.push((wid, score, room, (w.mine as f64) < crowded));
         }
         // New loads go to the first in the function's rendezvous order that has room.
-        let mut order: Vec<WorkerId> = usable.iter().map(|u| u.0).collect();
+        let mut order: Vec<WorkerId> = usable.iter().filter(|u| u.2 && u.3).map(|u| u.0).collect();
         order.sort_by_key(|&w| home_rank(function, w));
         let affinity = |s: &Self, w: WorkerId| s.affinity(now, &s.workers[&w], function);
         let mut best: Option<(f64, f64, WorkerId)> = None;
@@ -579,13 +578,10 @@
                 continue;
             }
             let mut score = score;
-            let rank = order.iter().position(|&w| w == wid).unwrap_or(0);
-            let near = 0.5f64.powi(rank as i32);
-            score += if affinity(self, wid) < WARM {
-                HOME_WEIGHT * (near - 1.0)
-            } else {
-                WARM_HOME_WEIGHT * near
-            };
+            if affinity(self, wid) < WARM {
+                let rank = order.iter().position(|&w| w == wid).unwrap_or(0);
+                score += HOME_WEIGHT * 0.5f64.powi(rank as i32) - HOME_WEIGHT;
+            }
             let tie = self.rng.rand_float();
             if best.is_none_or(|b| (score, tie) > (b.0, b.1)) {
                 best = Some((score, tie, wid));
