--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 const LATE_SHARE: f64 = 0.6;
 const LATE_STEP: f64 = 0.1;
 const PRESSED: f64 = 0.4;
-const LEAST_ADMITTED: f64 = 0.3;
+const LEAST_ADMITTED: f64 = 0.1;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
@@ -391,6 +391,7 @@
             }
             Outcome::Ok => {}
             Outcome::Full => {
+                w.late += LATE_STEP * (1.0 - w.late);
                 // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
                 w.no_load_until = now + Time(4 * FULL_HOLD.0 << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
