--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 const LATE_SHARE: f64 = 0.6;
 const LATE_STEP: f64 = 0.1;
 const PRESSED: f64 = 0.4;
-const LEAST_ADMITTED: f64 = 0.1;
+const LEAST_ADMITTED: f64 = 0.2;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
@@ -863,7 +863,7 @@
         let pressed = late > PRESSED;
         let before = self.admitted;
         self.admitted =
-            (self.admitted + if pressed { -0.01 * before } else { 0.003 }).clamp(LEAST_ADMITTED, 1.0);
+            (self.admitted + if pressed { -0.004 * before } else { 0.003 }).clamp(LEAST_ADMITTED, 1.0);
         if (self.admitted < 1.0) != (before < 1.0) {
             self.host.log(&format!("{}: shedding {pressed}, late {:.2}", now.0, late));
         }
@@ -892,6 +892,7 @@
             while w.sends.front().is_some_and(|&t| t + keep < now) {
                 w.sends.pop_front();
             }
+            w.late *= 0.995;
             if w.suspect && w.mine == 0 {
                 w.evidence = (w.evidence - 0.3 * TICK.ms() / 1000.0).max(0.0);
                 w.suspect = w.evidence > CLEARED_AT;
