--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,10 +28,9 @@
 const CEILING_LANES: f64 = 4.0;
 /// How much a ceiling climbs at an answer in good time.
 const CLIMB: f64 = 1.0;
-const LATE_SHARE: f64 = 0.6;
-const LATE_STEP: f64 = 0.1;
-const PRESSED: f64 = 0.4;
-const LEAST_ADMITTED: f64 = 0.2;
+const RATE_OVER: Time = Time(30_000);
+const TARGET: f64 = 0.5;
+const CLOSE: f64 = 0.6;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
@@ -80,8 +79,6 @@
     /// A 'full' reply holds until then, longer with each in a row.
     full_until: Time,
     fulls: u32,
-    /// Share of late among recent answers that met a warm copy.
-    late: f64,
     /// No memory for another copy until then.
     no_load_until: Time,
     util: Option<f64>,
@@ -179,10 +176,7 @@
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
     retries: f64,
-    /// The share of RPCs admitted.
-    admitted: f64,
-    /// RPCs of each tenant of late, fading.
-    asked: BTreeMap<TenantId, f64>,
+    aims: Usual,
     lanes: Usual,
     panic: bool,
 }
@@ -212,8 +206,7 @@
             answered: VecDeque::new(),
             orders: VecDeque::new(),
             retries: RETRY_CAP,
-            admitted: 1.0,
-            asked: BTreeMap::new(),
+            aims: Usual::default(),
             lanes: Usual::default(),
             panic: false,
         };
@@ -243,7 +236,6 @@
             ceiling: f64::MAX,
             full_until: Time(0),
             fulls: 0,
-            late: 0.0,
             no_load_until: Time(0),
             util: None,
             beliefs: BTreeMap::new(),
@@ -311,13 +303,14 @@
         };
         self.rpcs.insert(id, rpc);
         self.host.wake(left, WakeId(id.0));
-        *self.asked.entry(tenant).or_default() += 1.0;
-        if self.rng.rand_float() >= self.admission(tenant) {
-            return self.give_up(now, id);
-        }
+        self.aims.add(self.aim(method));
+        let wait = match self.admit(now, tenant) {
+            None => return self.give_up(now, id),
+            Some(wait) => wait,
+        };
         match self.pick(now, id) {
-            Some(to) => self.send(now, id, to),
-            None => self.first_line.push_back(id),
+            Some(to) if !wait => self.send(now, id, to),
+            _ => self.first_line.push_back(id),
         }
     }
 
@@ -343,7 +336,7 @@
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
         let limit = self.limit(method, function, was_warm);
-        let (most, aim) = (self.slots(), self.aim(method));
+        let most = self.slots();
         let w = self.workers.get_mut(&worker).expect("called");
         w.mine = w.mine.saturating_sub(1);
         let belief = w.beliefs.entry(function).or_default();
@@ -357,10 +350,6 @@
 
                 w.ceiling = (w.ceiling + CLIMB).min(most);
                 w.fulls = 0;
-                if copy == Copy::Warm {
-                    let late = elapsed.ms() > LATE_SHARE * aim;
-                    w.late += LATE_STEP * (f64::from(u8::from(late)) - w.late);
-                }
                 let (pace, all) =
                     (self.functions.entry(function).or_default(), self.methods.entry(method).or_default());
                 match copy {
@@ -391,7 +380,6 @@
             }
             Outcome::Ok => {}
             Outcome::Full => {
-                w.late += LATE_STEP * (1.0 - w.late);
                 // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
                 w.no_load_until = now + Time(4 * FULL_HOLD.0 << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
@@ -769,7 +757,9 @@
             if !self.rpcs.get(&id).is_some_and(|r| !r.done && r.line == Line::First) {
                 continue;
             }
-            match self.pick(now, id) {
+            let tenant = self.rpcs[&id].tenant;
+            let room = self.admit(now, tenant).is_none_or(|wait| !wait);
+            match if room { self.pick(now, id) } else { None } {
                 Some(to) => self.send(now, id, to),
                 None if self.hopeless(now, id) => self.give_up(now, id),
                 None => {
@@ -855,19 +845,6 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
-        // The median worker tells the fleet's trouble from a few workers'.
-        let ready = self.workers.values().filter(|w| w.standing == Standing::Ready);
-        let mut lates: Vec<f64> = ready.map(|w| w.late).collect();
-        lates.sort_by(f64::total_cmp);
-        let late = lates.get(lates.len() / 2).copied().unwrap_or(0.0);
-        let pressed = late > PRESSED;
-        let before = self.admitted;
-        self.admitted =
-            (self.admitted + if pressed { -0.004 * before } else { 0.003 }).clamp(LEAST_ADMITTED, 1.0);
-        if (self.admitted < 1.0) != (before < 1.0) {
-            self.host.log(&format!("{}: shedding {pressed}, late {:.2}", now.0, late));
-        }
-        self.asked.values_mut().for_each(|n| *n *= 0.99);
         if self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull")
             && self.allowed("limits", "probes")
         {
@@ -892,7 +869,6 @@
             while w.sends.front().is_some_and(|&t| t + keep < now) {
                 w.sends.pop_front();
             }
-            w.late *= 0.995;
             if w.suspect && w.mine == 0 {
                 w.evidence = (w.evidence - 0.3 * TICK.ms() / 1000.0).max(0.0);
                 w.suspect = w.evidence > CLEARED_AT;
@@ -931,30 +907,31 @@
 
     // 5. Admission.
 
-    /// The chance to be admitted: tenants furthest over their share are cut first. Guards against overload;
-    /// should hold for whatever makes warm answers late across the fleet. May hurt where answers are late for
-    /// another cause than load: then it sheds what shedding does not help.
-    fn admission(&self, tenant: TenantId) -> f64 {
-        let total: f64 = self.asked.values().sum();
-        let room = self.admitted * total;
-        let share = |t: &TenantId| {
-            let told = self.settings.get("tenants").and_then(|l| l.get(t.0)?.get("share")?.as_f64());
-            told.unwrap_or(1.0)
-        };
-        // Fills every tenant up to the same level of what it asks, against its share.
-        let mut asks: Vec<(f64, f64)> = self.asked.iter().map(|(t, n)| (n / share(t), share(t))).collect();
-        asks.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (mut left, mut shares) = (room, asks.iter().map(|a| a.1).sum::<f64>());
-        let mut level = f64::MAX;
-        for (need, part) in asks {
-            if need * shares > left {
-                level = left / shares;
-                break;
-            }
-            left -= need * part;
-            shares -= part;
+    /// What may be out at warm copies so that answers come in half the soft deadline (Little's law on my own
+    /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for whatever
+    /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
+    fn load(&self, now: Time, tenant: TenantId) -> (f64, f64, f64) {
+        let answered = self.answered.iter().rev().take_while(|&&t| t + RATE_OVER > now).count() as f64;
+        let ready = self.workers.values().filter(|w| w.standing == Standing::Ready).count() as f64;
+        let limit = (answered / RATE_OVER.ms() * TARGET * self.aims.mean).max(ready);
+        let (mut out, mut of_tenant) = (0.0, 0.0);
+        for rpc in self.rpcs.values() {
+            let open = rpc.outs.iter().filter(|o| o.open && o.warm && !self.workers[&o.worker].suspect);
+            let open = open.count() as f64;
+            out += open;
+            of_tenant += if rpc.tenant == tenant { open } else { 0.0 };
+        }
+        (limit, out, of_tenant)
+    }
+
+    /// Whether an RPC has to wait, or (none) is to be denied at once as its tenant is over its share.
+    fn admit(&self, now: Time, tenant: TenantId) -> Option<bool> {
+        let (limit, out, of_tenant) = self.load(now, tenant);
+        let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
+        if out > CLOSE * limit && share.is_some_and(|s| of_tenant > s * limit) {
+            return None;
         }
-        (level * share(&tenant) / self.asked[&tenant]).min(1.0)
+        Some(out >= limit)
     }
 
     /// Whether an RPC that waits for room can no longer be in time. Guards against queues that make every answer
