--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,7 @@
 const CLIMB: f64 = 1.0;
 const RATE_OVER: Time = Time(30_000);
 const TARGET: f64 = 0.5;
+const FADE: f64 = 0.999;
 const CLOSE: f64 = 0.6;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
@@ -177,6 +178,8 @@
     orders: VecDeque<Time>,
     retries: f64,
     aims: Usual,
+    /// The best rate of answers of late, per millisecond; it fades.
+    best_rate: f64,
     lanes: Usual,
     panic: bool,
 }
@@ -207,6 +210,7 @@
             orders: VecDeque::new(),
             retries: RETRY_CAP,
             aims: Usual::default(),
+            best_rate: 0.0,
             lanes: Usual::default(),
             panic: false,
         };
@@ -304,7 +308,7 @@
         self.rpcs.insert(id, rpc);
         self.host.wake(left, WakeId(id.0));
         self.aims.add(self.aim(method));
-        let wait = match self.admit(now, tenant) {
+        let wait = match self.admit(tenant) {
             None => return self.give_up(now, id),
             Some(wait) => wait,
         };
@@ -758,7 +762,7 @@
                 continue;
             }
             let tenant = self.rpcs[&id].tenant;
-            let room = self.admit(now, tenant).is_none_or(|wait| !wait);
+            let room = self.admit(tenant).is_none_or(|wait| !wait);
             match if room { self.pick(now, id) } else { None } {
                 Some(to) => self.send(now, id, to),
                 None if self.hopeless(now, id) => self.give_up(now, id),
@@ -845,6 +849,8 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
+        let answered = self.answered.iter().rev().take_while(|&&t| t + RATE_OVER > now).count() as f64;
+        self.best_rate = (answered / RATE_OVER.ms()).max(self.best_rate * FADE);
         if self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull")
             && self.allowed("limits", "probes")
         {
@@ -910,10 +916,9 @@
     /// What may be out at warm copies so that answers come in half the soft deadline (Little's law on my own
     /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for whatever
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
-    fn load(&self, now: Time, tenant: TenantId) -> (f64, f64, f64) {
-        let answered = self.answered.iter().rev().take_while(|&&t| t + RATE_OVER > now).count() as f64;
+    fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
         let ready = self.workers.values().filter(|w| w.standing == Standing::Ready).count() as f64;
-        let limit = (answered / RATE_OVER.ms() * TARGET * self.aims.mean).max(ready);
+        let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * ready);
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
             let open = rpc.outs.iter().filter(|o| o.open && o.warm && !self.workers[&o.worker].suspect);
@@ -925,8 +930,8 @@
     }
 
     /// Whether an RPC has to wait, or (none) is to be denied at once as its tenant is over its share.
-    fn admit(&self, now: Time, tenant: TenantId) -> Option<bool> {
-        let (limit, out, of_tenant) = self.load(now, tenant);
+    fn admit(&self, tenant: TenantId) -> Option<bool> {
+        let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         if out > CLOSE * limit && share.is_some_and(|s| of_tenant > s * limit) {
             return None;
