--- a/src/brain.rs
+++ b/src/brain.rs
@@ -921,7 +921,10 @@
         let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * ready);
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
-            let open = rpc.outs.iter().filter(|o| o.open && o.warm && !self.workers[&o.worker].suspect);
+            let open = rpc
+                .outs
+                .iter()
+                .filter(|o| o.open && o.warm && o.overdue == 0 && !self.workers[&o.worker].suspect);
             let open = open.count() as f64;
             out += open;
             of_tenant += if rpc.tenant == tenant { open } else { 0.0 };
