--- a/src/brain.rs
+++ b/src/brain.rs
@@ -313,6 +313,7 @@
             Some(wait) => wait,
         };
         match self.pick(now, id) {
+            Some(to) if !wait && self.loads_rationed(to, function, tenant) => self.give_up(now, id),
             Some(to) if !wait => self.send(now, id, to),
             _ => self.first_line.push_back(id),
         }
@@ -932,6 +933,17 @@
         (limit, out, of_tenant)
     }
 
+    /// Whether a new load has to wait for others, as the fleet is close to its bound: loads push out wanted
+    /// copies, and take memory and cores from what is warm.
+    fn loads_rationed(&self, to: WorkerId, function: FunctionId, tenant: TenantId) -> bool {
+        let (limit, out, _) = self.load(tenant);
+        if out <= CLOSE * limit || self.workers[&to].copies(function) != Copies::Unknown {
+            return false;
+        }
+        let loading = |w: &Worker| w.beliefs.values().filter(|b| b.copies == Copies::Loading).count();
+        self.workers.values().map(loading).sum::<usize>() * 4 >= self.workers.len()
+    }
+
     /// Whether an RPC has to wait, or (none) is to be denied at once as its tenant is over its share.
     fn admit(&self, tenant: TenantId) -> Option<bool> {
         let (limit, out, of_tenant) = self.load(tenant);
