--- a/src/brain.rs
+++ b/src/brain.rs
@@ -308,7 +308,7 @@
         self.rpcs.insert(id, rpc);
         self.host.wake(left, WakeId(id.0));
         self.aims.add(self.aim(method));
-        let wait = match self.admit(tenant) {
+        let wait = match self.admit(now, id) {
             None => return self.give_up(now, id),
             Some(wait) => wait,
         };
@@ -762,8 +762,7 @@
             if !self.rpcs.get(&id).is_some_and(|r| !r.done && r.line == Line::First) {
                 continue;
             }
-            let tenant = self.rpcs[&id].tenant;
-            let room = self.admit(tenant).is_none_or(|wait| !wait);
+            let room = self.admit(now, id).is_none_or(|wait| !wait);
             match if room { self.pick(now, id) } else { None } {
                 Some(to) => self.send(now, id, to),
                 None if self.hopeless(now, id) => self.give_up(now, id),
@@ -944,22 +943,36 @@
         self.workers.values().map(loading).sum::<usize>() * 4 >= self.workers.len()
     }
 
+    fn usual(&self, method: MethodId) -> f64 {
+        self.methods.get(&method).map_or(0.0, |p| p.warm.mean)
+    }
+
+    /// Gain for the time that an answer takes.
+    fn density(&self, method: MethodId) -> f64 {
+        let gain = self.of_method(method, "gain").and_then(Value::as_f64).unwrap_or(1.0);
+        gain / self.usual(method).max(1.0)
+    }
+
     /// Whether an RPC has to wait, or (none) is to be denied at once as its tenant is over its share.
-    fn admit(&self, tenant: TenantId) -> Option<bool> {
+    fn admit(&self, now: Time, id: RpcId) -> Option<bool> {
+        let (tenant, method) = (self.rpcs[&id].tenant, self.rpcs[&id].method);
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
-        if out > CLOSE * limit && share.is_some_and(|s| of_tenant > s * limit) {
+        if out > CLOSE * limit && (self.hopeless(now, id) || share.is_some_and(|s| of_tenant > s * limit)) {
             return None;
         }
-        Some(out >= limit)
+        let mean =
+            self.methods.keys().map(|&m| self.density(m)).sum::<f64>() / self.methods.len().max(1) as f64;
+        let part = if mean > 0.0 { (self.density(method) / mean).clamp(CLOSE, 1.0) } else { 1.0 };
+        Some(out >= part * limit)
     }
 
     /// Whether an RPC that waits for room can no longer be in time. Guards against queues that make every answer
     /// late; should hold for any overload. May hurt where a late answer is worth nearly as much as one in time.
     fn hopeless(&self, now: Time, id: RpcId) -> bool {
         let rpc = &self.rpcs[&id];
-        let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p.warm.mean);
-        now + Time::from_ms(usual) > rpc.taken + Time::from_ms(self.aim(rpc.method))
+        let in_time = (rpc.taken + Time::from_ms(self.aim(rpc.method))).min(rpc.deadline);
+        now + Time::from_ms(self.usual(rpc.method)) > in_time
     }
 
     /// The final answer for an RPC that cannot be answered in time: a denial where that is harmless.
