--- a/crates/curlewpoint-drill/src/main.rs
+++ b/crates/curlewpoint-drill/src/main.rs
@@ -77,8 +77,7 @@
         let mut rest = self.text;
         while let Some((_, tail)) = rest.split_once(' ') {
             if let Some(value) = tail.strip_prefix(field).and_then(|t| t.strip_prefix('=')) {
-                let one =
-                    if field == "facts" { value } else { value.split(' ').next().unwrap_or_default() };
+                let one = if field == "facts" { value } else { value.split(' ').next().unwrap_or_default() };
                 return Some(one);
             }
             if tail.starts_with("facts=") {
@@ -92,10 +91,9 @@
     fn maybe<T: std::str::FromStr>(&self, field: &str) -> Result<Option<T>, String> {
         match self.text(field) {
             None | Some("") => Ok(None),
-            Some(v) => v
-                .parse()
-                .map(Some)
-                .map_err(|_| self.fault(format_args!("field {field}: cannot read '{v}'"))),
+            Some(v) => {
+                v.parse().map(Some).map_err(|_| self.fault(format_args!("field {field}: cannot read '{v}'")))
+            }
         }
     }
 
@@ -157,7 +155,7 @@
                 let facts: Map<String, Value> =
                     serde_json::from_str(line.text("facts").unwrap_or("{}")).map_err(|e| line.fault(e))?;
                 let wire = Wire { instance, reply: Rc::clone(&self.reply) };
-                let scheduler = Scheduler::start(now, wire, line.get("entropy")?, facts);
+                let scheduler = Scheduler::start(wire, line.get("entropy")?, facts);
                 self.instances.insert(instance, scheduler);
                 return Ok(());
             }
@@ -172,7 +170,7 @@
             "UPDATE" => {
                 let kind: u64 = line.get("kind")?;
                 if kind == 3 {
-                    srv.list_failed(now);
+                    srv.list_failed();
                     return Ok(());
                 }
                 let bank = line.get("bank")?;
@@ -208,10 +206,8 @@
                 line.ms("timeLeft")?,
                 line.maybe("width")?.unwrap_or(1.0),
             ),
-            "VANISHED" => srv.rpc_gone(now, RpcId(line.get("req")?)),
-            "OPENED" => {
-                srv.answer_started(now, RpcId(line.get("req")?), CallOutNo(line.get("seqNo")?));
-            }
+            "VANISHED" => srv.rpc_gone(RpcId(line.get("req")?)),
+            "OPENED" => srv.answer_started(RpcId(line.get("req")?)),
             "ATTEMPT_END" => {
                 let remark: u64 = line.maybe("remark")?.unwrap_or(0);
                 let copy = match remark % 8 {
@@ -226,7 +222,7 @@
                 let (outcome, report) = (line.outcome()?, line.report()?);
                 let elapsed = line.ms("elapsed")?;
                 let rpc = RpcId(line.get("req")?);
-                srv.call_out_ended(now, rpc, no, outcome, elapsed, done, copy, remark / 8, &report);
+                srv.call_out_ended(now, rpc, no, outcome, elapsed, done, copy, &report);
             }
             "STATUS_BACK" => {
                 srv.probe_ended(now, WorkerId(line.get("worker")?), line.outcome()?, &line.report()?);
@@ -234,13 +230,7 @@
             "LOAD_RESULT" => {
                 // A load order ends in 'F' (no room), 'E' (a load failed) and the like; all but 'S' leave no copy.
                 let (worker, function) = (WorkerId(line.get("worker")?), FunctionId(line.get("callee")?));
-                srv.load_ended(
-                    now,
-                    worker,
-                    function,
-                    line.outcome()?,
-                    line.maybe("instances")?.unwrap_or(0),
-                );
+                srv.load_ended(now, worker, function, line.outcome()?, line.maybe("instances")?.unwrap_or(0));
             }
             "REMINDER" => srv.woken(now, WakeId(line.get("ref")?)),
             // Schedulers share nothing here, and events of later wires are passed over.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,14 +24,10 @@
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
 const WARM: f64 = 0.8;
+const LOADING: f64 = 0.5;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
 const CEILING_LANES: f64 = 4.0;
-/// How much a ceiling climbs at an answer in good time.
 const CLIMB: f64 = 1.0;
-const RATE_OVER: Time = Time(30_000);
-const TARGET: f64 = 0.5;
-const FADE: f64 = 0.999;
-const CLOSE: f64 = 0.6;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
@@ -39,25 +35,38 @@
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
 const TICK: Time = Time(200);
+const TICK_WAKE: WakeId = WakeId(u64::MAX >> 1);
 const PROBE_EVERY: Time = Time(10_000);
+const KEEP: Time = Time(100_000);
+/// Evidence (log-likelihood ratios) of outcomes, and where it decides.
+const GOOD: f64 = -0.5;
+const SLOW: f64 = 1.0;
+const FAILED: f64 = 2.5;
+const DEAD: f64 = 4.0;
 const SUSPECT_AT: f64 = 4.0;
 const CLEARED_AT: f64 = 1.0;
 const EVIDENCE_CAP: f64 = 8.0;
+const FADING: f64 = 0.0003;
 const TRICKLE_EVERY: Time = Time(5_000);
 const EJECT_SHARE: f64 = 0.5;
+const COLD_PART: f64 = 0.7;
+const COLD_RATE_OVER: Time = Time(50_000);
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_CAP: f64 = 20.0;
-const TICK_WAKE: WakeId = WakeId(u64::MAX >> 1);
+const STUCK: usize = 3;
+const HANDED_ON: usize = 8;
+const RATE_OVER: Time = Time(30_000);
+const TARGET: f64 = 0.5;
+const FADE: f64 = 0.999;
+const CLOSE: f64 = 0.6;
 
 /// What I believe of a function on a worker, from my sends and answers only.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Copies {
     #[default]
     Unknown,
-    /// I placed it there; only an image may be left.
-    Disk,
     Loading,
-    /// Warm, and last known so at this time.
+    /// Last known warm at this time; past keep-alive only an image may be left on its disk.
     Warm(Time),
 }
 
@@ -67,6 +76,7 @@
     mine: u64,
 }
 
+#[derive(Default)]
 struct Worker {
     standing: Standing,
     size: f64,
@@ -79,9 +89,8 @@
     ceiling: f64,
     /// A 'full' reply holds until then, longer with each in a row.
     full_until: Time,
-    fulls: u32,
-    /// No memory for another copy until then.
     no_load_until: Time,
+    fulls: u32,
     util: Option<f64>,
     beliefs: BTreeMap<FunctionId, Belief>,
     evidence: f64,
@@ -141,7 +150,7 @@
 }
 
 /// A running mean that starts as a plain one, and the mean distance from it.
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 struct Usual {
     n: f64,
     mean: f64,
@@ -156,11 +165,17 @@
     }
 }
 
-/// How long answers take, warm and with a load.
-#[derive(Default)]
-struct Pace {
-    warm: Usual,
-    load: Usual,
+/// How long answers take: with a load, and (second) from a warm copy.
+type Pace = [Usual; 2];
+
+/// A worker as `pick` sees it.
+struct Candidate {
+    id: WorkerId,
+    affinity: f64,
+    score: f64,
+    room: bool,
+    crowded: bool,
+    mine: u64,
 }
 
 pub struct Scheduler<H: Host> {
@@ -177,24 +192,28 @@
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
     retries: f64,
+    lanes: Usual,
     aims: Usual,
     /// The best rate of answers of late, per millisecond; it fades.
     best_rate: f64,
-    lanes: Usual,
     panic: bool,
 }
 
 /// A function's rendezvous order over workers: every scheduler comes to the same one.
 fn home_rank(function: FunctionId, worker: WorkerId) -> u64 {
-    let mut x =
-        function.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ worker.0.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mut x = function.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ worker.0.wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 31)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x = (x ^ (x >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x ^ (x >> 32)
 }
 
+/// How many of these times lie less than `window` back.
+fn recent(times: &VecDeque<Time>, now: Time, window: Time) -> f64 {
+    times.iter().rev().take_while(|&&t| t + window > now).count() as f64
+}
+
 impl<H: Host> Scheduler<H> {
-    pub fn start(now: Time, host: H, seed: u128, settings: Map<String, Value>) -> Self {
+    pub fn start(host: H, seed: u128, settings: Map<String, Value>) -> Self {
         let mut new = Scheduler {
             host,
             rng: Rand64::new(seed),
@@ -209,77 +228,54 @@
             answered: VecDeque::new(),
             orders: VecDeque::new(),
             retries: RETRY_CAP,
+            lanes: Usual::default(),
             aims: Usual::default(),
             best_rate: 0.0,
-            lanes: Usual::default(),
             panic: false,
         };
         if new.settings.get("discovery").and_then(Value::as_str) == Some("subscribe") {
             new.host.watch_list();
         }
-        let _ = now;
         new.host.wake(TICK, TICK_WAKE);
         new
     }
 
     // What happens.
 
+    #[allow(clippy::too_many_arguments)]
     pub fn worker_listed(
         &mut self, now: Time, id: WorkerId, standing: Standing, since: Time, zone: ZoneId, cell: CellId,
         size: f64,
     ) {
-        let warm_within = self.span("contract", "warmWithin");
-        let w = self.workers.entry(id).or_insert_with(|| Worker {
-            standing,
-            size,
-            since,
-            cold_since: (since > Time(0)).then_some(since),
-            zone,
-            cell,
-            mine: 0,
-            ceiling: f64::MAX,
-            full_until: Time(0),
-            fulls: 0,
-            no_load_until: Time(0),
-            util: None,
-            beliefs: BTreeMap::new(),
-            evidence: 0.0,
-            suspect: false,
-            sends: VecDeque::new(),
-            last_sent: Time(0),
-            probed: Time(0),
-        });
-        let lost = standing != Standing::Ready && w.standing == Standing::Ready;
+        let new = !self.workers.contains_key(&id);
+        let was = self.workers.get(&id).map(|w| w.standing);
+        if was == Some(Standing::Ready) && standing != Standing::Ready {
+            self.hand_on(now, id);
+        }
+        let w = self.workers.entry(id).or_default();
         (w.standing, w.zone, w.cell, w.size) = (standing, zone, cell, size);
-        if since != w.since && standing == Standing::Ready {
-            // A restart under the same id: a new, cold process, of which nothing old holds.
-            (w.since, w.cold_since, w.evidence, w.suspect) = (since, Some(since), 0.0, false);
-            (w.ceiling, w.full_until, w.util) = (f64::MAX, now, None);
+        if new || (since != w.since && standing == Standing::Ready) {
+            // New, or restarted under the same id: perhaps cold, and nothing old holds.
+            (w.since, w.cold_since) = (since, (since > Time(0)).then_some(since));
+            (w.evidence, w.suspect, w.ceiling, w.full_until, w.util) = (0.0, false, f64::MAX, now, None);
             w.forget_copies();
         }
-        if w.cold_since.is_some_and(|c| c + warm_within <= now) {
-            w.cold_since = None;
-        }
-        if lost {
-            self.hand_on(now, id);
-        }
     }
 
     /// A list has been read; `named` holds all its workers if it was a complete one.
     pub fn list_read(&mut self, now: Time, named: Option<&BTreeSet<WorkerId>>) {
         let missing = |id: &&WorkerId| named.is_some_and(|n| !n.contains(id));
-        let gone: Vec<WorkerId> = self.workers.keys().filter(missing).copied().collect();
-        for id in gone {
-            let w = self.workers.get_mut(&id).expect("listed");
-            let was = std::mem::replace(&mut w.standing, Standing::Gone);
-            if was == Standing::Ready {
+        let missing: Vec<WorkerId> = self.workers.keys().filter(missing).copied().collect();
+        for id in missing {
+            if self.workers[&id].standing == Standing::Ready {
                 self.hand_on(now, id);
             }
+            self.workers.entry(id).or_default().standing = Standing::Gone;
         }
         self.serve(now);
     }
 
-    pub fn list_failed(&mut self, _now: Time) {
+    pub fn list_failed(&mut self) {
         self.host.watch_list();
     }
 
@@ -290,40 +286,23 @@
     ) {
         self.taken.push_back(now);
         self.lanes.add(lanes);
+        self.aims.add(self.aim(method));
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_CAP);
-        self.functions.entry(function).or_default();
-        let (deadline, outs) = (now + left, Vec::new());
-        let rpc = Rpc {
-            method,
-            function,
-            tenant,
-            lanes,
-            taken: now,
-            deadline,
-            outs,
-            line: Line::First,
-            done: false,
-            streaming: false,
-        };
-        self.rpcs.insert(id, rpc);
         self.host.wake(left, WakeId(id.0));
-        self.aims.add(self.aim(method));
-        let wait = match self.admit(now, id) {
-            None => return self.give_up(now, id),
-            Some(wait) => wait,
-        };
-        match self.pick(now, id) {
-            Some(to) if !wait && self.loads_rationed(to, function, tenant) => self.give_up(now, id),
-            Some(to) if !wait => self.send(now, id, to),
-            _ => self.first_line.push_back(id),
+        let (deadline, outs, line) = (now + left, Vec::new(), Line::First);
+        let (taken, done, streaming) = (now, false, false);
+        let rpc = Rpc { method, function, tenant, lanes, taken, deadline, outs, line, done, streaming };
+        self.rpcs.insert(id, rpc);
+        if self.first_call_out(now, id) {
+            self.first_line.push_back(id);
         }
     }
 
-    pub fn rpc_gone(&mut self, now: Time, id: RpcId) {
-        self.close(now, id);
+    pub fn rpc_gone(&mut self, id: RpcId) {
+        self.close(id);
     }
 
-    pub fn answer_started(&mut self, _now: Time, id: RpcId, _no: CallOutNo) {
+    pub fn answer_started(&mut self, id: RpcId) {
         if let Some(rpc) = self.rpcs.get_mut(&id) {
             (rpc.streaming, rpc.line) = (true, Line::None);
         }
@@ -332,7 +311,7 @@
     #[allow(clippy::too_many_arguments)]
     pub fn call_out_ended(
         &mut self, now: Time, id: RpcId, no: CallOutNo, outcome: Outcome, elapsed: Time, done: bool,
-        copy: Copy, _crowd: u64, report: &[f64],
+        copy: Copy, report: &[f64],
     ) {
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let (function, method) = (rpc.function, rpc.method);
@@ -340,50 +319,40 @@
         (out.open, out.never_ran) = (false, outcome.never_ran());
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
-        let limit = self.limit(method, function, was_warm);
-        let most = self.slots();
-        let w = self.workers.get_mut(&worker).expect("called");
+        let slow = elapsed > self.limit(method, function, was_warm);
+        let slots = self.slots();
+        let w = self.workers.entry(worker).or_default();
+        let alive = w.since <= sent;
         w.mine = w.mine.saturating_sub(1);
         let belief = w.beliefs.entry(function).or_default();
         belief.mine = belief.mine.saturating_sub(1);
-        let alive = w.since <= sent;
+        if outcome != Outcome::Ok && belief.copies == Copies::Loading && belief.mine == 0 {
+            belief.copies = Copies::Unknown;
+        }
         match outcome {
             Outcome::Ok if alive => {
-                self.answered.push_back(now);
-                let falsified = was_warm && copy == Copy::BeganLoad;
                 belief.copies = Copies::Warm(now);
-
-                w.ceiling = (w.ceiling + CLIMB).min(most);
+                w.ceiling = (w.ceiling + CLIMB).min(slots);
                 w.fulls = 0;
-                let (pace, all) =
-                    (self.functions.entry(function).or_default(), self.methods.entry(method).or_default());
-                match copy {
-                    Copy::BeganLoad | Copy::WaitedForLoad => {
-                        pace.load.add(elapsed.ms());
-                        all.load.add(elapsed.ms());
-                    }
-                    _ => {
-                        pace.warm.add(elapsed.ms());
-                        all.warm.add(elapsed.ms());
-                    }
-                }
-                if falsified {
+                self.answered.push_back(now);
+                let warm = usize::from(!matches!(copy, Copy::BeganLoad | Copy::WaitedForLoad));
+                self.functions.entry(function).or_default()[warm].add(elapsed.ms());
+                self.methods.entry(method).or_default()[warm].add(elapsed.ms());
+                if was_warm && copy == Copy::BeganLoad {
                     self.void_elsewhere(function, worker, sent);
                 }
-                let slow = elapsed > limit && overdue == 0;
                 self.judge(
                     now,
                     worker,
-                    if slow {
-                        1.0
-                    } else if overdue > 0 {
+                    if overdue > 0 {
                         0.0
+                    } else if slow {
+                        SLOW
                     } else {
-                        -0.5
+                        GOOD
                     },
                 );
             }
-            Outcome::Ok => {}
             Outcome::Full => {
                 // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
                 w.no_load_until = now + Time(4 * FULL_HOLD.0 << w.fulls);
@@ -392,41 +361,31 @@
                     w.ceiling = w.mine.max(1) as f64;
                     w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
                 }
-                if belief.copies == Copies::Loading && belief.mine == 0 {
-                    belief.copies = Copies::Unknown;
-                }
             }
             Outcome::Reset | Outcome::ConnectFailed => {
                 // Guards against a process that died before the list tells; should also hold for a cut link.
                 // May hurt when a live worker is at its connection limit: its copies are believed gone.
+                self.hand_on(now, worker);
+                let w = self.workers.entry(worker).or_default();
                 w.forget_copies();
                 w.cold_since = w.cold_since.max(Some(now));
-                self.judge(now, worker, 4.0);
-                self.hand_on(now, worker);
+                self.judge(now, worker, DEAD);
             }
-            Outcome::Miss if copy != Copy::LoadFailed => {
+            Outcome::Miss | Outcome::Error if copy == Copy::LoadFailed => belief.copies = Copies::Unknown,
+            Outcome::Miss => {
                 belief.copies = Copies::Unknown;
                 self.order(now, worker, function);
             }
-            Outcome::Miss => belief.copies = Copies::Unknown,
-            Outcome::Error if copy == Copy::LoadFailed => belief.copies = Copies::Unknown,
-            Outcome::Error => self.judge(now, worker, 2.5),
-            Outcome::TimeOut | Outcome::Cancelled => {
-                if belief.copies == Copies::Loading && belief.mine == 0 {
-                    belief.copies = Copies::Unknown;
-                }
-            }
-            Outcome::NotSent => {}
-        }
-        let rpc = self.rpcs.get_mut(&id).expect("held");
-        if done {
-            rpc.done = true;
+            Outcome::Error => self.judge(now, worker, FAILED),
+            Outcome::Ok | Outcome::TimeOut | Outcome::Cancelled | Outcome::NotSent => {}
         }
-        if rpc.done {
-            self.close(now, id);
-        } else if rpc.open() == 0 && rpc.line == Line::None {
-            rpc.line = Line::Second;
-            self.second_line.push_back(id);
+        if let Some(rpc) = self.rpcs.get_mut(&id) {
+            if done || rpc.done {
+                self.close(id);
+            } else if rpc.open() == 0 && rpc.line == Line::None {
+                rpc.line = Line::Second;
+                self.second_line.push_back(id);
+            }
         }
         self.serve(now);
     }
@@ -434,7 +393,7 @@
     pub fn probe_ended(&mut self, now: Time, worker: WorkerId, outcome: Outcome, report: &[f64]) {
         self.report_read(worker, report);
         if outcome == Outcome::Reset {
-            self.judge(now, worker, 2.0);
+            self.judge(now, worker, FAILED);
         }
     }
 
@@ -449,23 +408,23 @@
             belief.copies = Copies::Unknown;
         }
         if matches!(outcome, Outcome::Reset | Outcome::ConnectFailed) {
-            self.judge(now, worker, 2.0);
+            self.judge(now, worker, FAILED);
         }
         self.serve(now);
     }
 
     pub fn woken(&mut self, now: Time, id: WakeId) {
+        let due = |r: &Rpc| !r.done && !r.streaming && r.deadline <= now;
         if id == TICK_WAKE {
             self.host.wake(TICK, TICK_WAKE);
             self.sweep(now);
             self.serve(now);
-        } else if self.rpcs.get(&RpcId(id.0)).is_some_and(|r| !r.done && !r.streaming && r.deadline <= now)
-        {
+        } else if self.rpcs.get(&RpcId(id.0)).is_some_and(due) {
             self.give_up(now, RpcId(id.0));
         }
     }
 
-    // Settings.
+    // Settings and what follows from them.
 
     fn part(&self, part: &str, name: &str) -> Option<&Value> {
         self.settings.get(part)?.get(name)
@@ -483,17 +442,31 @@
         self.part(part, name).and_then(Value::as_bool).unwrap_or(false)
     }
 
-    fn of_method<'a>(&'a self, method: MethodId, name: &str) -> Option<&'a Value> {
+    fn of_method(&self, method: MethodId, name: &str) -> Option<&Value> {
         self.settings.get("requestClasses")?.get(method.0)?.get(name)
     }
 
-    // The rules on repeats.
+    fn effect(&self, method: MethodId) -> Option<&str> {
+        self.of_method(method, "effect")?.as_str()
+    }
+
+    fn aim(&self, method: MethodId) -> f64 {
+        self.of_method(method, "aim").and_then(Value::as_f64).unwrap_or(1000.0)
+    }
+
+    fn slots(&self) -> f64 {
+        (CEILING_LANES * self.lanes.mean).max(2.0)
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values().filter(|w| w.standing == Standing::Ready)
+    }
 
     /// Whether a further call-out to `worker`, or a denial (no worker), keeps the rule on repeated effects.
     fn harmless(&self, now: Time, rpc: &Rpc, worker: Option<&Worker>) -> bool {
         let Some(first) = rpc.outs.iter().find(|o| o.open || !o.never_ran) else { return true };
         let group = self.of_method(rpc.method, "group").and_then(Value::as_str);
-        match self.of_method(rpc.method, "effect").and_then(Value::as_str) {
+        match self.effect(rpc.method) {
             Some("read_like") => true,
             Some("idempotency_key") => {
                 let Some(to) = worker else { return group == Some("all") };
@@ -510,116 +483,99 @@
         }
     }
 
+    fn harmless_to_any(&self, now: Time, rpc: &Rpc) -> bool {
+        self.ready().any(|w| self.harmless(now, rpc, Some(w)))
+    }
+
     // The design: filter, score, coalesce.
 
     fn affinity(&self, now: Time, w: &Worker, function: FunctionId) -> f64 {
         let keep = self.span("familyInfo", "keepAlive");
-        let warm = |c: &Copies| matches!(c, Copies::Warm(used) if now - *used <= keep);
+        let stands = |b: &&Belief| matches!(b.copies, Copies::Warm(used) if now - used <= keep);
         match w.copies(function) {
             Copies::Warm(_) if w.beliefs[&function].mine > 0 => 1.0,
             Copies::Warm(used) if now - used <= RECENT.min(keep) => 1.0,
             Copies::Warm(used) if now - used <= keep => WARM,
-            Copies::Loading => 0.5,
-            Copies::Warm(_) | Copies::Disk => 0.4,
-            Copies::Unknown if w.beliefs.values().filter(|b| warm(&b.copies)).count() < 4 => 0.3,
+            Copies::Loading => LOADING,
+            Copies::Warm(_) => 0.4,
+            Copies::Unknown if w.beliefs.values().filter(stands).count() < 4 => 0.3,
             Copies::Unknown => 0.0,
         }
     }
 
-    /// Chooses the worker for an RPC's next call-out; none: it waits.
-    fn pick(&mut self, now: Time, id: RpcId) -> Option<WorkerId> {
-        let rpc = &self.rpcs[&id];
-        let (function, most) = (rpc.function, self.slots());
-        let fresh = rpc.outs.is_empty();
-        let tried: BTreeSet<WorkerId> = rpc.outs.iter().map(|o| o.worker).collect();
-        let ready = self.workers.values().filter(|w| w.standing == Standing::Ready);
-        let (count, mine) = ready.fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
-        let crowded = CROWD * mine / f64::max(count, 1.0) + (SLACK_LANES * rpc.lanes).max(1.0);
-        let utils = || self.workers.values().filter_map(|w| w.util);
-        let mean_util = utils().sum::<f64>() / utils().count().max(1) as f64;
-        let neutral = if utils().next().is_some() { mean_util } else { NEUTRAL_UTIL };
-        let side_effect = !self.harmless_always(rpc.method);
-        // May be used at all, and then: has room, and is not crowded.
-        let mut usable: Vec<(WorkerId, f64, bool, bool)> = Vec::new();
-        for (&wid, w) in &self.workers {
-            if w.standing != Standing::Ready
-                || !self.budget_left(now, w)
-                || !self.harmless(now, rpc, Some(w))
-                || (!fresh && w.suspect)
-            {
+    /// The workers that the rules let an RPC go to, scored; those without room or crowded are marked.
+    fn candidates(&self, now: Time, rpc: &Rpc) -> Vec<Candidate> {
+        let (count, mine) = self.ready().fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
+        let crowd = CROWD * mine / f64::max(count, 1.0) + (SLACK_LANES * rpc.lanes).max(1.0);
+        let utils: Vec<f64> = self.workers.values().filter_map(|w| w.util).collect();
+        let told = utils.iter().sum::<f64>() / utils.len() as f64;
+        let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { told };
+        let further = !rpc.outs.is_empty();
+        let idempotent = self.effect(rpc.method) == Some("read_like");
+        let mut all = Vec::new();
+        for (&id, w) in self.workers.iter().filter(|(_, w)| w.standing == Standing::Ready) {
+            if !self.budget_left(now, w) || !self.harmless(now, rpc, Some(w)) || (further && w.suspect) {
                 continue;
             }
-            let trickle = !side_effect && now - w.last_sent >= TRICKLE_EVERY && w.mine == 0;
-            let ceiling = w.ceiling.min(most);
-            let room = (w.mine as f64) < ceiling
-                && w.full_until <= now
-                && (!w.suspect || trickle)
-                && !tried.contains(&wid);
-            let affinity = self.affinity(now, w, function);
-            let room = room && (affinity >= 0.5 || w.no_load_until <= now);
-            let depth = 1.0 - (w.mine as f64 / ceiling).min(1.0);
-            let util = 1.0 - w.util.unwrap_or(neutral).clamp(0.0, 1.0);
+            let affinity = self.affinity(now, w, rpc.function);
+            let ceiling = w.ceiling.min(self.slots());
+            let mine = w.mine as f64;
+            let trickle = idempotent && w.mine == 0 && now - w.last_sent >= TRICKLE_EVERY;
+            let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
+            let fresh = rpc.outs.iter().all(|o| o.worker != id);
+            let room = mine < ceiling && takes && fresh && (!w.suspect || trickle);
+            let util = 1.0 - w.util.unwrap_or(lacking).clamp(0.0, 1.0);
+            let depth = 1.0 - (mine / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * depth + UTIL_WEIGHT * util;
-            usable.push((wid, score, room, (w.mine as f64) < crowded));
-        }
-        // New loads go to the first in the function's rendezvous order that has room.
-        let mut order: Vec<WorkerId> = usable.iter().filter(|u| u.2 && u.3).map(|u| u.0).collect();
-        order.sort_by_key(|&w| home_rank(function, w));
-        let affinity = |s: &Self, w: WorkerId| s.affinity(now, &s.workers[&w], function);
-        let mut best: Option<(f64, f64, WorkerId)> = None;
-        for &(wid, score, room, uncrowded) in &usable {
-            if !(room && uncrowded) {
-                continue;
-            }
-            let mut score = score;
-            if affinity(self, wid) < WARM {
-                let rank = order.iter().position(|&w| w == wid).unwrap_or(0);
-                score += HOME_WEIGHT * 0.5f64.powi(rank as i32) - HOME_WEIGHT;
-            }
+            all.push(Candidate { id, affinity, score, room, crowded: mine >= crowd, mine: w.mine });
+        }
+        all
+    }
+
+    /// Chooses the worker for an RPC's next call-out; none: it waits.
+    fn pick(&mut self, now: Time, id: RpcId) -> Option<WorkerId> {
+        let function = self.rpcs[&id].function;
+        let mut all = self.candidates(now, &self.rpcs[&id]);
+        all.retain(|c| c.room);
+        // New loads go to the first in the function's rendezvous order, where load allows.
+        all.sort_by_key(|c| home_rank(function, c.id));
+        let mut best: Option<(f64, f64, WorkerId, f64)> = None;
+        let mut home = HOME_WEIGHT;
+        for c in all.iter().filter(|c| !c.crowded) {
+            let score = if c.affinity < WARM { c.score + home - HOME_WEIGHT } else { c.score };
+            home /= 2.0;
             let tie = self.rng.rand_float();
             if best.is_none_or(|b| (score, tie) > (b.0, b.1)) {
-                best = Some((score, tie, wid));
+                best = Some((score, tie, c.id, c.affinity));
             }
         }
-        if let Some((.., wid)) = best.filter(|b| affinity(self, b.2) >= WARM) {
-            return Some(wid);
+        if let Some((.., to, _)) = best.filter(|b| b.3 >= WARM) {
+            return Some(to);
         }
         // Every pick left would start a load. A crowded worker believed warm that has room takes the RPC, and
         // a copy is ordered where the load would have gone; else the RPC queues behind a load under way.
-        let with = |s: &Self, loading: bool| {
-            let fits = |u: &&(WorkerId, f64, bool, bool)| {
-                let copies = s.workers[&u.0].copies(function);
-                u.2 && if loading { copies == Copies::Loading } else { affinity(s, u.0) >= WARM }
-            };
-            let all = usable.iter().filter(fits);
-            all.min_by_key(|u| s.workers[&u.0].mine).map(|u| u.0)
+        let least = |fits: &dyn Fn(&Candidate) -> bool| {
+            all.iter().filter(|c| fits(c)).min_by_key(|c| c.mine).map(|c| c.id)
         };
-        let (warm, loading) = (with(self, false), with(self, true));
-        if let Some(wid) = warm {
-            if let (None, Some((.., at))) = (loading, best) {
+        let loading = least(&|c| c.affinity == LOADING);
+        if let Some(to) = least(&|c| c.affinity >= WARM) {
+            if let (None, Some((.., at, _))) = (loading, best) {
                 self.order(now, at, function);
             }
-            return Some(wid);
+            return Some(to);
         }
         if loading.is_some() {
-            return loading;
+            let told = self.part("familyInfo", "whenAbsent").and_then(Value::as_str);
+            return loading.filter(|_| told != Some("miss"));
         }
-        if let Some((.., wid)) = best {
-            return Some(wid);
-        }
-        usable.iter().filter(|u| u.2).min_by_key(|u| self.workers[&u.0].mine).map(|u| u.0)
-    }
-
-    fn harmless_always(&self, method: MethodId) -> bool {
-        self.of_method(method, "effect").and_then(Value::as_str) == Some("read_like")
+        best.map(|b| b.2).or_else(|| least(&|_| true))
     }
 
     fn send(&mut self, now: Time, id: RpcId, to: WorkerId) {
         let warm = self.affinity(now, &self.workers[&to], self.rpcs[&id].function) >= WARM;
-        let rpc = self.rpcs.get_mut(&id).expect("held");
+        let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
         rpc.line = Line::None;
         rpc.outs.push(CallOut { worker: to, sent: now, open: true, never_ran: false, warm, overdue: 0 });
-        let w = self.workers.get_mut(&to).expect("picked");
         w.mine += 1;
         w.last_sent = now;
         if w.cold_since.is_some() {
@@ -639,7 +595,7 @@
         for (_, w) in self.workers.iter_mut().filter(|(&id, _)| id != at) {
             if let Some(b) = w.beliefs.get_mut(&function) {
                 if matches!(b.copies, Copies::Warm(used) if used < before) {
-                    b.copies = Copies::Disk;
+                    b.copies = Copies::Unknown;
                 }
             }
         }
@@ -652,9 +608,8 @@
     /// suspect already the trouble is not the worker's, and nobody more is ejected. May hurt where a tenant's
     /// own RPCs always fail: the workers that serve them look ill.
     fn judge(&mut self, now: Time, id: WorkerId, evidence: f64) {
-        let ready = self.workers.values().filter(|w| w.standing == Standing::Ready).count() as f64;
-        let suspects =
-            self.workers.values().filter(|w| w.suspect && w.standing == Standing::Ready).count() as f64;
+        let ready = self.ready().count() as f64;
+        let suspects = self.ready().filter(|w| w.suspect).count() as f64;
         let Some(w) = self.workers.get_mut(&id) else { return };
         let step = if w.suspect && evidence < 0.0 { 4.0 * evidence } else { evidence };
         w.evidence = (w.evidence + step).clamp(0.0, EVIDENCE_CAP);
@@ -662,14 +617,14 @@
             w.suspect = false;
             self.host.log(&format!("{}: worker {} cleared, evidence {:.1}", now.0, id.0, w.evidence));
         } else if !w.suspect && w.evidence >= SUSPECT_AT {
-            let full = suspects + 1.0 > (ready * EJECT_SHARE).max(1.0);
-            if !full {
-                w.suspect = true;
+            let panic = suspects + 1.0 > (ready * EJECT_SHARE).max(1.0);
+            w.suspect = !panic;
+            if w.suspect {
                 self.host.log(&format!("{}: worker {} suspect, evidence {:.1}", now.0, id.0, w.evidence));
             }
-            if full != self.panic {
-                self.panic = full;
-                self.host.log(&format!("{}: panic {full}, {suspects} suspects of {ready}", now.0));
+            if panic != self.panic {
+                self.panic = panic;
+                self.host.log(&format!("{}: panic {panic}, {suspects} suspects of {ready}", now.0));
             }
         }
     }
@@ -677,207 +632,169 @@
     fn report_read(&mut self, worker: WorkerId, report: &[f64]) {
         let names = self.part("loadInfo", "names").and_then(Value::as_array);
         let at = names.and_then(|n| n.iter().position(|n| n == "utilization"));
-        let util = at.and_then(|i| report.get(i).copied());
-        if let (Some(w), Some(util)) = (self.workers.get_mut(&worker), util) {
+        if let (Some(w), Some(&util)) = (self.workers.get_mut(&worker), at.and_then(|i| report.get(i))) {
             w.util = Some(util);
         }
     }
 
-    fn slots(&self) -> f64 {
-        (CEILING_LANES * self.lanes.mean).max(2.0)
-    }
-
-    fn aim(&self, method: MethodId) -> f64 {
-        self.of_method(method, "aim").and_then(Value::as_f64).unwrap_or(1000.0)
-    }
-
-    /// How long a call-out may take before it counts as overdue.
+    /// How long a call-out may take before it counts as overdue: by its function, as far as that is known.
     fn limit(&self, method: MethodId, function: FunctionId, warm: bool) -> Time {
-        let aim = self.aim(method);
-        let of = |p: Option<&Pace>| {
-            p.map(|p| {
-                if warm {
-                    (p.warm.n, p.warm.mean, p.warm.dev)
-                } else {
-                    (p.load.n, p.load.mean, p.load.dev)
-                }
-            })
-        };
-        let (fn_n, fn_mean, fn_dev) = of(self.functions.get(&function)).unwrap_or_default();
-        let (all_n, all_mean, all_dev) = of(self.methods.get(&method)).unwrap_or_default();
-        if all_n < 5.0 {
-            return Time::from_ms(if warm { aim } else { 3.0 * aim });
+        let all = self.methods.get(&method).map(|p| p[usize::from(warm)]).unwrap_or_default();
+        let own = self.functions.get(&function).map(|p| p[usize::from(warm)]).unwrap_or_default();
+        if all.n < 5.0 {
+            return Time::from_ms(if warm { 1.0 } else { 3.0 } * self.aim(method));
         }
-        let share = fn_n / (fn_n + 5.0);
-        let (mean, dev) =
-            (share * fn_mean + (1.0 - share) * all_mean, share * fn_dev + (1.0 - share) * all_dev);
-        Time::from_ms(2.0 * mean + 3.0 * dev)
+        let share = own.n / (own.n + 5.0);
+        let of = |own: f64, all: f64| share * own + (1.0 - share) * all;
+        Time::from_ms(2.0 * of(own.mean, all.mean) + 3.0 * of(own.dev, all.dev))
     }
 
     // 2. Slow start.
 
     /// Guards against schedulers that together push a cold worker over. Each gives it, in any window, its
     /// present share of capacity times what this scheduler gets answered by a worker of its size on the mean:
-    /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple, also
-    /// when clients' retries swell what is taken. Where the fleet idles it gives a cold worker little.
+    /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple,
+    /// also when clients' retries swell what is taken. Where the fleet idles a cold worker gets little.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
         let (age, from) = (now - since, self.number("contract", "startCapacity", 0.2));
-        if age >= within {
-            return true;
-        }
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
-        let ready = self.workers.values().filter(|w| w.standing == Standing::Ready).count().max(1) as f64;
-        let window = Time(50_000);
-        let recent = self.answered.iter().rev().take_while(|&&t| t + window > now).count() as f64;
-        let per_window = recent * self.size_share(w) / ready * fall.0 as f64 / window.0 as f64;
-        let multiple = self.number("contract", "fallMultiple", 2.0);
-        let budget = (0.7 * multiple * capacity * per_window).max(1.0);
-        let sent = w.sends.iter().rev().take_while(|&&t| t + fall > now).count() as f64;
-        sent + 1.0 <= budget
-    }
-
-    /// A worker's size against the mean of those listed, where the list tells sizes.
-    fn size_share(&self, w: &Worker) -> f64 {
         let told = self.settings.get("weightKind").and_then(Value::as_str);
-        if !matches!(told, Some("nominal" | "rough")) {
-            return 1.0;
-        }
-        let sizes: f64 = self.workers.values().map(|w| w.size).sum();
-        w.size * self.workers.len() as f64 / f64::max(sizes, 1e-9)
+        let mean_size = self.workers.values().map(|w| w.size).sum::<f64>() / self.workers.len() as f64;
+        let size = if matches!(told, Some("nominal" | "rough")) { w.size / mean_size } else { 1.0 };
+        let answered = recent(&self.answered, now, COLD_RATE_OVER) / self.ready().count().max(1) as f64;
+        let per_window = answered * size * fall.0 as f64 / COLD_RATE_OVER.0 as f64;
+        let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
+        age >= within || recent(&w.sends, now, fall) + 1.0 <= budget.max(1.0)
     }
 
     // 3. The second line.
 
-    /// Serves first call-outs, then further ones.
-    fn serve(&mut self, now: Time) {
-        // Once a few found no room the rest is left for the next event.
-        let mut stuck = 0;
-        for _ in 0..self.first_line.len() {
-            if stuck >= 3 {
-                break;
-            }
-            let Some(id) = self.first_line.pop_front() else { break };
-            if !self.rpcs.get(&id).is_some_and(|r| !r.done && r.line == Line::First) {
-                continue;
+    /// Tries an RPC's first call-out; true: it has to wait.
+    fn first_call_out(&mut self, now: Time, id: RpcId) -> bool {
+        let to = match self.admit(now, id) {
+            None => {
+                self.give_up(now, id);
+                return false;
             }
-            let room = self.admit(now, id).is_none_or(|wait| !wait);
-            match if room { self.pick(now, id) } else { None } {
-                Some(to) => self.send(now, id, to),
-                None if self.hopeless(now, id) => self.give_up(now, id),
-                None => {
-                    self.first_line.push_back(id);
-                    stuck += 1;
+            Some(wait) => {
+                if wait {
+                    None
+                } else {
+                    self.pick(now, id)
                 }
             }
+        };
+        match to {
+            Some(to) if self.loads_rationed(to, id) => self.give_up(now, id),
+            Some(to) => self.send(now, id, to),
+            None if self.hopeless(now, id) => self.give_up(now, id),
+            None => return true,
         }
-        for _ in 0..self.second_line.len() {
-            if stuck >= 3 {
-                break;
+        false
+    }
+
+    /// Tries an RPC's further call-out; true: it has to wait. One beside an open call-out goes only where a
+    /// copy is believed warm, and does not wait. What proves that it never ran costs nothing of the budget.
+    fn further_call_out(&mut self, now: Time, id: RpcId) -> bool {
+        let rpc = &self.rpcs[&id];
+        let beside = rpc.open() > 0;
+        let cost = if rpc.outs.last().is_some_and(|o| o.never_ran) { 0.0 } else { 1.0 };
+        let most = self.number("limits", "maxAttempts", f64::MAX);
+        let possible = (rpc.outs.len() as f64) < most && (beside || self.harmless_to_any(now, rpc));
+        let to = if possible && self.retries >= cost { self.pick(now, id) } else { None };
+        let warm = |to: &WorkerId| self.affinity(now, &self.workers[to], self.rpcs[&id].function) >= WARM;
+        match to.filter(|to| !beside || warm(to)) {
+            Some(to) => {
+                self.retries -= cost;
+                self.send(now, id, to);
             }
+            None if beside => self.rpcs.get_mut(&id).into_iter().for_each(|r| r.line = Line::None),
+            None if !possible || self.hopeless(now, id) => self.give_up(now, id),
+            None => return true,
+        }
+        false
+    }
 
-            let Some(id) = self.second_line.pop_front() else { break };
-            let Some(rpc) = self.rpcs.get(&id).filter(|r| !r.done && r.line == Line::Second) else {
-                continue;
-            };
-            let second = rpc.open() > 0;
-            let wasted = rpc.outs.last().is_some_and(|o| !o.never_ran);
-            let most = self.number("limits", "maxAttempts", 1.0);
-            let possible =
-                (rpc.outs.len() as f64) < most && (rpc.open() > 0 || self.harmless_to_any(now, rpc));
-            if !possible {
-                if second {
-                    self.rpcs.get_mut(&id).expect("held").line = Line::None;
-                } else {
-                    self.give_up(now, id);
-                }
+    /// Serves first call-outs, then further ones, until a few have found no room.
+    fn serve(&mut self, now: Time) {
+        let mut stuck = 0;
+        for _ in 0..self.first_line.len() + self.second_line.len() {
+            let first = !self.first_line.is_empty() && stuck < STUCK;
+            let line = if first { Line::First } else { Line::Second };
+            let queue = if first { &mut self.first_line } else { &mut self.second_line };
+            let Some(id) = queue.pop_front() else { break };
+            if self.rpcs.get(&id).is_none_or(|r| r.done || r.line != line) {
                 continue;
             }
-            let cost = if wasted { 1.0 } else { 0.0 };
-            let to = if self.retries >= cost { self.pick(now, id) } else { None };
-            match to {
-                Some(to)
-                    if !second
-                        || self.affinity(now, &self.workers[&to], self.rpcs[&id].function) >= WARM =>
-                {
-                    self.retries -= cost;
-                    self.send(now, id, to);
-                }
-                _ if second => self.rpcs.get_mut(&id).expect("held").line = Line::None,
-                _ if self.hopeless(now, id) => self.give_up(now, id),
-                _ => {
-                    self.second_line.push_back(id);
-                    stuck += 1;
+            let waits = if first { self.first_call_out(now, id) } else { self.further_call_out(now, id) };
+            if waits {
+                let queue = if first { &mut self.first_line } else { &mut self.second_line };
+                queue.push_back(id);
+                stuck += 1;
+                if stuck >= 2 * STUCK {
+                    break;
                 }
             }
         }
     }
 
-    fn harmless_to_any(&self, now: Time, rpc: &Rpc) -> bool {
-        self.workers.values().any(|w| w.standing == Standing::Ready && self.harmless(now, rpc, Some(w)))
-    }
-
-    /// Looks for overdue call-outs: each is evidence against its worker, and earns a further call-out.
+    /// Looks for overdue call-outs: each is evidence against its worker, and earns a further call-out, beside
+    /// it where that is allowed, else in its place once the worker is suspect. Then keeps the books short.
     fn sweep(&mut self, now: Time) {
-        let seconds = self.allowed("limits", "secondCopies");
-        let may_cancel = self.allowed("limits", "mayCancel");
         let mut late: Vec<(RpcId, usize, WorkerId)> = Vec::new();
         for (&id, rpc) in &self.rpcs {
-            for (no, out) in rpc.outs.iter().enumerate().filter(|(_, o)| o.open) {
+            for (no, out) in rpc.outs.iter().enumerate().filter(|(_, o)| o.open && o.overdue < 3) {
                 let limit = self.limit(rpc.method, rpc.function, out.warm);
-                if out.overdue < 3 && now - out.sent > Time(limit.0 << out.overdue) {
+                if now - out.sent > Time(limit.0 << out.overdue) {
                     late.push((id, no, out.worker));
                 }
             }
         }
         for (id, no, worker) in late {
-            self.judge(now, worker, 1.0);
-            let rpc = self.rpcs.get_mut(&id).expect("held");
+            self.judge(now, worker, SLOW);
+            let suspect = self.workers[&worker].suspect;
+            let further = self.harmless_to_any(now, &self.rpcs[&id]);
+            let seconds = self.allowed("limits", "secondCopies");
+            let cancels = self.allowed("limits", "mayCancel") && suspect && self.retries >= 1.0;
+            let Some(rpc) = self.rpcs.get_mut(&id) else { continue };
             rpc.outs[no].overdue += 1;
-            let rpc = &self.rpcs[&id];
-            if rpc.done || rpc.streaming || rpc.line != Line::None || rpc.open() > 1 {
-                continue;
-            }
-            if !self.harmless_to_any(now, rpc) {
+            if !further || rpc.done || rpc.streaming || rpc.line != Line::None || rpc.open() > 1 {
                 continue;
             }
             if seconds {
-                self.rpcs.get_mut(&id).expect("held").line = Line::Second;
+                rpc.line = Line::Second;
                 self.second_line.push_back(id);
-            } else if may_cancel && self.workers[&worker].suspect && self.retries >= 1.0 {
+            } else if cancels {
                 self.host.cancel(id, CallOutNo(no));
             }
         }
-        let answered = self.answered.iter().rev().take_while(|&&t| t + RATE_OVER > now).count() as f64;
-        self.best_rate = (answered / RATE_OVER.ms()).max(self.best_rate * FADE);
-        if self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull")
-            && self.allowed("limits", "probes")
-        {
-            for (&id, w) in &mut self.workers {
-                if w.standing == Standing::Ready && now - w.probed >= PROBE_EVERY {
-                    w.probed = now;
+        self.best_rate = (recent(&self.answered, now, RATE_OVER) / RATE_OVER.ms()).max(self.best_rate * FADE);
+        let pull = self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull");
+        let probes = pull && self.allowed("limits", "probes");
+        let (keep, within) = (self.span("familyInfo", "keepAlive"), self.span("contract", "warmWithin"));
+        for (&id, w) in &mut self.workers {
+            w.cold_since = w.cold_since.filter(|&since| now - since < within);
+            w.sends.retain(|&t| t + KEEP > now);
+            if w.suspect && w.mine == 0 {
+                w.evidence = (w.evidence - FADING * TICK.ms()).max(0.0);
+                w.suspect = w.evidence > CLEARED_AT;
+            }
+            if w.standing == Standing::Ready && now - w.probed >= PROBE_EVERY {
+                w.probed = now;
+                w.beliefs.retain(|_, b| match b.copies {
+                    Copies::Warm(used) => b.mine > 0 || now - used <= keep + KEEP,
+                    copies => b.mine > 0 || copies != Copies::Unknown,
+                });
+                if probes {
                     self.host.probe(id);
                 }
             }
         }
-        let keep = Time(100_000);
-        while self.taken.front().is_some_and(|&t| t + keep < now) {
-            self.taken.pop_front();
-        }
-        while self.answered.front().is_some_and(|&t| t + keep < now) {
-            self.answered.pop_front();
-        }
-        while self.orders.front().is_some_and(|&t| t + keep < now) {
-            self.orders.pop_front();
-        }
-        for w in self.workers.values_mut() {
-            while w.sends.front().is_some_and(|&t| t + keep < now) {
-                w.sends.pop_front();
-            }
-            if w.suspect && w.mine == 0 {
-                w.evidence = (w.evidence - 0.3 * TICK.ms() / 1000.0).max(0.0);
-                w.suspect = w.evidence > CLEARED_AT;
+        for times in [&mut self.taken, &mut self.answered, &mut self.orders] {
+            while times.front().is_some_and(|&t| t + KEEP < now) {
+                times.pop_front();
             }
         }
     }
@@ -886,29 +803,40 @@
 
     /// Orders one copy, within the ration; the worker counts as loading it from then on.
     fn order(&mut self, now: Time, at: WorkerId, function: FunctionId) {
-        if !self.allowed("familyInfo", "mayOrder") || self.workers[&at].standing != Standing::Ready {
-            return;
-        }
         let window = self.span("familyInfo", "loadsWithin");
-        if window > Time(0) {
-            let in_window = |t: &&Time| **t + window >= now;
-            let given = self.orders.iter().rev().take_while(in_window).count() as f64;
-            let taken = self.taken.iter().rev().take_while(|&&t| t + window > now).count() as f64;
-            let (floor, share) =
-                (self.number("familyInfo", "loadFloor", 0.0), self.number("familyInfo", "loadShare", 0.0));
-            if given + 1.0 > floor + share * taken {
-                return;
-            }
+        let share = self.number("familyInfo", "loadShare", 0.0);
+        let most = self.number("familyInfo", "loadFloor", 0.0) + share * recent(&self.taken, now, window);
+        let spent = window > Time(0) && recent(&self.orders, now, window + Time(1)) + 1.0 > most;
+        let Some(w) = self.workers.get_mut(&at).filter(|w| w.standing == Standing::Ready) else { return };
+        if spent
+            || self.settings.get("familyInfo").and_then(|f| f.get("mayOrder")) != Some(&Value::Bool(true))
+        {
+            return;
         }
+        w.beliefs.entry(function).or_default().copies = Copies::Loading;
         self.orders.push_back(now);
-        let belief = self.workers.get_mut(&at).expect("known").beliefs.entry(function).or_default();
-        belief.copies = Copies::Loading;
         self.host.load(at, function, 1);
     }
 
-    /// A worker is lost: has its functions in recent use loaded where their next RPCs would go.
+    /// A worker is lost: has its functions in recent use loaded where their next RPCs would go. Guards against
+    /// RPCs that wait for those loads; should hold for drains, deaths and cut links. May hurt where the store
+    /// is the bottleneck: hence only the latest few, and none that stands elsewhere.
     fn hand_on(&mut self, now: Time, from: WorkerId) {
-        let _ = (now, from);
+        let used = |(&f, b): (&FunctionId, &Belief)| match b.copies {
+            Copies::Warm(used) if now - used <= RECENT => Some((used, f)),
+            _ => None,
+        };
+        let mut lost: Vec<_> = self.workers[&from].beliefs.iter().filter_map(used).collect();
+        lost.sort_by(|a, b| b.cmp(a));
+        for (_, function) in lost.into_iter().take(HANDED_ON) {
+            let others =
+                || self.workers.iter().filter(|(&id, w)| id != from && w.standing == Standing::Ready);
+            let stands = others().any(|(_, w)| self.affinity(now, w, function) >= LOADING);
+            let healthy = others().filter(|(_, w)| !w.suspect).map(|(&id, _)| id);
+            if let (false, Some(at)) = (stands, healthy.min_by_key(|&id| home_rank(function, id))) {
+                self.order(now, at, function);
+            }
+        }
     }
 
     // 5. Admission.
@@ -917,94 +845,71 @@
     /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for whatever
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
-        let ready = self.workers.values().filter(|w| w.standing == Standing::Ready).count() as f64;
-        let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * ready);
+        let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * self.ready().count() as f64);
+        let counts = |o: &&CallOut| o.open && o.warm && o.overdue == 0 && !self.workers[&o.worker].suspect;
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
-            let open = rpc
-                .outs
-                .iter()
-                .filter(|o| o.open && o.warm && o.overdue == 0 && !self.workers[&o.worker].suspect);
-            let open = open.count() as f64;
+            let open = rpc.outs.iter().filter(counts).count() as f64;
             out += open;
             of_tenant += if rpc.tenant == tenant { open } else { 0.0 };
         }
         (limit, out, of_tenant)
     }
 
-    /// Whether a new load has to wait for others, as the fleet is close to its bound: loads push out wanted
-    /// copies, and take memory and cores from what is warm.
-    fn loads_rationed(&self, to: WorkerId, function: FunctionId, tenant: TenantId) -> bool {
-        let (limit, out, _) = self.load(tenant);
-        if out <= CLOSE * limit || self.workers[&to].copies(function) != Copies::Unknown {
-            return false;
-        }
-        let loading = |w: &Worker| w.beliefs.values().filter(|b| b.copies == Copies::Loading).count();
-        self.workers.values().map(loading).sum::<usize>() * 4 >= self.workers.len()
-    }
-
-    fn usual(&self, method: MethodId) -> f64 {
-        self.methods.get(&method).map_or(0.0, |p| p.warm.mean)
-    }
-
-    /// Gain for the time that an answer takes.
-    fn density(&self, method: MethodId) -> f64 {
-        let gain = self.of_method(method, "gain").and_then(Value::as_f64).unwrap_or(1.0);
-        gain / self.usual(method).max(1.0)
-    }
-
-    /// Whether an RPC has to wait, or (none) is to be denied at once as its tenant is over its share.
+    /// Whether an RPC has to wait; none: close to the bound, its tenant is over its share or its time too short.
     fn admit(&self, now: Time, id: RpcId) -> Option<bool> {
-        let (tenant, method) = (self.rpcs[&id].tenant, self.rpcs[&id].method);
+        let tenant = self.rpcs[&id].tenant;
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
-        if out > CLOSE * limit && (self.hopeless(now, id) || share.is_some_and(|s| of_tenant > s * limit)) {
-            return None;
-        }
-        let mean =
-            self.methods.keys().map(|&m| self.density(m)).sum::<f64>() / self.methods.len().max(1) as f64;
-        let part = if mean > 0.0 { (self.density(method) / mean).clamp(CLOSE, 1.0) } else { 1.0 };
-        Some(out >= part * limit)
+        let over = share.is_some_and(|s| of_tenant > s * limit);
+        (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(out >= limit)
     }
 
-    /// Whether an RPC that waits for room can no longer be in time. Guards against queues that make every answer
-    /// late; should hold for any overload. May hurt where a late answer is worth nearly as much as one in time.
+    /// Whether a new load has to wait for others, as the fleet is close to its bound: loads push out wanted
+    /// copies, and take memory and cores from what is warm.
+    fn loads_rationed(&self, to: WorkerId, id: RpcId) -> bool {
+        let rpc = &self.rpcs[&id];
+        let (limit, out, _) = self.load(rpc.tenant);
+        let loading = |w: &Worker| w.beliefs.values().filter(|b| b.copies == Copies::Loading).count();
+        out > CLOSE * limit
+            && self.workers[&to].copies(rpc.function) == Copies::Unknown
+            && self.workers.values().map(loading).sum::<usize>() * 4 >= self.workers.len()
+    }
+
+    /// Whether an RPC that waits can no longer be in time. Guards against queues that make every answer late;
+    /// should hold for any overload. May hurt where a late answer is worth nearly as much as one in time. An RPC
+    /// held for a load that was ordered after a miss has until its deadline.
     fn hopeless(&self, now: Time, id: RpcId) -> bool {
         let rpc = &self.rpcs[&id];
-        let in_time = (rpc.taken + Time::from_ms(self.aim(rpc.method))).min(rpc.deadline);
-        now + Time::from_ms(self.usual(rpc.method)) > in_time
+        let held = self.ready().any(|w| w.copies(rpc.function) == Copies::Loading);
+        let held = held && self.part("familyInfo", "whenAbsent").and_then(Value::as_str) == Some("miss");
+        let aim = if held { rpc.deadline } else { rpc.taken + Time::from_ms(self.aim(rpc.method)) };
+        let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
+        now + Time::from_ms(usual) > aim.min(rpc.deadline)
     }
 
     /// The final answer for an RPC that cannot be answered in time: a denial where that is harmless.
     fn give_up(&mut self, now: Time, id: RpcId) {
-        let rpc = &self.rpcs[&id];
-        if self.harmless(now, rpc, None) {
-            let stay = if self.allowed("limits", "retryAfter") {
-                self.span("limits", "maxRetryAfter")
-            } else {
-                Time(0)
-            };
-            self.host.deny(id, Time(stay.0 / 2));
+        if self.harmless(now, &self.rpcs[&id], None) {
+            let advised = self.allowed("limits", "retryAfter");
+            let most = if advised { self.span("limits", "maxRetryAfter") } else { Time(0) };
+            self.host.deny(id, Time(most.0 / 2));
         } else {
             self.host.abort(id);
         }
-        self.close(now, id);
+        self.close(id);
     }
 
     /// Nothing more is owed for an RPC; its open call-outs are ended, and it is kept until they have.
-    fn close(&mut self, _now: Time, id: RpcId) {
+    fn close(&mut self, id: RpcId) {
         let may_cancel = self.allowed("limits", "mayCancel");
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let first = !rpc.done || rpc.line != Line::None;
-        (rpc.done, rpc.line) = (true, Line::None);
-        let _ = (rpc.tenant, rpc.lanes, first);
+        let first = !std::mem::replace(&mut rpc.done, true);
         if rpc.open() == 0 {
             self.rpcs.remove(&id);
-        } else if may_cancel {
-            for no in 0..rpc.outs.len() {
-                if rpc.outs[no].open {
-                    self.host.cancel(id, CallOutNo(no));
-                }
+        } else if first && may_cancel {
+            for (no, _) in rpc.outs.iter().enumerate().filter(|(_, o)| o.open) {
+                self.host.cancel(id, CallOutNo(no));
             }
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -23,17 +23,13 @@
 pub struct TenantId(pub usize);
 
 /// A zone: an index into the settings' list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub usize);
 
 /// A cell: workers that share which tokens they have seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u64);
 
-/// A kind of machine: an index into the settings' list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct KindId(pub usize);
-
 /// A call-out of an RPC, numbered from 0 in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallOutNo(pub usize);
@@ -72,8 +68,9 @@
 }
 
 /// What the list of workers says of one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
