--- a/src/brain.rs
+++ b/src/brain.rs
@@ -122,13 +122,6 @@
     overdue: u32,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Line {
-    None,
-    First,
-    Second,
-}
-
 struct Rpc {
     method: MethodId,
     function: FunctionId,
@@ -137,7 +130,8 @@
     taken: Time,
     deadline: Time,
     outs: Vec<CallOut>,
-    line: Line,
+    /// In the first line, or (once it has been called out) in the second.
+    waiting: bool,
     /// The final answer has been given; kept while call-outs are still open.
     done: bool,
     streaming: bool,
@@ -184,10 +178,9 @@
     settings: Map<String, Value>,
     workers: BTreeMap<WorkerId, Worker>,
     rpcs: BTreeMap<RpcId, Rpc>,
-    functions: BTreeMap<FunctionId, Pace>,
     methods: BTreeMap<MethodId, Pace>,
-    first_line: VecDeque<RpcId>,
-    second_line: VecDeque<RpcId>,
+    /// First call-outs wait in the first line, further ones in the second.
+    lines: [VecDeque<RpcId>; 2],
     taken: VecDeque<Time>,
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
@@ -220,10 +213,8 @@
             settings,
             workers: BTreeMap::new(),
             rpcs: BTreeMap::new(),
-            functions: BTreeMap::new(),
             methods: BTreeMap::new(),
-            first_line: VecDeque::new(),
-            second_line: VecDeque::new(),
+            lines: Default::default(),
             taken: VecDeque::new(),
             answered: VecDeque::new(),
             orders: VecDeque::new(),
@@ -233,7 +224,7 @@
             best_rate: 0.0,
             panic: false,
         };
-        if new.settings.get("discovery").and_then(Value::as_str) == Some("subscribe") {
+        if new.settings.get("discovery").is_some_and(|d| d == "subscribe") {
             new.host.watch_list();
         }
         new.host.wake(TICK, TICK_WAKE);
@@ -242,7 +233,6 @@
 
     // What happens.
 
-    #[allow(clippy::too_many_arguments)]
     pub fn worker_listed(
         &mut self, now: Time, id: WorkerId, standing: Standing, since: Time, zone: ZoneId, cell: CellId,
         size: f64,
@@ -279,7 +269,6 @@
         self.host.watch_list();
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn rpc(
         &mut self, now: Time, id: RpcId, method: MethodId, function: FunctionId, tenant: TenantId,
         left: Time, lanes: f64,
@@ -289,12 +278,12 @@
         self.aims.add(self.aim(method));
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_CAP);
         self.host.wake(left, WakeId(id.0));
-        let (deadline, outs, line) = (now + left, Vec::new(), Line::First);
-        let (taken, done, streaming) = (now, false, false);
-        let rpc = Rpc { method, function, tenant, lanes, taken, deadline, outs, line, done, streaming };
+        let (taken, deadline, outs) = (now, now + left, Vec::new());
+        let (waiting, done, streaming) = (true, false, false);
+        let rpc = Rpc { method, function, tenant, lanes, taken, deadline, outs, waiting, done, streaming };
         self.rpcs.insert(id, rpc);
         if self.first_call_out(now, id) {
-            self.first_line.push_back(id);
+            self.lines[0].push_back(id);
         }
     }
 
@@ -304,11 +293,10 @@
 
     pub fn answer_started(&mut self, id: RpcId) {
         if let Some(rpc) = self.rpcs.get_mut(&id) {
-            (rpc.streaming, rpc.line) = (true, Line::None);
+            (rpc.streaming, rpc.waiting) = (true, false);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn call_out_ended(
         &mut self, now: Time, id: RpcId, no: CallOutNo, outcome: Outcome, elapsed: Time, done: bool,
         copy: Copy, report: &[f64],
@@ -319,7 +307,7 @@
         (out.open, out.never_ran) = (false, outcome.never_ran());
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
-        let slow = elapsed > self.limit(method, function, was_warm);
+        let evidence = if elapsed > self.limit(method, was_warm) { SLOW } else { GOOD };
         let slots = self.slots();
         let w = self.workers.entry(worker).or_default();
         let alive = w.since <= sent;
@@ -336,22 +324,13 @@
                 w.fulls = 0;
                 self.answered.push_back(now);
                 let warm = usize::from(!matches!(copy, Copy::BeganLoad | Copy::WaitedForLoad));
-                self.functions.entry(function).or_default()[warm].add(elapsed.ms());
                 self.methods.entry(method).or_default()[warm].add(elapsed.ms());
                 if was_warm && copy == Copy::BeganLoad {
                     self.void_elsewhere(function, worker, sent);
                 }
-                self.judge(
-                    now,
-                    worker,
-                    if overdue > 0 {
-                        0.0
-                    } else if slow {
-                        SLOW
-                    } else {
-                        GOOD
-                    },
-                );
+                if overdue == 0 {
+                    self.judge(now, worker, evidence);
+                }
             }
             Outcome::Full => {
                 // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
@@ -382,19 +361,16 @@
         if let Some(rpc) = self.rpcs.get_mut(&id) {
             if done || rpc.done {
                 self.close(id);
-            } else if rpc.open() == 0 && rpc.line == Line::None {
-                rpc.line = Line::Second;
-                self.second_line.push_back(id);
+            } else if rpc.open() == 0 && !rpc.waiting {
+                rpc.waiting = true;
+                self.lines[1].push_back(id);
             }
         }
         self.serve(now);
     }
 
-    pub fn probe_ended(&mut self, now: Time, worker: WorkerId, outcome: Outcome, report: &[f64]) {
+    pub fn probe_ended(&mut self, worker: WorkerId, report: &[f64]) {
         self.report_read(worker, report);
-        if outcome == Outcome::Reset {
-            self.judge(now, worker, FAILED);
-        }
     }
 
     pub fn load_ended(
@@ -407,9 +383,6 @@
         } else if belief.copies == Copies::Loading && belief.mine == 0 {
             belief.copies = Copies::Unknown;
         }
-        if matches!(outcome, Outcome::Reset | Outcome::ConnectFailed) {
-            self.judge(now, worker, FAILED);
-        }
         self.serve(now);
     }
 
@@ -574,7 +547,7 @@
     fn send(&mut self, now: Time, id: RpcId, to: WorkerId) {
         let warm = self.affinity(now, &self.workers[&to], self.rpcs[&id].function) >= WARM;
         let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
-        rpc.line = Line::None;
+        rpc.waiting = false;
         rpc.outs.push(CallOut { worker: to, sent: now, open: true, never_ran: false, warm, overdue: 0 });
         w.mine += 1;
         w.last_sent = now;
@@ -637,16 +610,11 @@
         }
     }
 
-    /// How long a call-out may take before it counts as overdue: by its function, as far as that is known.
-    fn limit(&self, method: MethodId, function: FunctionId, warm: bool) -> Time {
-        let all = self.methods.get(&method).map(|p| p[usize::from(warm)]).unwrap_or_default();
-        let own = self.functions.get(&function).map(|p| p[usize::from(warm)]).unwrap_or_default();
-        if all.n < 5.0 {
-            return Time::from_ms(if warm { 1.0 } else { 3.0 } * self.aim(method));
-        }
-        let share = own.n / (own.n + 5.0);
-        let of = |own: f64, all: f64| share * own + (1.0 - share) * all;
-        Time::from_ms(2.0 * of(own.mean, all.mean) + 3.0 * of(own.dev, all.dev))
+    /// How long a call-out may take before it counts as overdue.
+    fn limit(&self, method: MethodId, warm: bool) -> Time {
+        let usual = self.methods.get(&method).map(|p| p[usize::from(warm)]).unwrap_or_default();
+        let unknown = if warm { 1.0 } else { 3.0 } * self.aim(method);
+        Time::from_ms(if usual.n < 5.0 { unknown } else { 2.0 * usual.mean + 3.0 * usual.dev })
     }
 
     // 2. Slow start.
@@ -678,13 +646,8 @@
                 self.give_up(now, id);
                 return false;
             }
-            Some(wait) => {
-                if wait {
-                    None
-                } else {
-                    self.pick(now, id)
-                }
-            }
+            Some(true) => None,
+            Some(false) => self.pick(now, id),
         };
         match to {
             Some(to) if self.loads_rationed(to, id) => self.give_up(now, id),
@@ -710,7 +673,7 @@
                 self.retries -= cost;
                 self.send(now, id, to);
             }
-            None if beside => self.rpcs.get_mut(&id).into_iter().for_each(|r| r.line = Line::None),
+            None if beside => self.rpcs.get_mut(&id).into_iter().for_each(|r| r.waiting = false),
             None if !possible || self.hopeless(now, id) => self.give_up(now, id),
             None => return true,
         }
@@ -719,22 +682,17 @@
 
     /// Serves first call-outs, then further ones, until a few have found no room.
     fn serve(&mut self, now: Time) {
-        let mut stuck = 0;
-        for _ in 0..self.first_line.len() + self.second_line.len() {
-            let first = !self.first_line.is_empty() && stuck < STUCK;
-            let line = if first { Line::First } else { Line::Second };
-            let queue = if first { &mut self.first_line } else { &mut self.second_line };
-            let Some(id) = queue.pop_front() else { break };
-            if self.rpcs.get(&id).is_none_or(|r| r.done || r.line != line) {
-                continue;
-            }
-            let waits = if first { self.first_call_out(now, id) } else { self.further_call_out(now, id) };
-            if waits {
-                let queue = if first { &mut self.first_line } else { &mut self.second_line };
-                queue.push_back(id);
-                stuck += 1;
-                if stuck >= 2 * STUCK {
-                    break;
+        for no in 0..self.lines.len() {
+            let (mut stuck, mut left) = (0, self.lines[no].len());
+            while stuck < STUCK && left > 0 {
+                left -= 1;
+                let Some(id) = self.lines[no].pop_front() else { break };
+                if self.rpcs.get(&id).is_none_or(|r| r.done || !r.waiting) {
+                    continue;
+                }
+                if if no == 0 { self.first_call_out(now, id) } else { self.further_call_out(now, id) } {
+                    self.lines[no].push_back(id);
+                    stuck += 1;
                 }
             }
         }
@@ -746,7 +704,7 @@
         let mut late: Vec<(RpcId, usize, WorkerId)> = Vec::new();
         for (&id, rpc) in &self.rpcs {
             for (no, out) in rpc.outs.iter().enumerate().filter(|(_, o)| o.open && o.overdue < 3) {
-                let limit = self.limit(rpc.method, rpc.function, out.warm);
+                let limit = self.limit(rpc.method, out.warm);
                 if now - out.sent > Time(limit.0 << out.overdue) {
                     late.push((id, no, out.worker));
                 }
@@ -760,12 +718,12 @@
             let cancels = self.allowed("limits", "mayCancel") && suspect && self.retries >= 1.0;
             let Some(rpc) = self.rpcs.get_mut(&id) else { continue };
             rpc.outs[no].overdue += 1;
-            if !further || rpc.done || rpc.streaming || rpc.line != Line::None || rpc.open() > 1 {
+            if !further || rpc.done || rpc.streaming || rpc.waiting || rpc.open() > 1 {
                 continue;
             }
             if seconds {
-                rpc.line = Line::Second;
-                self.second_line.push_back(id);
+                rpc.waiting = true;
+                self.lines[1].push_back(id);
             } else if cancels {
                 self.host.cancel(id, CallOutNo(no));
             }
@@ -807,12 +765,9 @@
         let share = self.number("familyInfo", "loadShare", 0.0);
         let most = self.number("familyInfo", "loadFloor", 0.0) + share * recent(&self.taken, now, window);
         let spent = window > Time(0) && recent(&self.orders, now, window + Time(1)) + 1.0 > most;
-        let Some(w) = self.workers.get_mut(&at).filter(|w| w.standing == Standing::Ready) else { return };
-        if spent
-            || self.settings.get("familyInfo").and_then(|f| f.get("mayOrder")) != Some(&Value::Bool(true))
-        {
-            return;
-        }
+        let may = self.allowed("familyInfo", "mayOrder") && !spent;
+        let ready = |w: &&mut Worker| may && w.standing == Standing::Ready;
+        let Some(w) = self.workers.get_mut(&at).filter(ready) else { return };
         w.beliefs.entry(function).or_default().copies = Copies::Loading;
         self.orders.push_back(now);
         self.host.load(at, function, 1);
