--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,6 +16,7 @@
 use serde_json::{Map, Value};
 
 use crate::host::Host;
+use crate::records::{Belief, CallOut, Copies, Rpc, Worker};
 use crate::types::*;
 
 const AFFINITY_WEIGHT: f64 = 0.5;
@@ -60,89 +61,6 @@
 const FADE: f64 = 0.999;
 const CLOSE: f64 = 0.6;
 
-/// What I believe of a function on a worker, from my sends and answers only.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum Copies {
-    #[default]
-    Unknown,
-    Loading,
-    /// Last known warm at this time; past keep-alive only an image may be left on its disk.
-    Warm(Time),
-}
-
-#[derive(Default)]
-struct Belief {
-    copies: Copies,
-    mine: u64,
-}
-
-#[derive(Default)]
-struct Worker {
-    standing: Standing,
-    size: f64,
-    since: Time,
-    /// Since when it may be cold: its listed start, or a death that I saw myself.
-    cold_since: Option<Time>,
-    zone: ZoneId,
-    cell: CellId,
-    mine: u64,
-    ceiling: f64,
-    /// A 'full' reply holds until then, longer with each in a row.
-    full_until: Time,
-    no_load_until: Time,
-    fulls: u32,
-    util: Option<f64>,
-    beliefs: BTreeMap<FunctionId, Belief>,
-    evidence: f64,
-    suspect: bool,
-    sends: VecDeque<Time>,
-    last_sent: Time,
-    probed: Time,
-}
-
-impl Worker {
-    fn copies(&self, function: FunctionId) -> Copies {
-        self.beliefs.get(&function).map_or(Copies::Unknown, |b| b.copies)
-    }
-
-    /// A death, a restart or a broken connection: nothing that was believed of its copies holds.
-    fn forget_copies(&mut self) {
-        self.beliefs.values_mut().for_each(|b| b.copies = Copies::Unknown);
-    }
-}
-
-struct CallOut {
-    worker: WorkerId,
-    sent: Time,
-    open: bool,
-    never_ran: bool,
-    /// Sent where a copy was believed warm.
-    warm: bool,
-    /// How often it was counted as overdue.
-    overdue: u32,
-}
-
-struct Rpc {
-    method: MethodId,
-    function: FunctionId,
-    tenant: TenantId,
-    lanes: f64,
-    taken: Time,
-    deadline: Time,
-    outs: Vec<CallOut>,
-    /// In the first line, or (once it has been called out) in the second.
-    waiting: bool,
-    /// The final answer has been given; kept while call-outs are still open.
-    done: bool,
-    streaming: bool,
-}
-
-impl Rpc {
-    fn open(&self) -> usize {
-        self.outs.iter().filter(|o| o.open).count()
-    }
-}
-
 /// A running mean that starts as a plain one, and the mean distance from it.
 #[derive(Clone, Copy, Default)]
 struct Usual {
@@ -334,7 +252,7 @@
             }
             Outcome::Full => {
                 // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
-                w.no_load_until = now + Time(4 * FULL_HOLD.0 << w.fulls);
+                w.no_load_until = now + Time((4 * FULL_HOLD.0) << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
                 if was_warm {
                     w.ceiling = w.mine.max(1) as f64;
@@ -495,7 +413,7 @@
             let mine = w.mine as f64;
             let trickle = idempotent && w.mine == 0 && now - w.last_sent >= TRICKLE_EVERY;
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
-            let fresh = rpc.outs.iter().all(|o| o.worker != id);
+            let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && (!w.suspect || trickle);
             let util = 1.0 - w.util.unwrap_or(lacking).clamp(0.0, 1.0);
             let depth = 1.0 - (mine / ceiling).min(1.0);
@@ -592,13 +510,14 @@
         } else if !w.suspect && w.evidence >= SUSPECT_AT {
             let panic = suspects + 1.0 > (ready * EJECT_SHARE).max(1.0);
             w.suspect = !panic;
-            if w.suspect {
-                self.host.log(&format!("{}: worker {} suspect, evidence {:.1}", now.0, id.0, w.evidence));
-            }
-            if panic != self.panic {
-                self.panic = panic;
-                self.host.log(&format!("{}: panic {panic}, {suspects} suspects of {ready}", now.0));
+            if w.suspect || panic != self.panic {
+                let (at, no, figure) = (now.0, id.0, w.evidence);
+                let line = format!(
+                    "{at}: worker {no} suspect, evidence {figure:.1}, panic {panic}, {suspects} of {ready}"
+                );
+                self.host.log(&line);
             }
+            self.panic = panic;
         }
     }
 
@@ -773,9 +692,9 @@
         self.host.load(at, function, 1);
     }
 
-    /// A worker is lost: has its functions in recent use loaded where their next RPCs would go. Guards against
-    /// RPCs that wait for those loads; should hold for drains, deaths and cut links. May hurt where the store
-    /// is the bottleneck: hence only the latest few, and none that stands elsewhere.
+    /// A worker is lost: has its functions in recent use loaded where their next RPCs would go. Guards
+    /// against RPCs that wait for those loads; should hold for drains, deaths and cut links. May hurt where
+    /// the store is the bottleneck: hence only the latest few, and none that stands elsewhere.
     fn hand_on(&mut self, now: Time, from: WorkerId) {
         let used = |(&f, b): (&FunctionId, &Belief)| match b.copies {
             Copies::Warm(used) if now - used <= RECENT => Some((used, f)),
@@ -797,7 +716,7 @@
     // 5. Admission.
 
     /// What may be out at warm copies so that answers come in half the soft deadline (Little's law on my own
-    /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for whatever
+    /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for what
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
         let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * self.ready().count() as f64);
@@ -811,7 +730,7 @@
         (limit, out, of_tenant)
     }
 
-    /// Whether an RPC has to wait; none: close to the bound, its tenant is over its share or its time too short.
+    /// Whether an RPC has to wait; none: near the bound, its tenant is over its share or its time too short.
     fn admit(&self, now: Time, id: RpcId) -> Option<bool> {
         let tenant = self.rpcs[&id].tenant;
         let (limit, out, of_tenant) = self.load(tenant);
@@ -832,7 +751,7 @@
     }
 
     /// Whether an RPC that waits can no longer be in time. Guards against queues that make every answer late;
-    /// should hold for any overload. May hurt where a late answer is worth nearly as much as one in time. An RPC
+    /// should hold for any overload. May hurt where a late answer is worth nearly as much as one in time. One
     /// held for a load that was ordered after a miss has until its deadline.
     fn hopeless(&self, now: Time, id: RpcId) -> bool {
         let rpc = &self.rpcs[&id];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod brain;
 pub mod host;
+mod records;
 pub mod types;
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,88 @@
+//! What the decision module keeps of workers and RPCs; it alone decides what goes in.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::types::*;
+
+/// What I believe of a function on a worker, from my sends and answers only.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Copies {
+    #[default]
+    Unknown,
+    Loading,
+    /// Last known warm at this time; past keep-alive only an image may be left on its disk.
+    Warm(Time),
+}
+
+#[derive(Default)]
+pub struct Belief {
+    pub copies: Copies,
+    pub mine: u64,
+}
+
+#[derive(Default)]
+pub struct Worker {
+    pub standing: Standing,
+    pub size: f64,
+    pub since: Time,
+    /// Since when it may be cold: its listed start, or a death that I saw myself.
+    pub cold_since: Option<Time>,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub mine: u64,
+    pub ceiling: f64,
+    /// A 'full' reply holds until then, longer with each in a row.
+    pub full_until: Time,
+    pub no_load_until: Time,
+    pub fulls: u32,
+    pub util: Option<f64>,
+    pub beliefs: BTreeMap<FunctionId, Belief>,
+    pub evidence: f64,
+    pub suspect: bool,
+    pub sends: VecDeque<Time>,
+    pub last_sent: Time,
+    pub probed: Time,
+}
+
+impl Worker {
+    pub fn copies(&self, function: FunctionId) -> Copies {
+        self.beliefs.get(&function).map_or(Copies::Unknown, |b| b.copies)
+    }
+
+    /// A death, a restart or a broken connection: nothing that was believed of its copies holds.
+    pub fn forget_copies(&mut self) {
+        self.beliefs.values_mut().for_each(|b| b.copies = Copies::Unknown);
+    }
+}
+
+pub struct CallOut {
+    pub worker: WorkerId,
+    pub sent: Time,
+    pub open: bool,
+    pub never_ran: bool,
+    /// Sent where a copy was believed warm.
+    pub warm: bool,
+    /// How often it was counted as overdue.
+    pub overdue: u32,
+}
+
+pub struct Rpc {
+    pub method: MethodId,
+    pub function: FunctionId,
+    pub tenant: TenantId,
+    pub lanes: f64,
+    pub taken: Time,
+    pub deadline: Time,
+    pub outs: Vec<CallOut>,
+    /// In the first line, or (once it has been called out) in the second.
+    pub waiting: bool,
+    /// The final answer has been given; kept while call-outs are still open.
+    pub done: bool,
+    pub streaming: bool,
+}
+
+impl Rpc {
+    pub fn open(&self) -> usize {
+        self.outs.iter().filter(|o| o.open).count()
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,278 @@
+//! Short stories of what the module does when things fail.
+
+mod fake;
+
+use std::collections::BTreeSet;
+
+use curlewpoint::types::*;
+use fake::{settings, Story, IDEMPOTENT, SIDE_EFFECTING, TOKENED};
+use serde_json::json;
+use test_case::test_case;
+
+#[test]
+fn sticks_to_the_warm_worker_and_coalesces_a_new_load() {
+    let mut s = Story::new(4);
+    let first = s.rpc(IDEMPOTENT, 9);
+    let second = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.calls(first), s.calls(second), "the second queues behind the first one's load");
+    let home = s.calls(first)[0];
+    s.end(first, 0, Outcome::Ok, Copy::BeganLoad);
+    s.end(second, 0, Outcome::Ok, Copy::WaitedForLoad);
+    assert!((0..5).all(|_| s.served(9) == home));
+}
+
+#[test]
+fn a_crowded_warm_worker_gets_help_from_an_ordered_copy() {
+    let mut s = Story::new(4);
+    let home = s.served(9);
+    let sent: Vec<u64> = (0..6).map(|_| s.rpc(IDEMPOTENT, 9)).collect();
+    assert!(sent.iter().all(|&r| s.calls(r) == [home]), "a warm copy with room is not passed over");
+    let orders = s.deeds("load");
+    assert_eq!(orders.len(), 1);
+    let at: u64 = orders[0].split(' ').nth(1).and_then(|w| w.parse().ok()).expect("a worker");
+    s.srv.load_ended(s.now(), WorkerId(at), FunctionId(9), Outcome::Ok, 1);
+    let next = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.calls(next), [at]);
+}
+
+#[test]
+fn a_miss_is_followed_by_one_order_and_rpcs_wait_for_the_copy() {
+    let mut told = settings();
+    told["familyInfo"]["whenAbsent"] = json!("miss");
+    let mut s = Story::with(told, 3);
+    let first = s.rpc(IDEMPOTENT, 9);
+    let at = s.calls(first)[0];
+    s.end(first, 0, Outcome::Miss, Copy::Untold);
+    let second = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.deeds("load"), [format!("load {at} 9")]);
+    assert!(s.calls(second).is_empty() && s.calls(first).len() == 1);
+    s.srv.load_ended(s.now(), WorkerId(at), FunctionId(9), Outcome::Ok, 1);
+    assert_eq!((s.calls(first), s.calls(second)), (vec![at, at], vec![at]));
+}
+
+#[test]
+fn a_failed_order_releases_the_rpcs_that_waited() {
+    let mut told = settings();
+    told["familyInfo"]["whenAbsent"] = json!("miss");
+    let mut s = Story::with(told, 3);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    let at = s.calls(rpc)[0];
+    s.end(rpc, 0, Outcome::Miss, Copy::Untold);
+    s.srv.load_ended(s.now(), WorkerId(at), FunctionId(9), Outcome::Full, 0);
+    assert_eq!(s.calls(rpc).len(), 2);
+}
+
+#[test_case(IDEMPOTENT, Outcome::Error, 2, "" ; "idempotent goes on")]
+#[test_case(SIDE_EFFECTING, Outcome::Error, 1, "abort" ; "side effecting may have run")]
+#[test_case(SIDE_EFFECTING, Outcome::Reset, 1, "abort" ; "side effecting was cut off")]
+#[test_case(SIDE_EFFECTING, Outcome::Full, 2, "" ; "side effecting never ran")]
+#[test_case(SIDE_EFFECTING, Outcome::ConnectFailed, 2, "" ; "side effecting never arrived")]
+fn repeats_only_as_the_method_allows(method: usize, outcome: Outcome, calls: usize, answer: &str) {
+    let mut s = Story::new(4);
+    let rpc = s.rpc(method, 9);
+    s.end(rpc, 0, outcome, Copy::Untold);
+    assert_eq!(s.calls(rpc).len(), calls);
+    assert_eq!(s.deeds("abort").len() + s.deeds("deny").len(), usize::from(!answer.is_empty()));
+    assert_eq!(s.deeds("abort").len(), usize::from(answer == "abort"));
+}
+
+#[test_case(0, true ; "within its memory")]
+#[test_case(900, false ; "after its memory")]
+fn tokened_repeats_stay_in_their_group_and_memory(later_ms: u64, again: bool) {
+    let mut s = Story::new(4);
+    let rpc = s.rpc(TOKENED, 9);
+    s.ms += later_ms;
+    s.end(rpc, 0, Outcome::Error, Copy::Untold);
+    let calls = s.calls(rpc);
+    assert_eq!(calls.len(), if again { 2 } else { 1 });
+    assert!(calls.iter().all(|w| w % 2 == calls[0] % 2), "the group is the zone");
+    assert_eq!(s.deeds("deny").len(), 0, "it may have run");
+    assert_eq!(s.deeds("abort").len(), usize::from(!again));
+}
+
+#[test]
+fn every_rpc_gets_one_answer_when_its_time_is_up() {
+    let mut s = Story::new(1);
+    let rpc = s.rpc(SIDE_EFFECTING, 9);
+    s.ms += 2000;
+    s.srv.woken(s.now(), WakeId(rpc));
+    s.end(rpc, 0, Outcome::TimeOut, Copy::Untold);
+    s.pass(1000);
+    assert_eq!((s.deeds("abort").len(), s.deeds("deny").len(), s.calls(rpc).len()), (1, 0, 1));
+}
+
+#[test]
+fn nothing_is_sent_for_an_rpc_that_its_client_left() {
+    let mut s = Story::new(3);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    s.srv.rpc_gone(RpcId(rpc));
+    s.end(rpc, 0, Outcome::Cancelled, Copy::Untold);
+    s.end(rpc, 0, Outcome::Ok, Copy::Warm);
+    s.pass(3000);
+    assert_eq!((s.calls(rpc).len(), s.deeds("abort").len() + s.deeds("deny").len()), (1, 0));
+}
+
+#[test_case(Some(Standing::Draining) ; "drains")]
+#[test_case(Some(Standing::Gone) ; "is gone")]
+#[test_case(None ; "is missing in a complete list")]
+fn a_lost_worker_gets_nothing_and_its_functions_are_handed_on(told: Option<Standing>) {
+    let mut s = Story::new(3);
+    let home = s.served(9);
+    match told {
+        Some(standing) => s.list(home, standing, 0),
+        None => {
+            let named = (1..=3).filter(|&w| w != home).map(WorkerId).collect::<BTreeSet<_>>();
+            s.srv.list_read(s.now(), Some(&named));
+        }
+    }
+    let orders = s.deeds("load");
+    assert!(orders.len() == 1 && !orders[0].starts_with(&format!("load {home} ")));
+    for function in 0..20 {
+        let rpc = s.rpc(IDEMPOTENT, function);
+        assert!(!s.calls(rpc).contains(&home));
+    }
+}
+
+#[test_case(Outcome::Reset ; "connection broke")]
+#[test_case(Outcome::ConnectFailed ; "no connection")]
+fn a_death_drops_what_was_believed_warm(outcome: Outcome) {
+    let mut s = Story::new(3);
+    let home = s.served(9);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    s.end(rpc, 0, outcome, Copy::Untold);
+    assert_ne!(s.calls(rpc)[1], home);
+    assert_eq!(s.deeds("load").len(), 1, "the function is handed on");
+}
+
+#[test]
+fn a_load_where_warm_was_believed_voids_the_other_copies() {
+    let mut s = Story::new(2);
+    let home = s.served(9);
+    let other = 3 - home;
+    s.srv.load_ended(s.now(), WorkerId(other), FunctionId(9), Outcome::Ok, 1);
+    s.ms += 100;
+    let voided = s.rpc(IDEMPOTENT, 9);
+    let at = s.calls(voided)[0];
+    s.end(voided, 0, Outcome::Ok, Copy::BeganLoad);
+    let later: Vec<u64> = (0..4).map(|_| s.rpc(IDEMPOTENT, 9)).collect();
+    assert!(later.iter().all(|&r| s.calls(r) == [at]), "the other copy was released anew too");
+}
+
+#[test_case(0 ; "first seen")]
+#[test_case(1 ; "restarted under its id")]
+fn a_cold_worker_gets_a_budget(listed_before: u64) {
+    let mut s = Story::new(listed_before);
+    let since = s.ms - 100;
+    s.list(1, Standing::Ready, since);
+    let sent: Vec<u64> = (0..10).map(|f| s.rpc(IDEMPOTENT, f)).collect();
+    assert_eq!(sent.iter().filter(|&&r| !s.calls(r).is_empty()).count(), 1);
+}
+
+#[test]
+fn load_orders_keep_to_the_ration() {
+    let mut s = Story::new(6);
+    let homes: Vec<u64> = (0..6).map(|f| s.served(f)).collect();
+    homes.iter().for_each(|&w| s.list(w, Standing::Draining, 0));
+    assert!(s.deeds("load").len() <= 2, "two orders within five seconds");
+}
+
+#[test_case(Outcome::Error, Copy::Untold, true ; "fails fast")]
+#[test_case(Outcome::Error, Copy::LoadFailed, false ; "a load failed")]
+fn a_worker_that_fails_is_passed_over(outcome: Outcome, copy: Copy, suspect: bool) {
+    let mut s = Story::new(4);
+    let home = s.served(9);
+    for _ in 0..2 {
+        s.served(9);
+        let rpc = s.rpc(IDEMPOTENT, 9);
+        s.end(rpc, 0, outcome, copy);
+    }
+    assert_eq!(s.deeds("log").iter().any(|l| l.contains(&format!("worker {home} suspect"))), suspect);
+}
+
+#[test]
+fn a_silent_worker_is_found_by_overdue_call_outs() {
+    let mut s = Story::new(3);
+    let home = s.served(9);
+    (0..10).for_each(|_| assert_eq!(s.served(9), home));
+    let stuck: Vec<u64> = (0..4).map(|_| s.rpc(SIDE_EFFECTING, 9)).collect();
+    s.pass(900);
+    assert!(s.deeds("log").iter().any(|l| l.contains(&format!("worker {home} suspect"))));
+    let next = s.rpc(SIDE_EFFECTING, 9);
+    assert_ne!(s.calls(next), [home]);
+    assert!(stuck.iter().all(|&r| s.calls(r).len() == 1), "nothing more for what may still run");
+}
+
+#[test]
+fn trouble_of_the_whole_fleet_ejects_half_at_most() {
+    let mut s = Story::new(4);
+    for function in 0..40 {
+        let rpc = s.rpc(SIDE_EFFECTING, function);
+        s.end(rpc, 0, Outcome::Error, Copy::Untold);
+    }
+    assert!(s.deeds("log").iter().any(|l| l.contains("panic true")));
+    let rpc = s.rpc(SIDE_EFFECTING, 99);
+    assert_eq!(s.calls(rpc).len(), 1, "the other half goes on");
+}
+
+#[test]
+fn a_full_fleet_is_not_knocked_at_again_and_again() {
+    let mut s = Story::new(2);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    s.end(rpc, 0, Outcome::Full, Copy::Untold);
+    s.end(rpc, 1, Outcome::Full, Copy::Untold);
+    assert_eq!(s.calls(rpc).len(), 2);
+    s.pass(100);
+    assert_eq!(s.calls(rpc).len(), 2, "a full reply holds for a while");
+    s.pass(1000);
+    let answers = s.deeds("deny").len();
+    assert!(answers == 1 || s.calls(rpc).len() > 2, "then it is tried again or denied, not forgotten");
+}
+
+#[test]
+fn a_tenant_over_its_share_is_denied_first() {
+    let mut told = settings();
+    told["tenants"] = json!([{"share": 0.9}, {"share": 0.1}]);
+    let mut s = Story::with(told, 4);
+    for function in 0..4 {
+        s.served(function);
+    }
+    let mut take = |id: u64, tenant: usize| {
+        let (now, f) = (s.now(), FunctionId(id % 4));
+        s.srv.rpc(now, RpcId(1000 + id), MethodId(0), f, TenantId(tenant), Time(20_000), 4.0);
+        s.deeds("deny").len()
+    };
+    let small = (0..8).map(|i| take(i, 1)).max();
+    assert!(small > Some(0), "two in flight of a tenth's share are over it");
+    let before = take(8, 0);
+    assert_eq!(take(9, 0), before, "the other tenant has room");
+}
+
+#[test_case(0 ; "no workers listed")]
+#[test_case(1 ; "all draining")]
+fn with_nowhere_to_go_an_rpc_is_denied_in_time(workers: u64) {
+    let mut s = Story::new(workers);
+    (1..=workers).for_each(|w| s.list(w, Standing::Draining, 0));
+    let rpc = s.rpc(SIDE_EFFECTING, 9);
+    s.pass(2000);
+    assert_eq!((s.deeds("deny"), s.calls(rpc)), (vec![format!("deny {rpc}")], vec![]));
+}
+
+#[test]
+fn odd_but_legal_input_is_survived() {
+    let mut s = Story::with(json!({}), 1);
+    let rpc = s.rpc(7, 9);
+    assert_eq!(s.calls(rpc).len(), 1, "no settings at all");
+    s.end(99, 0, Outcome::Ok, Copy::Warm);
+    s.end(rpc, 5, Outcome::Ok, Copy::Warm);
+    s.srv.probe_ended(WorkerId(1), &[]);
+    s.srv.probe_ended(WorkerId(77), &[0.5, 1.0]);
+    s.srv.load_ended(s.now(), WorkerId(77), FunctionId(1), Outcome::Ok, 1);
+    s.srv.woken(s.now(), WakeId(12345));
+    s.end(rpc, 0, Outcome::Ok, Copy::Untold);
+    s.end(rpc, 0, Outcome::Ok, Copy::Untold);
+    s.srv.rpc(s.now(), RpcId(500), MethodId(0), FunctionId(1), TenantId(3), Time(0), 0.0);
+    s.srv.woken(s.now(), WakeId(500));
+    s.end(500, 0, Outcome::TimeOut, Copy::Untold);
+    s.pass(100);
+    assert!(s.deeds("deny").len() + s.deeds("abort").len() <= 1);
+}
