--- a/src/brain.rs
+++ b/src/brain.rs
@@ -349,6 +349,17 @@
         (CEILING_LANES * self.lanes.mean).max(2.0)
     }
 
+    /// A worker's size against the mean of those listed, where the list tells sizes.
+    fn size(&self, w: &Worker) -> f64 {
+        let told = self.settings.get("weightKind").and_then(Value::as_str);
+        let mean = self.workers.values().map(|w| w.size).sum::<f64>() / self.workers.len() as f64;
+        if matches!(told, Some("nominal" | "rough")) && mean > 0.0 {
+            w.size / mean
+        } else {
+            1.0
+        }
+    }
+
     fn ready(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values().filter(|w| w.standing == Standing::Ready)
     }
@@ -397,7 +408,7 @@
     /// The workers that the rules let an RPC go to, scored; those without room or crowded are marked.
     fn candidates(&self, now: Time, rpc: &Rpc) -> Vec<Candidate> {
         let (count, mine) = self.ready().fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
-        let crowd = CROWD * mine / f64::max(count, 1.0) + (SLACK_LANES * rpc.lanes).max(1.0);
+        let mean = mine / f64::max(count, 1.0);
         let utils: Vec<f64> = self.workers.values().filter_map(|w| w.util).collect();
         let told = utils.iter().sum::<f64>() / utils.len() as f64;
         let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { told };
@@ -409,8 +420,9 @@
                 continue;
             }
             let affinity = self.affinity(now, w, rpc.function);
-            let ceiling = w.ceiling.min(self.slots());
-            let mine = w.mine as f64;
+            let (mine, size) = (w.mine as f64, self.size(w));
+            let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
+            let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
             let trickle = idempotent && w.mine == 0 && now - w.last_sent >= TRICKLE_EVERY;
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
@@ -547,11 +559,8 @@
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
         let (age, from) = (now - since, self.number("contract", "startCapacity", 0.2));
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
-        let told = self.settings.get("weightKind").and_then(Value::as_str);
-        let mean_size = self.workers.values().map(|w| w.size).sum::<f64>() / self.workers.len() as f64;
-        let size = if matches!(told, Some("nominal" | "rough")) { w.size / mean_size } else { 1.0 };
         let answered = recent(&self.answered, now, COLD_RATE_OVER) / self.ready().count().max(1) as f64;
-        let per_window = answered * size * fall.0 as f64 / COLD_RATE_OVER.0 as f64;
+        let per_window = answered * self.size(w) * fall.0 as f64 / COLD_RATE_OVER.0 as f64;
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
         age >= within || recent(&w.sends, now, fall) + 1.0 <= budget.max(1.0)
     }
