--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,6 +60,7 @@
 const TARGET: f64 = 0.5;
 const FADE: f64 = 0.999;
 const CLOSE: f64 = 0.6;
+const BEHIND_LOAD: f64 = 0.5;
 
 /// A running mean that starts as a plain one, and the mean distance from it.
 #[derive(Clone, Copy, Default)]
@@ -729,10 +730,11 @@
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
         let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * self.ready().count() as f64);
-        let counts = |o: &&CallOut| o.open && o.warm && o.overdue == 0 && !self.workers[&o.worker].suspect;
+        let counts = |o: &&CallOut| o.open && o.overdue == 0 && !self.workers[&o.worker].suspect;
+        let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
-            let open = rpc.outs.iter().filter(counts).count() as f64;
+            let open: f64 = rpc.outs.iter().filter(counts).map(weight).sum();
             out += open;
             of_tenant += if rpc.tenant == tenant { open } else { 0.0 };
         }
