--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,7 +57,7 @@
 const STUCK: usize = 3;
 const HANDED_ON: usize = 8;
 const RATE_OVER: Time = Time(30_000);
-const TARGET: f64 = 0.65;
+const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
@@ -747,7 +747,8 @@
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         let over = share.is_some_and(|s| of_tenant > s * limit);
-        (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(out >= limit)
+        let room = out < limit || (share.is_some() && !over);
+        (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
 
     /// Whether a new load has to wait for others, as the fleet is close to its bound: loads push out wanted
