--- a/src/brain.rs
+++ b/src/brain.rs
@@ -730,7 +730,7 @@
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
         let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * self.ready().count() as f64);
-        let counts = |o: &&CallOut| o.open && o.overdue < 2 && !self.workers[&o.worker].suspect;
+        let counts = |o: &&CallOut| o.open && o.overdue == 0 && !self.workers[&o.worker].suspect;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
