--- a/src/brain.rs
+++ b/src/brain.rs
@@ -595,6 +595,8 @@
         let cost = if rpc.outs.last().is_some_and(|o| o.never_ran) { 0.0 } else { 1.0 };
         let most = self.number("limits", "maxAttempts", f64::MAX);
         let possible = (rpc.outs.len() as f64) < most && (beside || self.harmless_to_any(now, rpc));
+        let (limit, out, _) = self.load(rpc.tenant);
+        let possible = possible && !(beside && out > CLOSE * limit);
         let to = if possible && self.retries >= cost { self.pick(now, id) } else { None };
         let warm = |to: &WorkerId| self.affinity(now, &self.workers[to], self.rpcs[&id].function) >= WARM;
         match to.filter(|to| !beside || warm(to)) {
