--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,7 +51,6 @@
 const TRICKLE_EVERY: Time = Time(5_000);
 const EJECT_SHARE: f64 = 0.34;
 const COLD_PART: f64 = 0.7;
-const COLD_RATE_OVER: Time = Time(50_000);
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_CAP: f64 = 20.0;
 const STUCK: usize = 3;
@@ -560,8 +559,7 @@
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
         let (age, from) = (now - since, self.number("contract", "startCapacity", 0.2));
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
-        let answered = recent(&self.answered, now, COLD_RATE_OVER) / self.ready().count().max(1) as f64;
-        let per_window = answered * self.size(w) * fall.0 as f64 / COLD_RATE_OVER.0 as f64;
+        let per_window = self.best_rate * fall.ms() * self.size(w) / self.ready().count().max(1) as f64;
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
         age >= within || recent(&w.sends, now, fall) + 1.0 <= budget.max(1.0)
     }
