--- a/src/brain.rs
+++ b/src/brain.rs
@@ -741,13 +741,25 @@
         (limit, out, of_tenant)
     }
 
+    /// Gain for the time that an answer takes.
+    fn density(&self, method: MethodId) -> f64 {
+        let gain = self.of_method(method, "gain").and_then(Value::as_f64).unwrap_or(1.0);
+        gain / self.methods.get(&method).map_or(1.0, |p| p[1].mean.max(1.0))
+    }
+
+    fn density_mean(&self) -> f64 {
+        self.methods.keys().map(|&m| self.density(m)).sum::<f64>().max(1e-9)
+            / self.methods.len().max(1) as f64
+    }
+
     /// Whether an RPC has to wait; none: near the bound, its tenant is over its share or its time too short.
     fn admit(&self, now: Time, id: RpcId) -> Option<bool> {
-        let tenant = self.rpcs[&id].tenant;
+        let (tenant, method) = (self.rpcs[&id].tenant, self.rpcs[&id].method);
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         let over = share.is_some_and(|s| of_tenant > s * limit);
-        let room = out < limit || (share.is_some() && !over);
+        let part = (self.density(method) / self.density_mean()).clamp(CLOSE, 1.0);
+        let room = out < part * limit || (share.is_some() && !over);
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
 
