--- a/src/brain.rs
+++ b/src/brain.rs
@@ -758,7 +758,7 @@
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         let over = share.is_some_and(|s| of_tenant > s * limit);
-        let part = (self.density(method) / self.density_mean()).clamp(CLOSE, 1.0);
+        let part = (self.density(method) / self.density_mean()).clamp(0.85, 1.3);
         let room = out < part * limit || (share.is_some() && !over);
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
