--- a/src/brain.rs
+++ b/src/brain.rs
@@ -261,12 +261,15 @@
             }
             Outcome::Reset | Outcome::ConnectFailed => {
                 // Guards against a process that died before the list tells; should also hold for a cut link.
-                // May hurt when a live worker is at its connection limit: its copies are believed gone.
-                self.hand_on(now, worker);
-                let w = self.workers.entry(worker).or_default();
-                w.forget_copies();
-                w.cold_since = w.cold_since.max(Some(now));
-                self.judge(now, worker, DEAD);
+                // One reset alone is no death, as connections may break on a live worker; a failed connection
+                // is taken for one, which may hurt when the worker is at its connection limit.
+                self.judge(now, worker, if outcome == Outcome::Reset { FAILED } else { DEAD });
+                if self.workers[&worker].suspect {
+                    self.hand_on(now, worker);
+                    let w = self.workers.entry(worker).or_default();
+                    w.forget_copies();
+                    w.cold_since = w.cold_since.max(Some(now));
+                }
             }
             Outcome::Miss | Outcome::Error if copy == Copy::LoadFailed => belief.copies = Copies::Unknown,
             Outcome::Miss => {
