--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,6 +58,8 @@
 const RATE_OVER: Time = Time(30_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
+/// At all schedulers together, for each worker.
+const LEAST_OUT: f64 = 6.0;
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
 
@@ -732,7 +734,9 @@
     /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for what
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
-        let limit = (self.best_rate * TARGET * self.aims.mean).max(2.0 * self.ready().count() as f64);
+        let schedulers = self.settings.get("instances").and_then(Value::as_f64).unwrap_or(1.0).max(1.0);
+        let least = LEAST_OUT * self.ready().count() as f64 / schedulers;
+        let limit = (self.best_rate * TARGET * self.aims.mean).max(least).max(4.0);
         let counts = |o: &&CallOut| o.open && o.overdue == 0 && !self.workers[&o.worker].suspect;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
