--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,7 +59,7 @@
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
 /// At all schedulers together, for each worker.
-const LEAST_OUT: f64 = 3.0;
+const LEAST_OUT: f64 = 6.0;
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
 
