--- a/src/brain.rs
+++ b/src/brain.rs
@@ -449,13 +449,9 @@
         all.sort_by_key(|c| home_rank(function, c.id));
         let mut best: Option<(f64, f64, WorkerId, f64)> = None;
         let mut home = HOME_WEIGHT;
-        for c in &all {
+        for c in all.iter().filter(|c| !c.crowded) {
             let score = if c.affinity < WARM { c.score + home - HOME_WEIGHT } else { c.score };
-            let first = home == HOME_WEIGHT && c.affinity < WARM;
             home /= 2.0;
-            if c.crowded && !first {
-                continue;
-            }
             let tie = self.rng.rand_float();
             if best.is_none_or(|b| (score, tie) > (b.0, b.1)) {
                 best = Some((score, tie, c.id, c.affinity));
