--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 const CLIMB: f64 = 1.0;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
-const SLACK_LANES: f64 = 1.0;
+const SLACK_LANES: f64 = 0.5;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
