--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,6 +56,7 @@
 const STUCK: usize = 3;
 const HANDED_ON: usize = 8;
 const RATE_OVER: Time = Time(30_000);
+const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
 /// At all schedulers together, for each worker.
@@ -662,7 +663,10 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
-        self.best_rate = (recent(&self.answered, now, RATE_OVER) / RATE_OVER.ms()).max(self.best_rate * FADE);
+        // Just after a start the rate is over the time that there was.
+        let first = self.answered.front().map_or(now, |&t| t);
+        let over = (now - first).clamp(LEAST_RATE_OVER, RATE_OVER);
+        self.best_rate = (recent(&self.answered, now, over) / over.ms()).max(self.best_rate * FADE);
         let pull = self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull");
         let probes = pull && self.allowed("limits", "probes");
         let (keep, within) = (self.span("familyInfo", "keepAlive"), self.span("contract", "warmWithin"));
