--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,7 @@
 const UTIL_WEIGHT: f64 = 0.15;
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
+const MEMORY_WEIGHT: f64 = 0.3;
 const WARM: f64 = 0.8;
 const LOADING: f64 = 0.5;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
@@ -56,6 +57,7 @@
 const STUCK: usize = 3;
 const HANDED_ON: usize = 8;
 const RATE_OVER: Time = Time(30_000);
+const PARTS: (f64, f64) = (0.85, 1.3);
 const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
@@ -159,8 +161,7 @@
         size: f64,
     ) {
         let new = !self.workers.contains_key(&id);
-        let was = self.workers.get(&id).map(|w| w.standing);
-        if was == Some(Standing::Ready) && standing != Standing::Ready {
+        if !new && self.workers[&id].standing == Standing::Ready && standing != Standing::Ready {
             self.hand_on(now, id);
         }
         let w = self.workers.entry(id).or_default();
@@ -416,8 +417,8 @@
         let (count, mine) = self.ready().fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
         let mean = mine / f64::max(count, 1.0);
         let utils: Vec<f64> = self.workers.values().filter_map(|w| w.util).collect();
-        let told = utils.iter().sum::<f64>() / utils.len() as f64;
-        let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { told };
+        let mean_util = utils.iter().sum::<f64>() / utils.len() as f64;
+        let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { mean_util };
         let further = !rpc.outs.is_empty();
         let idempotent = self.effect(rpc.method) == Some("read_like");
         let mut all = Vec::new();
@@ -451,7 +452,8 @@
         let mut best: Option<(f64, f64, WorkerId, f64)> = None;
         let mut home = HOME_WEIGHT;
         for c in all.iter().filter(|c| !c.crowded) {
-            let score = if c.affinity < WARM { c.score + home - HOME_WEIGHT } else { c.score };
+            let taken = MEMORY_WEIGHT * self.workers[&c.id].memory;
+            let score = if c.affinity < WARM { c.score + home - HOME_WEIGHT - taken } else { c.score };
             home /= 2.0;
             let tie = self.rng.rand_float();
             if best.is_none_or(|b| (score, tie) > (b.0, b.1)) {
@@ -520,20 +522,18 @@
         let ready = self.ready().count() as f64;
         let suspects = self.ready().filter(|w| w.suspect).count() as f64;
         let Some(w) = self.workers.get_mut(&id) else { return };
+        let (at, no) = (now.0, id.0);
         let step = if w.suspect && evidence < 0.0 { 4.0 * evidence } else { evidence };
         w.evidence = (w.evidence + step).clamp(0.0, EVIDENCE_CAP);
         if w.suspect && w.evidence <= CLEARED_AT {
             w.suspect = false;
-            self.host.log(&format!("{}: worker {} cleared, evidence {:.1}", now.0, id.0, w.evidence));
+            self.host.log(&format!("{at}: worker {no} cleared, evidence {:.1}", w.evidence));
         } else if !w.suspect && w.evidence >= SUSPECT_AT {
             let panic = suspects + 1.0 > (ready * EJECT_SHARE).max(1.0);
             w.suspect = !panic;
             if w.suspect || panic != self.panic {
-                let (at, no, figure) = (now.0, id.0, w.evidence);
-                let line = format!(
-                    "{at}: worker {no} suspect, evidence {figure:.1}, panic {panic}, {suspects} of {ready}"
-                );
-                self.host.log(&line);
+                let fleet = format!("panic {panic}, {suspects} of {ready}");
+                self.host.log(&format!("{at}: worker {no} suspect, evidence {:.1}, {fleet}", w.evidence));
             }
             self.panic = panic;
         }
@@ -541,9 +541,11 @@
 
     fn report_read(&mut self, worker: WorkerId, report: &[f64]) {
         let names = self.part("loadInfo", "names").and_then(Value::as_array);
-        let at = names.and_then(|n| n.iter().position(|n| n == "utilization"));
-        if let (Some(w), Some(&util)) = (self.workers.get_mut(&worker), at.and_then(|i| report.get(i))) {
-            w.util = Some(util);
+        let at = |name: &str| names.and_then(|n| n.iter().position(|n| n == name));
+        let value = |name: &str| at(name).and_then(|i| report.get(i)).copied();
+        let (util, memory) = (value("utilization"), value("x0"));
+        if let Some(w) = self.workers.get_mut(&worker) {
+            (w.util, w.memory) = (util.or(w.util), memory.unwrap_or(w.memory));
         }
     }
 
@@ -664,8 +666,8 @@
             }
         }
         // Just after a start the rate is over the time that there was.
-        let first = self.answered.front().map_or(now, |&t| t);
-        let over = (now - first).clamp(LEAST_RATE_OVER, RATE_OVER);
+        let since = self.answered.front().map_or(Time(0), |&first| now - first);
+        let over = since.clamp(LEAST_RATE_OVER, RATE_OVER);
         self.best_rate = (recent(&self.answered, now, over) / over.ms()).max(self.best_rate * FADE);
         let pull = self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull");
         let probes = pull && self.allowed("limits", "probes");
@@ -722,10 +724,9 @@
         let mut lost: Vec<_> = self.workers[&from].beliefs.iter().filter_map(used).collect();
         lost.sort_by(|a, b| b.cmp(a));
         for (_, function) in lost.into_iter().take(HANDED_ON) {
-            let others =
-                || self.workers.iter().filter(|(&id, w)| id != from && w.standing == Standing::Ready);
-            let stands = others().any(|(_, w)| self.affinity(now, w, function) >= LOADING);
-            let healthy = others().filter(|(_, w)| !w.suspect).map(|(&id, _)| id);
+            let rest = || self.workers.iter().filter(|(&id, w)| id != from && w.standing == Standing::Ready);
+            let stands = rest().any(|(_, w)| self.affinity(now, w, function) >= LOADING);
+            let healthy = rest().filter(|(_, w)| !w.suspect).map(|(&id, _)| id);
             if let (false, Some(at)) = (stands, healthy.min_by_key(|&id| home_rank(function, id))) {
                 self.order(now, at, function);
             }
@@ -752,15 +753,13 @@
         (limit, out, of_tenant)
     }
 
-    /// Gain for the time that an answer takes.
-    fn density(&self, method: MethodId) -> f64 {
-        let gain = self.of_method(method, "gain").and_then(Value::as_f64).unwrap_or(1.0);
-        gain / self.methods.get(&method).map_or(1.0, |p| p[1].mean.max(1.0))
-    }
-
-    fn density_mean(&self) -> f64 {
-        self.methods.keys().map(|&m| self.density(m)).sum::<f64>().max(1e-9)
-            / self.methods.len().max(1) as f64
+    /// A method's part of the bound: by its gain for the time of an answer, against the mean of methods.
+    fn part_of_bound(&self, method: MethodId) -> f64 {
+        let gain = |&m: &MethodId| self.of_method(m, "gain").and_then(Value::as_f64).unwrap_or(1.0);
+        let density = |m: &MethodId| gain(m) / self.methods.get(m).map_or(1.0, |p| p[1].mean.max(1.0));
+        let sum: f64 = self.methods.keys().map(density).sum();
+        let part = density(&method) * self.methods.len() as f64 / sum.max(1e-9);
+        part.clamp(PARTS.0, PARTS.1)
     }
 
     /// Whether an RPC has to wait; none: near the bound, its tenant is over its share or its time too short.
@@ -769,8 +768,7 @@
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         let over = share.is_some_and(|s| of_tenant > s * limit);
-        let part = (self.density(method) / self.density_mean()).clamp(0.85, 1.3);
-        let room = out < part * limit || (share.is_some() && !over);
+        let room = out < self.part_of_bound(method) * limit || (share.is_some() && !over);
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
 
--- a/src/records.rs
+++ b/src/records.rs
@@ -36,6 +36,8 @@
     pub no_load_until: Time,
     pub fulls: u32,
     pub util: Option<f64>,
+    /// The share of its memory that can't be freed, as last reported.
+    pub memory: f64,
     pub beliefs: BTreeMap<FunctionId, Belief>,
     pub evidence: f64,
     pub suspect: bool,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -62,6 +62,7 @@
 pub fn settings() -> Value {
     let method = |effect: &str, group: &str| json!({"aim": 500.0, "effect": effect, "group": group, "memorySpan": 800.0, "gain": 1.0});
     json!({
+        "instances": 3,
         "requestClasses": [method("read_like", "all"), method("non_idempotent", "all"),
             method("idempotency_key", "zone")],
         "contract": {"warmWithin": 10000.0, "fall": 2000.0, "fallMultiple": 2.0, "startCapacity": 0.2},
