--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,7 +42,7 @@
 const KEEP: Time = Time(100_000);
 /// Evidence (log-likelihood ratios) of outcomes, and where it decides.
 const GOOD: f64 = -0.5;
-const SLOW: f64 = 1.0;
+const SILENT: f64 = 2.0;
 const FAILED: f64 = 2.5;
 const DEAD: f64 = 8.0;
 const SUSPECT_AT: f64 = 8.0;
@@ -229,18 +229,18 @@
         (out.open, out.never_ran) = (false, outcome.never_ran());
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         self.report_read(worker, report);
-        let evidence = if elapsed > self.limit(method, was_warm) { SLOW } else { GOOD };
         let slots = self.slots();
         let w = self.workers.entry(worker).or_default();
-        let alive = w.since <= sent;
         w.mine = w.mine.saturating_sub(1);
+        let spoke = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+        w.heard = if spoke { now } else { w.heard };
         let belief = w.beliefs.entry(function).or_default();
         belief.mine = belief.mine.saturating_sub(1);
         if outcome != Outcome::Ok && belief.copies == Copies::Loading && belief.mine == 0 {
             belief.copies = Copies::Unknown;
         }
         match outcome {
-            Outcome::Ok if alive => {
+            Outcome::Ok if w.since <= sent => {
                 belief.copies = Copies::Warm(now);
                 w.ceiling = (w.ceiling + CLIMB).min(slots);
                 w.fulls = 0;
@@ -250,9 +250,7 @@
                 if was_warm && copy == Copy::BeganLoad {
                     self.void_elsewhere(function, worker, sent);
                 }
-                if overdue == 0 {
-                    self.judge(now, worker, evidence);
-                }
+                self.judge(now, worker, if overdue == 0 { GOOD } else { 0.0 });
             }
             Outcome::Full => {
                 // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
@@ -648,7 +646,10 @@
             }
         }
         for (id, no, worker) in late {
-            self.judge(now, worker, SLOW);
+            // Silence is evidence, slowness under load is not: only if it answered nothing since.
+            if self.rpcs[&id].outs[no].sent >= self.workers[&worker].heard {
+                self.judge(now, worker, SILENT);
+            }
             let suspect = self.workers[&worker].suspect;
             let further = self.harmless_to_any(now, &self.rpcs[&id]);
             let seconds = self.allowed("limits", "secondCopies");
@@ -742,7 +743,7 @@
         let schedulers = self.settings.get("instances").and_then(Value::as_f64).unwrap_or(1.0).max(1.0);
         let least = LEAST_OUT * self.ready().count() as f64 / schedulers;
         let limit = (self.best_rate * TARGET * self.aims.mean).max(least).max(4.0);
-        let counts = |o: &&CallOut| o.open && o.overdue == 0 && !self.workers[&o.worker].suspect;
+        let counts = |o: &&CallOut| o.open && o.overdue == 0;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
--- a/src/records.rs
+++ b/src/records.rs
@@ -43,6 +43,8 @@
     pub suspect: bool,
     pub sends: VecDeque<Time>,
     pub last_sent: Time,
+    /// When it last answered anything.
+    pub heard: Time,
     pub probed: Time,
 }
 
