--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,7 +43,7 @@
 /// Evidence (log-likelihood ratios) of outcomes, and where it decides.
 const GOOD: f64 = -0.5;
 const SILENT: f64 = 2.0;
-const FAILED: f64 = 2.5;
+const FAILED: f64 = 1.5;
 const DEAD: f64 = 8.0;
 const SUSPECT_AT: f64 = 8.0;
 const CLEARED_AT: f64 = 1.0;
