--- a/src/brain.rs
+++ b/src/brain.rs
@@ -647,7 +647,8 @@
         }
         for (id, no, worker) in late {
             // Silence is evidence, slowness under load is not: only if it answered nothing since.
-            if self.rpcs[&id].outs[no].sent >= self.workers[&worker].heard {
+            let silent = self.rpcs[&id].outs[no].sent >= self.workers[&worker].heard;
+            if silent {
                 self.judge(now, worker, SILENT);
             }
             let suspect = self.workers[&worker].suspect;
@@ -659,7 +660,7 @@
             if !further || rpc.done || rpc.streaming || rpc.waiting || rpc.open() > 1 {
                 continue;
             }
-            if seconds {
+            if seconds && silent {
                 rpc.waiting = true;
                 self.lines[1].push_back(id);
             } else if cancels {
