--- a/src/brain.rs
+++ b/src/brain.rs
@@ -651,19 +651,18 @@
             if silent {
                 self.judge(now, worker, SILENT);
             }
-            let suspect = self.workers[&worker].suspect;
             let further = self.harmless_to_any(now, &self.rpcs[&id]);
             let seconds = self.allowed("limits", "secondCopies");
-            let cancels = self.allowed("limits", "mayCancel") && suspect && self.retries >= 1.0;
+            let cancels = self.allowed("limits", "mayCancel") && self.workers[&worker].suspect;
             let Some(rpc) = self.rpcs.get_mut(&id) else { continue };
             rpc.outs[no].overdue += 1;
             if !further || rpc.done || rpc.streaming || rpc.waiting || rpc.open() > 1 {
                 continue;
             }
-            if seconds && silent {
+            if seconds && (silent || rpc.outs[no].overdue > 1) {
                 rpc.waiting = true;
                 self.lines[1].push_back(id);
-            } else if cancels {
+            } else if cancels && self.retries >= 1.0 {
                 self.host.cancel(id, CallOutNo(no));
             }
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -226,6 +226,18 @@
     assert!(stuck.iter().all(|&r| s.calls(r).len() == 1), "nothing more for what may still run");
 }
 
+#[test_case(IDEMPOTENT, 2 ; "idempotent")]
+#[test_case(SIDE_EFFECTING, 1 ; "side effecting")]
+fn an_overdue_call_out_gets_a_second_copy_where_one_is_warm(method: usize, calls: usize) {
+    let mut s = Story::new(2);
+    let home = s.served(9);
+    (0..6).for_each(|_| assert_eq!(s.served(9), home));
+    let rpc = s.rpc(method, 9);
+    s.srv.load_ended(s.now(), WorkerId(3 - home), FunctionId(9), Outcome::Ok, 1);
+    s.pass(600);
+    assert_eq!((s.calls(rpc)[0], s.calls(rpc).len()), (home, calls));
+}
+
 #[test]
 fn trouble_of_the_whole_fleet_ejects_half_at_most() {
     let mut s = Story::new(4);
