--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,7 +7,7 @@
 //! 1. health: a sequential test on outcomes, overdue call-outs included; a suspect gets a trickle (`judge`)
 //! 2. slow start: a budget of call-outs for a cold worker (`budget_left`)
 //! 3. the second line: further call-outs, after first ones, within a retry budget (`serve`, `sweep`)
-//! 4. copies: hot functions and those of a lost worker are ordered elsewhere, rationed (`order`)
+//! 4. copies: one more copy of a crowded function is ordered elsewhere, rationed (`order`)
 //! 5. admission: what cannot be in time is denied at once, where harmless (`give_up`)
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -55,7 +55,6 @@
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
-const HANDED_ON: usize = 8;
 const RATE_OVER: Time = Time(30_000);
 const PARTS: (f64, f64) = (0.85, 1.3);
 const LEAST_RATE_OVER: Time = Time(10_000);
@@ -161,9 +160,6 @@
         size: f64,
     ) {
         let new = !self.workers.contains_key(&id);
-        if !new && self.workers[&id].standing == Standing::Ready && standing != Standing::Ready {
-            self.hand_on(now, id);
-        }
         let w = self.workers.entry(id).or_default();
         (w.standing, w.zone, w.cell, w.size) = (standing, zone, cell, size);
         if new || (since != w.since && standing == Standing::Ready) {
@@ -176,13 +172,10 @@
 
     /// A list has been read; `named` holds all its workers if it was a complete one.
     pub fn list_read(&mut self, now: Time, named: Option<&BTreeSet<WorkerId>>) {
-        let missing = |id: &&WorkerId| named.is_some_and(|n| !n.contains(id));
-        let missing: Vec<WorkerId> = self.workers.keys().filter(missing).copied().collect();
-        for id in missing {
-            if self.workers[&id].standing == Standing::Ready {
-                self.hand_on(now, id);
+        for (id, w) in &mut self.workers {
+            if named.is_some_and(|n| !n.contains(id)) {
+                w.standing = Standing::Gone;
             }
-            self.workers.entry(id).or_default().standing = Standing::Gone;
         }
         self.serve(now);
     }
@@ -267,7 +260,6 @@
                 // is taken for one, which may hurt when the worker is at its connection limit.
                 self.judge(now, worker, if outcome == Outcome::Reset { FAILED } else { DEAD });
                 if self.workers[&worker].suspect {
-                    self.hand_on(now, worker);
                     let w = self.workers.entry(worker).or_default();
                     w.forget_copies();
                     w.cold_since = w.cold_since.max(Some(now));
@@ -714,26 +706,6 @@
         self.host.load(at, function, 1);
     }
 
-    /// A worker is lost: has its functions in recent use loaded where their next RPCs would go. Guards
-    /// against RPCs that wait for those loads; should hold for drains, deaths and cut links. May hurt where
-    /// the store is the bottleneck: hence only the latest few, and none that stands elsewhere.
-    fn hand_on(&mut self, now: Time, from: WorkerId) {
-        let used = |(&f, b): (&FunctionId, &Belief)| match b.copies {
-            Copies::Warm(used) if now - used <= RECENT => Some((used, f)),
-            _ => None,
-        };
-        let mut lost: Vec<_> = self.workers[&from].beliefs.iter().filter_map(used).collect();
-        lost.sort_by(|a, b| b.cmp(a));
-        for (_, function) in lost.into_iter().take(HANDED_ON) {
-            let rest = || self.workers.iter().filter(|(&id, w)| id != from && w.standing == Standing::Ready);
-            let stands = rest().any(|(_, w)| self.affinity(now, w, function) >= LOADING);
-            let healthy = rest().filter(|(_, w)| !w.suspect).map(|(&id, _)| id);
-            if let (false, Some(at)) = (stands, healthy.min_by_key(|&id| home_rank(function, id))) {
-                self.order(now, at, function);
-            }
-        }
-    }
-
     // 5. Admission.
 
     /// What may be out at warm copies so that answers come in half the soft deadline (Little's law on my own
