Count the RPCs of others that answers tell in depth and crowding

Change: a running mean of the RPCs that answers say the worker held counts in depth; past 1.25 x lanes + 1 the copy counts as crowded, so the next home gets a copy.

--- a/crates/curlewpoint-drill/src/main.rs
+++ b/crates/curlewpoint-drill/src/main.rs
@@ -222,7 +222,7 @@
                 let (outcome, report) = (line.outcome()?, line.report()?);
                 let elapsed = line.ms("elapsed")?;
                 let rpc = RpcId(line.get("req")?);
-                srv.call_out_ended(now, rpc, no, outcome, elapsed, done, copy, &report);
+                srv.call_out_ended(now, rpc, no, outcome, elapsed, done, copy, remark / 8, &report);
             }
             "STATUS_BACK" => {
                 srv.probe_ended(WorkerId(line.get("worker")?), &line.report()?);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,9 @@
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
+/// Told counts of others' RPCs at a copy: the step of their running mean, and how fast they fade when old.
+const TOLD_STEP: f64 = 0.4;
+const TOLD_FADES: f64 = 2000.0;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
@@ -91,7 +94,7 @@
     score: f64,
     room: bool,
     crowded: bool,
-    mine: u64,
+    depth: f64,
 }
 
 pub struct Scheduler<H: Host> {
@@ -214,13 +217,14 @@
 
     pub fn call_out_ended(
         &mut self, now: Time, id: RpcId, no: CallOutNo, outcome: Outcome, elapsed: Time, done: bool,
-        copy: Copy, report: &[f64],
+        copy: Copy, held: u64, report: &[f64],
     ) {
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let (function, method) = (rpc.function, rpc.method);
         let Some(out) = rpc.outs.get_mut(no.0).filter(|o| o.open) else { return };
         (out.open, out.never_ran) = (false, outcome.never_ran());
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
+        let others = held.saturating_sub(out.beside) as f64;
         self.report_read(worker, report);
         let slots = self.slots();
         let w = self.workers.entry(worker).or_default();
@@ -232,6 +236,11 @@
         if outcome != Outcome::Ok && belief.copies == Copies::Loading && belief.mine == 0 {
             belief.copies = Copies::Unknown;
         }
+        if matches!(outcome, Outcome::Ok | Outcome::Full) {
+            belief.others = belief.others_now(now, TOLD_FADES);
+            belief.others += (others - belief.others) * TOLD_STEP;
+            belief.told = now;
+        }
         match outcome {
             Outcome::Ok if w.since <= sent => {
                 belief.copies = Copies::Warm(now);
@@ -418,6 +427,11 @@
             }
             let affinity = self.affinity(now, w, rpc.function);
             let (mine, size) = (w.mine as f64, self.size(w));
+            // Guards against many schedulers that each see few of the RPCs at a hot copy. May hurt where the
+            // told counts are old: they fade.
+            let belief = w.beliefs.get(&rpc.function);
+            let others = belief.map_or(0.0, |b| b.others_now(now, TOLD_FADES));
+            let here = others + belief.map_or(0.0, |b| b.mine as f64);
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
             let trickle = idempotent && w.mine == 0 && now - w.last_sent >= TRICKLE_EVERY;
@@ -425,9 +439,11 @@
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && (!w.suspect || trickle);
             let util = 1.0 - w.util.unwrap_or(lacking).clamp(0.0, 1.0);
-            let depth = 1.0 - (mine / ceiling).min(1.0);
-            let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * depth + UTIL_WEIGHT * util;
-            all.push(Candidate { id, affinity, score, room, crowded: mine >= crowd, mine: w.mine });
+            let depth = mine + others;
+            let free = 1.0 - (depth / ceiling).min(1.0);
+            let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
+            let crowded = mine >= crowd || here >= CROWD * rpc.lanes + 1.0;
+            all.push(Candidate { id, affinity, score, room, crowded, depth });
         }
         all
     }
@@ -456,7 +472,7 @@
         // Every pick left would start a load. A crowded worker believed warm that has room takes the RPC, and
         // a copy is ordered where the load would have gone; else the RPC queues behind a load under way.
         let least = |fits: &dyn Fn(&Candidate) -> bool| {
-            all.iter().filter(|c| fits(c)).min_by_key(|c| c.mine).map(|c| c.id)
+            all.iter().filter(|c| fits(c)).min_by(|a, b| a.depth.total_cmp(&b.depth)).map(|c| c.id)
         };
         let loading = least(&|c| c.affinity == LOADING);
         if let Some(to) = least(&|c| c.affinity >= WARM) {
@@ -476,13 +492,14 @@
         let warm = self.affinity(now, &self.workers[&to], self.rpcs[&id].function) >= WARM;
         let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
         rpc.waiting = false;
-        rpc.outs.push(CallOut { worker: to, sent: now, open: true, never_ran: false, warm, overdue: 0 });
         w.mine += 1;
         w.last_sent = now;
         if w.cold_since.is_some() {
             w.sends.push_back(now);
         }
         let belief = w.beliefs.entry(rpc.function).or_default();
+        let (open, never_ran, beside, overdue) = (true, false, belief.mine, 0);
+        rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, warm, beside, overdue });
         belief.mine += 1;
         if !warm {
             belief.copies = Copies::Loading;
--- a/src/records.rs
+++ b/src/records.rs
@@ -18,6 +18,16 @@
 pub struct Belief {
     pub copies: Copies,
     pub mine: u64,
+    /// RPCs of the function that others had there, as answers told at `told`.
+    pub others: f64,
+    pub told: Time,
+}
+
+impl Belief {
+    /// What was told of others, halved for each `half` milliseconds since.
+    pub fn others_now(&self, now: Time, half: f64) -> f64 {
+        self.others * (-(now - self.told).ms() / half).exp2()
+    }
 }
 
 #[derive(Default)]
@@ -66,6 +76,8 @@
     pub never_ran: bool,
     /// Sent where a copy was believed warm.
     pub warm: bool,
+    /// My RPCs of the function that were there already.
+    pub beside: u64,
     /// How often it was counted as overdue.
     pub overdue: u32,
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -56,6 +56,8 @@
     pub srv: Scheduler<Fake>,
     deeds: Deeds,
     pub ms: u64,
+    /// RPCs of the function that answers say the worker held.
+    pub held: u64,
     next: u64,
 }
 
@@ -83,7 +85,7 @@
         let deeds = Deeds::default();
         let settings: Map<String, Value> = settings.as_object().expect("an object").clone();
         let srv = Scheduler::start(Fake(Rc::clone(&deeds)), 7, settings);
-        let mut story = Story { srv, deeds, ms: 100_000, next: 0 };
+        let mut story = Story { srv, deeds, ms: 100_000, held: 0, next: 0 };
         (1..=workers).for_each(|w| story.list(w, Standing::Ready, 0));
         story
     }
@@ -113,7 +115,8 @@
     /// Ends a call-out after 50 ms at the present clock.
     pub fn end(&mut self, rpc: u64, no: usize, outcome: Outcome, copy: Copy) {
         let (now, done) = (self.now(), outcome == Outcome::Ok);
-        self.srv.call_out_ended(now, RpcId(rpc), CallOutNo(no), outcome, Time(500), done, copy, &[]);
+        let (rpc, no, took) = (RpcId(rpc), CallOutNo(no), Time(500));
+        self.srv.call_out_ended(now, rpc, no, outcome, took, done, copy, self.held, &[]);
     }
 
     /// An RPC that is answered from a warm copy; returns the worker it went to.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -317,3 +317,16 @@
     s.pass(100);
     assert!(s.deeds("deny").len() + s.deeds("abort").len() <= 1);
 }
+
+#[test]
+fn a_copy_that_others_crowd_gets_a_second_elsewhere() {
+    let mut story = Story::new(4);
+    let home = story.served(7);
+    story.held = 30;
+    story.served(7);
+    let rpc = story.rpc(IDEMPOTENT, 7);
+    assert_eq!(story.calls(rpc), [home], "a warm copy still beats a load");
+    let orders = story.deeds("load ");
+    assert_eq!(orders.len(), 1);
+    assert_ne!(orders[0], format!("load {home} 7"));
+}
