Let probes follow the RPCs taken instead of schedulers times workers

Cause: each scheduler probed each worker once a second: 7,900 to 18,000 probes a second for 160 to 650 RPCs. Change: each RPC earns a fifth of a probe, spent on the chosen worker when its report is older than 500 ms.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,9 @@
 const RECENT: Time = Time(20_000);
 const TICK: Time = Time(200);
 const TICK_WAKE: WakeId = WakeId(u64::MAX >> 1);
-const PROBE_EVERY: Time = Time(10_000);
+/// Probes for each RPC taken, and the age from which a report is worth asking anew.
+const PROBE_SHARE: f64 = 0.2;
+const REPORT_AGE: Time = Time(5_000);
 const KEEP: Time = Time(100_000);
 /// Evidence (log-likelihood ratios) of outcomes, and where it decides.
 const GOOD: f64 = -0.5;
@@ -110,6 +112,7 @@
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
     retries: f64,
+    probes: f64,
     lanes: Usual,
     aims: Usual,
     /// The best rate of answers of late, per millisecond; it fades.
@@ -144,6 +147,7 @@
             answered: VecDeque::new(),
             orders: VecDeque::new(),
             retries: RETRY_CAP,
+            probes: 0.0,
             lanes: Usual::default(),
             aims: Usual::default(),
             best_rate: 0.0,
@@ -195,6 +199,7 @@
         self.lanes.add(lanes);
         self.aims.add(self.aim(method));
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_CAP);
+        self.probes = (self.probes + PROBE_SHARE).min(RETRY_CAP);
         self.host.wake(left, WakeId(id.0));
         let (taken, deadline, outs) = (now, now + left, Vec::new());
         let (waiting, done, streaming) = (true, false, false);
@@ -505,6 +510,14 @@
             belief.copies = Copies::Loading;
         }
         self.host.call_out(id, to, Time(0));
+        // Probes follow the RPCs taken, to the workers chosen: their number does not grow with the fleet.
+        let pull = self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull");
+        let earned = self.probes >= 1.0 && now - self.workers[&to].probed >= REPORT_AGE;
+        if pull && earned && self.allowed("limits", "probes") {
+            self.probes -= 1.0;
+            self.workers.entry(to).or_default().probed = now;
+            self.host.probe(to);
+        }
     }
 
     /// A copy believed warm was not: a release may have voided all. Drops what was believed of the function
@@ -679,26 +692,18 @@
         let since = self.answered.front().map_or(Time(0), |&first| now - first);
         let over = since.clamp(LEAST_RATE_OVER, RATE_OVER);
         self.best_rate = (recent(&self.answered, now, over) / over.ms()).max(self.best_rate * FADE);
-        let pull = self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull");
-        let probes = pull && self.allowed("limits", "probes");
         let (keep, within) = (self.span("familyInfo", "keepAlive"), self.span("contract", "warmWithin"));
-        for (&id, w) in &mut self.workers {
+        for w in self.workers.values_mut() {
             w.cold_since = w.cold_since.filter(|&since| now - since < within);
             w.sends.retain(|&t| t + KEEP > now);
             if w.suspect && w.mine == 0 {
                 w.evidence = (w.evidence - FADING * TICK.ms()).max(0.0);
                 w.suspect = w.evidence > CLEARED_AT;
             }
-            if w.standing == Standing::Ready && now - w.probed >= PROBE_EVERY {
-                w.probed = now;
-                w.beliefs.retain(|_, b| match b.copies {
-                    Copies::Warm(used) => b.mine > 0 || now - used <= keep + KEEP,
-                    copies => b.mine > 0 || copies != Copies::Unknown,
-                });
-                if probes {
-                    self.host.probe(id);
-                }
-            }
+            w.beliefs.retain(|_, b| match b.copies {
+                Copies::Warm(used) => b.mine > 0 || now - used <= keep + KEEP,
+                copies => b.mine > 0 || copies != Copies::Unknown,
+            });
         }
         for times in [&mut self.taken, &mut self.answered, &mut self.orders] {
             while times.front().is_some_and(|&t| t + KEEP < now) {
