--- a/src/brain.rs
+++ b/src/brain.rs
@@ -736,7 +736,7 @@
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
         let schedulers = self.settings.get("instances").and_then(Value::as_f64).unwrap_or(1.0).max(1.0);
         let least = LEAST_OUT * self.ready().count() as f64 / schedulers;
-        let limit = (self.best_rate * TARGET * self.aims.mean).max(least).max(12.0);
+        let limit = (self.best_rate * TARGET * self.aims.mean).max(least).max(4.0);
         let counts = |o: &&CallOut| o.open && o.overdue == 0;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
