Send a cold worker less than one call-out a window where a scheduler's part is smaller

Change: a part under one lengthens the gap between call-outs, the first at a moment drawn for each start; the rate of answers is over some 30 answers, so that a busy moment of a sparse scheduler is not taken for its usual.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,7 @@
 const PROBE_SHARE: f64 = 0.2;
 const REPORT_AGE: Time = Time(5_000);
 const KEEP: Time = Time(100_000);
+const KEEP_ANSWERS: Time = Time(300_000);
 /// Evidence (log-likelihood ratios) of outcomes, and where it decides.
 const GOOD: f64 = -0.5;
 const SILENT: f64 = 2.0;
@@ -61,6 +62,7 @@
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
 const RATE_OVER: Time = Time(30_000);
+const RATE_ANSWERS: usize = 30;
 const PARTS: (f64, f64) = (0.85, 1.3);
 const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
@@ -173,6 +175,8 @@
             // New, or restarted under the same id: perhaps cold, and nothing old holds.
             (w.since, w.cold_since) = (since, (since > Time(0)).then_some(since));
             (w.evidence, w.suspect, w.ceiling, w.full_until, w.util) = (0.0, false, f64::MAX, now, None);
+            w.phase = self.rng.rand_float();
+            w.sends.clear();
             w.forget_copies();
         }
     }
@@ -581,7 +585,8 @@
     /// Guards against schedulers that together push a cold worker over. Each gives it, in any window, its
     /// present share of capacity times what this scheduler gets answered by a worker of its size on the mean:
     /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple,
-    /// also when clients' retries swell what is taken. Where the fleet idles a cold worker gets little.
+    /// also when clients' retries swell what is taken. A scheduler whose part is under one call-out a window
+    /// sends one less often, the first at a moment of its own. Where the fleet idles a cold worker gets little.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
@@ -589,7 +594,10 @@
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
         let per_window = self.best_rate * fall.ms() * self.size(w) / self.ready().count().max(1) as f64;
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
-        age >= within || recent(&w.sends, now, fall) + 1.0 <= budget.max(1.0)
+        let gap = Time::from_ms(fall.ms() / budget.max(1e-3));
+        let first = since + Time::from_ms(gap.ms() * w.phase);
+        let next = w.sends.back().map_or(first, |&last| last + gap);
+        age >= within || if budget < 1.0 { now >= next } else { recent(&w.sends, now, fall) + 1.0 <= budget }
     }
 
     // 3. The second line.
@@ -688,10 +696,11 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
-        // Just after a start the rate is over the time that there was.
-        let since = self.answered.front().map_or(Time(0), |&first| now - first);
-        let over = since.clamp(LEAST_RATE_OVER, RATE_OVER);
-        self.best_rate = (recent(&self.answered, now, over) / over.ms()).max(self.best_rate * FADE);
+        // The rate is over some 30 answers, that one busy moment is not taken for the usual.
+        let n = (recent(&self.answered, now, RATE_OVER) as usize).max(RATE_ANSWERS).min(self.answered.len());
+        let over = self.answered.iter().rev().nth(n.saturating_sub(1)).map_or(Time(0), |&first| now - first);
+        let rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
+        self.best_rate = rate.max(self.best_rate * FADE);
         let (keep, within) = (self.span("familyInfo", "keepAlive"), self.span("contract", "warmWithin"));
         for w in self.workers.values_mut() {
             w.cold_since = w.cold_since.filter(|&since| now - since < within);
@@ -705,8 +714,9 @@
                 copies => b.mine > 0 || copies != Copies::Unknown,
             });
         }
-        for times in [&mut self.taken, &mut self.answered, &mut self.orders] {
-            while times.front().is_some_and(|&t| t + KEEP < now) {
+        let kept = [(&mut self.taken, KEEP), (&mut self.answered, KEEP_ANSWERS), (&mut self.orders, KEEP)];
+        for (times, keep) in kept {
+            while times.front().is_some_and(|&t| t + keep < now) {
                 times.pop_front();
             }
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -52,6 +52,8 @@
     pub evidence: f64,
     pub suspect: bool,
     pub sends: VecDeque<Time>,
+    /// Where in its gap between call-outs my first one to it lies while it is cold, drawn anew at each start.
+    pub phase: f64,
     pub last_sent: Time,
     /// When it last answered anything.
     pub heard: Time,
