--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,8 +67,9 @@
 const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
-/// At all schedulers together, for each worker.
-const LEAST_OUT: f64 = 6.0;
+/// What chance may add to the usual number out, in its standard deviations, and with no answers known.
+const CHANCE: f64 = 2.0;
+const LEAST_OUT: f64 = 2.0;
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
 
@@ -744,9 +745,8 @@
     /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for what
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
-        let schedulers = self.settings.get("instances").and_then(Value::as_f64).unwrap_or(1.0).max(1.0);
-        let least = LEAST_OUT * self.ready().count() as f64 / schedulers;
-        let limit = (self.best_rate * TARGET * self.aims.mean).max(least).max(4.0);
+        let usual = self.best_rate * TARGET * self.aims.mean;
+        let limit = usual + CHANCE * usual.sqrt() + LEAST_OUT;
         let counts = |o: &&CallOut| o.open && o.overdue == 0;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
