Count a worker deeper by how long its warm answers take against the usual

Cause: sparse schedulers' counts say nothing of slow, ageing or hot workers; the pace of own warm answers does. Folds slow, ageing and hot workers into depth; trouble of the whole fleet moves the usual and so decides nothing.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,6 +36,9 @@
 /// Told counts of others' RPCs at a copy: the step of their running mean, and how fast they fade when old.
 const TOLD_STEP: f64 = 0.4;
 const TOLD_FADES: f64 = 2000.0;
+/// The same for a worker's warm answers against the usual.
+const PACE_STEP: f64 = 0.15;
+const PACE_FADES: f64 = 4000.0;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
@@ -258,7 +261,13 @@
                 w.fulls = 0;
                 self.answered.push_back(now);
                 let warm = usize::from(!matches!(copy, Copy::BeganLoad | Copy::WaitedForLoad));
-                self.methods.entry(method).or_default()[warm].add(elapsed.ms());
+                let pace = &mut self.methods.entry(method).or_default()[warm];
+                pace.add(elapsed.ms());
+                if warm == 1 {
+                    w.slowness = w.slowness_now(now, PACE_FADES);
+                    w.slowness += (elapsed.ms() / pace.mean.max(1.0) - w.slowness) * PACE_STEP;
+                    w.paced = now;
+                }
                 if was_warm && copy == Copy::BeganLoad {
                     self.void_elsewhere(function, worker, sent);
                 }
@@ -441,7 +450,10 @@
             // told counts are old: they fade.
             let belief = w.beliefs.get(&rpc.function);
             let others = belief.map_or(0.0, |b| b.others_now(now, TOLD_FADES));
-            let here = others + belief.map_or(0.0, |b| b.mine as f64);
+            // A worker whose answers take longer than the usual counts as so much deeper: against slow and ageing
+            // workers and hot ones; trouble of the whole fleet moves the usual instead.
+            let slowness = w.slowness_now(now, PACE_FADES);
+            let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
             let trickle = idempotent && w.mine == 0 && now - w.last_sent >= TRICKLE_EVERY;
@@ -449,10 +461,10 @@
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && (!w.suspect || trickle);
             let util = 1.0 - w.util.unwrap_or(lacking).clamp(0.0, 1.0);
-            let depth = mine + others;
+            let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
-            let crowded = mine >= crowd || here >= CROWD * rpc.lanes + 1.0;
+            let crowded = mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth });
         }
         all
--- a/src/records.rs
+++ b/src/records.rs
@@ -26,10 +26,15 @@
 impl Belief {
     /// What was told of others, halved for each `half` milliseconds since.
     pub fn others_now(&self, now: Time, half: f64) -> f64 {
-        self.others * (-(now - self.told).ms() / half).exp2()
+        faded(self.others, 0.0, now - self.told, half)
     }
 }
 
+/// What is left of `value` above `rest` after a time, halved each `half` milliseconds.
+fn faded(value: f64, rest: f64, age: Time, half: f64) -> f64 {
+    rest + (value - rest) * (-age.ms() / half).exp2()
+}
+
 #[derive(Default)]
 pub struct Worker {
     pub standing: Standing,
@@ -48,6 +53,9 @@
     pub util: Option<f64>,
     /// The share of its memory that can't be freed, as last reported.
     pub memory: f64,
+    /// How long its warm answers took against the usual, at `paced`; nought where it has given none.
+    pub slowness: f64,
+    pub paced: Time,
     pub beliefs: BTreeMap<FunctionId, Belief>,
     pub evidence: f64,
     pub suspect: bool,
@@ -65,6 +73,11 @@
         self.beliefs.get(&function).map_or(Copies::Unknown, |b| b.copies)
     }
 
+    pub fn slowness_now(&self, now: Time, half: f64) -> f64 {
+        let told = if self.paced == Time(0) { 1.0 } else { self.slowness };
+        faded(told, 1.0, now - self.paced, half)
+    }
+
     /// A death, a restart or a broken connection: nothing that was believed of its copies holds.
     pub fn forget_copies(&mut self) {
         self.beliefs.values_mut().for_each(|b| b.copies = Copies::Unknown);
