--- a/src/brain.rs
+++ b/src/brain.rs
@@ -462,7 +462,7 @@
             let room = mine < ceiling && takes && fresh && (!w.suspect || trickle);
             let util = 1.0 - w.util.unwrap_or(lacking).clamp(0.0, 1.0);
             let depth = (mine + others + 1.0) * slowness;
-            let free = 1.0 - (depth / (2.0 * rpc.lanes + 1.0)).min(1.0);
+            let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
             let crowded = mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth });
