Count a worker as crowded when its answers are late against the usual and the soft deadline

What else it should catch: anything that makes one worker slow. Harm: a method with rare long RPCs looks late there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,8 @@
 /// The same for a worker's warm answers against the usual.
 const PACE_STEP: f64 = 0.15;
 const PACE_FADES: f64 = 4000.0;
+/// A worker counts as crowded so far above the usual and above this part of the soft deadline.
+const LATE: (f64, f64) = (1.3, 0.5);
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
@@ -437,6 +439,7 @@
         let utils: Vec<f64> = self.workers.values().filter_map(|w| w.util).collect();
         let mean_util = utils.iter().sum::<f64>() / utils.len() as f64;
         let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { mean_util };
+        let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
         let further = !rpc.outs.is_empty();
         let idempotent = self.effect(rpc.method) == Some("read_like");
         let mut all = Vec::new();
@@ -464,7 +467,8 @@
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
-            let crowded = mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
+            let late = slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
+            let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth });
         }
         all
