--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,7 +68,6 @@
 const STUCK: usize = 3;
 const RATE_OVER: Time = Time(30_000);
 const RATE_ANSWERS: usize = 30;
-const PARTS: (f64, f64) = (0.85, 1.3);
 const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
@@ -774,22 +773,13 @@
         (limit, out, of_tenant)
     }
 
-    /// A method's part of the bound: by its gain for the time of an answer, against the mean of methods.
-    fn part_of_bound(&self, method: MethodId) -> f64 {
-        let gain = |&m: &MethodId| self.of_method(m, "gain").and_then(Value::as_f64).unwrap_or(1.0);
-        let density = |m: &MethodId| gain(m) / self.methods.get(m).map_or(1.0, |p| p[1].mean.max(1.0));
-        let sum: f64 = self.methods.keys().map(density).sum();
-        let part = density(&method) * self.methods.len() as f64 / sum.max(1e-9);
-        part.clamp(PARTS.0, PARTS.1)
-    }
-
     /// Whether an RPC has to wait; none: near the bound, its tenant is over its share or its time too short.
     fn admit(&self, now: Time, id: RpcId) -> Option<bool> {
-        let (tenant, method) = (self.rpcs[&id].tenant, self.rpcs[&id].method);
+        let tenant = self.rpcs[&id].tenant;
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         let over = share.is_some_and(|s| of_tenant > s * limit);
-        let room = out < self.part_of_bound(method) * limit || (share.is_some() && !over);
+        let room = out < limit || (share.is_some() && !over);
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
 
