Let sparse answers weigh more each in what is told of depth and slowness

Cause: at full size a scheduler calls a hot function out every few seconds; one answer of 2 s moved the belief by 0.15 and half of that had faded at the next.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,12 +33,11 @@
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
-/// Told counts of others' RPCs at a copy: the step of their running mean, and how fast they fade when old.
-const TOLD_STEP: f64 = 0.4;
-const TOLD_FADES: f64 = 2000.0;
-/// The same for a worker's warm answers against the usual.
-const PACE_STEP: f64 = 0.15;
-const PACE_FADES: f64 = 4000.0;
+/// What answers tell of a worker: the least step of the running mean, the gap between answers at which a new one
+/// weighs as much as all before, and the half-life.
+const LEAST_STEP: f64 = 0.15;
+const EQUAL_GAP: f64 = 1000.0;
+const FADES: f64 = 5000.0;
 /// A worker counts as crowded so far above the usual and above this part of the soft deadline.
 const LATE: (f64, f64) = (1.3, 0.5);
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
@@ -135,6 +134,11 @@
     x ^ (x >> 32)
 }
 
+/// How much a new answer weighs against those before: sparse evidence counts for more each.
+fn step(gap: Time) -> f64 {
+    (gap.ms() / (gap.ms() + EQUAL_GAP)).max(LEAST_STEP)
+}
+
 /// How many of these times lie less than `window` back.
 fn recent(times: &VecDeque<Time>, now: Time, window: Time) -> f64 {
     times.iter().rev().take_while(|&&t| t + window > now).count() as f64
@@ -251,8 +255,9 @@
             belief.copies = Copies::Unknown;
         }
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
-            belief.others = belief.others_now(now, TOLD_FADES);
-            belief.others += (others - belief.others) * TOLD_STEP;
+            let step = step(now - belief.told);
+            belief.others = belief.others_now(now, FADES);
+            belief.others += (others - belief.others) * step;
             belief.told = now;
         }
         match outcome {
@@ -265,8 +270,9 @@
                 let pace = &mut self.methods.entry(method).or_default()[warm];
                 pace.add(elapsed.ms());
                 if warm == 1 {
-                    w.slowness = w.slowness_now(now, PACE_FADES);
-                    w.slowness += (elapsed.ms() / pace.mean.max(1.0) - w.slowness) * PACE_STEP;
+                    let step = step(now - w.paced);
+                    w.slowness = w.slowness_now(now, FADES);
+                    w.slowness += (elapsed.ms() / pace.mean.max(1.0) - w.slowness) * step;
                     w.paced = now;
                 }
                 if was_warm && copy == Copy::BeganLoad {
@@ -451,10 +457,10 @@
             // Guards against many schedulers that each see few of the RPCs at a hot copy. May hurt where the
             // told counts are old: they fade.
             let belief = w.beliefs.get(&rpc.function);
-            let others = belief.map_or(0.0, |b| b.others_now(now, TOLD_FADES));
+            let others = belief.map_or(0.0, |b| b.others_now(now, FADES));
             // A worker whose answers take longer than the usual counts as so much deeper: against slow and ageing
             // workers and hot ones; trouble of the whole fleet moves the usual instead.
-            let slowness = w.slowness_now(now, PACE_FADES);
+            let slowness = w.slowness_now(now, FADES);
             let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
