--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 /// What answers tell of a worker: the least step of the running mean, the gap between answers at which a new one
 /// weighs as much as all before, and the half-life.
 const LEAST_STEP: f64 = 0.15;
-const EQUAL_GAP: f64 = 1000.0;
+const EQUAL_GAP: f64 = 2500.0;
 const FADES: f64 = 5000.0;
 /// A worker counts as crowded so far above the usual and above this part of the soft deadline.
 const LATE: (f64, f64) = (1.3, 0.5);
