--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 /// What answers tell of a worker: the least step of the running mean, the gap between answers at which a new one
 /// weighs as much as all before, and the half-life.
 const LEAST_STEP: f64 = 0.15;
-const EQUAL_GAP: f64 = 2500.0;
+const EQUAL_GAP: f64 = 1500.0;
 const FADES: f64 = 5000.0;
 /// A worker counts as crowded so far above the usual and above this part of the soft deadline.
 const LATE: (f64, f64) = (1.3, 0.5);
@@ -103,6 +103,8 @@
     room: bool,
     crowded: bool,
     depth: f64,
+    /// How long a warm answer takes there.
+    takes: f64,
 }
 
 pub struct Scheduler<H: Host> {
@@ -474,7 +476,7 @@
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
             let late = slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
-            all.push(Candidate { id, affinity, score, room, crowded, depth });
+            all.push(Candidate { id, affinity, score, room, crowded, depth, takes: slowness * usual });
         }
         all
     }
@@ -506,7 +508,9 @@
             all.iter().filter(|c| fits(c)).min_by(|a, b| a.depth.total_cmp(&b.depth)).map(|c| c.id)
         };
         let loading = least(&|c| c.affinity == LOADING);
-        if let Some(to) = least(&|c| c.affinity >= WARM) {
+        let load = self.methods.get(&self.rpcs[&id].method).map_or(f64::MAX, |p| p[0].mean);
+        let worth = |c: &Candidate| c.affinity >= WARM && (best.is_none() || c.takes < load);
+        if let Some(to) = least(&worth) {
             if let (None, Some((.., at, _))) = (loading, best) {
                 self.order(now, at, function);
             }
