--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,8 +71,8 @@
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
 /// What chance may add to the usual number out, in its standard deviations, and with no answers known.
-const CHANCE: f64 = 2.0;
-const LEAST_OUT: f64 = 2.0;
+const CHANCE: f64 = 0.5;
+const LEAST_OUT: f64 = 3.0;
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
 
