--- a/src/brain.rs
+++ b/src/brain.rs
@@ -639,6 +639,7 @@
             Some(false) => self.pick(now, id),
         };
         match to {
+            Some(to) if self.loads_rationed(to, id) => self.give_up(now, id),
             Some(to) => self.send(now, id, to),
             None if self.hopeless(now, id) => self.give_up(now, id),
             None => return true,
@@ -792,6 +793,17 @@
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
 
+    /// Whether a new load has to wait for others, as the fleet is close to its bound: loads push out wanted
+    /// copies, and take memory and cores from what is warm.
+    fn loads_rationed(&self, to: WorkerId, id: RpcId) -> bool {
+        let rpc = &self.rpcs[&id];
+        let (limit, out, _) = self.load(rpc.tenant);
+        let loading = |w: &Worker| w.beliefs.values().filter(|b| b.copies == Copies::Loading).count();
+        out > CLOSE * limit
+            && self.workers[&to].copies(rpc.function) == Copies::Unknown
+            && self.workers.values().map(loading).sum::<usize>() * 8 >= self.workers.len()
+    }
+
     /// Whether an RPC that waits can no longer be in time. Guards against queues that make every answer late;
     /// should hold for any overload. May hurt where a late answer is worth nearly as much as one in time. One
     /// held for a load that was ordered after a miss has until its deadline.
