--- a/src/brain.rs
+++ b/src/brain.rs
@@ -474,7 +474,7 @@
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
-            let late = false && slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
+            let late = slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth, takes: slowness * usual });
         }
