--- a/src/brain.rs
+++ b/src/brain.rs
@@ -509,7 +509,7 @@
         };
         let loading = least(&|c| c.affinity == LOADING);
         let load = self.methods.get(&self.rpcs[&id].method).map_or(f64::MAX, |p| p[0].mean);
-        let worth = |c: &Candidate| c.affinity >= WARM;
+        let worth = |c: &Candidate| c.affinity >= WARM && (best.is_none() || c.takes < load);
         if let Some(to) = least(&worth) {
             if let (None, Some((.., at, _))) = (loading, best) {
                 self.order(now, at, function);
