Let lateness crowd only while a function stands at under a sixth of the fleet

Cause: in a small fleet that is busy as a whole, late workers make every function load everywhere (56 in 100 loads needless).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,6 +40,8 @@
 const FADES: f64 = 5000.0;
 /// A worker counts as crowded so far above the usual and above this part of the soft deadline.
 const LATE: (f64, f64) = (1.3, 0.5);
+/// A function that stands at more of the fleet spreads no further for lateness: memory would thrash.
+const LATE_SHARE: f64 = 0.17;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
@@ -447,6 +449,8 @@
         let mean_util = utils.iter().sum::<f64>() / utils.len() as f64;
         let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { mean_util };
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
+        let homes = self.ready().filter(|w| self.affinity(now, w, rpc.function) >= LOADING).count() as f64;
+        let few = homes < LATE_SHARE * count;
         let further = !rpc.outs.is_empty();
         let idempotent = self.effect(rpc.method) == Some("read_like");
         let mut all = Vec::new();
@@ -474,7 +478,7 @@
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
-            let late = slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
+            let late = few && slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth, takes: slowness * usual });
         }
