--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,9 +39,9 @@
 const EQUAL_GAP: f64 = 1500.0;
 const FADES: f64 = 5000.0;
 /// A worker counts as crowded so far above the usual and above this part of the soft deadline.
-const LATE: (f64, f64) = (1.3, 0.5);
+const LATE: (f64, f64) = (1.5, 0.5);
 /// A function that stands at more of the fleet spreads no further for lateness: memory would thrash.
-const LATE_SHARE: f64 = 0.17;
+const LATE_SHARE: f64 = 0.1;
 /// Utilisation where no report holds one: the same for all, so that it decides nothing.
 const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
