--- a/src/brain.rs
+++ b/src/brain.rs
@@ -279,9 +279,6 @@
                     w.slowness += (elapsed.ms() / pace.mean.max(1.0) - w.slowness) * step;
                     w.paced = now;
                 }
-                if was_warm && copy == Copy::BeganLoad {
-                    self.void_elsewhere(function, worker, sent);
-                }
                 self.judge(now, worker, if overdue == 0 { GOOD } else { 0.0 });
             }
             Outcome::Full => {
@@ -554,18 +551,6 @@
         }
     }
 
-    /// A copy believed warm was not: a release may have voided all. Drops what was believed of the function
-    /// before that call-out, so that later RPCs coalesce behind one load. May hurt when only one was evicted.
-    fn void_elsewhere(&mut self, function: FunctionId, at: WorkerId, before: Time) {
-        for (_, w) in self.workers.iter_mut().filter(|(&id, _)| id != at) {
-            if let Some(b) = w.beliefs.get_mut(&function) {
-                if matches!(b.copies, Copies::Warm(used) if used < before) {
-                    b.copies = Copies::Unknown;
-                }
-            }
-        }
-    }
-
     // 1. Health.
 
     /// Adds evidence (a log-likelihood ratio) for or against a worker's health. Guards against workers that
