--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,6 +75,8 @@
 /// What chance may add to the usual number out, in its standard deviations, and with no answers known.
 const CHANCE: f64 = 0.5;
 const LEAST_OUT: f64 = 3.0;
+/// At all schedulers together, for each worker, before answers tell.
+const PART_OUT: f64 = 6.0;
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
 
@@ -378,6 +380,10 @@
         self.of_method(method, "aim").and_then(Value::as_f64).unwrap_or(1000.0)
     }
 
+    fn schedulers(&self) -> f64 {
+        self.settings.get("instances").and_then(Value::as_f64).unwrap_or(1.0).max(1.0)
+    }
+
     fn slots(&self) -> f64 {
         (CEILING_LANES * self.lanes.mean).max(2.0)
     }
@@ -509,7 +515,8 @@
             all.iter().filter(|c| fits(c)).min_by(|a, b| a.depth.total_cmp(&b.depth)).map(|c| c.id)
         };
         let loading = least(&|c| c.affinity == LOADING);
-        let load = self.methods.get(&self.rpcs[&id].method).map_or(f64::MAX, |p| p[0].mean);
+        let loads = self.methods.get(&self.rpcs[&id].method).map(|p| p[0]).filter(|l| l.n > 0.0);
+        let load = loads.map_or(f64::MAX, |l| l.mean);
         let worth = |c: &Candidate| c.affinity >= WARM && (best.is_none() || c.takes < load);
         if let Some(to) = least(&worth) {
             if let (None, Some((.., at, _))) = (loading, best) {
@@ -609,7 +616,7 @@
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
         let per_window = self.best_rate * fall.ms() * self.size(w) / self.ready().count().max(1) as f64;
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
-        let gap = Time::from_ms(fall.ms() / budget.max(1e-3));
+        let gap = Time::from_ms(fall.ms() / budget.max(1.0 / self.schedulers()));
         let first = since + Time::from_ms(gap.ms() * w.phase);
         let next = w.sends.back().map_or(first, |&last| last + gap);
         age >= within || if budget < 1.0 { now >= next } else { recent(&w.sends, now, fall) + 1.0 <= budget }
@@ -760,7 +767,8 @@
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
         let usual = self.best_rate * TARGET * self.aims.mean;
-        let limit = usual + CHANCE * usual.sqrt() + LEAST_OUT;
+        let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
+        let limit = (usual + CHANCE * usual.sqrt() + LEAST_OUT).max(part);
         let counts = |o: &&CallOut| o.open && o.overdue == 0;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
