--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,8 +50,7 @@
 /// Probes for each RPC taken, and the age from which a report is worth asking anew.
 const PROBE_SHARE: f64 = 0.2;
 const REPORT_AGE: Time = Time(5_000);
-const KEEP: Time = Time(100_000);
-const KEEP_ANSWERS: Time = Time(300_000);
+const KEEP: Time = Time(300_000);
 /// Evidence (log-likelihood ratios) of outcomes, and where it decides.
 const GOOD: f64 = -0.5;
 const SILENT: f64 = 2.0;
@@ -116,6 +115,7 @@
     rng: Rand64,
     settings: Map<String, Value>,
     workers: BTreeMap<WorkerId, Worker>,
+    mean_size: f64,
     rpcs: BTreeMap<RpcId, Rpc>,
     methods: BTreeMap<MethodId, Pace>,
     /// First call-outs wait in the first line, further ones in the second.
@@ -129,7 +129,6 @@
     aims: Usual,
     /// The best rate of answers of late, per millisecond; it fades.
     best_rate: f64,
-    panic: bool,
 }
 
 /// A function's rendezvous order over workers: every scheduler comes to the same one.
@@ -157,6 +156,7 @@
             rng: Rand64::new(seed),
             settings,
             workers: BTreeMap::new(),
+            mean_size: 0.0,
             rpcs: BTreeMap::new(),
             methods: BTreeMap::new(),
             lines: Default::default(),
@@ -168,7 +168,6 @@
             lanes: Usual::default(),
             aims: Usual::default(),
             best_rate: 0.0,
-            panic: false,
         };
         if new.settings.get("discovery").is_some_and(|d| d == "subscribe") {
             new.host.watch_list();
@@ -203,6 +202,8 @@
                 w.standing = Standing::Gone;
             }
         }
+        self.mean_size =
+            self.workers.values().map(|w| w.size).sum::<f64>() / self.workers.len().max(1) as f64;
         self.serve(now);
     }
 
@@ -391,9 +392,9 @@
     /// A worker's size against the mean of those listed, where the list tells sizes.
     fn size(&self, w: &Worker) -> f64 {
         let told = self.settings.get("weightKind").and_then(Value::as_str);
-        let mean = self.workers.values().map(|w| w.size).sum::<f64>() / self.workers.len() as f64;
-        if matches!(told, Some("nominal" | "rough")) && mean > 0.0 {
-            w.size / mean
+        let known = matches!(told, Some("nominal" | "rough")) && self.mean_size > 0.0;
+        if known {
+            w.size / self.mean_size
         } else {
             1.0
         }
@@ -463,12 +464,11 @@
             }
             let affinity = self.affinity(now, w, rpc.function);
             let (mine, size) = (w.mine as f64, self.size(w));
-            // Guards against many schedulers that each see few of the RPCs at a hot copy. May hurt where the
-            // told counts are old: they fade.
+            // Guards against copies that other schedulers crowd and workers that are slow, ageing or hot: both
+            // count as deeper. Trouble of the whole fleet moves the usual instead. May hurt where beliefs are
+            // old: they fade.
             let belief = w.beliefs.get(&rpc.function);
             let others = belief.map_or(0.0, |b| b.others_now(now, FADES));
-            // A worker whose answers take longer than the usual counts as so much deeper: against slow and ageing
-            // workers and hot ones; trouble of the whole fleet moves the usual instead.
             let slowness = w.slowness_now(now, FADES);
             let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
@@ -574,14 +574,10 @@
         if w.suspect && w.evidence <= CLEARED_AT {
             w.suspect = false;
             self.host.log(&format!("{at}: worker {no} cleared, evidence {:.1}", w.evidence));
-        } else if !w.suspect && w.evidence >= SUSPECT_AT {
-            let panic = suspects + 1.0 > (ready * EJECT_SHARE).max(1.0);
-            w.suspect = !panic;
-            if w.suspect || panic != self.panic {
-                let fleet = format!("panic {panic}, {suspects} of {ready}");
-                self.host.log(&format!("{at}: worker {no} suspect, evidence {:.1}, {fleet}", w.evidence));
-            }
-            self.panic = panic;
+        } else if !w.suspect && w.evidence >= SUSPECT_AT && suspects < (ready * EJECT_SHARE).max(1.0) {
+            w.suspect = true;
+            let fleet = format!("{} of {ready}", suspects + 1.0);
+            self.host.log(&format!("{at}: worker {no} suspect, evidence {:.1}, {fleet}", w.evidence));
         }
     }
 
@@ -732,13 +728,12 @@
                 w.suspect = w.evidence > CLEARED_AT;
             }
             w.beliefs.retain(|_, b| match b.copies {
-                Copies::Warm(used) => b.mine > 0 || now - used <= keep + KEEP,
+                Copies::Warm(used) => b.mine > 0 || now - used <= keep + keep,
                 copies => b.mine > 0 || copies != Copies::Unknown,
             });
         }
-        let kept = [(&mut self.taken, KEEP), (&mut self.answered, KEEP_ANSWERS), (&mut self.orders, KEEP)];
-        for (times, keep) in kept {
-            while times.front().is_some_and(|&t| t + keep < now) {
+        for times in [&mut self.taken, &mut self.answered, &mut self.orders] {
+            while times.front().is_some_and(|&t| t + KEEP < now) {
                 times.pop_front();
             }
         }
