--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,8 +59,7 @@
 const SUSPECT_AT: f64 = 8.0;
 const CLEARED_AT: f64 = 1.0;
 const EVIDENCE_CAP: f64 = 12.0;
-const FADING: f64 = 0.0003;
-const TRICKLE_EVERY: Time = Time(5_000);
+const FADING: f64 = 0.001;
 const EJECT_SHARE: f64 = 0.34;
 const COLD_PART: f64 = 0.7;
 const RETRY_SHARE: f64 = 0.1;
@@ -456,7 +455,6 @@
         let homes = self.ready().filter(|w| self.affinity(now, w, rpc.function) >= LOADING).count() as f64;
         let few = homes < LATE_SHARE * count;
         let further = !rpc.outs.is_empty();
-        let idempotent = self.effect(rpc.method) == Some("read_like");
         let mut all = Vec::new();
         for (&id, w) in self.workers.iter().filter(|(_, w)| w.standing == Standing::Ready) {
             if !self.budget_left(now, w) || !self.harmless(now, rpc, Some(w)) || (further && w.suspect) {
@@ -473,10 +471,9 @@
             let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
-            let trickle = idempotent && w.mine == 0 && now - w.last_sent >= TRICKLE_EVERY;
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
-            let room = mine < ceiling && takes && fresh && (!w.suspect || trickle);
+            let room = mine < ceiling && takes && fresh && !w.suspect;
             let util = 1.0 - w.util.unwrap_or(lacking).clamp(0.0, 1.0);
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
@@ -574,7 +571,7 @@
         if w.suspect && w.evidence <= CLEARED_AT {
             w.suspect = false;
             self.host.log(&format!("{at}: worker {no} cleared, evidence {:.1}", w.evidence));
-        } else if !w.suspect && w.evidence >= SUSPECT_AT && suspects < (ready * EJECT_SHARE).max(1.0) {
+        } else if !w.suspect && w.evidence >= SUSPECT_AT && suspects + 1.0 <= (ready * EJECT_SHARE).max(1.0) {
             w.suspect = true;
             let fleet = format!("{} of {ready}", suspects + 1.0);
             self.host.log(&format!("{at}: worker {no} suspect, evidence {:.1}, {fleet}", w.evidence));
