--- a/src/brain.rs
+++ b/src/brain.rs
@@ -452,14 +452,8 @@
         let mean_util = utils.iter().sum::<f64>() / utils.len() as f64;
         let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { mean_util };
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
-        let late = |w: &Worker| {
-            let slowness = w.slowness_now(now, FADES);
-            slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method)
-        };
-        let all_late = self.ready().filter(|w| late(w)).count() as f64;
-        let stands = |w: &&Worker| self.affinity(now, w, rpc.function) >= LOADING && !late(w);
-        let homes = self.ready().filter(stands).count() as f64;
-        let few = homes < LATE_SHARE * count && all_late <= EJECT_SHARE * count;
+        let homes = self.ready().filter(|w| self.affinity(now, w, rpc.function) >= LOADING).count() as f64;
+        let few = homes < LATE_SHARE * count;
         let mut all = Vec::new();
         for (&id, w) in self.workers.iter().filter(|(_, w)| w.standing == Standing::Ready) {
             if !self.budget_left(now, w) || !self.harmless(now, rpc, Some(w)) {
@@ -483,7 +477,8 @@
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
-            let crowded = (few && late(w)) || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
+            let late = few && slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
+            let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth, takes: slowness * usual });
         }
         all
