--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 use serde_json::{Map, Value};
 
 use crate::host::Host;
-use crate::records::{Belief, CallOut, Copies, Rpc, Worker};
+use crate::records::{faded, Belief, CallOut, Copies, Rpc, Worker};
 use crate::types::*;
 
 const AFFINITY_WEIGHT: f64 = 0.5;
@@ -249,7 +249,7 @@
         (out.open, out.never_ran) = (false, outcome.never_ran());
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         let others = held.saturating_sub(out.beside) as f64;
-        self.report_read(worker, report);
+        self.report_read(now, worker, report);
         let slots = self.slots();
         let w = self.workers.entry(worker).or_default();
         w.mine = w.mine.saturating_sub(1);
@@ -322,8 +322,8 @@
         self.serve(now);
     }
 
-    pub fn probe_ended(&mut self, worker: WorkerId, report: &[f64]) {
-        self.report_read(worker, report);
+    pub fn probe_ended(&mut self, now: Time, worker: WorkerId, report: &[f64]) {
+        self.report_read(now, worker, report);
     }
 
     pub fn load_ended(
@@ -451,6 +451,8 @@
         let utils: Vec<f64> = self.workers.values().filter_map(|w| w.util).collect();
         let mean_util = utils.iter().sum::<f64>() / utils.len() as f64;
         let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { mean_util };
+        let told = self.part("loadInfo", "names").and_then(Value::as_array);
+        let told = told.is_some_and(|n| n.iter().any(|n| n == "utilization"));
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
         let homes = self.ready().filter(|w| self.affinity(now, w, rpc.function) >= LOADING).count() as f64;
         let few = homes < LATE_SHARE * count;
@@ -473,10 +475,11 @@
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && !w.suspect;
-            let util = 1.0 - w.util.unwrap_or(lacking).clamp(0.0, 1.0);
+            let util = faded(w.util.unwrap_or(lacking), lacking, now - w.probed, FADES);
+            let idle = 1.0 - if told { util.clamp(0.0, 1.0) } else { util / (util + lacking).max(0.1) };
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
-            let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * util;
+            let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * idle;
             let late = few && slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth, takes: slowness * usual });
@@ -577,12 +580,15 @@
         }
     }
 
-    fn report_read(&mut self, worker: WorkerId, report: &[f64]) {
+    fn report_read(&mut self, now: Time, worker: WorkerId, report: &[f64]) {
         let names = self.part("loadInfo", "names").and_then(Value::as_array);
         let at = |name: &str| names.and_then(|n| n.iter().position(|n| n == name));
         let value = |name: &str| at(name).and_then(|i| report.get(i)).copied();
-        let (util, memory) = (value("utilization"), value("x0"));
-        if let Some(w) = self.workers.get_mut(&worker) {
+        // Where no report holds utilisation, the RPCs held there stand for it, against the mean of others.
+        let (util, memory) =
+            (value("utilization").or(value("outstanding")).or(value("backlog")), value("x0"));
+        if let Some(w) = self.workers.get_mut(&worker).filter(|_| !report.is_empty()) {
+            w.probed = now;
             (w.util, w.memory) = (util.or(w.util), memory.unwrap_or(w.memory));
         }
     }
