Judge lateness against the workers' harmonic mean instead of the mean of RPCs

Cause: at full size most RPCs go to hot workers, so the usual is that of hot workers and hides them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -454,6 +454,11 @@
         let told = self.part("loadInfo", "names").and_then(Value::as_array);
         let told = told.is_some_and(|n| n.iter().any(|n| n == "utilization"));
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
+        // Against the workers' harmonic mean: where most RPCs go to hot workers their own mean hides it.
+        let known =
+            self.ready().filter(|w| w.paced > Time(0)).map(|w| 1.0 / w.slowness_now(now, FADES).max(0.1));
+        let (n, sum) = known.fold((0.0, 0.0), |(n, sum), fast| (n + 1.0, sum + fast));
+        let fastness = sum / f64::max(n, 1.0);
         let homes = self.ready().filter(|w| self.affinity(now, w, rpc.function) >= LOADING).count() as f64;
         let few = homes < LATE_SHARE * count;
         let mut all = Vec::new();
@@ -480,7 +485,8 @@
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * idle;
-            let late = few && slowness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
+            let late =
+                few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             all.push(Candidate { id, affinity, score, room, crowded, depth, takes: slowness * usual });
         }
