--- a/src/brain.rs
+++ b/src/brain.rs
@@ -105,6 +105,8 @@
     room: bool,
     crowded: bool,
     depth: f64,
+    /// How many copies' worth of lanes are taken there.
+    copies: f64,
     /// How long a warm answer takes there.
     takes: f64,
 }
@@ -488,7 +490,8 @@
             let late =
                 few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
-            all.push(Candidate { id, affinity, score, room, crowded, depth, takes: slowness * usual });
+            let (copies, takes) = (here / (CROWD * rpc.lanes), slowness * usual);
+            all.push(Candidate { id, affinity, score, room, crowded, depth, copies, takes });
         }
         all
     }
@@ -501,11 +504,14 @@
         // New loads go to the first in the function's rendezvous order, where load allows.
         all.sort_by_key(|c| home_rank(function, c.id));
         let mut best: Option<(f64, f64, WorkerId, f64)> = None;
+        // As many homes are alike as the copies told to be in use at one: sparse evidence spreads in one step.
+        let mut alike = all.iter().map(|c| c.copies).fold(0.0, f64::max);
         let mut home = HOME_WEIGHT;
         for c in all.iter().filter(|c| !c.crowded) {
             let taken = MEMORY_WEIGHT * self.workers[&c.id].memory;
             let score = if c.affinity < WARM { c.score + home - HOME_WEIGHT - taken } else { c.score };
-            home /= 2.0;
+            alike -= 1.0;
+            home /= if alike < 1.0 { 2.0 } else { 1.0 };
             let tie = self.rng.rand_float();
             if best.is_none_or(|b| (score, tie) > (b.0, b.1)) {
                 best = Some((score, tie, c.id, c.affinity));
