--- a/src/brain.rs
+++ b/src/brain.rs
@@ -528,8 +528,7 @@
         let loading = least(&|c| c.affinity == LOADING);
         let loads = self.methods.get(&self.rpcs[&id].method).map(|p| p[0]).filter(|l| l.n > 0.0);
         let load = loads.map_or(f64::MAX, |l| l.mean);
-        let worth =
-            |c: &Candidate| c.affinity >= WARM && (best.is_none() || (c.takes < load && c.copies < 2.0));
+        let worth = |c: &Candidate| c.affinity >= WARM && (best.is_none() || c.takes < load);
         if let Some(to) = least(&worth) {
             if let (None, Some((.., at, _))) = (loading, best) {
                 self.order(now, at, function);
