--- a/src/brain.rs
+++ b/src/brain.rs
@@ -263,10 +263,7 @@
             belief.copies = Copies::Unknown;
         }
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
-            let step = step(now - belief.told);
-            belief.others = belief.others_now(now, FADES);
-            belief.others += (others - belief.others) * step;
-            belief.told = now;
+            belief.tell(now, others, FADES, step(now - belief.told));
         }
         match outcome {
             Outcome::Ok if w.since <= sent => {
@@ -278,10 +275,7 @@
                 let pace = &mut self.methods.entry(method).or_default()[warm];
                 pace.add(elapsed.ms());
                 if warm == 1 {
-                    let step = step(now - w.paced);
-                    w.slowness = w.slowness_now(now, FADES);
-                    w.slowness += (elapsed.ms() / pace.mean.max(1.0) - w.slowness) * step;
-                    w.paced = now;
+                    w.took(now, elapsed.ms() / pace.mean.max(1.0), FADES, step(now - w.paced));
                 }
                 self.judge(now, worker, if overdue == 0 { GOOD } else { 0.0 });
             }
@@ -713,6 +707,11 @@
             if silent {
                 self.judge(now, worker, SILENT);
             }
+            let (out, pace) = (&self.rpcs[&id].outs[no], self.methods.get(&self.rpcs[&id].method));
+            let (warm, age, usual) = (out.warm, (now - out.sent).ms(), pace.map_or(1.0, |p| p[1].mean.max(1.0)));
+            if let Some(w) = self.workers.get_mut(&worker).filter(|_| warm) {
+                w.took(now, age / usual, FADES, step(now - w.paced));
+            }
             let further = self.harmless_to_any(now, &self.rpcs[&id]);
             let seconds = self.allowed("limits", "secondCopies");
             let cancels = self.allowed("limits", "mayCancel") && self.workers[&worker].suspect;
--- a/src/records.rs
+++ b/src/records.rs
@@ -28,6 +28,12 @@
     pub fn others_now(&self, now: Time, half: f64) -> f64 {
         faded(self.others, 0.0, now - self.told, half)
     }
+
+    /// An answer told of `others`, which weighs `step` against all before.
+    pub fn tell(&mut self, now: Time, others: f64, half: f64, step: f64) {
+        let before = self.others_now(now, half);
+        (self.others, self.told) = (before + (others - before) * step, now);
+    }
 }
 
 /// What is left of `value` above `rest` after a time, halved each `half` milliseconds.
@@ -78,6 +84,12 @@
         faded(told, 1.0, now - self.paced, half)
     }
 
+    /// A warm answer took so much against the usual; it weighs `step` against all before.
+    pub fn took(&mut self, now: Time, against_usual: f64, half: f64, step: f64) {
+        let before = self.slowness_now(now, half);
+        (self.slowness, self.paced) = (before + (against_usual - before) * step, now);
+    }
+
     /// A death, a restart or a broken connection: nothing that was believed of its copies holds.
     pub fn forget_copies(&mut self) {
         self.beliefs.values_mut().for_each(|b| b.copies = Copies::Unknown);
