--- a/src/brain.rs
+++ b/src/brain.rs
@@ -707,11 +707,6 @@
             if silent {
                 self.judge(now, worker, SILENT);
             }
-            let (out, pace) = (&self.rpcs[&id].outs[no], self.methods.get(&self.rpcs[&id].method));
-            let (warm, age, usual) = (out.warm, (now - out.sent).ms(), pace.map_or(1.0, |p| p[1].mean.max(1.0)));
-            if let Some(w) = self.workers.get_mut(&worker).filter(|_| warm) {
-                w.took(now, age / usual, FADES, step(now - w.paced));
-            }
             let further = self.harmless_to_any(now, &self.rpcs[&id]);
             let seconds = self.allowed("limits", "secondCopies");
             let cancels = self.allowed("limits", "mayCancel") && self.workers[&worker].suspect;
