--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,7 +29,6 @@
 const LOADING: f64 = 0.5;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
 const CEILING_LANES: f64 = 4.0;
-const CLIMB: f64 = 1.0;
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
@@ -42,8 +41,6 @@
 const LATE: (f64, f64) = (1.5, 0.5);
 /// A function that stands at more of the fleet spreads no further for lateness: memory would thrash.
 const LATE_SHARE: f64 = 0.1;
-/// Utilisation where no report holds one: the same for all, so that it decides nothing.
-const NEUTRAL_UTIL: f64 = 0.5;
 const RECENT: Time = Time(20_000);
 const TICK: Time = Time(200);
 const TICK_WAKE: WakeId = WakeId(u64::MAX >> 1);
@@ -70,10 +67,8 @@
 const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
-/// What chance may add to the usual number out, in its standard deviations, and with no answers known.
-const CHANCE: f64 = 0.5;
-const LEAST_OUT: f64 = 3.0;
-/// At all schedulers together, for each worker, before answers tell.
+/// What chance may add to the usual number out; and at all schedulers together, for each worker.
+const CHANCE: f64 = 3.0;
 const PART_OUT: f64 = 6.0;
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
@@ -107,8 +102,6 @@
     depth: f64,
     /// How many copies' worth of lanes are taken there.
     copies: f64,
-    /// How long a warm answer takes there.
-    takes: f64,
 }
 
 pub struct Scheduler<H: Host> {
@@ -268,7 +261,7 @@
         match outcome {
             Outcome::Ok if w.since <= sent => {
                 belief.copies = Copies::Warm(now);
-                w.ceiling = (w.ceiling + CLIMB).min(slots);
+                w.ceiling = (w.ceiling + 1.0).min(slots);
                 w.fulls = 0;
                 self.answered.push_back(now);
                 let warm = usize::from(!matches!(copy, Copy::BeganLoad | Copy::WaitedForLoad));
@@ -445,8 +438,7 @@
         let (count, mine) = self.ready().fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
         let mean = mine / f64::max(count, 1.0);
         let utils: Vec<f64> = self.workers.values().filter_map(|w| w.util).collect();
-        let mean_util = utils.iter().sum::<f64>() / utils.len() as f64;
-        let lacking = if utils.is_empty() { NEUTRAL_UTIL } else { mean_util };
+        let lacking = if utils.is_empty() { 0.5 } else { utils.iter().sum::<f64>() / utils.len() as f64 };
         let told = self.part("loadInfo", "names").and_then(Value::as_array);
         let told = told.is_some_and(|n| n.iter().any(|n| n == "utilization"));
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
@@ -484,8 +476,8 @@
             let late =
                 few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
-            let (copies, takes) = (here / (CROWD * rpc.lanes), slowness * usual);
-            all.push(Candidate { id, affinity, score, room, crowded, depth, copies, takes });
+            let copies = here / (CROWD * rpc.lanes);
+            all.push(Candidate { id, affinity, score, room, crowded, depth, copies });
         }
         all
     }
@@ -520,10 +512,7 @@
             all.iter().filter(|c| fits(c)).min_by(|a, b| a.depth.total_cmp(&b.depth)).map(|c| c.id)
         };
         let loading = least(&|c| c.affinity == LOADING);
-        let loads = self.methods.get(&self.rpcs[&id].method).map(|p| p[0]).filter(|l| l.n > 0.0);
-        let load = loads.map_or(f64::MAX, |l| l.mean);
-        let worth = |c: &Candidate| c.affinity >= WARM && (best.is_none() || c.takes < load);
-        if let Some(to) = least(&worth) {
+        if let Some(to) = least(&|c| c.affinity >= WARM) {
             if let (None, Some((.., at, _))) = (loading, best) {
                 self.order(now, at, function);
             }
@@ -771,7 +760,7 @@
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
         let usual = self.best_rate * TARGET * self.aims.mean;
         let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
-        let limit = (usual + CHANCE * usual.sqrt() + LEAST_OUT).max(part);
+        let limit = (usual + CHANCE).max(part);
         let counts = |o: &&CallOut| o.open && o.overdue == 0;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
