--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,7 +58,7 @@
 const EVIDENCE_CAP: f64 = 12.0;
 const FADING: f64 = 0.001;
 const EJECT_SHARE: f64 = 0.34;
-const COLD_PART: f64 = 0.7;
+const COLD_PART: f64 = 1.0;
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
@@ -184,7 +184,6 @@
             (w.since, w.cold_since) = (since, (since > Time(0)).then_some(since));
             (w.evidence, w.suspect, w.ceiling, w.full_until, w.util) = (0.0, false, f64::MAX, now, None);
             w.phase = self.rng.rand_float();
-            w.sends.clear();
             w.forget_copies();
         }
     }
@@ -531,9 +530,6 @@
         rpc.waiting = false;
         w.mine += 1;
         w.last_sent = now;
-        if w.cold_since.is_some() {
-            w.sends.push_back(now);
-        }
         let belief = w.beliefs.entry(rpc.function).or_default();
         let (open, never_ran, beside, overdue) = (true, false, belief.mine, 0);
         rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, warm, beside, overdue });
@@ -600,8 +596,8 @@
     /// Guards against schedulers that together push a cold worker over. Each gives it, in any window, its
     /// present share of capacity times what this scheduler gets answered by a worker of its size on the mean:
     /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple,
-    /// also when clients' retries swell what is taken. A scheduler whose part is under one call-out a window
-    /// sends one less often, the first at a moment of its own. Where the fleet idles a cold worker gets little.
+    /// also when clients' retries swell what is taken. Its call-outs are spaced evenly, the first at a moment of
+    /// its own, so that schedulers with a part under one a window keep to it. An idle fleet warms up slowly.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
@@ -611,8 +607,8 @@
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
         let gap = Time::from_ms(fall.ms() / budget.max(1.0 / self.schedulers()));
         let first = since + Time::from_ms(gap.ms() * w.phase);
-        let next = w.sends.back().map_or(first, |&last| last + gap);
-        age >= within || if budget < 1.0 { now >= next } else { recent(&w.sends, now, fall) + 1.0 <= budget }
+        let next = if w.last_sent > since { w.last_sent + gap } else { first };
+        age >= within || now >= next
     }
 
     // 3. The second line.
@@ -719,7 +715,6 @@
         let (keep, within) = (self.span("familyInfo", "keepAlive"), self.span("contract", "warmWithin"));
         for w in self.workers.values_mut() {
             w.cold_since = w.cold_since.filter(|&since| now - since < within);
-            w.sends.retain(|&t| t + KEEP > now);
             if w.suspect && w.mine == 0 {
                 w.evidence = (w.evidence - FADING * TICK.ms()).max(0.0);
                 w.suspect = w.evidence > CLEARED_AT;
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,6 +1,6 @@
 //! What the decision module keeps of workers and RPCs; it alone decides what goes in.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::types::*;
 
@@ -65,7 +65,6 @@
     pub beliefs: BTreeMap<FunctionId, Belief>,
     pub evidence: f64,
     pub suspect: bool,
-    pub sends: VecDeque<Time>,
     /// Where in its gap between call-outs my first one to it lies while it is cold, drawn anew at each start.
     pub phase: f64,
     pub last_sent: Time,
