--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,7 +40,7 @@
 /// A worker counts as crowded so far above the usual and above this part of the soft deadline.
 const LATE: (f64, f64) = (1.5, 0.5);
 /// A function that stands at more of the fleet spreads no further for lateness: memory would thrash.
-const LATE_SHARE: f64 = 0.1;
+const LATE_SHARE: f64 = 0.07;
 const RECENT: Time = Time(20_000);
 const TICK: Time = Time(200);
 const TICK_WAKE: WakeId = WakeId(u64::MAX >> 1);
