--- a/src/brain.rs
+++ b/src/brain.rs
@@ -785,7 +785,7 @@
         let loading = |w: &Worker| w.beliefs.values().filter(|b| b.copies == Copies::Loading).count();
         out > CLOSE * limit
             && self.workers[&to].copies(rpc.function) == Copies::Unknown
-            && self.workers.values().map(loading).sum::<usize>() * 16 >= self.workers.len()
+            && self.workers.values().map(loading).sum::<usize>() * 8 >= self.workers.len()
     }
 
     /// Whether an RPC that waits can no longer be in time. Guards against queues that make every answer late;
