--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,7 @@
 const LATE_SHARE: f64 = 0.07;
 const RECENT: Time = Time(20_000);
 const TICK: Time = Time(200);
+const STALL: Time = Time(1_000);
 const TICK_WAKE: WakeId = WakeId(u64::MAX >> 1);
 /// Probes for each RPC taken, and the age from which a report is worth asking anew.
 const PROBE_SHARE: f64 = 0.2;
@@ -114,6 +115,7 @@
     methods: BTreeMap<MethodId, Pace>,
     /// First call-outs wait in the first line, further ones in the second.
     lines: [VecDeque<RpcId>; 2],
+    ticked: Time,
     taken: VecDeque<Time>,
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
@@ -154,6 +156,7 @@
             rpcs: BTreeMap::new(),
             methods: BTreeMap::new(),
             lines: Default::default(),
+            ticked: Time(0),
             taken: VecDeque::new(),
             answered: VecDeque::new(),
             orders: VecDeque::new(),
@@ -331,8 +334,11 @@
         let due = |r: &Rpc| !r.done && !r.streaming && r.deadline <= now;
         if id == TICK_WAKE {
             self.host.wake(TICK, TICK_WAKE);
-            self.sweep(now);
-            self.serve(now);
+            // Guards against my own stall: answers that came meanwhile are read before anyone counts as silent.
+            if now - std::mem::replace(&mut self.ticked, now) <= STALL {
+                self.sweep(now);
+                self.serve(now);
+            }
         } else if self.rpcs.get(&RpcId(id.0)).is_some_and(due) {
             self.give_up(now, RpcId(id.0));
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -341,3 +341,16 @@
     s.rpc(IDEMPOTENT, 0);
     assert_eq!(s.deeds("load").is_empty(), stays);
 }
+
+#[test_case(20, 1 ; "it goes on")]
+#[test_case(1500, 0 ; "it stood still")]
+fn my_own_stall_is_no_evidence_against_a_worker(stood_ms: u64, suspects: usize) {
+    let mut s = Story::new(3);
+    s.served(9);
+    s.pass(1000);
+    (0..4).for_each(|_| drop(s.rpc(SIDE_EFFECTING, 9)));
+    s.pass(if stood_ms > 20 { 20 } else { 1500 });
+    s.ms += stood_ms;
+    s.srv.woken(s.now(), WakeId(u64::MAX >> 1));
+    assert_eq!(s.deeds("log").iter().filter(|l| l.contains(" suspect,")).count(), suspects);
+}
