--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,8 @@
 const LATE: (f64, f64) = (1.5, 0.5);
 /// A function that stands at more of the fleet spreads no further for lateness: memory would thrash.
 const LATE_SHARE: f64 = 0.07;
+const ASKED_FADES: f64 = 10_000.0;
+const ASKED_PRIOR: f64 = 10.0;
 const RECENT: Time = Time(20_000);
 const TICK: Time = Time(200);
 const STALL: Time = Time(1_000);
@@ -116,6 +118,9 @@
     /// First call-outs wait in the first line, further ones in the second.
     lines: [VecDeque<RpcId>; 2],
     ticked: Time,
+    /// RPCs taken of late, of each function and in all, as they fade.
+    asked: BTreeMap<FunctionId, (f64, Time)>,
+    asked_all: (f64, Time),
     taken: VecDeque<Time>,
     answered: VecDeque<Time>,
     orders: VecDeque<Time>,
@@ -157,6 +162,8 @@
             methods: BTreeMap::new(),
             lines: Default::default(),
             ticked: Time(0),
+            asked: BTreeMap::new(),
+            asked_all: (0.0, Time(0)),
             taken: VecDeque::new(),
             answered: VecDeque::new(),
             orders: VecDeque::new(),
@@ -217,6 +224,9 @@
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_CAP);
         self.probes = (self.probes + PROBE_SHARE).min(RETRY_CAP);
         self.host.wake(left, WakeId(id.0));
+        let add = |a: (f64, Time)| (faded(a.0, 0.0, now - a.1, ASKED_FADES) + 1.0, now);
+        let of = self.asked.entry(function).or_default();
+        (*of, self.asked_all) = (add(*of), add(self.asked_all));
         let (taken, deadline, outs) = (now, now + left, Vec::new());
         let (waiting, done, streaming) = (true, false, false);
         let rpc = Rpc { method, function, tenant, lanes, taken, deadline, outs, waiting, done, streaming };
@@ -496,7 +506,11 @@
         all.sort_by_key(|c| home_rank(function, c.id));
         let mut best: Option<(f64, f64, WorkerId, f64)> = None;
         // As many homes are alike as the copies told to be in use at one: sparse evidence spreads in one step.
-        let mut alike = all.iter().map(|c| c.copies).fold(0.0, f64::max);
+        // And as many as the function's share of my RPCs is worth of the fleet: of sparse ones the first tells nothing.
+        let asked = |of: Option<&(f64, Time)>| of.map_or(0.0, |a| faded(a.0, 0.0, now - a.1, ASKED_FADES));
+        let share = (asked(self.asked.get(&function)) - 1.0) / (asked(Some(&self.asked_all)) + ASKED_PRIOR);
+        let told = all.iter().map(|c| c.copies).fold(0.0, f64::max);
+        let mut alike = told.max(share * self.ready().count() as f64);
         let mut home = HOME_WEIGHT;
         for c in all.iter().filter(|c| !c.crowded) {
             let taken = MEMORY_WEIGHT * self.workers[&c.id].memory;
@@ -730,6 +744,7 @@
                 copies => b.mine > 0 || copies != Copies::Unknown,
             });
         }
+        self.asked.retain(|_, a| now - a.1 < KEEP);
         for times in [&mut self.taken, &mut self.answered, &mut self.orders] {
             while times.front().is_some_and(|&t| t + KEEP < now) {
                 times.pop_front();
