--- a/src/brain.rs
+++ b/src/brain.rs
@@ -504,26 +504,31 @@
         all.retain(|c| c.room);
         // New loads go to the first in the function's rendezvous order, where load allows.
         all.sort_by_key(|c| home_rank(function, c.id));
-        let mut best: Option<(f64, f64, WorkerId, f64)> = None;
-        // As many homes are alike as the copies told to be in use at one: sparse evidence spreads in one step.
-        // And as many as the function's share of my RPCs is worth of the fleet: of sparse ones the first tells nothing.
+        // As many homes are alike as copies are told to be in use at one, or as the function's share of my RPCs is
+        // worth of the fleet (of few RPCs the first tells nothing): sparse evidence spreads in one step.
         let asked = |of: Option<&(f64, Time)>| of.map_or(0.0, |a| faded(a.0, 0.0, now - a.1, ASKED_FADES));
         let share = (asked(self.asked.get(&function)) - 1.0) / (asked(Some(&self.asked_all)) + ASKED_PRIOR);
-        let told = all.iter().map(|c| c.copies).fold(0.0, f64::max);
-        let mut alike = told.max(share * self.ready().count() as f64);
-        let mut home = HOME_WEIGHT;
-        for c in all.iter().filter(|c| !c.crowded) {
+        let wanted = share * self.ready().count() as f64;
+        let mut alike = all.iter().map(|c| c.copies).fold(wanted, f64::max);
+        let mut home = 0.0;
+        for c in &mut all {
             let taken = MEMORY_WEIGHT * self.workers[&c.id].memory;
-            let score = if c.affinity < WARM { c.score + home - HOME_WEIGHT - taken } else { c.score };
-            alike -= 1.0;
-            home /= if alike < 1.0 { 2.0 } else { 1.0 };
-            let tie = self.rng.rand_float();
-            if best.is_none_or(|b| (score, tie) > (b.0, b.1)) {
-                best = Some((score, tie, c.id, c.affinity));
+            c.score += if c.affinity < WARM { home - taken } else { 0.0 } + 1e-9 * self.rng.rand_float();
+            if !c.crowded {
+                alike -= 1.0;
+                home = if alike < 1.0 { (home - HOME_WEIGHT) / 2.0 } else { home };
             }
         }
-        if let Some((.., to, _)) = best.filter(|b| b.3 >= WARM) {
-            return Some(to);
+        let top = |fits: &dyn Fn(&&Candidate) -> bool| {
+            all.iter().filter(|c| !c.crowded).filter(fits).max_by(|a, b| a.score.total_cmp(&b.score))
+        };
+        let (best, next) = (top(&|_| true), top(&|c| c.affinity < LOADING));
+        let homes = all.iter().filter(|c| c.affinity >= LOADING).count() as f64;
+        if let Some(next) = next.filter(|_| homes > 0.0 && homes + 1.0 <= wanted) {
+            self.order(now, next.id, function);
+        }
+        if let Some(best) = best.filter(|b| b.affinity >= WARM) {
+            return Some(best.id);
         }
         // Every pick left would start a load. A crowded worker believed warm that has room takes the RPC, and
         // a copy is ordered where the load would have gone; else the RPC queues behind a load under way.
@@ -532,8 +537,8 @@
         };
         let loading = least(&|c| c.affinity == LOADING);
         if let Some(to) = least(&|c| c.affinity >= WARM) {
-            if let (None, Some((.., at, _))) = (loading, best) {
-                self.order(now, at, function);
+            if let (None, Some(best)) = (loading, best) {
+                self.order(now, best.id, function);
             }
             return Some(to);
         }
@@ -541,7 +546,7 @@
             let told = self.part("familyInfo", "whenAbsent").and_then(Value::as_str);
             return loading.filter(|_| told != Some("miss"));
         }
-        best.map(|b| b.2).or_else(|| least(&|_| true))
+        best.map(|b| b.id).or_else(|| least(&|_| true))
     }
 
     fn send(&mut self, now: Time, id: RpcId, to: WorkerId) {
