--- a/src/brain.rs
+++ b/src/brain.rs
@@ -479,9 +479,9 @@
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * idle;
-            let late = slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
-            let score = if late { score - LATE_COST } else { score };
-            let crowded = (few && late) || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
+            let late =
+                few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
+            let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             let copies = here / (CROWD * rpc.lanes);
             all.push(Candidate { id, affinity, score, room, crowded, depth, copies });
         }
