--- a/src/brain.rs
+++ b/src/brain.rs
@@ -779,6 +779,8 @@
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         let over = share.is_some_and(|s| of_tenant > s * limit);
         let room = out < limit || (share.is_some() && !over);
+        // Shares are for tenants that meet here: one alone may have all.
+        let over = over && of_tenant < out;
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
 
