--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,7 +40,6 @@
 /// A worker counts as crowded so far above the usual and above this part of the soft deadline.
 const LATE: (f64, f64) = (1.5, 0.5);
 /// A function that stands at more of the fleet spreads no further for lateness: memory would thrash.
-const LATE_COST: f64 = 0.2;
 const LATE_SHARE: f64 = 0.07;
 const RECENT: Time = Time(20_000);
 const TICK: Time = Time(200);
@@ -777,7 +776,7 @@
         let tenant = self.rpcs[&id].tenant;
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
-        let over = share.is_some_and(|s| of_tenant > s * limit);
+        let over = share.is_some_and(|s| of_tenant > s * limit + CHANCE);
         let room = out < limit || (share.is_some() && !over);
         // Shares are for tenants that meet here: one alone may have all.
         let over = over && of_tenant < out;
