--- a/src/brain.rs
+++ b/src/brain.rs
@@ -803,7 +803,7 @@
         let held = held && self.part("familyInfo", "whenAbsent").and_then(Value::as_str) == Some("miss");
         let aim = if held { rpc.deadline } else { rpc.taken + Time::from_ms(self.aim(rpc.method)) };
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
-        now + Time::from_ms(0.5 * usual) > aim.min(rpc.deadline)
+        now + Time::from_ms(usual) > aim.min(rpc.deadline)
     }
 
     /// The final answer for an RPC that cannot be answered in time: a denial where that is harmless.
