--- a/src/brain.rs
+++ b/src/brain.rs
@@ -495,7 +495,7 @@
         // New loads go to the first in the function's rendezvous order, where load allows.
         all.sort_by_key(|c| home_rank(function, c.id));
         // As many homes are alike as copies are told to be in use at one: sparse evidence spreads in one step.
-        let mut alike = all.iter().map(|c| c.copies).fold(0.0, f64::max);
+        let mut alike = all.iter().map(|c| c.copies).fold(2.0, f64::max);
         let mut home = 0.0;
         for c in &mut all {
             let taken = MEMORY_WEIGHT * self.workers[&c.id].memory;
