--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,6 +25,8 @@
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
 const MEMORY_WEIGHT: f64 = 0.3;
+/// What part of all RPCs the function of one is taken for: so much of the fleet are its homes from the start.
+const USUAL_SHARE: f64 = 0.03;
 const WARM: f64 = 0.8;
 const LOADING: f64 = 0.5;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
@@ -494,8 +496,10 @@
         all.retain(|c| c.room);
         // New loads go to the first in the function's rendezvous order, where load allows.
         all.sort_by_key(|c| home_rank(function, c.id));
-        // As many homes are alike as copies are told to be in use at one: sparse evidence spreads in one step.
-        let mut alike = all.iter().map(|c| c.copies).fold(2.0, f64::max);
+        // As many homes are alike as copies are told to be in use at one, and a larger fleet has more from the start:
+        // sparse evidence spreads in one step.
+        let ready = self.ready().count() as f64;
+        let mut alike = all.iter().map(|c| c.copies).fold(USUAL_SHARE * ready, f64::max);
         let mut home = 0.0;
         for c in &mut all {
             let taken = MEMORY_WEIGHT * self.workers[&c.id].memory;
