--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,7 +26,7 @@
 const HOME_WEIGHT: f64 = 0.5;
 const MEMORY_WEIGHT: f64 = 0.3;
 /// What part of all RPCs the function of one is taken for: so much of the fleet are its homes from the start.
-const USUAL_SHARE: f64 = 0.06;
+const USUAL_SHARE: f64 = 0.03;
 const WARM: f64 = 0.8;
 const LOADING: f64 = 0.5;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
