--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,8 +65,7 @@
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
-const RATE_OVER: Time = Time(30_000);
-const RATE_ANSWERS: usize = 30;
+const RATE_ANSWERS: usize = 100;
 const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
@@ -596,7 +595,7 @@
     fn limit(&self, method: MethodId, warm: bool) -> Time {
         let usual = self.methods.get(&method).map(|p| p[usize::from(warm)]).unwrap_or_default();
         let unknown = if warm { 1.0 } else { 3.0 } * self.aim(method);
-        Time::from_ms(if usual.n < 5.0 { unknown } else { 2.0 * usual.mean + 3.0 * usual.dev })
+        Time::from_ms(if usual.n < 5.0 { unknown } else { usual.mean + 2.5 * usual.dev })
     }
 
     // 2. Slow start.
@@ -715,8 +714,8 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
-        // The rate is over some 30 answers, that one busy moment is not taken for the usual.
-        let n = (recent(&self.answered, now, RATE_OVER) as usize).max(RATE_ANSWERS).min(self.answered.len());
+        // The rate is over a hundred answers, that one busy moment is not taken for the usual.
+        let n = self.answered.len().min(RATE_ANSWERS);
         let over = self.answered.iter().rev().nth(n.saturating_sub(1)).map_or(Time(0), |&first| now - first);
         let rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
         self.best_rate = rate.max(self.best_rate * FADE);
