--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,7 +65,7 @@
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
-const RATE_ANSWERS: usize = 100;
+const RATE_ANSWERS: usize = 400;
 const LEAST_RATE_OVER: Time = Time(10_000);
 const TARGET: f64 = 0.6;
 const FADE: f64 = 0.999;
@@ -714,7 +714,7 @@
                 self.host.cancel(id, CallOutNo(no));
             }
         }
-        // The rate is over a hundred answers, that one busy moment is not taken for the usual.
+        // The rate is over many answers, that one busy moment is not taken for the usual.
         let n = self.answered.len().min(RATE_ANSWERS);
         let over = self.answered.iter().rev().nth(n.saturating_sub(1)).map_or(Time(0), |&first| now - first);
         let rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
