--- a/src/brain.rs
+++ b/src/brain.rs
@@ -763,7 +763,7 @@
         let usual = self.best_rate * TARGET * self.aims.mean;
         let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
         let limit = (usual + CHANCE).max(part);
-        let counts = |o: &&CallOut| o.open && o.overdue == 0;
+        let counts = |o: &&CallOut| o.open && o.overdue < 2;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
