Let unused slots of call-outs to a cold worker lapse

Each of 101 schedulers had kept a slot; when a function's home moved there 44 sent within a second. Told from a budget too large: until then it got 3 a second. Change: slots of their own phase, open for half a window, at 0.7 of the part.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,7 +61,7 @@
 const EVIDENCE_CAP: f64 = 12.0;
 const FADING: f64 = 0.001;
 const EJECT_SHARE: f64 = 0.34;
-const COLD_PART: f64 = 1.0;
+const COLD_PART: f64 = 0.7;
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
@@ -603,8 +603,8 @@
     /// Guards against schedulers that together push a cold worker over. Each gives it, in any window, its
     /// present share of capacity times what this scheduler gets answered by a worker of its size on the mean:
     /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple,
-    /// also when clients' retries swell what is taken. Its call-outs are spaced evenly, the first at a moment of
-    /// its own, so that schedulers with a part under one a window keep to it. An idle fleet warms up slowly.
+    /// also when clients' retries swell what is taken. It has one call-out in each slot, at moments of its own, so
+    /// that schedulers with a part under one a window keep to it. An idle fleet warms up slowly.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
@@ -613,9 +613,10 @@
         let per_window = self.best_rate * fall.ms() * self.size(w) / self.ready().count().max(1) as f64;
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
         let gap = Time::from_ms(fall.ms() / budget.max(1.0 / self.schedulers()));
-        let first = since + Time::from_ms(gap.ms() * w.phase);
-        let next = if w.last_sent > since { w.last_sent + gap } else { first };
-        age >= within || now >= next
+        // Slots lapse unused: else all schedulers would spend theirs at once when a function's home moves here.
+        let into = (age.ms() / gap.ms().max(0.1) + w.phase).fract() * gap.ms();
+        let unspent = w.last_sent < now - Time::from_ms(into) || w.last_sent < since;
+        age >= within || (unspent && into <= fall.ms() / 2.0)
     }
 
     // 3. The second line.
