--- a/src/brain.rs
+++ b/src/brain.rs
@@ -124,8 +124,10 @@
     probes: f64,
     lanes: Usual,
     aims: Usual,
-    /// The best rate of answers of late, per millisecond; it fades.
+    /// The rate of answers, per millisecond, its best of late and the most workers ready of late; these fade.
+    rate: f64,
     best_rate: f64,
+    most_ready: f64,
 }
 
 /// A function's rendezvous order over workers: every scheduler comes to the same one.
@@ -165,7 +167,9 @@
             probes: 0.0,
             lanes: Usual::default(),
             aims: Usual::default(),
+            rate: 0.0,
             best_rate: 0.0,
+            most_ready: 0.0,
         };
         if new.settings.get("discovery").is_some_and(|d| d == "subscribe") {
             new.host.watch_list();
@@ -610,7 +614,7 @@
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
         let (age, from) = (now - since, self.number("contract", "startCapacity", 0.2));
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
-        let per_window = self.best_rate * fall.ms() * self.size(w) / self.ready().count().max(1) as f64;
+        let per_window = self.rate * fall.ms() * self.size(w) / self.most_ready.max(1.0);
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
         let gap = Time::from_ms(fall.ms() / budget.max(1.0 / self.schedulers()));
         // Slots lapse unused: else all schedulers would spend theirs at once when a function's home moves here.
@@ -718,8 +722,9 @@
         // The rate is over many answers, that one busy moment is not taken for the usual.
         let n = self.answered.len().min(RATE_ANSWERS);
         let over = self.answered.iter().rev().nth(n.saturating_sub(1)).map_or(Time(0), |&first| now - first);
-        let rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
-        self.best_rate = rate.max(self.best_rate * FADE);
+        self.rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
+        self.best_rate = self.rate.max(self.best_rate * FADE);
+        self.most_ready = (self.ready().count() as f64).max(self.most_ready * FADE);
         let (keep, within) = (self.span("familyInfo", "keepAlive"), self.span("contract", "warmWithin"));
         for w in self.workers.values_mut() {
             w.cold_since = w.cold_since.filter(|&since| now - since < within);
