--- a/src/brain.rs
+++ b/src/brain.rs
@@ -616,9 +616,10 @@
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
         let per_window = self.rate * fall.ms() * self.size(w) / self.most_ready.max(1.0);
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
-        let gap = Time::from_ms(fall.ms() / budget.max(1.0 / self.schedulers()));
+        // In steps of two, that a rate that moves does not open one slot after the other.
+        let gap = fall.ms() * budget.max(1.0 / self.schedulers()).log2().floor().exp2().recip();
         // Slots lapse unused: else all schedulers would spend theirs at once when a function's home moves here.
-        let into = (age.ms() / gap.ms().max(0.1) + w.phase).fract() * gap.ms();
+        let into = (age.ms() / gap.max(0.1) + w.phase).fract() * gap;
         let unspent = w.last_sent < now - Time::from_ms(into) || w.last_sent < since;
         age >= within || (unspent && into <= fall.ms() / 2.0)
     }
