--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,7 +61,7 @@
 const EVIDENCE_CAP: f64 = 12.0;
 const FADING: f64 = 0.001;
 const EJECT_SHARE: f64 = 0.34;
-const COLD_PART: f64 = 0.7;
+const COLD_PART: f64 = 1.0;
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
@@ -73,7 +73,6 @@
 const CHANCE: f64 = 3.0;
 const PART_OUT: f64 = 6.0;
 const CLOSE: f64 = 0.6;
-const BEHIND_LOAD: f64 = 0.5;
 
 /// A running mean that starts as a plain one, and the mean distance from it.
 #[derive(Clone, Copy, Default)]
@@ -570,8 +569,7 @@
         let suspects = self.ready().filter(|w| w.suspect).count() as f64;
         let Some(w) = self.workers.get_mut(&id) else { return };
         let (at, no) = (now.0, id.0);
-        let step = if w.suspect && evidence < 0.0 { 4.0 * evidence } else { evidence };
-        w.evidence = (w.evidence + step).clamp(0.0, EVIDENCE_CAP);
+        w.evidence = (w.evidence + evidence).clamp(0.0, EVIDENCE_CAP);
         if w.suspect && w.evidence <= CLEARED_AT {
             w.suspect = false;
             self.host.log(&format!("{at}: worker {no} cleared, evidence {:.1}", w.evidence));
@@ -771,10 +769,9 @@
         let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
         let limit = (usual + CHANCE).max(part);
         let counts = |o: &&CallOut| o.open && o.overdue < 2;
-        let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
-            let open: f64 = rpc.outs.iter().filter(counts).map(weight).sum();
+            let open = rpc.outs.iter().filter(counts).count() as f64;
             out += open;
             of_tenant += if rpc.tenant == tenant { open } else { 0.0 };
         }
