--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,6 +73,7 @@
 const CHANCE: f64 = 3.0;
 const PART_OUT: f64 = 6.0;
 const CLOSE: f64 = 0.6;
+const BEHIND_LOAD: f64 = 0.5;
 
 /// A running mean that starts as a plain one, and the mean distance from it.
 #[derive(Clone, Copy, Default)]
@@ -279,13 +280,10 @@
                 self.judge(now, worker, if overdue == 0 { GOOD } else { 0.0 });
             }
             Outcome::Full => {
-                // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
-                w.no_load_until = now + Time((4 * FULL_HOLD.0) << w.fulls);
+                // The queue may be full, or memory.
                 w.fulls = (w.fulls + 1).min(4);
-                if was_warm {
-                    w.ceiling = w.mine.max(1) as f64;
-                    w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
-                }
+                w.ceiling = w.mine.max(1) as f64;
+                w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
             }
             Outcome::Reset | Outcome::ConnectFailed => {
                 // Guards against a process that died before the list tells; should also hold for a cut link.
@@ -474,7 +472,7 @@
             let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
-            let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
+            let takes = w.full_until <= now;
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && !w.suspect;
             let util = faded(w.util.unwrap_or(lacking), lacking, now - w.probed, FADES);
@@ -769,9 +767,10 @@
         let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
         let limit = (usual + CHANCE).max(part);
         let counts = |o: &&CallOut| o.open && o.overdue < 2;
+        let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
-            let open = rpc.outs.iter().filter(counts).count() as f64;
+            let open: f64 = rpc.outs.iter().filter(counts).map(weight).sum();
             out += open;
             of_tenant += if rpc.tenant == tenant { open } else { 0.0 };
         }
