--- a/src/brain.rs
+++ b/src/brain.rs
@@ -280,10 +280,13 @@
                 self.judge(now, worker, if overdue == 0 { GOOD } else { 0.0 });
             }
             Outcome::Full => {
-                // The queue may be full, or memory.
+                // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
+                w.no_load_until = now + Time((4 * FULL_HOLD.0) << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
-                w.ceiling = w.mine.max(1) as f64;
-                w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
+                if was_warm {
+                    w.ceiling = w.mine.max(1) as f64;
+                    w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
+                }
             }
             Outcome::Reset | Outcome::ConnectFailed => {
                 // Guards against a process that died before the list tells; should also hold for a cut link.
@@ -469,10 +472,10 @@
             let belief = w.beliefs.get(&rpc.function);
             let others = belief.map_or(0.0, |b| b.others_now(now, FADES));
             let slowness = w.slowness_now(now, FADES);
-            let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
+            let here = others + belief.map_or(0.0, |b| b.mine as f64) + 1.0;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
-            let takes = w.full_until <= now;
+            let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && !w.suspect;
             let util = faded(w.util.unwrap_or(lacking), lacking, now - w.probed, FADES);
