--- a/src/brain.rs
+++ b/src/brain.rs
@@ -472,7 +472,7 @@
             let belief = w.beliefs.get(&rpc.function);
             let others = belief.map_or(0.0, |b| b.others_now(now, FADES));
             let slowness = w.slowness_now(now, FADES);
-            let here = others + belief.map_or(0.0, |b| b.mine as f64) + 1.0;
+            let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
