--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //!
 //! The design: filter workers that drain or are full, score the rest by graded affinity, depth and
 //! utilisation, take the best, and coalesce new loads (`pick`). Beside it stand five mechanisms:
-//! 1. health: a sequential test on outcomes, overdue call-outs included; a suspect gets a trickle (`judge`)
+//! 1. health: a sequential test on outcomes, overdue call-outs included; suspects rest (`judge`)
 //! 2. slow start: a budget of call-outs for a cold worker (`budget_left`)
 //! 3. the second line: further call-outs, after first ones, within a retry budget (`serve`, `sweep`)
 //! 4. copies: one more copy of a crowded function is ordered elsewhere, rationed (`order`)
@@ -34,8 +34,8 @@
 const FULL_HOLD: Time = Time(500);
 const CROWD: f64 = 1.25;
 const SLACK_LANES: f64 = 0.5;
-/// What answers tell of a worker: the least step of the running mean, the gap between answers at which a new one
-/// weighs as much as all before, and the half-life.
+/// What answers tell of a worker: the least step of the mean, the gap at which a new one weighs as much as
+/// all before, and the half-life.
 const LEAST_STEP: f64 = 0.15;
 const EQUAL_GAP: f64 = 1500.0;
 const FADES: f64 = 5000.0;
@@ -99,7 +99,6 @@
     id: WorkerId,
     affinity: f64,
     score: f64,
-    room: bool,
     crowded: bool,
     depth: f64,
     /// How many copies' worth of lanes are taken there.
@@ -339,7 +338,7 @@
         let due = |r: &Rpc| !r.done && !r.streaming && r.deadline <= now;
         if id == TICK_WAKE {
             self.host.wake(TICK, TICK_WAKE);
-            // Guards against my own stall: answers that came meanwhile are read before anyone counts as silent.
+            // Guards against my own stall: answers that came meanwhile are read before workers are judged.
             if now - std::mem::replace(&mut self.ticked, now) <= STALL {
                 self.sweep(now);
                 self.serve(now);
@@ -443,7 +442,7 @@
         }
     }
 
-    /// The workers that the rules let an RPC go to, scored; those without room or crowded are marked.
+    /// The workers with room that the rules let an RPC go to, scored; the crowded ones are marked.
     fn candidates(&self, now: Time, rpc: &Rpc) -> Vec<Candidate> {
         let (count, mine) = self.ready().fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
         let mean = mine / f64::max(count, 1.0);
@@ -453,22 +452,17 @@
         let told = told.is_some_and(|n| n.iter().any(|n| n == "utilization"));
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
         // Against the workers' harmonic mean: where most RPCs go to hot workers their own mean hides it.
-        let known =
-            self.ready().filter(|w| w.paced > Time(0)).map(|w| 1.0 / w.slowness_now(now, FADES).max(0.1));
-        let (n, sum) = known.fold((0.0, 0.0), |(n, sum), fast| (n + 1.0, sum + fast));
+        let fast = |w: &Worker| (w.paced > Time(0)).then(|| 1.0 / w.slowness_now(now, FADES).max(0.1));
+        let (n, sum) = self.ready().filter_map(fast).fold((0.0, 0.0), |(n, sum), f| (n + 1.0, sum + f));
         let fastness = sum / f64::max(n, 1.0);
         let homes = self.ready().filter(|w| self.affinity(now, w, rpc.function) >= LOADING).count() as f64;
         let few = homes < LATE_SHARE * count;
         let mut all = Vec::new();
         for (&id, w) in self.workers.iter().filter(|(_, w)| w.standing == Standing::Ready) {
-            if !self.budget_left(now, w) || !self.harmless(now, rpc, Some(w)) {
-                continue;
-            }
             let affinity = self.affinity(now, w, rpc.function);
             let (mine, size) = (w.mine as f64, self.size(w));
-            // Guards against copies that other schedulers crowd and workers that are slow, ageing or hot: both
-            // count as deeper. Trouble of the whole fleet moves the usual instead. May hurt where beliefs are
-            // old: they fade.
+            // Guards against copies that others crowd and workers that are slow, ageing or hot: both count as
+            // deeper. Trouble of the whole fleet moves the usual instead. May hurt where old: beliefs fade.
             let belief = w.beliefs.get(&rpc.function);
             let others = belief.map_or(0.0, |b| b.others_now(now, FADES));
             let slowness = w.slowness_now(now, FADES);
@@ -478,6 +472,9 @@
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && !w.suspect;
+            if !room || !self.budget_left(now, w) || !self.harmless(now, rpc, Some(w)) {
+                continue;
+            }
             let util = faded(w.util.unwrap_or(lacking), lacking, now - w.probed, FADES);
             let idle = 1.0 - if told { util.clamp(0.0, 1.0) } else { util / (util + lacking).max(0.1) };
             let depth = (mine + others + 1.0) * slowness;
@@ -487,7 +484,7 @@
                 few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
             let copies = here / (CROWD * rpc.lanes);
-            all.push(Candidate { id, affinity, score, room, crowded, depth, copies });
+            all.push(Candidate { id, affinity, score, crowded, depth, copies });
         }
         all
     }
@@ -496,17 +493,15 @@
     fn pick(&mut self, now: Time, id: RpcId) -> Option<WorkerId> {
         let function = self.rpcs[&id].function;
         let mut all = self.candidates(now, &self.rpcs[&id]);
-        all.retain(|c| c.room);
         // New loads go to the first in the function's rendezvous order, where load allows.
         all.sort_by_key(|c| home_rank(function, c.id));
-        // As many homes are alike as copies are told to be in use at one, and a larger fleet has more from the start:
-        // sparse evidence spreads in one step.
-        let ready = self.ready().count() as f64;
-        let mut alike = all.iter().map(|c| c.copies).fold(USUAL_SHARE * ready, f64::max);
+        // As many homes are alike as copies are told in use at one; a large fleet has more from the start.
+        let start = USUAL_SHARE * self.ready().count() as f64;
+        let mut alike = all.iter().map(|c| c.copies).fold(start, f64::max);
         let mut home = 0.0;
         for c in &mut all {
-            let taken = MEMORY_WEIGHT * self.workers[&c.id].memory;
-            c.score += if c.affinity < WARM { home - taken } else { 0.0 } + 1e-9 * self.rng.rand_float();
+            let new = if c.affinity < WARM { home - MEMORY_WEIGHT * self.workers[&c.id].memory } else { 0.0 };
+            c.score += new + 1e-9 * self.rng.rand_float();
             if !c.crowded {
                 alike -= 1.0;
                 home = if alike < 1.0 { (home - HOME_WEIGHT) / 2.0 } else { home };
@@ -529,18 +524,19 @@
             return Some(to);
         }
         if loading.is_some() {
-            let told = self.part("familyInfo", "whenAbsent").and_then(Value::as_str);
-            return loading.filter(|_| told != Some("miss"));
+            let held = self.part("familyInfo", "whenAbsent").is_some_and(|told| told == "miss");
+            return loading.filter(|_| !held);
         }
         best.map(|b| b.id).or_else(|| least(&|_| true))
     }
 
     fn send(&mut self, now: Time, id: RpcId, to: WorkerId) {
         let warm = self.affinity(now, &self.workers[&to], self.rpcs[&id].function) >= WARM;
+        let pull = self.part("loadInfo", "how").is_some_and(|how| how == "pull");
+        let probes = pull && self.allowed("limits", "probes");
         let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
         rpc.waiting = false;
-        w.mine += 1;
-        w.last_sent = now;
+        (w.mine, w.last_sent) = (w.mine + 1, now);
         let belief = w.beliefs.entry(rpc.function).or_default();
         let (open, never_ran, beside, overdue) = (true, false, belief.mine, 0);
         rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, warm, beside, overdue });
@@ -550,11 +546,9 @@
         }
         self.host.call_out(id, to, Time(0));
         // Probes follow the RPCs taken, to the workers chosen: their number does not grow with the fleet.
-        let pull = self.part("loadInfo", "how").and_then(Value::as_str) == Some("pull");
-        let earned = self.probes >= 1.0 && now - self.workers[&to].probed >= REPORT_AGE;
-        if pull && earned && self.allowed("limits", "probes") {
+        if probes && self.probes >= 1.0 && now - w.probed >= REPORT_AGE {
+            w.probed = now;
             self.probes -= 1.0;
-            self.workers.entry(to).or_default().probed = now;
             self.host.probe(to);
         }
     }
@@ -576,8 +570,9 @@
             self.host.log(&format!("{at}: worker {no} cleared, evidence {:.1}", w.evidence));
         } else if !w.suspect && w.evidence >= SUSPECT_AT && suspects + 1.0 <= (ready * EJECT_SHARE).max(1.0) {
             w.suspect = true;
-            let fleet = format!("{} of {ready}", suspects + 1.0);
-            self.host.log(&format!("{at}: worker {no} suspect, evidence {:.1}, {fleet}", w.evidence));
+            let (evidence, suspects) = (w.evidence, suspects + 1.0);
+            let line = format!("{at}: worker {no} suspect, evidence {evidence:.1}, {suspects} of {ready}");
+            self.host.log(&line);
         }
     }
 
@@ -586,8 +581,8 @@
         let at = |name: &str| names.and_then(|n| n.iter().position(|n| n == name));
         let value = |name: &str| at(name).and_then(|i| report.get(i)).copied();
         // Where no report holds utilisation, the RPCs held there stand for it, against the mean of others.
-        let (util, memory) =
-            (value("utilization").or(value("outstanding")).or(value("backlog")), value("x0"));
+        let util = value("utilization").or(value("outstanding")).or(value("backlog"));
+        let memory = value("x0");
         if let Some(w) = self.workers.get_mut(&worker).filter(|_| !report.is_empty()) {
             w.probed = now;
             (w.util, w.memory) = (util.or(w.util), memory.unwrap_or(w.memory));
@@ -606,7 +601,7 @@
     /// Guards against schedulers that together push a cold worker over. Each gives it, in any window, its
     /// present share of capacity times what this scheduler gets answered by a worker of its size on the mean:
     /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple,
-    /// also when clients' retries swell what is taken. It has one call-out in each slot, at moments of its own, so
+    /// also when clients' retries swell what is taken. It has one call-out in each slot, at times of its own, so
     /// that schedulers with a part under one a window keep to it. An idle fleet warms up slowly.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
@@ -617,7 +612,7 @@
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
         // In steps of two, that a rate that moves does not open one slot after the other.
         let gap = fall.ms() * budget.max(1.0 / self.schedulers()).log2().floor().exp2().recip();
-        // Slots lapse unused: else all schedulers would spend theirs at once when a function's home moves here.
+        // Slots lapse unused: else all schedulers spend theirs at once when a function's home moves here.
         let into = (age.ms() / gap.max(0.1) + w.phase).fract() * gap;
         let unspent = w.last_sent < now - Time::from_ms(into) || w.last_sent < since;
         age >= within || (unspent && into <= fall.ms() / 2.0)
@@ -725,9 +720,8 @@
         self.rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
         self.best_rate = self.rate.max(self.best_rate * FADE);
         self.most_ready = (self.ready().count() as f64).max(self.most_ready * FADE);
-        let (keep, within) = (self.span("familyInfo", "keepAlive"), self.span("contract", "warmWithin"));
+        let keep = self.span("familyInfo", "keepAlive");
         for w in self.workers.values_mut() {
-            w.cold_since = w.cold_since.filter(|&since| now - since < within);
             if w.suspect && w.mine == 0 {
                 w.evidence = (w.evidence - FADING * TICK.ms()).max(0.0);
                 w.suspect = w.evidence > CLEARED_AT;
@@ -804,13 +798,10 @@
     }
 
     /// Whether an RPC that waits can no longer be in time. Guards against queues that make every answer late;
-    /// should hold for any overload. May hurt where a late answer is worth nearly as much as one in time. One
-    /// held for a load that was ordered after a miss has until its deadline.
+    /// should hold for any overload. May hurt where a late answer is worth nearly as much as one in time.
     fn hopeless(&self, now: Time, id: RpcId) -> bool {
         let rpc = &self.rpcs[&id];
-        let held = self.ready().any(|w| w.copies(rpc.function) == Copies::Loading);
-        let held = held && self.part("familyInfo", "whenAbsent").and_then(Value::as_str) == Some("miss");
-        let aim = if held { rpc.deadline } else { rpc.taken + Time::from_ms(self.aim(rpc.method)) };
+        let aim = rpc.taken + Time::from_ms(self.aim(rpc.method));
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
         now + Time::from_ms(usual) > aim.min(rpc.deadline)
     }
