--- a/src/brain.rs
+++ b/src/brain.rs
@@ -101,7 +101,7 @@
     score: f64,
     crowded: bool,
     depth: f64,
-    /// How many copies' worth of lanes are taken there.
+    /// In use there, by the lanes taken.
     copies: f64,
 }
 
@@ -177,8 +177,6 @@
         new
     }
 
-    // What happens.
-
     pub fn worker_listed(
         &mut self, now: Time, id: WorkerId, standing: Standing, since: Time, zone: ZoneId, cell: CellId,
         size: f64,
@@ -483,8 +481,7 @@
             let late =
                 few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
-            let copies = here / (CROWD * rpc.lanes);
-            all.push(Candidate { id, affinity, score, crowded, depth, copies });
+            all.push(Candidate { id, affinity, score, crowded, depth, copies: here / (CROWD * rpc.lanes) });
         }
         all
     }
@@ -556,14 +553,13 @@
     // 1. Health.
 
     /// Adds evidence (a log-likelihood ratio) for or against a worker's health. Guards against workers that
-    /// fail fast, hang or crawl; should hold for anything that shows in outcomes. When half the fleet is
-    /// suspect already the trouble is not the worker's, and nobody more is ejected. May hurt where a tenant's
-    /// own RPCs always fail: the workers that serve them look ill.
+    /// fail fast or hang; should hold for anything that shows in outcomes. With a third of the fleet suspect
+    /// the trouble is not the worker's. May hurt where a tenant's own RPCs always fail: its workers look ill.
     fn judge(&mut self, now: Time, id: WorkerId, evidence: f64) {
         let ready = self.ready().count() as f64;
         let suspects = self.ready().filter(|w| w.suspect).count() as f64;
-        let Some(w) = self.workers.get_mut(&id) else { return };
         let (at, no) = (now.0, id.0);
+        let Some(w) = self.workers.get_mut(&id) else { return };
         w.evidence = (w.evidence + evidence).clamp(0.0, EVIDENCE_CAP);
         if w.suspect && w.evidence <= CLEARED_AT {
             w.suspect = false;
@@ -578,8 +574,7 @@
 
     fn report_read(&mut self, now: Time, worker: WorkerId, report: &[f64]) {
         let names = self.part("loadInfo", "names").and_then(Value::as_array);
-        let at = |name: &str| names.and_then(|n| n.iter().position(|n| n == name));
-        let value = |name: &str| at(name).and_then(|i| report.get(i)).copied();
+        let value = |name: &str| report.get(names?.iter().position(|n| n == name)?).copied();
         // Where no report holds utilisation, the RPCs held there stand for it, against the mean of others.
         let util = value("utilization").or(value("outstanding")).or(value("backlog"));
         let memory = value("x0");
@@ -598,11 +593,10 @@
 
     // 2. Slow start.
 
-    /// Guards against schedulers that together push a cold worker over. Each gives it, in any window, its
-    /// present share of capacity times what this scheduler gets answered by a worker of its size on the mean:
-    /// no fleet answers more than its capacity, so the sum over schedulers stays under the stated multiple,
-    /// also when clients' retries swell what is taken. It has one call-out in each slot, at times of its own, so
-    /// that schedulers with a part under one a window keep to it. An idle fleet warms up slowly.
+    /// Guards against schedulers that together push a cold worker over. Each gives it its present share of
+    /// capacity times what this scheduler gets answered by a worker of its size on the mean: no fleet answers
+    /// more than its capacity, so the sum stays under the stated multiple, also when clients' retries swell what
+    /// is taken. One call-out a slot, at times of its own, keeps those with a part under one a window to it.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
@@ -622,18 +616,12 @@
 
     /// Tries an RPC's first call-out; true: it has to wait.
     fn first_call_out(&mut self, now: Time, id: RpcId) -> bool {
-        let to = match self.admit(now, id) {
-            None => {
-                self.give_up(now, id);
-                return false;
-            }
-            Some(true) => None,
-            Some(false) => self.pick(now, id),
-        };
+        let waits = self.admit(now, id);
+        let to = if waits == Some(false) { self.pick(now, id) } else { None };
         match to {
+            None if waits.is_none() || self.hopeless(now, id) => self.give_up(now, id),
             Some(to) if self.loads_rationed(to, id) => self.give_up(now, id),
             Some(to) => self.send(now, id, to),
-            None if self.hopeless(now, id) => self.give_up(now, id),
             None => return true,
         }
         false
@@ -646,9 +634,9 @@
         let beside = rpc.open() > 0;
         let cost = if rpc.outs.last().is_some_and(|o| o.never_ran) { 0.0 } else { 1.0 };
         let most = self.number("limits", "maxAttempts", f64::MAX);
-        let possible = (rpc.outs.len() as f64) < most && (beside || self.harmless_to_any(now, rpc));
         let (limit, out, _) = self.load(rpc.tenant);
-        let possible = possible && !(beside && out > CLOSE * limit);
+        let fits = if beside { out <= CLOSE * limit } else { self.harmless_to_any(now, rpc) };
+        let possible = fits && (rpc.outs.len() as f64) < most;
         let to = if possible && self.retries >= cost { self.pick(now, id) } else { None };
         let warm = |to: &WorkerId| self.affinity(now, &self.workers[to], self.rpcs[&id].function) >= WARM;
         match to.filter(|to| !beside || warm(to)) {
@@ -747,8 +735,9 @@
         let most = self.number("familyInfo", "loadFloor", 0.0) + share * recent(&self.taken, now, window);
         let spent = window > Time(0) && recent(&self.orders, now, window + Time(1)) + 1.0 > most;
         let may = self.allowed("familyInfo", "mayOrder") && !spent;
-        let ready = |w: &&mut Worker| may && w.standing == Standing::Ready;
-        let Some(w) = self.workers.get_mut(&at).filter(ready) else { return };
+        let Some(w) = self.workers.get_mut(&at).filter(|w| may && w.standing == Standing::Ready) else {
+            return;
+        };
         w.beliefs.entry(function).or_default().copies = Copies::Loading;
         self.orders.push_back(now);
         self.host.load(at, function, 1);
@@ -786,14 +775,12 @@
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
     }
 
-    /// Whether a new load has to wait for others, as the fleet is close to its bound: loads push out wanted
-    /// copies, and take memory and cores from what is warm.
+    /// Whether there are loads enough near the bound: they push out wanted copies and take memory and cores.
     fn loads_rationed(&self, to: WorkerId, id: RpcId) -> bool {
-        let rpc = &self.rpcs[&id];
-        let (limit, out, _) = self.load(rpc.tenant);
+        let (limit, out, _) = self.load(self.rpcs[&id].tenant);
         let loading = |w: &Worker| w.beliefs.values().filter(|b| b.copies == Copies::Loading).count();
         out > CLOSE * limit
-            && self.workers[&to].copies(rpc.function) == Copies::Unknown
+            && self.workers[&to].copies(self.rpcs[&id].function) == Copies::Unknown
             && self.workers.values().map(loading).sum::<usize>() * 8 >= self.workers.len()
     }
 
