--- a/src/brain.rs
+++ b/src/brain.rs
@@ -595,8 +595,8 @@
 
     /// Guards against schedulers that together push a cold worker over. Each gives it its present share of
     /// capacity times what this scheduler gets answered by a worker of its size on the mean: no fleet answers
-    /// more than its capacity, so the sum stays under the stated multiple, also when clients' retries swell what
-    /// is taken. One call-out a slot, at times of its own, keeps those with a part under one a window to it.
+    /// more than its capacity, so the sum stays under the stated multiple, also when retries swell what is
+    /// taken. One call-out a slot, at times of its own, keeps those with a part under one a window to it.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
