--- a/src/brain.rs
+++ b/src/brain.rs
@@ -588,7 +588,7 @@
     fn limit(&self, method: MethodId, warm: bool) -> Time {
         let usual = self.methods.get(&method).map(|p| p[usize::from(warm)]).unwrap_or_default();
         let unknown = if warm { 1.0 } else { 3.0 } * self.aim(method);
-        Time::from_ms(if usual.n < 5.0 { unknown } else { usual.mean + 2.5 * usual.dev })
+        Time::from_ms(if usual.n < 5.0 { unknown } else { 2.0 * usual.mean + 3.0 * usual.dev })
     }
 
     // 2. Slow start.
@@ -752,7 +752,7 @@
         let usual = self.best_rate * TARGET * self.aims.mean;
         let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
         let limit = (usual + CHANCE).max(part);
-        let counts = |o: &&CallOut| o.open && o.overdue < 2;
+        let counts = |o: &&CallOut| o.open && o.overdue == 0;
         let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
         let (mut out, mut of_tenant) = (0.0, 0.0);
         for rpc in self.rpcs.values() {
