--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 /// Draws a new load to the first workers in a function's rendezvous order, the same at every scheduler.
 const HOME_WEIGHT: f64 = 0.5;
 const MEMORY_WEIGHT: f64 = 0.3;
-/// What part of all RPCs the function of one is taken for: so much of the fleet are its homes from the start.
+/// So much of the fleet are a function's alike homes from the start.
 const USUAL_SHARE: f64 = 0.03;
 const WARM: f64 = 0.8;
 const LOADING: f64 = 0.5;
@@ -72,6 +72,7 @@
 /// What chance may add to the usual number out; and at all schedulers together, for each worker.
 const CHANCE: f64 = 3.0;
 const PART_OUT: f64 = 6.0;
+const PARTS: (f64, f64) = (0.85, 1.3);
 const CLOSE: f64 = 0.6;
 const BEHIND_LOAD: f64 = 0.5;
 
@@ -101,7 +102,6 @@
     score: f64,
     crowded: bool,
     depth: f64,
-    /// In use there, by the lanes taken.
     copies: f64,
 }
 
@@ -635,8 +635,8 @@
         let cost = if rpc.outs.last().is_some_and(|o| o.never_ran) { 0.0 } else { 1.0 };
         let most = self.number("limits", "maxAttempts", f64::MAX);
         let (limit, out, _) = self.load(rpc.tenant);
-        let fits = if beside { out <= CLOSE * limit } else { self.harmless_to_any(now, rpc) };
-        let possible = fits && (rpc.outs.len() as f64) < most;
+        let possible = if beside { out <= CLOSE * limit } else { self.harmless_to_any(now, rpc) };
+        let possible = possible && (rpc.outs.len() as f64) < most;
         let to = if possible && self.retries >= cost { self.pick(now, id) } else { None };
         let warm = |to: &WorkerId| self.affinity(now, &self.workers[to], self.rpcs[&id].function) >= WARM;
         match to.filter(|to| !beside || warm(to)) {
@@ -669,8 +669,8 @@
         }
     }
 
-    /// Looks for overdue call-outs: each is evidence against its worker, and earns a further call-out, beside
-    /// it where that is allowed, else in its place once the worker is suspect. Then keeps the books short.
+    /// Looks for overdue call-outs: each is evidence against its worker, and earns a further call-out beside
+    /// it where that is allowed. Then keeps the books short.
     fn sweep(&mut self, now: Time) {
         let mut late: Vec<(RpcId, usize, WorkerId)> = Vec::new();
         for (&id, rpc) in &self.rpcs {
@@ -687,19 +687,13 @@
             if silent {
                 self.judge(now, worker, SILENT);
             }
-            let further = self.harmless_to_any(now, &self.rpcs[&id]);
-            let seconds = self.allowed("limits", "secondCopies");
-            let cancels = self.allowed("limits", "mayCancel") && self.workers[&worker].suspect;
+            let second = self.allowed("limits", "secondCopies") && self.harmless_to_any(now, &self.rpcs[&id]);
             let Some(rpc) = self.rpcs.get_mut(&id) else { continue };
             rpc.outs[no].overdue += 1;
-            if !further || rpc.done || rpc.streaming || rpc.waiting || rpc.open() > 1 {
-                continue;
-            }
-            if seconds && (silent || rpc.outs[no].overdue > 1) {
+            let fits = !rpc.done && !rpc.streaming && !rpc.waiting && rpc.open() == 1;
+            if second && fits && (silent || rpc.outs[no].overdue > 1) {
                 rpc.waiting = true;
                 self.lines[1].push_back(id);
-            } else if cancels && self.retries >= 1.0 {
-                self.host.cancel(id, CallOutNo(no));
             }
         }
         // The rate is over many answers, that one busy moment is not taken for the usual.
@@ -763,13 +757,21 @@
         (limit, out, of_tenant)
     }
 
+    /// A method's part of the bound: by its gain for the time of an answer, against the mean of methods.
+    fn part_of_bound(&self, method: MethodId) -> f64 {
+        let gain = |m: &MethodId| self.of_method(*m, "gain").and_then(Value::as_f64).unwrap_or(1.0);
+        let density = |m: &MethodId| gain(m) / self.methods.get(m).map_or(1.0, |p| p[1].mean.max(1.0));
+        let mean = self.methods.keys().map(density).sum::<f64>() / self.methods.len().max(1) as f64;
+        (density(&method) / mean.max(1e-9)).clamp(PARTS.0, PARTS.1)
+    }
+
     /// Whether an RPC has to wait; none: near the bound, its tenant is over its share or its time too short.
     fn admit(&self, now: Time, id: RpcId) -> Option<bool> {
         let tenant = self.rpcs[&id].tenant;
         let (limit, out, of_tenant) = self.load(tenant);
         let share = self.settings.get("tenants").and_then(|l| l.get(tenant.0)?.get("share")?.as_f64());
         let over = share.is_some_and(|s| of_tenant > s * limit + CHANCE);
-        let room = out < limit || (share.is_some() && !over);
+        let room = out < self.part_of_bound(self.rpcs[&id].method) * limit || (share.is_some() && !over);
         // Shares are for tenants that meet here: one alone may have all.
         let over = over && of_tenant < out;
         (out <= CLOSE * limit || !(over || self.hopeless(now, id))).then_some(!room)
