--- a/crates/curlewpoint-drill/src/main.rs
+++ b/crates/curlewpoint-drill/src/main.rs
@@ -225,7 +225,7 @@
                 srv.call_out_ended(now, rpc, no, outcome, elapsed, done, copy, remark / 8, &report);
             }
             "STATUS_BACK" => {
-                srv.probe_ended(now, WorkerId(line.get("worker")?), &line.report()?);
+                srv.report_read(now, WorkerId(line.get("worker")?), &line.report()?);
             }
             "LOAD_RESULT" => {
                 // A load order ends in 'F' (no room), 'E' (a load failed) and the like; all but 'S' leave no copy.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,6 @@
 //! All decisions of one scheduler. Whoever runs it calls `Scheduler::start` with a `Host` (src/host.rs), the
 //! seed and the settings, and then one method for each thing that happens, with the clock: `rpc`,
-//! `call_out_ended`, `load_ended`, `probe_ended`, `worker_listed` ... The module acts by calling the host.
+//! `call_out_ended`, `load_ended`, `report_read`, `worker_listed` ... The module acts by calling the host.
 //!
 //! The design: filter workers that drain or are full, score the rest by graded affinity, depth and
 //! utilisation, take the best, and coalesce new loads (`pick`). Beside it stand five mechanisms:
@@ -315,10 +315,6 @@
         self.serve(now);
     }
 
-    pub fn probe_ended(&mut self, now: Time, worker: WorkerId, report: &[f64]) {
-        self.report_read(now, worker, report);
-    }
-
     pub fn load_ended(
         &mut self, now: Time, worker: WorkerId, function: FunctionId, outcome: Outcome, copies: u64,
     ) {
@@ -368,10 +364,6 @@
         self.settings.get("requestClasses")?.get(method.0)?.get(name)
     }
 
-    fn effect(&self, method: MethodId) -> Option<&str> {
-        self.of_method(method, "effect")?.as_str()
-    }
-
     fn aim(&self, method: MethodId) -> f64 {
         self.of_method(method, "aim").and_then(Value::as_f64).unwrap_or(1000.0)
     }
@@ -403,7 +395,7 @@
     fn harmless(&self, now: Time, rpc: &Rpc, worker: Option<&Worker>) -> bool {
         let Some(first) = rpc.outs.iter().find(|o| o.open || !o.never_ran) else { return true };
         let group = self.of_method(rpc.method, "group").and_then(Value::as_str);
-        match self.effect(rpc.method) {
+        match self.of_method(rpc.method, "effect").and_then(Value::as_str) {
             Some("read_like") => true,
             Some("idempotency_key") => {
                 let Some(to) = worker else { return group == Some("all") };
@@ -572,7 +564,8 @@
         }
     }
 
-    fn report_read(&mut self, now: Time, worker: WorkerId, report: &[f64]) {
+    /// A load report came, with an answer or alone.
+    pub fn report_read(&mut self, now: Time, worker: WorkerId, report: &[f64]) {
         let names = self.part("loadInfo", "names").and_then(Value::as_array);
         let value = |name: &str| report.get(names?.iter().position(|n| n == name)?).copied();
         // Where no report holds utilisation, the RPCs held there stand for it, against the mean of others.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -150,7 +150,7 @@
     told["loadInfo"]["names"] = json!(["x0"]);
     let home = Story::with(told.clone(), 2).served(9);
     let mut s = Story::with(told, 2);
-    s.srv.probe_ended(s.now(), WorkerId(home), &[1.0]);
+    s.srv.report_read(s.now(), WorkerId(home), &[1.0]);
     assert_ne!(s.served(9), home);
 }
 
@@ -314,8 +314,8 @@
     assert_eq!(s.calls(rpc).len(), 1, "no settings at all");
     s.end(99, 0, Outcome::Ok, Copy::Warm);
     s.end(rpc, 5, Outcome::Ok, Copy::Warm);
-    s.srv.probe_ended(s.now(), WorkerId(1), &[]);
-    s.srv.probe_ended(s.now(), WorkerId(77), &[0.5, 1.0]);
+    s.srv.report_read(s.now(), WorkerId(1), &[]);
+    s.srv.report_read(s.now(), WorkerId(77), &[0.5, 1.0]);
     s.srv.load_ended(s.now(), WorkerId(77), FunctionId(1), Outcome::Ok, 1);
     s.srv.woken(s.now(), WakeId(12345));
     s.end(rpc, 0, Outcome::Ok, Copy::Untold);
