--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 use serde_json::{Map, Value};
 
 use crate::host::Host;
-use crate::records::{Belief, CallOut, Copies, Rpc, Worker};
+use crate::records::{faded, Belief, CallOut, Copies, Rpc, Worker};
 use crate::types::*;
 
 const AFFINITY_WEIGHT: f64 = 0.5;
@@ -123,8 +123,9 @@
     probes: f64,
     lanes: Usual,
     aims: Usual,
-    /// The rate of answers, per millisecond, and the most workers ready of late, which fades.
+    /// The rate of answers, per millisecond, its best of late and the most workers ready of late; these fade.
     rate: f64,
+    best_rate: f64,
     most_ready: f64,
 }
 
@@ -166,6 +167,7 @@
             lanes: Usual::default(),
             aims: Usual::default(),
             rate: 0.0,
+            best_rate: 0.0,
             most_ready: 0.0,
         };
         if new.settings.get("discovery").is_some_and(|d| d == "subscribe") {
@@ -463,7 +465,7 @@
             if !room || !self.budget_left(now, w) || !self.harmless(now, rpc, Some(w)) {
                 continue;
             }
-            let util = w.util.unwrap_or(lacking);
+            let util = faded(w.util.unwrap_or(lacking), lacking, now - w.probed, FADES);
             let idle = 1.0 - if told { util.clamp(0.0, 1.0) } else { util / (util + lacking).max(0.1) };
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
@@ -691,6 +693,7 @@
         let n = self.answered.len().min(RATE_ANSWERS);
         let over = self.answered.iter().rev().nth(n.saturating_sub(1)).map_or(Time(0), |&first| now - first);
         self.rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
+        self.best_rate = self.rate.max(self.best_rate * FADE);
         self.most_ready = (self.ready().count() as f64).max(self.most_ready * FADE);
         let keep = self.span("familyInfo", "keepAlive");
         for w in self.workers.values_mut() {
@@ -733,7 +736,7 @@
     /// answers), and what is out, in all and for the tenant. Guards against overload; should hold for what
     /// fills the workers' queues, as answers then come no faster. May hurt just after a long quiet spell.
     fn load(&self, tenant: TenantId) -> (f64, f64, f64) {
-        let usual = self.rate * TARGET * self.aims.mean;
+        let usual = self.best_rate * TARGET * self.aims.mean;
         let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
         let limit = (usual + CHANCE).max(part);
         let counts = |o: &&CallOut| o.open && o.overdue == 0;
--- a/src/records.rs
+++ b/src/records.rs
@@ -37,7 +37,7 @@
 }
 
 /// What is left of `value` above `rest` after a time, halved each `half` milliseconds.
-fn faded(value: f64, rest: f64, age: Time, half: f64) -> f64 {
+pub fn faded(value: f64, rest: f64, age: Time, half: f64) -> f64 {
     rest + (value - rest) * (-age.ms() / half).exp2()
 }
 
