--- /dev/null
+++ b/crates/curlewpoint-cli/src/commands/check.rs
@@ -0,0 +1,79 @@
+use std::path::PathBuf;
+
+use clap::Args;
+use curlewpoint_config::{Holds, BLOCKS};
+
+use super::{fail, AT_FAULT, DONE};
+
+/// Checks a configuration and starts nothing.
+#[derive(Args)]
+pub struct Check {
+    /// The configuration file.
+    #[arg(required_unless_present = "directives")]
+    config: Option<PathBuf>,
+    /// Print the settings that the decision module is handed, as JSON.
+    #[arg(long)]
+    settings: bool,
+    /// Print every directive with its default, as a page.
+    #[arg(long)]
+    directives: bool,
+}
+
+fn holds(of: Holds) -> String {
+    let words =
+        |all: &[(&str, &str)]| all.iter().map(|w| format!("`{}`", w.0)).collect::<Vec<_>>().join(", ");
+    match of {
+        Holds::Text => "a text".into(),
+        Holds::Address => "an address, `127.0.0.1:7000`".into(),
+        Holds::Time => "a time: `us`, `ms`, `s`, `min`, `h`".into(),
+        Holds::Memory => "memory: `B`, `KiB`, `MiB`, `GiB`".into(),
+        Holds::Number => "a number".into(),
+        Holds::Share => "a share: `25%` or `0.25`".into(),
+        Holds::YesNo => "`yes` or `no`".into(),
+        Holds::OneOf(all) => format!("one of {}", words(all)),
+        Holds::AnyOf(all) => format!("any of {}", words(all)),
+    }
+}
+
+fn page() -> String {
+    let mut out = String::new();
+    for block in BLOCKS {
+        let name = if block.name.is_empty() { "At the top" } else { block.name };
+        out += &format!(
+            "## {name}\n\n{}\n\n| directive | holds | default | what it is |\n| --- | --- | --- | --- |\n",
+            block.about
+        );
+        for d in block.directives {
+            let default = if d.default.is_empty() { "-".to_owned() } else { format!("`{}`", d.default) };
+            out += &format!("| `{}` | {} | {default} | {} |\n", d.name, holds(d.holds), d.about);
+        }
+        out += "\n";
+    }
+    out
+}
+
+impl Check {
+    pub fn run(self) -> u8 {
+        if self.directives {
+            print!("{}", page());
+            return DONE;
+        }
+        let path = self.config.unwrap_or_default();
+        match curlewpoint_config::load(&path) {
+            Ok(config) if self.settings => {
+                println!("{:#}", serde_json::Value::Object(config.settings()));
+                DONE
+            }
+            Ok(config) => {
+                println!(
+                    "{}: good, {} methods, {} tenants",
+                    path.display(),
+                    config.methods().len(),
+                    config.tenants().len()
+                );
+                DONE
+            }
+            Err(faults) => fail(AT_FAULT, &format!("{} faults\n{faults}", faults.count)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-cli/src/commands/serve.rs
@@ -0,0 +1,54 @@
+use std::path::PathBuf;
+
+use clap::Args;
+use tokio::signal::unix::{signal, SignalKind};
+
+use super::{block_on, fail, AT_FAULT, DONE, FAILED};
+
+/// Runs a scheduler until it is told to stop.
+///
+/// SIGTERM or SIGINT: nothing more is taken, what is open is answered, then exit 0. A second one ends it at once: what
+/// is open is aborted, exit 1.
+#[derive(Args)]
+pub struct Serve {
+    /// The configuration file.
+    config: PathBuf,
+}
+
+impl Serve {
+    pub fn run(self) -> u8 {
+        let config = match curlewpoint_config::load(&self.config) {
+            Ok(config) => config,
+            Err(faults) => return fail(AT_FAULT, &format!("nothing was started\n{faults}")),
+        };
+        crate::logging::start(config.text("log-level"), config.text("log-format") == "json");
+        block_on(async {
+            let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+            let (Ok(mut term), Ok(mut int)) = signals else {
+                return fail(FAILED, "signals cannot be watched");
+            };
+            let running = match curlewpoint_gateway::start(&config).await {
+                Ok(running) => running,
+                Err(why) => return fail(FAILED, &why.to_string()),
+            };
+            println!("serving on {}", running.address);
+            let stop = running.stopper();
+            let end = tokio::spawn(running.wait());
+            tokio::pin!(end);
+            loop {
+                tokio::select! {
+                    _ = term.recv() => stop.stop().await,
+                    _ = int.recv() => stop.stop().await,
+                    f = &mut end => {
+                        let Ok(f) = f else { return fail(FAILED, "the scheduler's task died") };
+                        println!(
+                            "stopped: taken {} ok {} denied {} aborted {} left {} refused {}",
+                            f.taken, f.ok, f.denied, f.aborted, f.left, f.refused
+                        );
+                        return if f.cut_off == 0 { DONE } else { FAILED };
+                    }
+                }
+            }
+        })
+    }
+}
--- a/crates/curlewpoint-cli/src/main.rs
+++ b/crates/curlewpoint-cli/src/main.rs
@@ -1,1 +1,48 @@
-fn main() {}
+//! The program. A sub-command a file; each returns its exit code.
+
+mod commands;
+mod logging;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// A gateway that runs calls on workers which load functions or models on demand.
+///
+/// Exit codes: 0 done; 1 it failed, or a rule was broken; 2 the command line, a configuration or a script is at fault
+/// and nothing was started; 3 the RPC ended denied; 4 it ended aborted; 5 it was refused, or no answer came.
+#[derive(Parser)]
+#[command(name = "curlewpoint", version)]
+struct Program {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    Serve(commands::serve::Serve),
+    Check(commands::check::Check),
+    Call(commands::call::Call),
+    Worker(commands::stand::Worker),
+    Store(commands::stand::Store),
+    List(commands::stand::List),
+    Day(commands::day::PlayDay),
+    Rehearse(commands::day::Rehearse),
+    Completions(commands::completions::Completions),
+}
+
+fn main() -> ExitCode {
+    let program = Program::parse();
+    let code = match program.command {
+        Command::Serve(c) => c.run(),
+        Command::Check(c) => c.run(),
+        Command::Call(c) => c.run(),
+        Command::Worker(c) => c.run(),
+        Command::Store(c) => c.run(),
+        Command::List(c) => c.run(),
+        Command::Day(c) => c.run(),
+        Command::Rehearse(c) => c.run(),
+        Command::Completions(c) => c.run(),
+    };
+    ExitCode::from(code)
+}
--- a/crates/curlewpoint-config/src/check.rs
+++ b/crates/curlewpoint-config/src/check.rs
@@ -38,6 +38,17 @@
         std::time::Duration::from_secs_f64(self.number(block, name) / 1000.0)
     }
 
+    /// The same configuration with another value at the top: one of many instances, say.
+    pub fn with(mut self, name: &'static str, value: &str) -> Config {
+        self.values.insert(("", String::new(), name), vec![value.to_owned()]);
+        self
+    }
+
+    /// A directive of a method.
+    pub fn of_method(&self, method: &str, name: &'static str) -> &str {
+        self.words("method", method, name).and_then(|w| w.first()).map_or("", String::as_str)
+    }
+
     pub fn methods(&self) -> &[String] {
         self.names.get("method").map_or(&[], Vec::as_slice)
     }
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -271,6 +271,7 @@
             d("most-back-off", Time, "2s", "", "... up to this."),
             d("most-frame", Memory, "16MiB", "", "The longest frame taken."),
             d("outbox", Memory, "32MiB", "", "Bytes that may wait to be written on one connection."),
+            d("write-limit", Time, "10s", "", "A peer that takes not a byte for so long is cut off."),
             d("outbox-frames", Number, "1024", "", "Frames that may wait to be written on one connection."),
             d("hello-limit", Time, "2s", "", "How long a peer may take for its hello."),
         ],
--- a/crates/curlewpoint-config/src/grammar.rs
+++ b/crates/curlewpoint-config/src/grammar.rs
@@ -66,8 +66,10 @@
     alt((quoted, bare)).with_span().map(|(text, span)| Word { text, span }).parse_next(i)
 }
 
+type Brace = Option<(char, Range<usize>)>;
+
 /// The words of one line, and the brace at its end, if any.
-fn line(i: &mut Input) -> ModalResult<(Vec<Word>, Option<(char, Range<usize>)>)> {
+fn line(i: &mut Input) -> ModalResult<(Vec<Word>, Brace)> {
     let blank = || take_while(0.., [' ', '\t', '\r']).void();
     let words = repeat(0.., preceded(blank(), word));
     let brace = preceded(blank(), one_of(['{', '}']).with_span());
--- /dev/null
+++ b/crates/curlewpoint-emulator/src/worker.rs
@@ -0,0 +1,558 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use curlewpoint::types::{Copy, Outcome, Time};
+use oorandom::Rand64;
+
+use crate::share::Share;
+
+/// What a worker is: units in the names, ranges in the users' pages.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerSpec {
+    pub cores: f64,
+    /// Against a core of speed 1.
+    pub speed: f64,
+    /// RPCs at work at a time.
+    pub slots: usize,
+    /// RPCs that wait; more are turned away unseen.
+    pub queue: usize,
+    pub memory_mb: f64,
+    pub loads_at_once: usize,
+    pub keep: Time,
+    /// Its capacity when it starts, against the full; it grows evenly over `cold_for`.
+    pub cold_from: f64,
+    pub cold_for: Time,
+    /// Sent more than this multiple of what it can do, over this time, it falls over while it is cold.
+    pub fall_multiple: f64,
+    pub fall: Time,
+    /// Whether it starts another copy by itself when all lanes are taken.
+    pub adds_copies: bool,
+    /// Whether it answers a miss where the function is neither loaded nor loading.
+    pub answers_miss: bool,
+}
+
+/// Who asked: the shell's number for a connection and a tag.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Caller(pub u64);
+
+/// An RPC as the worker sees it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub caller: Caller,
+    pub model: String,
+    /// Work on a core of speed 1, and the mean work of its method, in milliseconds.
+    pub work_ms: f64,
+    pub mean_ms: f64,
+    pub memory_mb: f64,
+    pub lanes: usize,
+    /// How long a load takes, unobstructed, and which part of it is the fetch.
+    pub load_ms: f64,
+    pub fetch_share: f64,
+}
+
+/// Faults that a script sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Takes RPCs and answers none.
+    pub hangs: bool,
+    /// This share fails at once.
+    pub fails: f64,
+    /// So many times slower.
+    pub slow: f64,
+    /// This share of answers is lost; the work is done.
+    pub loses: f64,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Faults { hangs: false, fails: 0.0, slow: 1.0, loses: 0.0 }
+    }
+}
+
+/// What a worker acts on.
+pub trait Neighbours {
+    /// An RPC has had its effect.
+    fn ran(&mut self, caller: Caller);
+    fn answer(&mut self, caller: Caller, outcome: Outcome, copy: Copy, held: u64);
+    fn loaded(&mut self, caller: Caller, outcome: Outcome, copies: u64);
+    /// Asks the store for a model.
+    fn fetch(&mut self, model: &str, work_ms: f64);
+    /// Pushed over while cold: the process is down and stays down.
+    fn fell(&mut self, pushed: f64, limit: f64);
+}
+
+#[derive(Default)]
+struct Model {
+    standing: usize,
+    loading: usize,
+    busy: usize,
+    idle_since: Time,
+    waiting: VecDeque<(Job, Copy)>,
+    orders: Vec<(Caller, usize)>,
+    memory_mb: f64,
+    load_ms: f64,
+    fetch_share: f64,
+}
+
+/// A worker: cores shared by what runs, slots, a bounded queue, copies with lanes in bounded memory, loads through the
+/// store, a cold start.
+pub struct WorkerModel {
+    spec: WorkerSpec,
+    rng: Rand64,
+    cold_since: Option<Time>,
+    fallen: bool,
+    faults: Faults,
+    paused_until: Time,
+    models: BTreeMap<String, Model>,
+    running: Share<(Job, Copy)>,
+    /// Starts under way after their fetch: when each is done.
+    starting: Vec<(Time, String)>,
+    /// Loads that wait for their turn, and those that fetch or start.
+    load_queue: VecDeque<String>,
+    loads_in_hand: usize,
+    arrivals: VecDeque<(Time, f64)>,
+}
+
+/// While a worker is cold or slowed, its pace is set anew this often.
+const STEP: Time = Time(200);
+
+impl WorkerModel {
+    pub fn new(spec: WorkerSpec, seed: u128, cold_since: Option<Time>) -> WorkerModel {
+        WorkerModel {
+            spec,
+            rng: Rand64::new(seed),
+            cold_since,
+            fallen: false,
+            faults: Faults::default(),
+            paused_until: Time(0),
+            models: BTreeMap::new(),
+            running: Share::default(),
+            starting: Vec::new(),
+            load_queue: VecDeque::new(),
+            loads_in_hand: 0,
+            arrivals: VecDeque::new(),
+        }
+    }
+
+    pub fn set_faults(&mut self, now: Time, faults: Faults) {
+        self.faults = faults;
+        self.set_pace(now);
+    }
+
+    /// Stands still until then.
+    pub fn pause(&mut self, now: Time, until: Time) {
+        self.paused_until = until;
+        self.set_pace(now);
+    }
+
+    /// Models that it holds from the start.
+    pub fn holds(&mut self, now: Time, model: &str, memory_mb: f64) {
+        let m = self.models.entry(model.to_owned()).or_default();
+        (m.standing, m.memory_mb, m.idle_since) = (1, memory_mb, now);
+    }
+
+    /// The model was released anew: idle copies are void.
+    pub fn released(&mut self, model: &str) {
+        if let Some(m) = self.models.get_mut(model) {
+            m.standing = m.busy.min(m.standing);
+        }
+    }
+
+    /// Its capacity now, against the full.
+    pub fn warmth(&self, now: Time) -> f64 {
+        let Some(since) = self.cold_since else { return 1.0 };
+        let grown = (now - since).0 as f64 / self.spec.cold_for.0.max(1) as f64;
+        (self.spec.cold_from + (1.0 - self.spec.cold_from) * grown).min(1.0)
+    }
+
+    /// Busy share of cores, RPCs held, share of memory that cannot be freed.
+    pub fn report(&self) -> [f64; 3] {
+        let held = self.running.len() + self.models.values().map(|m| m.waiting.len()).sum::<usize>();
+        let fixed: f64 =
+            self.models.values().map(|m| m.memory_mb * (m.loading + m.busy.min(m.standing)) as f64).sum();
+        let busy = (self.running.len() as f64 / self.spec.cores).min(1.0);
+        [busy, held as f64, fixed / self.spec.memory_mb]
+    }
+
+    fn set_pace(&mut self, now: Time) {
+        let still = self.faults.hangs || now < self.paused_until;
+        let each = (self.spec.cores / self.running.len().max(1) as f64).min(1.0);
+        let pace = self.spec.speed * self.warmth(now) * each / self.faults.slow.max(1e-3);
+        self.running.pace(now, if still { 0.0 } else { pace });
+    }
+
+    /// An RPC arrives.
+    pub fn call(&mut self, now: Time, near: &mut impl Neighbours, job: Job) {
+        if self.fallen || self.pushed_over(now, near, job.mean_ms) {
+            return;
+        }
+        let m = self.models.entry(job.model.clone()).or_default();
+        (m.memory_mb, m.load_ms, m.fetch_share) = (job.memory_mb, job.load_ms, job.fetch_share);
+        let held = self.running.keys().filter(|(j, _)| j.model == job.model).count() + m.waiting.len();
+        if self.faults.fails > 0.0 && self.rng.rand_float() < self.faults.fails {
+            // An error may have had its effect: half of them have.
+            if self.rng.rand_float() < 0.5 {
+                near.ran(job.caller);
+            }
+            return near.answer(job.caller, Outcome::Error, Copy::Untold, held as u64);
+        }
+        let waiting: usize = self.models.values().map(|m| m.waiting.len()).sum();
+        let m = self.models.get_mut(&job.model).expect("entered above");
+        let copy = match (m.standing, m.loading) {
+            (0, 0) => Copy::BeganLoad,
+            (0, _) => Copy::WaitedForLoad,
+            _ => Copy::Warm,
+        };
+        if self.spec.answers_miss && copy == Copy::BeganLoad {
+            return near.answer(job.caller, Outcome::Miss, Copy::Untold, held as u64);
+        }
+        if waiting >= self.spec.queue {
+            return near.answer(job.caller, Outcome::Full, Copy::Untold, held as u64);
+        }
+        let crowded =
+            m.standing > 0 && m.loading == 0 && m.busy >= m.standing * job.lanes && self.spec.adds_copies;
+        let model = job.model.clone();
+        // One more copy is a wish; without the first there is nothing to wait for.
+        let began = (copy == Copy::BeganLoad || crowded) && self.load(now, &model);
+        if copy == Copy::BeganLoad && !began {
+            return near.answer(job.caller, Outcome::Full, Copy::Untold, held as u64);
+        }
+        self.models.get_mut(&model).expect("entered above").waiting.push_back((job, copy));
+        self.turn(now, near);
+    }
+
+    /// Guards the rule that a cold worker is not pushed over, as the users state it: the work of any window, against
+    /// what it could do in that window as it is now.
+    fn pushed_over(&mut self, now: Time, near: &mut impl Neighbours, mean_ms: f64) -> bool {
+        let warmth = self.warmth(now);
+        if warmth >= 1.0 {
+            return false;
+        }
+        self.arrivals.push_back((now, mean_ms));
+        while self.arrivals.front().is_some_and(|(at, _)| *at + self.spec.fall <= now) {
+            self.arrivals.pop_front();
+        }
+        let pushed: f64 = self.arrivals.iter().map(|a| a.1).sum();
+        let limit =
+            self.spec.fall_multiple * warmth * self.spec.cores * self.spec.speed * self.spec.fall.ms();
+        if pushed > limit {
+            self.fallen = true;
+            near.fell(pushed, limit);
+        }
+        self.fallen
+    }
+
+    /// Nobody waits any more: what has not begun is dropped.
+    pub fn withdrawn(&mut self, caller: Caller) {
+        for m in self.models.values_mut() {
+            m.waiting.retain(|(j, _)| j.caller != caller);
+        }
+    }
+
+    /// An order to hold at least so many copies.
+    pub fn order(
+        &mut self, now: Time, near: &mut impl Neighbours, caller: Caller, model: &str, copies: usize,
+    ) {
+        let m = self.models.entry(model.to_owned()).or_default();
+        m.idle_since = now;
+        if m.memory_mb == 0.0 {
+            return near.loaded(caller, Outcome::Error, 0);
+        }
+        while self.models[model].standing + self.models[model].loading < copies {
+            if !self.load(now, model) {
+                let standing = self.models[model].standing as u64;
+                return near.loaded(caller, Outcome::Full, standing);
+            }
+        }
+        self.models.get_mut(model).expect("entered above").orders.push((caller, copies));
+        self.turn(now, near);
+    }
+
+    /// What a load of this model takes, where no RPC has told it yet.
+    pub fn knows(&mut self, model: &str, memory_mb: f64, load_ms: f64, fetch_share: f64) {
+        let m = self.models.entry(model.to_owned()).or_default();
+        (m.memory_mb, m.load_ms, m.fetch_share) = (memory_mb, load_ms, fetch_share);
+    }
+
+    pub fn unload(&mut self, model: &str) {
+        self.released(model);
+    }
+
+    /// Begins a load; false: no room for it, or too many wait.
+    fn load(&mut self, now: Time, model: &str) -> bool {
+        if self.load_queue.len() >= 2 * self.spec.loads_at_once || !self.make_room(now, model) {
+            return false;
+        }
+        self.models.get_mut(model).expect("it is known").loading += 1;
+        self.load_queue.push_back(model.to_owned());
+        true
+    }
+
+    /// Unloads idle copies, the one idle longest first, until one more copy of this model fits.
+    fn make_room(&mut self, _now: Time, model: &str) -> bool {
+        let need = self.models[model].memory_mb;
+        loop {
+            let used: f64 = self.models.values().map(|m| m.memory_mb * (m.standing + m.loading) as f64).sum();
+            if used + need <= self.spec.memory_mb {
+                return true;
+            }
+            let idle = |m: &Model| m.standing > 0 && m.busy == 0 && m.waiting.is_empty();
+            let idle = self.models.iter_mut().filter(|(name, m)| *name != model && idle(m));
+            let Some((_, m)) = idle.min_by_key(|(_, m)| m.idle_since) else { return false };
+            m.standing -= 1;
+        }
+    }
+
+    /// The store has answered a fetch.
+    pub fn fetched(&mut self, now: Time, near: &mut impl Neighbours, model: &str, ok: bool) {
+        if ok {
+            let m = &self.models[model];
+            let start = Time::from_ms(m.load_ms * (1.0 - m.fetch_share));
+            self.starting.push((now + start, model.to_owned()));
+        } else {
+            self.load_over(now, near, model, false);
+        }
+        self.turn(now, near);
+    }
+
+    fn load_over(&mut self, now: Time, near: &mut impl Neighbours, model: &str, ok: bool) {
+        self.loads_in_hand -= 1;
+        let m = self.models.get_mut(model).expect("it was loading");
+        m.loading -= 1;
+        if ok {
+            m.standing += 1;
+            m.idle_since = now;
+        } else if m.standing + m.loading == 0 {
+            for (job, _) in std::mem::take(&mut m.waiting) {
+                near.answer(job.caller, Outcome::Miss, Copy::LoadFailed, 0);
+            }
+        }
+        let (standing, loading) = (m.standing, m.loading);
+        m.orders.retain(|(caller, copies)| {
+            let stands = standing >= *copies;
+            if stands || standing + loading < *copies {
+                near.loaded(*caller, if stands { Outcome::Ok } else { Outcome::Error }, standing as u64);
+                return false;
+            }
+            true
+        });
+    }
+
+    /// Begins what can begin now.
+    fn turn(&mut self, now: Time, near: &mut impl Neighbours) {
+        while self.loads_in_hand < self.spec.loads_at_once {
+            let Some(model) = self.load_queue.pop_front() else { break };
+            self.loads_in_hand += 1;
+            let m = &self.models[&model];
+            near.fetch(&model, m.load_ms * m.fetch_share);
+        }
+        for m in self.models.values_mut() {
+            let standing = m.standing;
+            m.orders.retain(|(caller, copies)| {
+                let stands = standing >= *copies;
+                if stands {
+                    near.loaded(*caller, Outcome::Ok, standing as u64);
+                }
+                !stands
+            });
+            while self.running.len() < self.spec.slots {
+                let lanes = m.waiting.front().map_or(0, |(j, _)| j.lanes);
+                if m.busy >= m.standing * lanes {
+                    break;
+                }
+                let Some((job, copy)) = m.waiting.pop_front() else { break };
+                m.busy += 1;
+                let work = job.work_ms;
+                self.running.add(now, (job, copy), work);
+            }
+        }
+        self.set_pace(now);
+    }
+
+    /// Time has passed.
+    pub fn advance(&mut self, now: Time, near: &mut impl Neighbours) {
+        if self.fallen {
+            return;
+        }
+        for (job, copy) in self.running.done(now) {
+            let held = {
+                let m = self.models.get_mut(&job.model).expect("it ran here");
+                m.busy -= 1;
+                m.idle_since = now;
+                m.busy + m.waiting.len()
+            };
+            near.ran(job.caller);
+            if self.faults.loses == 0.0 || self.rng.rand_float() >= self.faults.loses {
+                near.answer(job.caller, Outcome::Ok, copy, held as u64);
+            }
+        }
+        let (done, left): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.starting).into_iter().partition(|s| s.0 <= now);
+        self.starting = left;
+        for (_, model) in done {
+            self.load_over(now, near, &model, true);
+        }
+        for m in self.models.values_mut() {
+            if m.busy == 0 && m.waiting.is_empty() && m.idle_since + self.spec.keep <= now {
+                m.standing = 0;
+            }
+        }
+        self.turn(now, near);
+    }
+
+    pub fn next(&self, now: Time) -> Option<Time> {
+        if self.fallen {
+            return None;
+        }
+        let changes = now < self.paused_until || self.warmth(now) < 1.0;
+        let step = (changes && !self.running.is_empty()).then_some(now + STEP);
+        let starts = self.starting.iter().map(|s| s.0).min();
+        [self.running.next(), step, starts].into_iter().flatten().min()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[derive(Default)]
+    struct Seen {
+        ran: Vec<u64>,
+        answers: Vec<(u64, Outcome, Copy)>,
+        loaded: Vec<(u64, Outcome, u64)>,
+        fetches: Vec<String>,
+        fell: bool,
+    }
+
+    impl Neighbours for Seen {
+        fn ran(&mut self, caller: Caller) {
+            self.ran.push(caller.0);
+        }
+        fn answer(&mut self, caller: Caller, outcome: Outcome, copy: Copy, _held: u64) {
+            self.answers.push((caller.0, outcome, copy));
+        }
+        fn loaded(&mut self, caller: Caller, outcome: Outcome, copies: u64) {
+            self.loaded.push((caller.0, outcome, copies));
+        }
+        fn fetch(&mut self, model: &str, _work_ms: f64) {
+            self.fetches.push(model.to_owned());
+        }
+        fn fell(&mut self, _pushed: f64, _limit: f64) {
+            self.fell = true;
+        }
+    }
+
+    const SPEC: WorkerSpec = WorkerSpec {
+        cores: 2.0,
+        speed: 1.0,
+        slots: 4,
+        queue: 3,
+        memory_mb: 250.0,
+        loads_at_once: 1,
+        keep: Time(80_000),
+        cold_from: 0.2,
+        cold_for: Time(100_000),
+        fall_multiple: 2.0,
+        fall: Time(20_000),
+        adds_copies: false,
+        answers_miss: false,
+    };
+
+    fn job(caller: u64, model: &str) -> Job {
+        let (model, caller) = (model.to_owned(), Caller(caller));
+        let (work_ms, mean_ms, memory_mb) = (100.0, 100.0, 100.0);
+        Job { caller, model, work_ms, mean_ms, memory_mb, lanes: 2, load_ms: 1000.0, fetch_share: 0.5 }
+    }
+
+    /// Lets time pass; the store answers each fetch at once.
+    fn pass(w: &mut WorkerModel, seen: &mut Seen, mut now: Time, until: Time) {
+        loop {
+            for model in std::mem::take(&mut seen.fetches) {
+                w.fetched(now, seen, &model, true);
+            }
+            match w.next(now).filter(|at| *at <= until) {
+                Some(at) => now = at.max(now),
+                None => return,
+            }
+            w.advance(now, seen);
+        }
+    }
+
+    #[test]
+    fn an_rpc_waits_for_the_load_that_it_began_and_the_next_ones_with_it() {
+        let (mut w, mut seen) = (WorkerModel::new(SPEC, 1, None), Seen::default());
+        w.call(Time(0), &mut seen, job(1, "a"));
+        w.call(Time(0), &mut seen, job(2, "a"));
+        pass(&mut w, &mut seen, Time(0), Time(6_000));
+        assert_eq!(seen.answers, [(1, Outcome::Ok, Copy::BeganLoad), (2, Outcome::Ok, Copy::WaitedForLoad)]);
+        w.call(Time(7_000), &mut seen, job(3, "a"));
+        pass(&mut w, &mut seen, Time(7_000), Time(9_000));
+        assert_eq!(seen.answers[2], (3, Outcome::Ok, Copy::Warm));
+        assert_eq!(seen.ran, [1, 2, 3]);
+    }
+
+    #[test]
+    fn beyond_its_queue_it_turns_away_and_what_is_withdrawn_does_not_run() {
+        let (mut w, mut seen) = (WorkerModel::new(SPEC, 1, None), Seen::default());
+        (1..=4).for_each(|i| w.call(Time(0), &mut seen, job(i, "a")));
+        assert_eq!(seen.answers, [(4, Outcome::Full, Copy::Untold)]);
+        w.withdrawn(Caller(2));
+        pass(&mut w, &mut seen, Time(0), Time(9_000));
+        assert_eq!(seen.ran, [1, 3]);
+    }
+
+    #[test]
+    fn a_load_makes_room_by_the_longest_idle_and_none_is_made_of_what_is_at_work() {
+        let (mut w, mut seen) = (WorkerModel::new(SPEC, 1, None), Seen::default());
+        w.holds(Time(0), "a", 100.0);
+        w.holds(Time(5), "b", 100.0);
+        w.call(Time(10), &mut seen, job(1, "c"));
+        pass(&mut w, &mut seen, Time(10), Time(5_500));
+        w.call(Time(5_600), &mut seen, job(2, "b"));
+        pass(&mut w, &mut seen, Time(5_600), Time(9_000));
+        assert_eq!(seen.answers[1], (2, Outcome::Ok, Copy::Warm), "b had been idle for less long than a");
+        w.call(Time(9_100), &mut seen, job(3, "b"));
+        w.call(Time(9_100), &mut seen, job(4, "c"));
+        w.call(Time(9_100), &mut seen, job(5, "d"));
+        assert_eq!(seen.answers.last(), Some(&(5, Outcome::Full, Copy::Untold)));
+    }
+
+    #[test]
+    fn a_failed_load_misses_those_that_waited_and_fails_the_order() {
+        let (mut w, mut seen) = (WorkerModel::new(SPEC, 1, None), Seen::default());
+        w.call(Time(0), &mut seen, job(1, "a"));
+        w.order(Time(0), &mut seen, Caller(9), "a", 1);
+        w.fetched(Time(100), &mut seen, "a", false);
+        assert_eq!(seen.answers, [(1, Outcome::Miss, Copy::LoadFailed)]);
+        assert_eq!(seen.loaded, [(9, Outcome::Error, 0)]);
+    }
+
+    #[test]
+    fn a_cold_worker_that_is_pushed_falls_over_and_a_warm_one_does_not() {
+        // 2 x 0.2 x 2 cores x 2000 ms: 16 RPCs of 100 ms may come in a window.
+        let (mut cold, mut seen) = (WorkerModel::new(SPEC, 1, Some(Time(0))), Seen::default());
+        (0..16).for_each(|i| cold.call(Time(0), &mut seen, job(i, "a")));
+        assert!(!seen.fell);
+        cold.call(Time(0), &mut seen, job(17, "a"));
+        assert!(seen.fell);
+        let (mut warm, mut seen) = (WorkerModel::new(SPEC, 1, None), Seen::default());
+        (0..99).for_each(|i| warm.call(Time(0), &mut seen, job(i, "a")));
+        assert!(!seen.fell);
+    }
+
+    #[test]
+    fn lost_answers_have_run_and_a_hanging_worker_goes_on_afterwards() {
+        let (mut w, mut seen) = (WorkerModel::new(SPEC, 1, None), Seen::default());
+        w.holds(Time(0), "a", 100.0);
+        w.set_faults(Time(0), Faults { loses: 1.0, ..Faults::default() });
+        w.call(Time(0), &mut seen, job(1, "a"));
+        pass(&mut w, &mut seen, Time(0), Time(2_000));
+        assert_eq!((seen.ran.len(), seen.answers.len()), (1, 0));
+        w.set_faults(Time(2_000), Faults { hangs: true, ..Faults::default() });
+        w.call(Time(2_000), &mut seen, job(2, "a"));
+        pass(&mut w, &mut seen, Time(2_000), Time(9_000));
+        assert_eq!(seen.ran.len(), 1);
+        w.set_faults(Time(9_000), Faults::default());
+        pass(&mut w, &mut seen, Time(9_000), Time(11_000));
+        assert_eq!(seen.answers, [(2, Outcome::Ok, Copy::Warm)]);
+    }
+}
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -89,6 +89,8 @@
     pub probes: u64,
     /// Answered here because the module had said nothing in time.
     pub guarded: u64,
+    /// Open when this scheduler ended, and aborted for that.
+    pub cut_off: u64,
     /// Asked for by the module and passed over.
     pub passed_over: u64,
 }
@@ -522,8 +524,19 @@
         desk
     }
 
+    /// What is open is answered now: this scheduler ends.
+    pub fn abort_all(&mut self, now: Time) {
+        let open: Vec<RpcId> = self.desk(now).tags.values().copied().collect();
+        for id in open {
+            self.module.host().figures.cut_off += 1;
+            self.module.host().answer(id, Answer::Aborted, "the scheduler ends", Time(0), Bytes::new());
+            self.end_rpc(now, id);
+        }
+    }
+
     /// Tells the module of ends until none is left.
-    fn settle(&mut self, now: Time) {
+    pub fn settle(&mut self, now: Time) {
+        self.desk(now);
         loop {
             let desk = self.module.host();
             while let Some((id, outcome)) = desk.world.ended() {
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -248,6 +248,22 @@
         self.settle_waiting(wires, worker, Outcome::ConnectFailed);
     }
 
+    /// Whether an errand is out on this connection.
+    pub fn is_on(&self, errand: ErrandId, conn: ConnId) -> bool {
+        self.whereabouts.get(&errand).is_some_and(|(_, on)| *on == Some(conn))
+    }
+
+    /// Lets `say` use a connection that is up, for what needs no answer; where none is, nothing is said.
+    pub fn tell<W: Wires<P>>(
+        &mut self, now: Time, wires: &mut W, worker: WorkerId, say: impl FnOnce(&mut W, ConnId),
+    ) {
+        let Some(line) = self.lines.get(&worker) else { return };
+        if let Some(conn) = line.conns.iter().find(|c| self.conns[*c].state == State::Up) {
+            say(wires, *conn);
+            self.conns.get_mut(conn).into_iter().for_each(|c| c.idle_since = now);
+        }
+    }
+
     /// An errand was answered.
     pub fn answered(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) {
         let Some((_, Some(conn))) = self.whereabouts.remove(&errand) else { return };
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -0,0 +1,101 @@
+use std::sync::Arc;
+
+use curlewpoint_engine::ClientId;
+use curlewpoint_link::{open, Bounds, Link};
+use curlewpoint_wire::{Field, Frame, Kind};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio_stream::StreamExt;
+use tokio_util::task::TaskTracker;
+use tracing::{debug, info, warn};
+
+use crate::outside::Client;
+use crate::run::Note;
+
+/// Takes clients' connections, up to a number at a time.
+pub(crate) async fn accept(
+    listener: TcpListener, most: usize, name: String, bounds: Bounds, notes: mpsc::Sender<Note>,
+    tasks: TaskTracker,
+) {
+    let room = Arc::new(Semaphore::new(most));
+    // Those turned away take a task each for as long as their word takes, up to as many again.
+    let turning = Arc::new(Semaphore::new(most.max(16)));
+    let mut next = 0;
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                // Out of descriptors, most likely: those in use go on, and closing ones make room.
+                warn!("a connection could not be accepted: {e}");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let (name, notes) = (name.clone(), notes.clone());
+        match Arc::clone(&room).try_acquire_owned() {
+            Ok(place) => {
+                next += 1;
+                tasks.spawn(client(ClientId(next), stream, name, bounds, notes, place));
+            }
+            Err(_) => {
+                info!(%peer, "turned away: {most} clients are connected");
+                if let Ok(place) = Arc::clone(&turning).try_acquire_owned() {
+                    tasks.spawn(turn_away(stream, name, bounds, place));
+                }
+            }
+        }
+    }
+}
+
+async fn turn_away(stream: TcpStream, name: String, bounds: Bounds, place: OwnedSemaphorePermit) {
+    if let Ok(link) = open(stream, &name, bounds).await {
+        let _ = link.outbox.send(Frame::new(Kind::FAULT).text(Field::WHY, "too many connections"), None);
+        drop(link.outbox);
+        let _ = link.writer.await;
+    }
+    drop(place);
+}
+
+async fn client(
+    id: ClientId, stream: TcpStream, name: String, bounds: Bounds, notes: mpsc::Sender<Note>,
+    _place: OwnedSemaphorePermit,
+) {
+    let Link { outbox, mut reader, mut writer, peer } = match open(stream, &name, bounds).await {
+        Ok(link) => link,
+        Err(why) => return info!(client = id.0, "no hello from a client: {why}"),
+    };
+    debug!(client = id.0, peer, "client connected");
+    let client = Client { outbox: outbox.clone(), writer: writer.abort_handle(), leaving: false };
+    if notes.send(Note::ClientIn(id, client)).await.is_err() {
+        return;
+    }
+    let mut writing = true;
+    loop {
+        let next = tokio::select! {
+            next = reader.next() => next,
+            _ = &mut writer => {
+                writing = false;
+                break;
+            }
+        };
+        match next {
+            // A full channel holds back this client alone.
+            Some(Ok(frame)) => {
+                if notes.send(Note::Client(id, frame)).await.is_err() {
+                    break;
+                }
+            }
+            Some(Err(e)) => {
+                info!(client = id.0, peer, "closed: {e}");
+                let _ = outbox.send(Frame::new(Kind::FAULT).text(Field::WHY, &e.to_string()), None);
+                break;
+            }
+            None => break,
+        }
+    }
+    drop(outbox);
+    let _ = notes.send(Note::ClientOut(id)).await;
+    if writing {
+        let _ = writer.await;
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/codes.rs
@@ -0,0 +1,72 @@
+//! The numbers that stand for outcomes, answers and the like in the protocol's fields.
+
+use curlewpoint::types::{Copy, Outcome, Standing};
+use curlewpoint_engine::{Answer, Refusal};
+use curlewpoint_wire::{Field, Frame, WireError};
+
+fn code<T: std::marker::Copy + PartialEq>(all: &[T], of: T) -> u64 {
+    all.iter().position(|x| *x == of).map_or(0, |no| no as u64)
+}
+
+fn read<T: std::marker::Copy>(
+    frame: &Frame, field: Field, all: &[T], what: &'static str,
+) -> Result<T, WireError> {
+    let no = frame.get_int(field)?;
+    all.get(no as usize).copied().ok_or(WireError::NotA(frame.kind.0, field.0, what))
+}
+
+/// What a worker may answer.
+const OUTCOMES: [Outcome; 4] = [Outcome::Ok, Outcome::Error, Outcome::Full, Outcome::Miss];
+const COPIES: [Copy; 5] = [Copy::Untold, Copy::Warm, Copy::BeganLoad, Copy::WaitedForLoad, Copy::LoadFailed];
+const STANDINGS: [Standing; 3] = [Standing::Ready, Standing::Draining, Standing::Gone];
+const ANSWERS: [Answer; 3] = [Answer::Ok, Answer::Denied, Answer::Aborted];
+
+pub fn outcome_code(of: Outcome) -> u64 {
+    code(&OUTCOMES, of)
+}
+
+pub(crate) fn outcome(frame: &Frame) -> Result<Outcome, WireError> {
+    read(frame, Field::OUTCOME, &OUTCOMES, "an outcome")
+}
+
+pub fn copy_code(of: Copy) -> u64 {
+    code(&COPIES, of)
+}
+
+pub(crate) fn copy(frame: &Frame) -> Result<Copy, WireError> {
+    if frame.has(Field::COPY) {
+        read(frame, Field::COPY, &COPIES, "word of a copy")
+    } else {
+        Ok(Copy::Untold)
+    }
+}
+
+pub fn standing_code(of: Standing) -> u64 {
+    code(&STANDINGS, of)
+}
+
+pub(crate) fn standing(frame: &Frame) -> Result<Standing, WireError> {
+    read(frame, Field::STANDING, &STANDINGS, "a standing")
+}
+
+pub fn answer_code(of: Answer) -> u64 {
+    code(&ANSWERS, of)
+}
+
+/// The final answer that a frame tells a client.
+pub fn answer_of(frame: &Frame) -> Result<Answer, WireError> {
+    read(frame, Field::OUTCOME, &ANSWERS, "an answer")
+}
+
+/// Why an RPC was not taken, as a client reads it.
+pub fn refusal_name(of: Refusal) -> &'static str {
+    match of {
+        Refusal::NoSuchMethod => "no-such-method",
+        Refusal::NoSuchTenant => "no-such-tenant",
+        Refusal::Full => "full",
+        Refusal::NoTime => "no-time",
+        Refusal::Stopping => "stopping",
+        Refusal::TagInUse => "tag-in-use",
+        Refusal::BadModel => "bad-model",
+    }
+}
--- a/crates/curlewpoint-gateway/src/lib.rs
+++ b/crates/curlewpoint-gateway/src/lib.rs
@@ -1,1 +1,12 @@
+//! The daemon: doors for clients, connections to workers, the list. It moves bytes and nothing else: one task owns the
+//! [`Engine`](curlewpoint_engine::Engine), all others read or write a connection and speak with it by channels.
 
+mod clients;
+mod codes;
+mod list;
+mod outside;
+mod run;
+mod workers;
+
+pub use codes::{answer_code, answer_of, copy_code, outcome_code, refusal_name, standing_code};
+pub use run::{start, Running, StartError, Stopper};
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/list.rs
@@ -0,0 +1,68 @@
+use std::time::Duration;
+
+use curlewpoint_link::{open, Bounds};
+use curlewpoint_wire::WireError;
+use oorandom::Rand64;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use tokio_stream::StreamExt;
+use tracing::info;
+
+use crate::run::Note;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const MOST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Keeps a connection to the list service. While there is none the list held goes on to be used; dials pause longer
+/// each time, with jitter, so that a service that comes back is not met by the whole fleet in step.
+pub(crate) async fn follow(
+    address: String, name: String, bounds: Bounds, dial: Duration, notes: mpsc::Sender<Note>, seed: u128,
+) {
+    let mut rng = Rand64::new(seed);
+    let mut pause = FIRST_PAUSE;
+    let mut said = false;
+    loop {
+        let dialled = timeout(dial, async {
+            let stream = TcpStream::connect(&address).await.map_err(WireError::from)?;
+            open(stream, &name, bounds).await
+        });
+        match dialled.await {
+            Ok(Ok(mut link)) => {
+                info!(address, "list service connected");
+                (pause, said) = (FIRST_PAUSE, false);
+                if notes.send(Note::ListUp(link.outbox)).await.is_err() {
+                    return;
+                }
+                loop {
+                    match link.reader.next().await {
+                        Some(Ok(frame)) => {
+                            if notes.send(Note::List(frame)).await.is_err() {
+                                return;
+                            }
+                        }
+                        Some(Err(e)) => {
+                            info!(address, "list service: {e}");
+                            break;
+                        }
+                        None => break,
+                    }
+                }
+                if notes.send(Note::ListBroke).await.is_err() {
+                    return;
+                }
+                info!(address, "list service lost: the list held goes on to be used");
+            }
+            failed if !said => {
+                said = true;
+                let why = failed.map_or("no connection in time".to_owned(), |r| {
+                    r.err().map_or(String::new(), |e| e.to_string())
+                });
+                info!(address, "list service not reached: {why}");
+            }
+            _ => {}
+        }
+        sleep(pause.mul_f64(0.5 + 0.5 * rng.rand_float())).await;
+        pause = (pause * 2).min(MOST_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -0,0 +1,225 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use curlewpoint::types::{Outcome, RpcId, Time, WorkerId};
+use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
+use curlewpoint_link::{Outbox, Ticket};
+use curlewpoint_wire::{Field, Frame, Kind};
+use tokio::task::AbortHandle;
+use tracing::{debug, info};
+
+use crate::codes::answer_code;
+use crate::workers::Dialler;
+
+/// A client's connection, as the engine's task sees it.
+pub(crate) struct Client {
+    pub outbox: Outbox,
+    pub writer: AbortHandle,
+    /// It has said that it sends nothing more; all that it sent before has been read.
+    pub leaving: bool,
+}
+
+/// Sockets towards workers, as the pool acts on them.
+pub(crate) struct Sockets {
+    dialler: Dialler,
+    outboxes: BTreeMap<ConnId, Outbox>,
+    tickets: BTreeMap<ErrandId, Ticket>,
+    ended: VecDeque<(ErrandId, Outcome)>,
+}
+
+impl Wires<Frame> for Sockets {
+    fn dial(&mut self, conn: ConnId, worker: WorkerId, address: &str) {
+        debug!(conn = conn.0, worker = worker.0, address, "dialling");
+        self.dialler.dial(conn, address.to_owned());
+    }
+
+    fn send(&mut self, conn: ConnId, errand: ErrandId, payload: &Frame) -> bool {
+        let Some(outbox) = self.outboxes.get(&conn) else { return false };
+        let ticket = Ticket::default();
+        let sent = outbox.send(payload.clone(), Some(ticket.clone())).is_ok();
+        if sent {
+            self.tickets.insert(errand, ticket);
+        }
+        sent
+    }
+
+    fn take_back(&mut self, conn: ConnId, errand: ErrandId) -> bool {
+        let untouched = self.tickets.remove(&errand).is_some_and(|t| t.take_back());
+        if let (false, Some(outbox)) = (untouched, self.outboxes.get(&conn)) {
+            // The worker may be spared what nobody waits for; where its outbox is full it is not told.
+            let _ = outbox.send(Frame::new(Kind::WITHDRAW).int(Field::TAG, errand.0), None);
+        }
+        untouched
+    }
+
+    fn close(&mut self, conn: ConnId) {
+        self.outboxes.remove(&conn);
+    }
+
+    fn ended(&mut self, errand: ErrandId, outcome: Outcome) {
+        self.tickets.remove(&errand);
+        self.ended.push_back((errand, outcome));
+    }
+}
+
+/// What the engine acts through.
+pub(crate) struct Outside {
+    /// This run of this instance; it names RPCs in logs and at workers.
+    pub run: String,
+    pub clients: BTreeMap<ClientId, Client>,
+    /// Clients that did not read their answers and have been cut off.
+    pub lost: Vec<ClientId>,
+    pub list: Option<Outbox>,
+    pool: Pool<Frame>,
+    sockets: Sockets,
+}
+
+impl Outside {
+    pub fn new(run: String, pool: Pool<Frame>, dialler: Dialler) -> Outside {
+        let (outboxes, tickets, ended) = Default::default();
+        let sockets = Sockets { dialler, outboxes, tickets, ended };
+        Outside { run, clients: BTreeMap::new(), lost: Vec::new(), list: None, pool, sockets }
+    }
+
+    /// Sends to a client; one whose outbox is full does not read, and is cut off rather than waited for.
+    pub fn tell_client(&mut self, id: ClientId, frame: Frame) {
+        let Some(client) = self.clients.get(&id) else { return };
+        if client.outbox.send(frame, None).is_err() {
+            info!(client = id.0, "cut off: it does not read its answers");
+            client.writer.abort();
+            self.clients.remove(&id);
+            self.lost.push(id);
+        }
+    }
+
+    pub fn conn_up(&mut self, now: Time, conn: ConnId, outbox: Outbox) {
+        self.sockets.outboxes.insert(conn, outbox);
+        self.pool.conn_up(now, &mut self.sockets, conn);
+    }
+
+    pub fn conn_failed(&mut self, now: Time, conn: ConnId) {
+        self.pool.conn_failed(now, &mut self.sockets, conn);
+    }
+
+    pub fn conn_broken(&mut self, conn: ConnId) {
+        self.pool.conn_broken(&mut self.sockets, conn);
+        self.sockets.outboxes.remove(&conn);
+    }
+
+    pub fn conn_leaves(&mut self, conn: ConnId) {
+        self.pool.leave(&mut self.sockets, conn);
+    }
+
+    /// An answer came on this connection; false: nothing was asked there under this number, or it has ended since.
+    pub fn answered(&mut self, now: Time, conn: ConnId, errand: ErrandId) -> bool {
+        let asked = self.pool.is_on(errand, conn);
+        if asked {
+            self.sockets.tickets.remove(&errand);
+            self.pool.answered(now, &mut self.sockets, errand);
+        }
+        asked
+    }
+
+    pub fn sweep(&mut self, now: Time) {
+        self.pool.sweep(now, &mut self.sockets);
+    }
+
+    pub fn conns(&self) -> usize {
+        self.pool.conns()
+    }
+
+    fn rpc_name(&self, rpc: RpcId) -> String {
+        format!("{}.{}", self.run, rpc.0)
+    }
+}
+
+impl World for Outside {
+    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
+        let frame = match errand {
+            Errand::CallOut { rpc, no, method, model, tenant, token, left, body } => {
+                let name = self.rpc_name(rpc);
+                debug!(rpc = name, no = no.0, worker = worker.0, "call-out");
+                let mut f = Frame::new(Kind::CALL_OUT)
+                    .int(Field::TAG, id.0)
+                    .text(Field::RPC, &name)
+                    .int(Field::NO, no.0 as u64)
+                    .text(Field::METHOD, method)
+                    .text(Field::MODEL, model)
+                    .text(Field::TENANT, tenant)
+                    .int(Field::LEFT, left.0);
+                if let Some(token) = token {
+                    f = f.text(Field::TOKEN, token);
+                }
+                f.body(body.clone())
+            }
+            Errand::Load { model, copies } => {
+                let f = Frame::new(Kind::LOAD).int(Field::TAG, id.0).text(Field::MODEL, model);
+                f.int(Field::COPIES, copies)
+            }
+            Errand::Probe => Frame::new(Kind::PROBE).int(Field::TAG, id.0),
+        };
+        self.pool.errand(now, &mut self.sockets, worker, id, frame);
+    }
+
+    fn take_back(&mut self, now: Time, id: ErrandId) -> bool {
+        self.pool.take_back(now, &mut self.sockets, id)
+    }
+
+    fn answer(
+        &mut self, rpc: RpcId, client: ClientId, tag: u64, answer: Answer, why: &str, retry_after: Time,
+        body: Bytes,
+    ) {
+        let name = self.rpc_name(rpc);
+        match answer {
+            Answer::Ok => debug!(rpc = name, client = client.0, tag, "ok"),
+            _ => info!(rpc = name, client = client.0, tag, "{answer:?}: {why}"),
+        }
+        let mut f = Frame::new(Kind::FINAL).int(Field::TAG, tag).int(Field::OUTCOME, answer_code(answer));
+        f = f.text(Field::RPC, &name);
+        if answer != Answer::Ok {
+            f = f.text(Field::WHY, why);
+        }
+        if retry_after > Time(0) {
+            f = f.int(Field::RETRY_AFTER, retry_after.0);
+        }
+        self.tell_client(client, f.body(body));
+    }
+
+    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+        self.sockets.ended.pop_front()
+    }
+
+    fn unload(&mut self, now: Time, worker: WorkerId, model: &str) {
+        self.pool.tell(now, &mut self.sockets, worker, |sockets, conn| {
+            if let Some(outbox) = sockets.outboxes.get(&conn) {
+                let _ = outbox.send(Frame::new(Kind::UNLOAD).text(Field::MODEL, model), None);
+            }
+        });
+    }
+
+    fn watch_list(&mut self, held: Option<(u64, u64)>) {
+        let mut frame = Frame::new(Kind::WATCH);
+        if let Some((epoch, version)) = held {
+            frame = frame.int(Field::EPOCH, epoch).int(Field::LIST_VERSION, version);
+        }
+        if let Some(outbox) = &self.list {
+            let _ = outbox.send(frame, None);
+        }
+    }
+
+    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str) {
+        debug!(worker = worker.0, name, address, "listed");
+        self.pool.worker_at(now, &mut self.sockets, worker, address);
+    }
+
+    fn worker_gone(&mut self, _now: Time, worker: WorkerId) {
+        self.pool.worker_gone(&mut self.sockets, worker);
+    }
+
+    fn log(&mut self, rpc: Option<RpcId>, line: &str) {
+        match rpc {
+            Some(rpc) => info!(rpc = self.rpc_name(rpc), "{line}"),
+            None => info!("{line}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -0,0 +1,379 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use curlewpoint::types::{Copy, Outcome, Time};
+use curlewpoint_config::Config;
+use curlewpoint_engine::{ClientId, ConnId, Engine, ErrandId, Figures, Pool, PoolLimits};
+use curlewpoint_link::{Bounds, Outbox};
+use curlewpoint_wire::{Field, Frame, Kind, WireError};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+use tracing::{info, warn};
+
+use crate::outside::{Client, Outside};
+use crate::workers::Dialler;
+use crate::{clients, codes, list};
+
+/// What the tasks around connections tell the one that owns the engine.
+pub(crate) enum Note {
+    ClientIn(ClientId, Client),
+    Client(ClientId, Frame),
+    ClientOut(ClientId),
+    /// A connection to a worker is up, could not be opened, brought a frame, has broken.
+    Up(ConnId, Outbox),
+    Down(ConnId),
+    Worker(ConnId, Frame),
+    Broken(ConnId),
+    ListUp(Outbox),
+    List(Frame),
+    ListBroke,
+    /// Take nothing more, answer what is open; at a second one, end at once.
+    Stop,
+}
+
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("cannot listen on {0}: {1}")]
+    Listen(String, std::io::Error),
+}
+
+/// Notes that wait for the engine's task; beyond these their senders wait.
+const WAITING: usize = 4096;
+/// Notes taken in a turn, before time is looked at again.
+const TURN: usize = 256;
+const SWEEP: Duration = Duration::from_secs(1);
+/// At the end, answers get so long to leave.
+const LAST_WRITES: Duration = Duration::from_secs(2);
+/// After a stop, how long clients may take to say that they send nothing more.
+const LEAVE: Duration = Duration::from_secs(2);
+/// The clock starts a day on, so that the start of a worker older than this process lies on it.
+const DAY: Time = Time(864_000_000);
+
+#[derive(Clone, Copy)]
+struct Clock(Instant);
+
+impl Clock {
+    fn now(&self) -> Time {
+        DAY + Time((self.0.elapsed().as_micros() / 100) as u64)
+    }
+
+    fn until(&self, at: Time) -> Duration {
+        Duration::from_micros((at - self.now()).0 * 100)
+    }
+}
+
+/// A scheduler that serves.
+pub struct Running {
+    pub address: SocketAddr,
+    stop: mpsc::Sender<Note>,
+    end: JoinHandle<Figures>,
+    helpers: [AbortHandle; 2],
+}
+
+/// Ends a scheduler from elsewhere.
+#[derive(Clone)]
+pub struct Stopper(mpsc::Sender<Note>);
+
+impl Stopper {
+    /// Asks for an orderly end; a second time, for one at once.
+    pub async fn stop(&self) {
+        let _ = self.0.send(Note::Stop).await;
+    }
+}
+
+impl Running {
+    pub fn stopper(&self) -> Stopper {
+        Stopper(self.stop.clone())
+    }
+
+    pub async fn stop(&self) {
+        self.stopper().stop().await;
+    }
+
+    /// Waits for the end, and tells where every RPC went.
+    pub async fn wait(self) -> Figures {
+        let figures = self.end.await.unwrap_or_default();
+        self.helpers.iter().for_each(AbortHandle::abort);
+        figures
+    }
+}
+
+/// Starts a scheduler. It serves from the moment this returns; the list may come later.
+pub async fn start(config: &Config) -> Result<Running, StartError> {
+    let listen = config.text("listen").to_owned();
+    let bound = TcpListener::bind(&listen).await;
+    let listener = bound.map_err(|e| StartError::Listen(listen.clone(), e))?;
+    let address = listener.local_addr().map_err(|e| StartError::Listen(listen, e))?;
+    let of = |name| config.number("connections", name);
+    let bounds = Bounds {
+        frame: of("most-frame") as usize,
+        outbox: (of("outbox-frames") as usize, of("outbox") as usize),
+        hello: config.time("connections", "hello-limit"),
+        write: config.time("connections", "write-limit"),
+    };
+    let seed = match config.value("", "seed") {
+        Some(_) => u128::from(config.number("", "seed") as u64),
+        None => {
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_nanos())
+        }
+    };
+    let name = config.text("name").to_owned();
+    info!(name, %address, seed = %seed, "serving");
+
+    let (answers_in, answers) = mpsc::channel(WAITING);
+    let (asks_in, asks) = mpsc::channel(WAITING);
+    let dial = config.time("connections", "dial-limit");
+    let dialler = Dialler { name: name.clone(), bounds, limit: dial, notes: answers_in.clone() };
+    let ms = |name| Time::from_ms(of(name));
+    let limits = PoolLimits {
+        streams: of("streams") as usize,
+        conns: of("to-worker") as usize,
+        idle: ms("idle"),
+        back_off: (ms("back-off"), ms("most-back-off")),
+    };
+    let run = format!("{name}.{:08x}", oorandom::Rand64::new(seed).rand_u64() as u32);
+    let outside = Outside::new(run, Pool::new(limits, seed), dialler);
+    let clock = Clock(Instant::now());
+    let engine = Engine::start(clock.now(), outside, seed, config.settings());
+
+    let tasks = TaskTracker::new();
+    let most = of("clients") as usize;
+    let accepting = clients::accept(listener, most, name.clone(), bounds, asks_in.clone(), tasks.clone());
+    let accepting = tokio::spawn(accepting).abort_handle();
+    let following = list::follow(config.text("list").to_owned(), name, bounds, dial, answers_in, seed);
+    let following = tokio::spawn(following).abort_handle();
+    let turn = Turn { engine, clock, accepting: accepting.clone(), ending: None, over: false };
+    let end = tokio::spawn(turn.run(answers, asks, tasks, config.time("", "stop-limit")));
+    Ok(Running { address, stop: asks_in, end, helpers: [accepting, following] })
+}
+
+struct Ending {
+    /// Until then clients may say that they send nothing more.
+    leave: Instant,
+    /// The end of it all at the latest.
+    limit: Instant,
+}
+
+/// The task that owns the engine.
+struct Turn {
+    engine: Engine<Outside>,
+    clock: Clock,
+    accepting: AbortHandle,
+    /// A stop that was asked for.
+    ending: Option<Ending>,
+    over: bool,
+}
+
+impl Turn {
+    async fn run(
+        mut self, mut answers: mpsc::Receiver<Note>, mut asks: mpsc::Receiver<Note>, tasks: TaskTracker,
+        stop_limit: Duration,
+    ) -> Figures {
+        let (mut notes, mut asked) = (Vec::with_capacity(TURN), Vec::with_capacity(TURN));
+        let mut swept = Instant::now();
+        loop {
+            let wake = self.engine.next_wake().map_or(SWEEP, |at| self.clock.until(at)).min(SWEEP);
+            // Answers before asks: they end what is held, and there are no more of them than were asked for.
+            tokio::select! {
+                biased;
+                _ = answers.recv_many(&mut notes, TURN) => {}
+                _ = asks.recv_many(&mut asked, TURN) => {}
+                () = tokio::time::sleep(wake) => {}
+            }
+            for note in notes.drain(..).chain(asked.drain(..)) {
+                self.note(note, stop_limit);
+            }
+            let now = self.clock.now();
+            self.engine.advance(now);
+            for client in std::mem::take(&mut self.engine.world().lost) {
+                self.engine.client_gone(now, client);
+            }
+            if swept.elapsed() >= SWEEP {
+                swept = Instant::now();
+                self.engine.world().sweep(now);
+            }
+            if self.is_over() {
+                break;
+            }
+        }
+        let open = self.engine.open();
+        if open > 0 {
+            warn!(open, "ended with RPCs open: they are aborted");
+            self.engine.abort_all(self.clock.now());
+        }
+        // Dropping the outboxes lets the writers finish and close.
+        self.engine.world().clients.clear();
+        tasks.close();
+        let _ = timeout(LAST_WRITES, tasks.wait()).await;
+        let f = self.engine.figures();
+        let conns = self.engine.world().conns();
+        info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.call_outs, conns, "stopped");
+        f
+    }
+
+    /// A stop is over once nothing is open and no client can have sent what was not read: each has said that it sends
+    /// nothing more, has gone, or has not said so in its time.
+    fn is_over(&mut self) -> bool {
+        let Some(ending) = &self.ending else { return false };
+        let (now, leave, limit) = (Instant::now(), ending.leave, ending.limit);
+        let gone = now >= leave || self.engine.world().clients.values().all(|c| c.leaving);
+        self.over || now >= limit || (gone && self.engine.open() == 0)
+    }
+
+    fn note(&mut self, note: Note, stop_limit: Duration) {
+        let now = self.clock.now();
+        let engine = &mut self.engine;
+        match note {
+            Note::ClientIn(id, client) => {
+                engine.world().clients.insert(id, client);
+                if self.ending.is_some() {
+                    engine.world().tell_client(id, Frame::new(Kind::GO_AWAY));
+                }
+            }
+            Note::ClientOut(id) => {
+                engine.world().clients.remove(&id);
+                engine.client_gone(now, id);
+            }
+            Note::Client(id, frame) => {
+                // What a client sent before it was cut off is void with it.
+                if engine.world().clients.contains_key(&id) {
+                    if let Err(e) = self.client(now, id, frame) {
+                        self.close_client(now, id, &e);
+                    }
+                }
+            }
+            Note::Up(conn, outbox) => {
+                engine.world().conn_up(now, conn, outbox);
+                engine.settle(now);
+            }
+            Note::Down(conn) => {
+                engine.world().conn_failed(now, conn);
+                engine.settle(now);
+            }
+            Note::Broken(conn) => {
+                engine.world().conn_broken(conn);
+                engine.settle(now);
+            }
+            Note::Worker(conn, frame) => {
+                if let Err(e) = self.worker(now, conn, &frame) {
+                    info!(conn = conn.0, "connection to a worker closed: {e}");
+                    self.engine.world().conn_broken(conn);
+                    self.engine.settle(now);
+                }
+            }
+            Note::ListUp(outbox) => {
+                engine.world().list = Some(outbox);
+                engine.list_up();
+            }
+            Note::List(frame) => {
+                if let Err(e) = self.list(now, &frame) {
+                    info!("list service: {e}");
+                    self.engine.world().list = None;
+                    self.engine.list_broke();
+                }
+            }
+            Note::ListBroke => {
+                engine.world().list = None;
+                engine.list_broke();
+            }
+            Note::Stop if self.ending.is_some() => self.over = true,
+            Note::Stop => {
+                info!(open = engine.open(), "stopping: nothing more is taken");
+                let now = Instant::now();
+                self.ending = Some(Ending { leave: now + LEAVE.min(stop_limit), limit: now + stop_limit });
+                self.accepting.abort();
+                engine.stop_taking();
+                let all: Vec<ClientId> = engine.world().clients.keys().copied().collect();
+                for id in all {
+                    engine.world().tell_client(id, Frame::new(Kind::GO_AWAY));
+                }
+            }
+        }
+    }
+
+    fn client(&mut self, now: Time, id: ClientId, frame: Frame) -> Result<(), WireError> {
+        match frame.kind {
+            Kind::RPC => {
+                let tag = frame.get_int(Field::TAG)?;
+                let taken = self.engine.rpc(
+                    now,
+                    id,
+                    tag,
+                    frame.get_text(Field::METHOD)?,
+                    frame.get_text(Field::MODEL)?,
+                    frame.maybe_text(Field::TENANT)?.unwrap_or(""),
+                    Time(frame.get_int(Field::LEFT)?),
+                    frame.maybe_text(Field::TOKEN)?,
+                    frame.body.clone(),
+                );
+                if let Err(why) = taken {
+                    let refused = Frame::new(Kind::REFUSED).int(Field::TAG, tag);
+                    self.engine.world().tell_client(id, refused.text(Field::WHY, codes::refusal_name(why)));
+                }
+            }
+            Kind::GO_AWAY => {
+                self.engine.world().clients.get_mut(&id).into_iter().for_each(|c| c.leaving = true);
+            }
+            Kind::CANCEL => self.engine.cancelled(now, id, frame.get_int(Field::TAG)?),
+            // What later versions may say is passed over.
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn close_client(&mut self, now: Time, id: ClientId, why: &WireError) {
+        info!(client = id.0, "closed: {why}");
+        self.engine.world().tell_client(id, Frame::new(Kind::FAULT).text(Field::WHY, &why.to_string()));
+        self.engine.world().clients.remove(&id);
+        self.engine.client_gone(now, id);
+    }
+
+    fn worker(&mut self, now: Time, conn: ConnId, f: &Frame) -> Result<(), WireError> {
+        match f.kind {
+            Kind::ANSWER | Kind::LOADED | Kind::REPORT => {
+                let errand = ErrandId(f.get_int(Field::TAG)?);
+                let outcome = if f.kind == Kind::REPORT { Outcome::Ok } else { codes::outcome(f)? };
+                let copy = if f.kind == Kind::ANSWER { codes::copy(f)? } else { Copy::Untold };
+                let held = f.maybe_int(Field::HELD)?.unwrap_or(0);
+                let copies = f.maybe_int(Field::COPIES)?.unwrap_or(0);
+                let report = f.get_floats(Field::REPORT)?;
+                if self.engine.world().answered(now, conn, errand) {
+                    let body = f.body.clone();
+                    self.engine.errand_ended(now, errand, outcome, copy, held, copies, report, body);
+                }
+            }
+            Kind::GO_AWAY => self.engine.world().conn_leaves(conn),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn list(&mut self, now: Time, f: &Frame) -> Result<(), WireError> {
+        match f.kind {
+            Kind::LIST => {
+                let (epoch, version) = (f.get_int(Field::EPOCH)?, f.get_int(Field::LIST_VERSION)?);
+                self.engine.list_begins(epoch, version, f.maybe_int(Field::FROM)?);
+            }
+            Kind::CHANGE => self.engine.list_row(
+                now,
+                f.get_text(Field::WORKER)?,
+                f.maybe_text(Field::ADDRESS)?.unwrap_or(""),
+                codes::standing(f)?,
+                f.maybe_int(Field::START)?.unwrap_or(0),
+                f.maybe_int(Field::AGE)?.map(Time),
+                f.maybe_text(Field::ZONE)?.unwrap_or(""),
+                f.maybe_text(Field::CELL)?.unwrap_or(""),
+                f.maybe_float(Field::SIZE)?.unwrap_or(1.0),
+            ),
+            Kind::LIST_END => {
+                self.engine.list_ends(now);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
--- a/crates/curlewpoint-lab/src/lib.rs
+++ b/crates/curlewpoint-lab/src/lib.rs
@@ -1,1 +1,16 @@
+//! The laboratory: stand-ins on loopback sockets, scripted days, a client, and the checker of the five rules.
 
+mod check;
+mod client;
+mod day;
+mod record;
+mod report;
+mod script;
+pub mod stand;
+
+pub use check::{judge, Break, Effect, Terms, Verdict, RULES};
+pub use client::{call, Called, Office};
+pub use day::{play, Day};
+pub use record::{Record, Seen};
+pub use report::{draw, table, Row};
+pub use script::{At, Kind, Script, BAD_DAY, CONFIG};
--- a/crates/curlewpoint-link/src/link.rs
+++ b/crates/curlewpoint-link/src/link.rs
@@ -19,11 +19,18 @@
     pub outbox: (usize, usize),
     /// How long the peer may take for its hello.
     pub hello: Duration,
+    /// A peer that takes not a byte for so long is cut off.
+    pub write: Duration,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Bounds { frame: 17 << 20, outbox: (1024, 32 << 20), hello: Duration::from_secs(2) }
+        Bounds {
+            frame: 17 << 20,
+            outbox: (1024, 32 << 20),
+            hello: Duration::from_secs(2),
+            write: Duration::from_secs(10),
+        }
     }
 }
 
@@ -63,7 +70,7 @@
     let (read, write) = stream.into_split();
     let mut reader = FramedRead::new(read, Codec { most: bounds.frame });
     let (outbox, inside) = Outbox::new(bounds.outbox.0, bounds.outbox.1);
-    let writer = tokio::spawn(write_all(inside, write));
+    let writer = tokio::spawn(write_all(inside, write, bounds.write));
     let hello = Frame::new(Kind::HELLO).int(Field::VERSION, VERSION).text(Field::INSTANCE, name);
     let _ = outbox.send(hello, None);
     let first = tokio::time::timeout(bounds.hello, reader.next()).await;
--- a/crates/curlewpoint-link/src/outbox.rs
+++ b/crates/curlewpoint-link/src/outbox.rs
@@ -1,11 +1,14 @@
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use curlewpoint_wire::{Codec, Frame, HEAD_BYTES};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 const QUEUED: u8 = 0;
 const BEGUN: u8 = 1;
@@ -84,7 +87,9 @@
 
 /// Writes until the outbox is dropped or the connection breaks. After an error the tickets of frames that had no
 /// byte written are queued again, so that whoever asks next can take them back.
-pub(crate) async fn write_all(mut inside: Inside, mut to: impl AsyncWrite + Unpin) -> std::io::Result<()> {
+pub(crate) async fn write_all(
+    mut inside: Inside, mut to: impl AsyncWrite + Unpin, limit: Duration,
+) -> std::io::Result<()> {
     let mut parts: VecDeque<Bytes> = VecDeque::new();
     while let Some(first) = inside.taken.recv().await {
         let (mut small, mut begun, mut length, mut freed) = (BytesMut::new(), Vec::new(), 0, 0);
@@ -109,14 +114,15 @@
         let mut written = 0;
         while let Some(mut part) = parts.pop_front() {
             while !part.is_empty() {
-                match to.write_buf(&mut part).await {
+                match timeout(limit, to.write_buf(&mut part)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))
+                {
                     Ok(n) if n > 0 => written += n,
                     ended => {
                         for (_, ticket) in begun.iter().filter(|(start, _)| *start >= written) {
                             ticket.step(BEGUN, QUEUED);
                         }
                         inside.taken.close();
-                        return Err(ended.err().unwrap_or_else(|| std::io::ErrorKind::WriteZero.into()));
+                        return Err(ended.err().unwrap_or_else(|| ErrorKind::WriteZero.into()));
                     }
                 }
             }
@@ -134,6 +140,8 @@
     use std::pin::Pin;
     use std::task::{Context, Poll};
 
+    const LIMIT: Duration = Duration::from_secs(5);
+
     /// Takes so many bytes and then breaks.
     struct Breaks(usize, Vec<u8>);
 
@@ -168,7 +176,7 @@
             let tickets: Vec<Ticket> = (0..3).map(|_| Ticket::default()).collect();
             tickets.iter().for_each(|t| outbox.send(frame(), Some(t.clone())).unwrap());
             drop(outbox);
-            let whole = write_all(inside, Breaks(broken_at, Vec::new())).await.is_ok();
+            let whole = write_all(inside, Breaks(broken_at, Vec::new()), LIMIT).await.is_ok();
             assert_eq!(whole, broken_at == 3 * size);
             for (no, ticket) in tickets.iter().enumerate() {
                 assert_eq!(ticket.take_back(), broken_at <= no * size, "frame {no}, broken at {broken_at}");
@@ -184,7 +192,7 @@
         assert!(ticket.take_back());
         drop(outbox);
         let mut to = Vec::new();
-        write_all(inside, &mut to).await.unwrap();
+        write_all(inside, &mut to, LIMIT).await.unwrap();
         assert!(to.is_empty());
     }
 
--- a/crates/curlewpoint-wire/src/frame.rs
+++ b/crates/curlewpoint-wire/src/frame.rs
@@ -83,6 +83,8 @@
     pub const CELL: Field = Field(27);
     pub const SIZE: Field = Field(28);
     pub const BYTES: Field = Field(29);
+    /// Between stand-ins: how long it takes at full pace, in tenths of a millisecond.
+    pub const WORK: Field = Field(30);
 }
 
 #[derive(Debug, Error, PartialEq)]
