--- a/crates/curlewpoint-config/src/lib.rs
+++ b/crates/curlewpoint-config/src/lib.rs
@@ -4,7 +4,7 @@
 //! a value with spaces stands in double quotes. `include FILE` reads another file in its place.
 //!
 //! ```
-//! let text = "name front-1\nmethod read-fields {\n  effect idempotent\n  soft-deadline 600ms\n  deadline 5s\n}\n";
+//! let text = "name front-1\nlisten 127.0.0.1:7000\nlist 127.0.0.1:7001\nmethod read-fields {\n  effect idempotent\n  soft-deadline 600ms\n  deadline 5s\n}\n";
 //! let config = curlewpoint_config::parse("here", text).unwrap();
 //! assert_eq!(config.text("name"), "front-1");
 //! assert_eq!(config.settings()["requestClasses"][0]["aim"], 600.0);
