Cause the hard cases on real sockets; a stop no longer keeps its clients waiting

Each hard case of the running scheduler is now caused by a test on loopback: deaths before the first byte and after reading, cut answers, late, double and unasked ones, a client that leaves, a worker that never reads, a list that is late or away, bodies up to the limit and over, unreadable frames, 1,500 clients at a cap of 1,000, a stop with RPCs open. They found that a client's task kept its own outbox alive, so that a stop ended its connections only with the process; mended.

--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -65,11 +65,11 @@
         Err(why) => return info!(client = id.0, "no hello from a client: {why}"),
     };
     debug!(client = id.0, peer, "client connected");
-    let client = Client { outbox: outbox.clone(), writer: writer.abort_handle(), leaving: false };
+    let client = Client { outbox, writer: writer.abort_handle(), leaving: false };
     if notes.send(Note::ClientIn(id, client)).await.is_err() {
         return;
     }
-    let mut writing = true;
+    let (mut writing, mut why) = (true, None);
     loop {
         let next = tokio::select! {
             next = reader.next() => next,
@@ -86,15 +86,13 @@
                 }
             }
             Some(Err(e)) => {
-                info!(client = id.0, peer, "closed: {e}");
-                let _ = outbox.send(Frame::new(Kind::FAULT).text(Field::WHY, &e.to_string()), None);
+                why = Some(e);
                 break;
             }
             None => break,
         }
     }
-    drop(outbox);
-    let _ = notes.send(Note::ClientOut(id)).await;
+    let _ = notes.send(Note::ClientOut(id, why)).await;
     if writing {
         let _ = writer.await;
     }
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -22,7 +22,8 @@
 pub(crate) enum Note {
     ClientIn(ClientId, Client),
     Client(ClientId, Frame),
-    ClientOut(ClientId),
+    /// It is gone, or what it sent could not be read.
+    ClientOut(ClientId, Option<WireError>),
     /// A connection to a worker is up, could not be opened, brought a frame, has broken.
     Up(ConnId, Outbox),
     Down(ConnId),
@@ -234,7 +235,8 @@
                     engine.world().tell_client(id, Frame::new(Kind::GO_AWAY));
                 }
             }
-            Note::ClientOut(id) => {
+            Note::ClientOut(id, Some(why)) => self.close_client(now, id, &why),
+            Note::ClientOut(id, None) => {
                 engine.world().clients.remove(&id);
                 engine.client_gone(now, id);
             }
--- /dev/null
+++ b/crates/curlewpoint-lab/tests/caught.rs
@@ -0,0 +1,293 @@
+//! The checker knows each rule: a scripted scheduler breaks one on real sockets, and is caught for that one.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::config;
+use curlewpoint::types::{Outcome, Standing, Time};
+use curlewpoint_emulator::{Row, StoreSpec, WorkerSpec};
+use curlewpoint_engine::Answer;
+use curlewpoint_gateway::answer_code;
+use curlewpoint_lab::stand::{ListStand, StoreStand, Trade, WorkerStand};
+use curlewpoint_lab::{judge, Office, Record, Seen, Terms, Verdict};
+use curlewpoint_link::{open, Bounds, Link};
+use curlewpoint_wire::{Field, Frame, Kind};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use test_case::test_case;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_stream::StreamExt;
+
+const TRADE: Trade = Trade { work_ms: 20.0, memory_mb: 100.0, load_ms: 20.0, fetch_share: 0.5, lanes: 4 };
+
+/// What a scripted scheduler does with the RPC that it takes.
+#[derive(Clone, Copy, Debug)]
+enum Breaks {
+    Nothing,
+    Silent,
+    Late,
+    Twice,
+    CallsOutAfterTheAnswer,
+    RunsTwice,
+    DeniesWhatMayHaveRun,
+    RepeatsOutsideTheGroup,
+    RepeatsAfterTheSpan,
+    SendsToADrain,
+    OrdersAtADrain,
+    PushesACold,
+    OrdersTooMany,
+}
+
+/// A scheduler that knows its two workers and does as it is told.
+struct Rogue {
+    client: Link,
+    workers: Vec<Link>,
+    next: u64,
+}
+
+impl Rogue {
+    fn call_out(&mut self, worker: usize, asked: &Frame) {
+        self.next += 1;
+        let text = |field| asked.get_text(field).unwrap_or("");
+        let f =
+            Frame::new(Kind::CALL_OUT).int(Field::TAG, self.next).text(Field::METHOD, text(Field::METHOD));
+        let f = f.text(Field::MODEL, text(Field::MODEL)).int(Field::LEFT, 30_000).body(asked.body.clone());
+        self.workers[worker].outbox.send(f, None).unwrap();
+    }
+
+    fn order(&mut self, worker: usize) {
+        self.next += 1;
+        let f =
+            Frame::new(Kind::LOAD).int(Field::TAG, self.next).text(Field::MODEL, "m").int(Field::COPIES, 1);
+        self.workers[worker].outbox.send(f, None).unwrap();
+    }
+
+    async fn answered(&mut self, worker: usize) {
+        while let Some(Ok(f)) = self.workers[worker].reader.next().await {
+            if f.kind == Kind::ANSWER {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, asked: &Frame, answer: Answer) {
+        let f = Frame::new(Kind::FINAL).int(Field::TAG, asked.get_int(Field::TAG).unwrap());
+        self.client.outbox.send(f.int(Field::OUTCOME, answer_code(answer)), None).unwrap();
+    }
+}
+
+async fn link(address: SocketAddr) -> Link {
+    open(TcpStream::connect(address).await.unwrap(), "front", Bounds::default()).await.unwrap()
+}
+
+/// Plays one RPC of this method through a scheduler that breaks something, and judges what passed.
+async fn play(method: &str, breaks: Breaks) -> Verdict {
+    let record = Record::default();
+    let store = StoreStand::start("127.0.0.1:0", &record, StoreSpec { lines: 8.0, thrash: 0.0, most: 99 })
+        .await
+        .unwrap();
+    let list = ListStand::start("127.0.0.1:0", &record, Time(0)).await.unwrap();
+    let config = config();
+    let of = |name| Time::from_ms(config.number("workers", name));
+    let spec = WorkerSpec {
+        cores: 2.0,
+        speed: 1.0,
+        slots: 8,
+        queue: 500,
+        memory_mb: 1000.0,
+        loads_at_once: 4,
+        keep: Time(80_000),
+        cold_from: 0.25,
+        cold_for: of("warm-within"),
+        fall_multiple: 2.0,
+        fall: of("fall-window"),
+        adds_copies: true,
+        answers_miss: false,
+    };
+    let trades = Arc::new(config.methods().iter().map(|m| (m.clone(), TRADE)).collect::<BTreeMap<_, _>>());
+    let mut terms = Terms::of(&config);
+    let mut stands = Vec::new();
+    for (no, name) in ["w0", "w1"].into_iter().enumerate() {
+        let stand = WorkerStand::start(
+            "127.0.0.1:0",
+            name,
+            &record,
+            spec,
+            Arc::clone(&trades),
+            store.address,
+            no as u64,
+        )
+        .await
+        .unwrap();
+        terms.groups.insert(name.to_owned(), (format!("cell-{no}"), format!("zone-{no}")));
+        terms.capacity.insert(name.to_owned(), 2.0);
+        stand.holds("m", 100.0);
+        stands.push(stand);
+    }
+    terms.work = config.methods().iter().map(|m| (m.clone(), TRADE.work_ms)).collect();
+    if let Breaks::PushesACold = breaks {
+        stands[0].die();
+        stands[0].begin(true);
+        until(&record, |s| matches!(s, Seen::Started { .. })).await;
+    }
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepting = tokio::spawn(async move {
+        open(listener.accept().await.unwrap().0, "front", Bounds::default()).await.unwrap()
+    });
+    let office = Office::open(&address.to_string(), "front", &record).await.unwrap();
+    let client = accepting.await.unwrap();
+    let workers = vec![link(stands[0].address).await, link(stands[1].address).await];
+    let mut rogue = Rogue { client, workers, next: 0 };
+
+    office.ask(1, method, "m", "", Time(8_000), 32);
+    let asked = rogue.client.reader.next().await.unwrap().unwrap();
+    misbehave(&mut rogue, &asked, breaks, &record, &list, &mut terms).await;
+    // The end of the day is known by an RPC of its own, sent when all else has arrived.
+    let last = Frame::new(Kind::CALL_OUT).text(Field::METHOD, "read-fields").text(Field::MODEL, "m");
+    let last = last.int(Field::TAG, 0).int(Field::LEFT, 9).body(99u64.to_be_bytes().to_vec());
+    for worker in rogue.workers.iter().filter(|_| !matches!(breaks, Breaks::PushesACold)) {
+        worker.outbox.send(last.clone(), None).unwrap();
+    }
+    let wanted = if matches!(breaks, Breaks::PushesACold | Breaks::SendsToADrain | Breaks::OrdersAtADrain) {
+        0
+    } else {
+        2
+    };
+    until_count(&record, wanted, |s| matches!(s, Seen::Arrived { key: 99, .. })).await;
+    if let Breaks::PushesACold = breaks {
+        until(&record, |s| matches!(s, Seen::Fell { .. })).await;
+    }
+    let seen: Vec<_> =
+        record.all().into_iter().filter(|(_, s)| !matches!(s, Seen::Arrived { key: 99, .. })).collect();
+    judge(&terms, &seen)
+}
+
+async fn misbehave(
+    r: &mut Rogue, asked: &Frame, breaks: Breaks, record: &Record, list: &ListStand, terms: &mut Terms,
+) {
+    match breaks {
+        Breaks::Nothing | Breaks::Twice | Breaks::Late | Breaks::CallsOutAfterTheAnswer => {
+            r.call_out(0, asked);
+            r.answered(0).await;
+            if let Breaks::Late = breaks {
+                tokio::time::sleep(std::time::Duration::from_millis(850)).await;
+            }
+            r.answer(asked, Answer::Ok);
+            until(record, |s| matches!(s, Seen::Final { .. })).await;
+            if let Breaks::Twice = breaks {
+                r.answer(asked, Answer::Aborted);
+                until_count(record, 2, |s| matches!(s, Seen::Final { .. })).await;
+            }
+            if let Breaks::CallsOutAfterTheAnswer = breaks {
+                tokio::time::sleep(std::time::Duration::from_micros(terms.transit.0 * 100 + 20_000)).await;
+                r.call_out(1, asked);
+            }
+        }
+        Breaks::Silent => {}
+        Breaks::RunsTwice | Breaks::RepeatsOutsideTheGroup => {
+            r.call_out(0, asked);
+            r.answered(0).await;
+            r.call_out(1, asked);
+            r.answered(1).await;
+            r.answer(asked, Answer::Ok);
+            until(record, |s| matches!(s, Seen::Final { .. })).await;
+        }
+        Breaks::RepeatsAfterTheSpan => {
+            for group in terms.groups.values_mut() {
+                group.0 = "one".to_owned();
+            }
+            for effect in terms.effects.values_mut() {
+                if let curlewpoint_lab::Effect::Tokened { span, .. } = effect {
+                    *span = Time(0);
+                }
+            }
+            r.call_out(0, asked);
+            r.answered(0).await;
+            tokio::time::sleep(std::time::Duration::from_micros(terms.transit.0 * 100 + 20_000)).await;
+            r.call_out(1, asked);
+            r.answered(1).await;
+            r.answer(asked, Answer::Ok);
+            until(record, |s| matches!(s, Seen::Final { .. })).await;
+        }
+        Breaks::DeniesWhatMayHaveRun => {
+            r.call_out(0, asked);
+            r.answered(0).await;
+            r.answer(asked, Answer::Denied);
+            until(record, |s| matches!(s, Seen::Final { .. })).await;
+        }
+        Breaks::SendsToADrain | Breaks::OrdersAtADrain => {
+            let mut watch = link(list.address).await;
+            let (address, zone, cell) = ("127.0.0.1:1".to_owned(), "z".to_owned(), "c".to_owned());
+            list.set(
+                "w0",
+                Row { address, standing: Standing::Draining, start: 1, since: None, zone, cell, size: 1.0 },
+            );
+            watch.outbox.send(Frame::new(Kind::WATCH), None).unwrap();
+            until(record, |s| matches!(s, Seen::Told { standing: Standing::Draining, .. })).await;
+            while watch.reader.next().await.unwrap().unwrap().kind != Kind::LIST_END {}
+            tokio::time::sleep(std::time::Duration::from_micros(
+                (terms.drain_grace + terms.transit).0 * 100 + 20_000,
+            ))
+            .await;
+            if let Breaks::OrdersAtADrain = breaks {
+                r.order(0);
+                until(record, |s| matches!(s, Seen::Ordered { .. })).await;
+            } else {
+                r.call_out(0, asked);
+                until(record, |s| matches!(s, Seen::Arrived { .. })).await;
+            }
+            r.answer(asked, Answer::Aborted);
+            until(record, |s| matches!(s, Seen::Final { .. })).await;
+        }
+        Breaks::PushesACold => {
+            for _ in 0..200 {
+                r.call_out(0, asked);
+            }
+            r.answer(asked, Answer::Ok);
+            until(record, |s| matches!(s, Seen::Final { .. })).await;
+        }
+        Breaks::OrdersTooMany => {
+            (0..9).for_each(|_| r.order(0));
+            until_count(record, 9, |s| matches!(s, Seen::Ordered { .. })).await;
+            r.answer(asked, Answer::Aborted);
+            until(record, |s| matches!(s, Seen::Final { .. })).await;
+        }
+    }
+    let _ = Outcome::Ok;
+}
+
+async fn until(record: &Record, wanted: impl Fn(&Seen) -> bool) {
+    until_count(record, 1, wanted).await;
+}
+
+async fn until_count(record: &Record, n: usize, wanted: impl Fn(&Seen) -> bool) {
+    while record.all().iter().filter(|(_, s)| wanted(s)).count() < n {
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+    }
+}
+
+#[test_case("issue-extract", Breaks::Nothing, 0 ; "one that breaks nothing")]
+#[test_case("issue-extract", Breaks::Silent, 1 ; "no answer")]
+#[test_case("issue-extract", Breaks::Late, 1 ; "a late answer")]
+#[test_case("issue-extract", Breaks::Twice, 1 ; "two answers")]
+#[test_case("read-fields", Breaks::CallsOutAfterTheAnswer, 1 ; "a call out after the answer")]
+#[test_case("issue-extract", Breaks::RunsTwice, 2 ; "two runs")]
+#[test_case("read-fields", Breaks::RunsTwice, 0 ; "two runs of what may run again")]
+#[test_case("issue-extract", Breaks::DeniesWhatMayHaveRun, 2 ; "a denial of what may have run")]
+#[test_case("read-register", Breaks::RepeatsOutsideTheGroup, 2 ; "a token outside its group")]
+#[test_case("read-register", Breaks::RepeatsAfterTheSpan, 2 ; "a token forgotten")]
+#[test_case("read-fields", Breaks::SendsToADrain, 3 ; "an rpc to a drain")]
+#[test_case("read-fields", Breaks::OrdersAtADrain, 3 ; "an order to a drain")]
+#[test_case("read-fields", Breaks::PushesACold, 4 ; "a cold worker pushed over")]
+#[test_case("read-fields", Breaks::OrdersTooMany, 5 ; "too many load orders")]
+fn a_broken_rule_is_caught(method: &str, breaks: Breaks, rule: usize) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let verdict = runtime.block_on(play(method, breaks));
+    let mut broken: Vec<usize> = verdict.breaks.iter().map(|b| b.rule).collect();
+    broken.dedup();
+    let want: Vec<usize> = (rule > 0).then_some(rule).into_iter().collect();
+    assert_eq!(broken, want, "{breaks:?}: {:?}", verdict.breaks);
+}
--- /dev/null
+++ b/crates/curlewpoint-lab/tests/hard.rs
@@ -0,0 +1,268 @@
+//! The hard cases, each caused on real sockets.
+
+mod common;
+
+use common::{answer, config, name, Puppet, Stage};
+use curlewpoint::types::{Outcome, Standing, Time};
+use curlewpoint_engine::Answer;
+use curlewpoint_lab::stand::wire::Say;
+use curlewpoint_lab::{call, Called, Office, Record, Seen};
+use curlewpoint_link::{open, Bounds};
+use curlewpoint_wire::{Field, Frame, Kind};
+use tokio::net::TcpStream;
+use tokio_stream::StreamExt;
+
+const LONG: u64 = 3_000;
+
+/// It has read the call-out, so it may have run: it is not called out again, and the abort promises nothing.
+#[tokio::test]
+async fn a_worker_that_dies_after_reading_a_side_effecting_call_out_ends_it_aborted() {
+    let (mut a, mut b) = (Puppet::start("a").await, Puppet::start("b").await);
+    let stage = Stage::new(&[&a, &b]).await;
+    stage.ask(1, "issue-extract", LONG);
+    let first = tokio::select! { _ = a.call_out() => &mut a, _ = b.call_out() => &mut b };
+    first.die();
+    assert_eq!(stage.final_of(1).await, Answer::Aborted);
+    assert!(!a.call_out_before(async {}).await && !b.call_out_before(async {}).await);
+    let f = stop(stage).await;
+    assert_eq!((f.aborted, f.call_outs), (1, 1));
+}
+
+/// Nothing was sent, so another worker may take it.
+#[tokio::test]
+async fn a_worker_that_is_dead_before_the_first_byte_does_not_keep_the_rpc() {
+    let (mut a, mut b) = (Puppet::start("a").await, Puppet::start("b").await);
+    a.die();
+    let stage = Stage::new(&[&a, &b]).await;
+    for key in 1..=6 {
+        stage.ask(key, "issue-extract", LONG);
+        let asked = b.call_out().await;
+        b.answer(&asked, Outcome::Ok);
+        assert_eq!(stage.final_of(key).await, Answer::Ok);
+    }
+    let f = stop(stage).await;
+    assert_eq!((f.ok, f.aborted), (6, 0));
+}
+
+#[tokio::test]
+async fn an_answer_cut_in_its_middle_is_no_answer() {
+    let mut a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    stage.ask(1, "issue-extract", LONG);
+    let (peer, f) = a.call_out().await;
+    a.say(peer, Say::Half(answer(&f, Outcome::Ok)));
+    assert_eq!(stage.final_of(1).await, Answer::Aborted);
+}
+
+/// An answer after the abort, one given twice, and one for a call-out that was never sent change nothing.
+#[tokio::test]
+async fn answers_late_twice_and_unasked_are_passed_over() {
+    let mut a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    stage.ask(1, "issue-extract", 500);
+    let first = a.call_out().await;
+    assert_eq!(stage.final_of(1).await, Answer::Aborted);
+    a.answer(&first, Outcome::Ok);
+    a.say(first.0, Say::Frame(Frame::new(Kind::ANSWER).int(Field::TAG, 999).int(Field::OUTCOME, 0)));
+    stage.ask(2, "issue-extract", LONG);
+    let second = a.call_out().await;
+    a.answer(&second, Outcome::Ok);
+    a.answer(&second, Outcome::Ok);
+    a.answer(&second, Outcome::Error);
+    assert_eq!(stage.final_of(2).await, Answer::Ok);
+    stage.ask(3, "issue-extract", LONG);
+    let third = a.call_out().await;
+    a.answer(&third, Outcome::Ok);
+    assert_eq!(stage.final_of(3).await, Answer::Ok);
+    assert_eq!((stage.finals(1), stage.finals(2), stage.finals(3)), (1, 1, 1));
+}
+
+/// A client that leaves while its model loads is owed nothing; the worker is told that nobody waits.
+#[tokio::test]
+async fn a_client_that_leaves_while_a_load_is_under_way_is_let_go() {
+    let mut a = Puppet::start("a").await;
+    let Stage { record, list, gateway, office } = Stage::new(&[&a]).await;
+    office.ask(1, "read-fields", "model", "", Time(30_000), 64);
+    let (peer, _) = a.call_out().await;
+    office.leave();
+    // A later client's RPC comes to its answer beside it, and then a stop has nothing to wait for.
+    let other = Office::open(&gateway.address.to_string(), "front", &record).await.unwrap();
+    other.ask(2, "read-fields", "model", "", Time(30_000), 64);
+    let second = a.call_out().await;
+    a.answer(&second, Outcome::Ok);
+    let stage = Stage { record, list, gateway, office: other };
+    assert_eq!(stage.final_of(2).await, Answer::Ok);
+    let f = stop(stage).await;
+    assert_eq!((f.taken, f.ok, f.left), (2, 1, 1));
+    assert!(a.peers.contains_key(&peer));
+}
+
+/// A worker that accepts and never reads holds up nobody else, and its RPCs end in their time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_never_reads_holds_up_no_other() {
+    let (a, mut b) = (Puppet::start("a").await, Puppet::start("b").await);
+    a.mute.send(true).unwrap();
+    let stage = Stage::new(&[&a, &b]).await;
+    let serving = tokio::spawn(async move {
+        loop {
+            let asked = b.call_out().await;
+            b.answer(&asked, Outcome::Ok);
+        }
+    });
+    // Large bodies, so that the socket of the one that does not read fills up.
+    let models = 40;
+    for key in 0..models {
+        stage.office.ask(key, "issue-extract", &format!("m{key}"), "", Time(15_000), 1 << 20);
+    }
+    for key in 0..models {
+        stage.final_of(key).await;
+    }
+    serving.abort();
+    let ended = stage.record.all();
+    let ok = ended.iter().filter(|(_, s)| matches!(s, Seen::Final { answer: Answer::Ok, .. })).count();
+    assert!(ok > 0, "the other worker answers");
+    let f = stop(stage).await;
+    assert_eq!((f.taken, f.ok + f.denied + f.aborted, f.guarded), (models, models, 0));
+}
+
+/// Down at the start: what is asked waits for the list. Away for a while: the list held goes on to be used.
+#[tokio::test]
+async fn the_list_service_may_come_late_and_vanish() {
+    let mut a = Puppet::start("a").await;
+    let record = Record::default();
+    let list = curlewpoint_lab::stand::ListStand::start("127.0.0.1:0", &record, Time(0)).await.unwrap();
+    list.down_until(record.now() + Time(4_000));
+    let config = config().with("list", &list.address.to_string());
+    let gateway = curlewpoint_gateway::start(&config).await.unwrap();
+    let office = Office::open(&gateway.address.to_string(), "front", &record).await.unwrap();
+    let stage = Stage { record, list, gateway, office };
+    stage.ask(1, "read-fields", LONG);
+    name(&stage.list, &a, Standing::Ready);
+    let asked = a.call_out().await;
+    a.answer(&asked, Outcome::Ok);
+    assert_eq!(stage.final_of(1).await, Answer::Ok);
+    stage.list.down_until(stage.record.now() + Time(600_000));
+    for key in 2..5 {
+        stage.ask(key, "read-fields", LONG);
+        let asked = a.call_out().await;
+        a.answer(&asked, Outcome::Ok);
+        assert_eq!(stage.final_of(key).await, Answer::Ok);
+    }
+}
+
+/// Bodies of every size pass unharmed; one over the limit closes its own connection and no other.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_pass_and_one_over_the_limit_harms_only_its_sender() {
+    let mut a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    let address = stage.gateway.address.to_string();
+    let serving = tokio::spawn(async move {
+        loop {
+            let asked = a.call_out().await;
+            a.answer(&asked, Outcome::Ok);
+        }
+    });
+    for size in [1 << 16, 1 << 20, (16 << 20) - 4096] {
+        let body = bytes::Bytes::from(vec![7u8; size]);
+        let called = call(&address, "read-fields", "m", "", Time(30_000), None, body.clone()).await.unwrap();
+        assert!(
+            matches!(called, Called::Final { answer: Answer::Ok, body: b, .. } if b == body),
+            "{size} bytes"
+        );
+    }
+    let body = bytes::Bytes::from(vec![7u8; (16 << 20) + 1]);
+    let over = call(&address, "read-fields", "m", "", Time(30_000), None, body).await;
+    assert!(!matches!(over, Ok(Called::Final { .. })), "{over:?}");
+    stage.ask(1, "read-fields", LONG);
+    assert_eq!(stage.final_of(1).await, Answer::Ok);
+    serving.abort();
+}
+
+/// Unreadable frames close their own connection with a plain fault.
+#[tokio::test]
+async fn an_unreadable_frame_closes_its_own_connection_with_a_fault() {
+    let a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    let stream = TcpStream::connect(stage.gateway.address).await.unwrap();
+    let mut link = open(stream, "x", Bounds::default()).await.unwrap();
+    link.outbox.send(Frame::new(Kind::RPC).text(Field::TAG, "seven"), None).unwrap();
+    let fault = link.reader.next().await.unwrap().unwrap();
+    assert_eq!(fault.kind, Kind::FAULT);
+    assert!(fault.get_text(Field::WHY).unwrap().contains("is not a whole number"));
+    assert!(link.reader.next().await.is_none());
+    // What later versions may say is passed over.
+    stage.ask(1, "no-such-method", LONG);
+    stage.until(|s| matches!(s, Seen::Refused { key: 1, .. })).await;
+}
+
+/// Up to the cap clients are served; those over it are told so, and a place that comes free is taken again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_clients_at_once_are_served_up_to_the_cap() {
+    const CAP: usize = 1_000;
+    const ALL: usize = 1_500;
+    let a = Puppet::start("a").await;
+    let text =
+        curlewpoint_lab::CONFIG.replace("dial-limit 250ms", &format!("dial-limit 250ms\n  clients {CAP}"));
+    let stage = Stage::with(curlewpoint_config::parse("capped.conf", &text).unwrap(), &[&a]).await;
+    let address = stage.gateway.address;
+    let mut dials = tokio::task::JoinSet::new();
+    for _ in 0..ALL {
+        dials.spawn(async move {
+            let mut link =
+                open(TcpStream::connect(address).await.ok()?, "x", Bounds::default()).await.ok()?;
+            link.outbox
+                .send(
+                    Frame::new(Kind::RPC)
+                        .int(Field::TAG, 1)
+                        .text(Field::METHOD, "none")
+                        .text(Field::MODEL, "m")
+                        .int(Field::LEFT, 9),
+                    None,
+                )
+                .ok()?;
+            let first = link.reader.next().await?.ok()?;
+            Some((first.kind, link))
+        });
+    }
+    let all: Vec<_> = dials.join_all().await.into_iter().flatten().collect();
+    let served = all.iter().filter(|(kind, _)| *kind == Kind::REFUSED).count();
+    let turned = all.iter().filter(|(kind, _)| *kind == Kind::FAULT).count();
+    assert_eq!(served, CAP - 1, "one place is the stage's own; {turned} were told");
+    drop(all);
+    loop {
+        let stream = TcpStream::connect(address).await.unwrap();
+        if let Ok(mut link) = open(stream, "x", Bounds::default()).await {
+            let ask =
+                Frame::new(Kind::RPC).int(Field::TAG, 1).text(Field::METHOD, "none").text(Field::MODEL, "m");
+            link.outbox.send(ask.int(Field::LEFT, 9), None).unwrap();
+            if let Some(Ok(f)) = link.reader.next().await {
+                if f.kind == Kind::REFUSED {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+async fn stop(stage: Stage) -> curlewpoint_engine::Figures {
+    stage.gateway.stop().await;
+    stage.office.ended().await;
+    stage.gateway.wait().await
+}
+
+/// A stop answers what is open, each in its time, takes nothing more and ends.
+#[tokio::test]
+async fn a_stop_answers_what_is_open() {
+    let mut a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    stage.ask(1, "issue-extract", LONG);
+    stage.ask(2, "issue-extract", 700);
+    let first = a.call_out().await;
+    let _second = a.call_out().await;
+    stage.gateway.stop().await;
+    assert_eq!(stage.final_of(2).await, Answer::Aborted);
+    a.answer(&first, Outcome::Ok);
+    assert_eq!(stage.final_of(1).await, Answer::Ok);
+    let f = stop(stage).await;
+    assert_eq!((f.taken, f.ok, f.aborted, f.cut_off), (2, 1, 1, 0));
+}
