Catch a scheduler that breaks each rule; drive the program as processes

A checker that never saw a broken rule proves nothing. The program is tested as processes: calls, a stop and a kill with an RPC open, faults all told at once with exit code 2.

--- /dev/null
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -0,0 +1,152 @@
+//! The program as processes of its own, by its command line and signals.
+
+use std::io::{BufRead, BufReader, Write};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc;
+
+fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_curlewpoint"))
+}
+
+/// A process that tells where it listens; it is killed with its test.
+struct Process {
+    child: Child,
+    lines: std::io::Lines<BufReader<std::process::ChildStdout>>,
+    address: String,
+    log: mpsc::Receiver<String>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(args: &[&str]) -> Process {
+        let mut start = program();
+        start.args(args).env("CURLEWPOINT_LOG", "debug").stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut child = start.spawn().expect("it starts");
+        let errors = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let (tell, log) = mpsc::channel();
+        std::thread::spawn(move || errors.map_while(Result::ok).for_each(|l| drop(tell.send(l))));
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let first = lines.next().expect("a line").expect("text");
+        let address = first.rsplit(' ').next().expect("an address").to_owned();
+        Process { child, lines, address, log }
+    }
+
+    /// Waits for a line in its log.
+    fn logs(&self, what: &str) {
+        assert!(self.log.iter().any(|line| line.contains(what)), "the log ended without {what}");
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+struct Fleet {
+    _store: Process,
+    _worker: Process,
+    _list: Process,
+    gateway: Process,
+    folder: PathBuf,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A gateway with its stand-ins; an extract takes so long.
+fn fleet(name: &str, work: &str) -> Fleet {
+    let folder = std::env::temp_dir().join(format!("curlewpoint-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let write = |file: &str, text: &str| {
+        let path = folder.join(file);
+        std::fs::File::create(&path).and_then(|mut f| f.write_all(text.as_bytes())).expect("written");
+        path.display().to_string()
+    };
+    let script = write("x.day", &format!("method issue-extract {{\n  work {work}\n  load 20ms\n}}\n"));
+    let store = Process::start(&["store", "127.0.0.1:0"]);
+    let worker = Process::start(&["worker", "127.0.0.1:0", "--store", &store.address, "--script", &script]);
+    let list = Process::start(&["list", "127.0.0.1:0", "--worker", &format!("w-0={}", worker.address)]);
+    let config = write(
+        "gateway.conf",
+        &format!(
+            "name front-1\nlisten 127.0.0.1:0\nlist {}\nmethod issue-extract {{\n  effect side-effecting\n  \
+             soft-deadline 2s\n  deadline 5s\n}}\n",
+            list.address
+        ),
+    );
+    let gateway = Process::start(&["serve", &config]);
+    Fleet { _store: store, _worker: worker, _list: list, gateway, folder }
+}
+
+fn call(address: &str) -> Command {
+    let mut c = program();
+    c.args(["call", address, "issue-extract", "births", "--left", "5s", "--body", "scan of page 1"]);
+    c
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn a_call_is_answered_and_a_stop_ends_with_nothing_lost() {
+    let mut f = fleet("stop", "1ms");
+    let Output { status, stdout, stderr } = call(&f.gateway.address).output().expect("it runs");
+    assert_eq!((status.code(), text(&stdout).as_str()), (Some(0), "scan of page 1"), "{}", text(&stderr));
+    f.gateway.signal("TERM");
+    assert_eq!(f.gateway.child.wait().expect("it ends").code(), Some(0));
+    let last = f.gateway.lines.next().expect("a line").expect("text");
+    assert_eq!(last, "stopped: taken 1 ok 1 denied 0 aborted 0 left 0 refused 0");
+}
+
+/// What it has taken is answered although the signal came first; a scheduler that is killed leaves its client without.
+#[test]
+fn a_stop_answers_what_is_open_and_a_kill_does_not() {
+    for (signal, answered) in [("TERM", true), ("KILL", false)] {
+        let mut f = fleet(&format!("open-{signal}"), "900ms");
+        let open =
+            call(&f.gateway.address).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("it starts");
+        f.gateway.logs("call-out");
+        f.gateway.signal(signal);
+        let Output { status, stdout, .. } = open.wait_with_output().expect("it ends");
+        assert_eq!(status.code(), Some(if answered { 0 } else { 5 }), "{signal}: {}", text(&stdout));
+        let ended = f.gateway.child.wait().expect("it ends").code();
+        assert_eq!(ended, answered.then_some(0), "{signal}");
+    }
+}
+
+#[test]
+fn a_faulty_configuration_starts_nothing_and_tells_all_faults() {
+    let folder = std::env::temp_dir().join(format!("curlewpoint-faulty-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("gateway.conf");
+    std::fs::write(&path, "name a\nlisten here\nlist 127.0.0.1:1\nnmae b\n").expect("written");
+    for command in ["check", "serve"] {
+        let Output { status, stderr, stdout } = program().arg(command).arg(&path).output().expect("it runs");
+        let told = text(&stderr);
+        assert_eq!((status.code(), stdout.len()), (Some(2), 0), "{told}");
+        for want in
+            ["'here' is not an address", "did you mean name?", "no method is given", "gateway.conf:2:8"]
+        {
+            assert!(told.contains(want), "{want}: {told}");
+        }
+    }
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
+
+#[test]
+fn nobody_there_is_told_plainly() {
+    let out = program().args(["call", "127.0.0.1:1", "m", "m"]).output().expect("it runs");
+    assert_eq!(out.status.code(), Some(5));
+    assert_eq!(text(&out.stderr).lines().count(), 1, "{}", text(&out.stderr));
+}
--- a/crates/curlewpoint-lab/src/stand/worker.rs
+++ b/crates/curlewpoint-lab/src/stand/worker.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use curlewpoint::types::{Copy, Outcome, Time};
@@ -13,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 use tokio_stream::StreamExt;
 
 use super::wire::{Door, Heard, PeerId, Say};
@@ -266,7 +267,13 @@
     }
 
     async fn start(&mut self, cold: bool, faults: Faults) -> Option<Life> {
-        let listener = TcpListener::bind(self.address).await.ok()?;
+        // The sockets of the life before may take a moment to close.
+        let mut bound = TcpListener::bind(self.address).await;
+        while bound.is_err() {
+            sleep(Duration::from_millis(5)).await;
+            bound = TcpListener::bind(self.address).await;
+        }
+        let listener = bound.ok()?;
         let now = self.record.now();
         if cold {
             self.record.add_at(now, Seen::Started { worker: self.name.clone() });
--- a/crates/curlewpoint-lab/tests/caught.rs
+++ b/crates/curlewpoint-lab/tests/caught.rs
@@ -1,16 +1,13 @@
 //! The checker knows each rule: a scripted scheduler breaks one on real sockets, and is caught for that one.
 
-mod common;
-
 use std::net::SocketAddr;
 
-use common::config;
-use curlewpoint::types::{Outcome, Standing, Time};
+use curlewpoint::types::{Standing, Time};
 use curlewpoint_emulator::{Row, StoreSpec, WorkerSpec};
 use curlewpoint_engine::Answer;
 use curlewpoint_gateway::answer_code;
 use curlewpoint_lab::stand::{ListStand, StoreStand, Trade, WorkerStand};
-use curlewpoint_lab::{judge, Office, Record, Seen, Terms, Verdict};
+use curlewpoint_lab::{judge, Office, Record, Seen, Terms, Verdict, CONFIG};
 use curlewpoint_link::{open, Bounds, Link};
 use curlewpoint_wire::{Field, Frame, Kind};
 use std::collections::BTreeMap;
@@ -88,7 +85,7 @@
         .await
         .unwrap();
     let list = ListStand::start("127.0.0.1:0", &record, Time(0)).await.unwrap();
-    let config = config();
+    let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).expect("it is shipped");
     let of = |name| Time::from_ms(config.number("workers", name));
     let spec = WorkerSpec {
         cores: 2.0,
@@ -256,7 +253,6 @@
             until(record, |s| matches!(s, Seen::Final { .. })).await;
         }
     }
-    let _ = Outcome::Ok;
 }
 
 async fn until(record: &Record, wanted: impl Fn(&Seen) -> bool) {
