--- a/crates/curlewpoint-engine/tests/promises.rs
+++ b/crates/curlewpoint-engine/tests/promises.rs
@@ -167,7 +167,9 @@
 #[test]
 fn a_clock_that_steps_by_a_second_answers_what_is_due_at_once() {
     let mut s = Story::new(3);
-    (0..5).for_each(|tag| drop(s.rpc(tag, "issue").unwrap()));
+    for tag in 0..5 {
+        s.rpc(tag, "issue").unwrap();
+    }
     s.pass(500);
     s.pass(10_000);
     assert_eq!(s.answers().len(), 5);
@@ -196,7 +198,9 @@
     assert_eq!(s.rpc(2, "read"), Err(Refusal::TagInUse));
     let none = s.engine.rpc(s.now, CLIENT, 3, "read", "m", "", Time(200), None, Bytes::new());
     assert_eq!(none, Err(Refusal::NoTime), "all of it is the slack");
-    (10..59).for_each(|tag| drop(s.rpc(tag, "read")));
+    for tag in 10..59 {
+        s.rpc(tag, "read").unwrap();
+    }
     assert_eq!(s.rpc(90, "read"), Err(Refusal::Full));
     s.engine.stop_taking();
     assert_eq!(s.rpc(91, "read"), Err(Refusal::Stopping));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,6 +103,7 @@
     crowded: bool,
     depth: f64,
     copies: f64,
+    memory: f64,
 }
 
 pub struct Scheduler<H: Host> {
@@ -112,6 +113,9 @@
     workers: BTreeMap<WorkerId, Worker>,
     mean_size: f64,
     rpcs: BTreeMap<RpcId, Rpc>,
+    /// What is out at warm copies, in all and by tenant: see `load`.
+    out: f64,
+    out_of: BTreeMap<TenantId, f64>,
     methods: BTreeMap<MethodId, Pace>,
     /// First call-outs wait in the first line, further ones in the second.
     lines: [VecDeque<RpcId>; 2],
@@ -156,6 +160,8 @@
             workers: BTreeMap::new(),
             mean_size: 0.0,
             rpcs: BTreeMap::new(),
+            out: 0.0,
+            out_of: BTreeMap::new(),
             methods: BTreeMap::new(),
             lines: Default::default(),
             ticked: Time(0),
@@ -188,7 +194,7 @@
     ) {
         let new = !self.workers.contains_key(&id);
         let w = self.workers.entry(id).or_default();
-        (w.standing, w.zone, w.cell, w.size) = (standing, zone, cell, size);
+        (w.standing, w.zone, w.cell, w.size, w.told) = (standing, zone, cell, size, now);
         if new || (since != w.since && standing == Standing::Ready) {
             // New, or restarted under the same id: perhaps cold, and nothing old holds.
             (w.since, w.cold_since) = (since, (since > Time(0)).then_some(since));
@@ -201,8 +207,8 @@
     /// A list has been read; `named` holds all its workers if it was a complete one.
     pub fn list_read(&mut self, now: Time, named: Option<&BTreeSet<WorkerId>>) {
         for (id, w) in &mut self.workers {
-            if named.is_some_and(|n| !n.contains(id)) {
-                w.standing = Standing::Gone;
+            if w.standing != Standing::Gone && named.is_some_and(|n| !n.contains(id)) {
+                (w.standing, w.told) = (Standing::Gone, now);
             }
         }
         self.mean_size =
@@ -248,11 +254,14 @@
         copy: Copy, held: u64, report: &[f64],
     ) {
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let (function, method) = (rpc.function, rpc.method);
+        let (function, method, tenant) = (rpc.function, rpc.method, rpc.tenant);
         let Some(out) = rpc.outs.get_mut(no.0).filter(|o| o.open) else { return };
         (out.open, out.never_ran) = (false, outcome.never_ran());
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         let others = held.saturating_sub(out.beside) as f64;
+        if overdue == 0 {
+            self.weigh(tenant, was_warm, -1.0);
+        }
         self.report_read(now, worker, report);
         let slots = self.slots();
         let w = self.workers.entry(worker).or_default();
@@ -382,9 +391,12 @@
     }
 
     /// A worker's size against the mean of those listed, where the list tells sizes.
-    fn size(&self, w: &Worker) -> f64 {
+    fn sizes_told(&self) -> bool {
         let told = self.settings.get("weightKind").and_then(Value::as_str);
-        let known = matches!(told, Some("nominal" | "rough")) && self.mean_size > 0.0;
+        matches!(told, Some("nominal" | "rough")) && self.mean_size > 0.0
+    }
+
+    fn size(&self, w: &Worker, known: bool) -> f64 {
         if known {
             w.size / self.mean_size
         } else {
@@ -423,47 +435,70 @@
 
     // The design: filter, score, coalesce.
 
-    fn affinity(&self, now: Time, w: &Worker, function: FunctionId) -> f64 {
-        let keep = self.span("familyInfo", "keepAlive");
+    fn keep(&self) -> Time {
+        self.span("familyInfo", "keepAlive")
+    }
+
+    fn affinity(now: Time, keep: Time, w: &Worker, belief: Option<&Belief>) -> f64 {
         let stands = |b: &&Belief| matches!(b.copies, Copies::Warm(used) if now - used <= keep);
-        match w.copies(function) {
-            Copies::Warm(_) if w.beliefs[&function].mine > 0 => 1.0,
+        match belief.map_or(Copies::Unknown, |b| b.copies) {
+            Copies::Warm(_) if belief.is_some_and(|b| b.mine > 0) => 1.0,
             Copies::Warm(used) if now - used <= RECENT.min(keep) => 1.0,
             Copies::Warm(used) if now - used <= keep => WARM,
             Copies::Loading => LOADING,
             Copies::Warm(_) => 0.4,
-            Copies::Unknown if w.beliefs.values().filter(stands).count() < 4 => 0.3,
+            Copies::Unknown if w.beliefs.values().filter(stands).take(4).count() < 4 => 0.3,
             Copies::Unknown => 0.0,
         }
     }
 
+    fn is_warm(&self, now: Time, at: WorkerId, function: FunctionId) -> bool {
+        let w = &self.workers[&at];
+        Self::affinity(now, self.keep(), w, w.beliefs.get(&function)) >= WARM
+    }
+
     /// The workers with room that the rules let an RPC go to, scored; the crowded ones are marked.
     fn candidates(&self, now: Time, rpc: &Rpc) -> Vec<Candidate> {
-        let (count, mine) = self.ready().fold((0.0, 0.0), |(n, m), w| (n + 1.0, m + w.mine as f64));
-        let mean = mine / f64::max(count, 1.0);
-        let utils: Vec<f64> = self.workers.values().filter_map(|w| w.util).collect();
-        let lacking = if utils.is_empty() { 0.5 } else { utils.iter().sum::<f64>() / utils.len() as f64 };
+        let keep = self.keep();
         let told = self.part("loadInfo", "names").and_then(Value::as_array);
         let told = told.is_some_and(|n| n.iter().any(|n| n == "utilization"));
         let usual = self.methods.get(&rpc.method).map_or(0.0, |p| p[1].mean);
+        let (known, slots, aim) = (self.sizes_told(), self.slots(), self.aim(rpc.method));
+        let (mut utils, mut reports) = (0.0, 0.0);
+        let (mut count, mut mine, mut homes) = (0.0, 0.0, 0.0);
         // Against the workers' harmonic mean: where most RPCs go to hot workers their own mean hides it.
-        let fast = |w: &Worker| (w.paced > Time(0)).then(|| 1.0 / w.slowness_now(now, FADES).max(0.1));
-        let (n, sum) = self.ready().filter_map(fast).fold((0.0, 0.0), |(n, sum), f| (n + 1.0, sum + f));
-        let fastness = sum / f64::max(n, 1.0);
-        let homes = self.ready().filter(|w| self.affinity(now, w, rpc.function) >= LOADING).count() as f64;
+        let (mut paced, mut fastness) = (0.0, 0.0);
+        let mut ready = Vec::with_capacity(self.workers.len());
+        for (&id, w) in &self.workers {
+            if let Some(util) = w.util {
+                (utils, reports) = (utils + util, reports + 1.0);
+            }
+            if w.standing != Standing::Ready {
+                continue;
+            }
+            let belief = w.beliefs.get(&rpc.function);
+            let affinity = Self::affinity(now, keep, w, belief);
+            let slowness = w.slowness_now(now, FADES);
+            (count, mine) = (count + 1.0, mine + w.mine as f64);
+            if w.paced > Time(0) {
+                (paced, fastness) = (paced + 1.0, fastness + 1.0 / slowness.max(0.1));
+            }
+            homes += if affinity >= LOADING { 1.0 } else { 0.0 };
+            ready.push((id, w, belief, affinity, slowness));
+        }
+        let mean = mine / f64::max(count, 1.0);
+        let lacking = if reports == 0.0 { 0.5 } else { utils / reports };
+        let fastness = fastness / f64::max(paced, 1.0);
         let few = homes < LATE_SHARE * count;
-        let mut all = Vec::new();
-        for (&id, w) in self.workers.iter().filter(|(_, w)| w.standing == Standing::Ready) {
-            let affinity = self.affinity(now, w, rpc.function);
-            let (mine, size) = (w.mine as f64, self.size(w));
+        let mut all = Vec::with_capacity(ready.len());
+        for (id, w, belief, affinity, slowness) in ready {
+            let (mine, size) = (w.mine as f64, self.size(w, known));
             // Guards against copies that others crowd and workers that are slow, ageing or hot: both count as
             // deeper. Trouble of the whole fleet moves the usual instead. May hurt where old: beliefs fade.
-            let belief = w.beliefs.get(&rpc.function);
             let others = belief.map_or(0.0, |b| b.others_now(now, FADES));
-            let slowness = w.slowness_now(now, FADES);
             let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
-            let ceiling = w.ceiling.min((self.slots() * size).max(1.0));
+            let ceiling = w.ceiling.min((slots * size).max(1.0));
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
             let room = mine < ceiling && takes && fresh && !w.suspect;
@@ -475,10 +510,10 @@
             let depth = (mine + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * idle;
-            let late =
-                few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * self.aim(rpc.method);
+            let late = few && slowness * fastness > LATE.0 && slowness * usual > LATE.1 * aim;
             let crowded = late || mine >= crowd || here >= CROWD * rpc.lanes + 2.0;
-            all.push(Candidate { id, affinity, score, crowded, depth, copies: here / (CROWD * rpc.lanes) });
+            let (copies, memory) = (here / (CROWD * rpc.lanes), w.memory);
+            all.push(Candidate { id, affinity, score, crowded, depth, copies, memory });
         }
         all
     }
@@ -488,13 +523,13 @@
         let function = self.rpcs[&id].function;
         let mut all = self.candidates(now, &self.rpcs[&id]);
         // New loads go to the first in the function's rendezvous order, where load allows.
-        all.sort_by_key(|c| home_rank(function, c.id));
+        all.sort_by_cached_key(|c| home_rank(function, c.id));
         // As many homes are alike as copies are told in use at one; a large fleet has more from the start.
         let start = USUAL_SHARE * self.ready().count() as f64;
         let mut alike = all.iter().map(|c| c.copies).fold(start, f64::max);
         let mut home = 0.0;
         for c in &mut all {
-            let new = if c.affinity < WARM { home - MEMORY_WEIGHT * self.workers[&c.id].memory } else { 0.0 };
+            let new = if c.affinity < WARM { home - MEMORY_WEIGHT * c.memory } else { 0.0 };
             c.score += new + 1e-9 * self.rng.rand_float();
             if !c.crowded {
                 alike -= 1.0;
@@ -525,11 +560,12 @@
     }
 
     fn send(&mut self, now: Time, id: RpcId, to: WorkerId) {
-        let warm = self.affinity(now, &self.workers[&to], self.rpcs[&id].function) >= WARM;
+        let warm = self.is_warm(now, to, self.rpcs[&id].function);
         let pull = self.part("loadInfo", "how").is_some_and(|how| how == "pull");
         let probes = pull && self.allowed("limits", "probes");
         let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
         rpc.waiting = false;
+        let tenant = rpc.tenant;
         (w.mine, w.last_sent) = (w.mine + 1, now);
         let belief = w.beliefs.entry(rpc.function).or_default();
         let (open, never_ran, beside, overdue) = (true, false, belief.mine, 0);
@@ -545,6 +581,7 @@
             self.probes -= 1.0;
             self.host.probe(to);
         }
+        self.weigh(tenant, warm, 1.0);
     }
 
     // 1. Health.
@@ -553,19 +590,22 @@
     /// fail fast or hang; should hold for anything that shows in outcomes. With a third of the fleet suspect
     /// the trouble is not the worker's. May hurt where a tenant's own RPCs always fail: its workers look ill.
     fn judge(&mut self, now: Time, id: WorkerId, evidence: f64) {
-        let ready = self.ready().count() as f64;
-        let suspects = self.ready().filter(|w| w.suspect).count() as f64;
         let (at, no) = (now.0, id.0);
         let Some(w) = self.workers.get_mut(&id) else { return };
         w.evidence = (w.evidence + evidence).clamp(0.0, EVIDENCE_CAP);
-        if w.suspect && w.evidence <= CLEARED_AT {
+        let (evidence, suspect) = (w.evidence, w.suspect);
+        if suspect && evidence <= CLEARED_AT {
             w.suspect = false;
-            self.host.log(&format!("{at}: worker {no} cleared, evidence {:.1}", w.evidence));
-        } else if !w.suspect && w.evidence >= SUSPECT_AT && suspects + 1.0 <= (ready * EJECT_SHARE).max(1.0) {
-            w.suspect = true;
-            let (evidence, suspects) = (w.evidence, suspects + 1.0);
-            let line = format!("{at}: worker {no} suspect, evidence {evidence:.1}, {suspects} of {ready}");
-            self.host.log(&line);
+            self.host.log(&format!("{at}: worker {no} cleared, evidence {evidence:.1}"));
+        } else if !suspect && evidence >= SUSPECT_AT {
+            let ready = self.ready().count() as f64;
+            let suspects = self.ready().filter(|w| w.suspect).count() as f64 + 1.0;
+            if suspects <= (ready * EJECT_SHARE).max(1.0) {
+                self.workers.entry(id).or_default().suspect = true;
+                let line =
+                    format!("{at}: worker {no} suspect, evidence {evidence:.1}, {suspects} of {ready}");
+                self.host.log(&line);
+            }
         }
     }
 
@@ -597,17 +637,21 @@
     /// taken. One call-out a slot, at times of its own, keeps those with a part under one a window to it.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
-        let (within, fall) = (self.span("contract", "warmWithin"), self.span("contract", "fall"));
+        let within = self.span("contract", "warmWithin");
+        if now - since >= within {
+            return true;
+        }
+        let fall = self.span("contract", "fall");
         let (age, from) = (now - since, self.number("contract", "startCapacity", 0.2));
         let capacity = from + (1.0 - from) * age.0 as f64 / within.0.max(1) as f64;
-        let per_window = self.rate * fall.ms() * self.size(w) / self.most_ready.max(1.0);
+        let per_window = self.rate * fall.ms() * self.size(w, self.sizes_told()) / self.most_ready.max(1.0);
         let budget = COLD_PART * self.number("contract", "fallMultiple", 2.0) * capacity * per_window;
         // In steps of two, that a rate that moves does not open one slot after the other.
         let gap = fall.ms() * budget.max(1.0 / self.schedulers()).log2().floor().exp2().recip();
         // Slots lapse unused: else all schedulers spend theirs at once when a function's home moves here.
         let into = (age.ms() / gap.max(0.1) + w.phase).fract() * gap;
         let unspent = w.last_sent < now - Time::from_ms(into) || w.last_sent < since;
-        age >= within || (unspent && into <= fall.ms() / 2.0)
+        unspent && into <= fall.ms() / 2.0
     }
 
     // 3. The second line.
@@ -636,7 +680,7 @@
         let possible = if beside { out <= CLOSE * limit } else { self.harmless_to_any(now, rpc) };
         let possible = possible && (rpc.outs.len() as f64) < most;
         let to = if possible && self.retries >= cost { self.pick(now, id) } else { None };
-        let warm = |to: &WorkerId| self.affinity(now, &self.workers[to], self.rpcs[&id].function) >= WARM;
+        let warm = |to: &WorkerId| self.is_warm(now, *to, self.rpcs[&id].function);
         match to.filter(|to| !beside || warm(to)) {
             Some(to) => {
                 self.retries -= cost;
@@ -688,11 +732,15 @@
             let second = self.allowed("limits", "secondCopies") && self.harmless_to_any(now, &self.rpcs[&id]);
             let Some(rpc) = self.rpcs.get_mut(&id) else { continue };
             rpc.outs[no].overdue += 1;
+            let first = (rpc.outs[no].overdue == 1).then_some((rpc.tenant, rpc.outs[no].warm));
             let fits = !rpc.done && !rpc.streaming && !rpc.waiting && rpc.open() == 1;
             if second && fits && (silent || rpc.outs[no].overdue > 1) {
                 rpc.waiting = true;
                 self.lines[1].push_back(id);
             }
+            if let Some((tenant, warm)) = first {
+                self.weigh(tenant, warm, -1.0);
+            }
         }
         // The rate is over many answers, that one busy moment is not taken for the usual.
         let n = self.answered.len().min(RATE_ANSWERS);
@@ -711,6 +759,7 @@
                 copies => b.mine > 0 || copies != Copies::Unknown,
             });
         }
+        self.forget_gone(now);
         for times in [&mut self.taken, &mut self.answered, &mut self.orders] {
             while times.front().is_some_and(|&t| t + KEEP < now) {
                 times.pop_front();
@@ -718,6 +767,16 @@
         }
     }
 
+    /// A worker long gone is forgotten once nothing is out to it and no RPC still asks where it was: a daemon
+    /// runs for months, and every RPC walks what is kept.
+    fn forget_gone(&mut self, now: Time) {
+        let over = |w: &Worker| w.standing == Standing::Gone && w.mine == 0 && w.told + KEEP < now;
+        if self.workers.values().any(over) {
+            let asked: BTreeSet<_> = self.rpcs.values().flat_map(|r| &r.outs).map(|o| o.worker).collect();
+            self.workers.retain(|id, w| !over(w) || asked.contains(id));
+        }
+    }
+
     // 4. Copies.
 
     /// Orders one copy, within the ration; the worker counts as loading it from then on.
@@ -744,15 +803,14 @@
         let usual = self.best_rate * TARGET * self.aims.mean;
         let part = PART_OUT * self.ready().count() as f64 / self.schedulers();
         let limit = (usual + CHANCE).max(part);
-        let counts = |o: &&CallOut| o.open && o.overdue == 0;
-        let weight = |o: &CallOut| if o.warm { 1.0 } else { BEHIND_LOAD };
-        let (mut out, mut of_tenant) = (0.0, 0.0);
-        for rpc in self.rpcs.values() {
-            let open: f64 = rpc.outs.iter().filter(counts).map(weight).sum();
-            out += open;
-            of_tenant += if rpc.tenant == tenant { open } else { 0.0 };
-        }
-        (limit, out, of_tenant)
+        (limit, self.out, self.out_of.get(&tenant).copied().unwrap_or(0.0))
+    }
+
+    /// A call-out comes or goes. RPCs behind a load count in part; halves add up exactly.
+    fn weigh(&mut self, tenant: TenantId, warm: bool, sign: f64) {
+        let weight = sign * if warm { 1.0 } else { BEHIND_LOAD };
+        self.out += weight;
+        *self.out_of.entry(tenant).or_default() += weight;
     }
 
     /// A method's part of the bound: by its gain for the time of an answer, against the mean of methods.
--- a/src/records.rs
+++ b/src/records.rs
@@ -38,6 +38,9 @@
 
 /// What is left of `value` above `rest` after a time, halved each `half` milliseconds.
 pub fn faded(value: f64, rest: f64, age: Time, half: f64) -> f64 {
+    if value == rest {
+        return rest;
+    }
     rest + (value - rest) * (-age.ms() / half).exp2()
 }
 
@@ -45,6 +48,8 @@
 pub struct Worker {
     pub standing: Standing,
     pub size: f64,
+    /// When the list last told something of it.
+    pub told: Time,
     pub since: Time,
     /// Since when it may be cold: its listed start, or a death that I saw myself.
     pub cold_since: Option<Time>,
