--- a/crates/curlewpoint-cli/tests/processes.rs
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -150,3 +150,32 @@
     assert_eq!(out.status.code(), Some(5));
     assert_eq!(text(&out.stderr).lines().count(), 1, "{}", text(&out.stderr));
 }
+
+/// As many clients as the cap connect at once, as far as this machine's descriptors go; each is answered.
+#[test]
+fn ten_thousand_clients_connect_at_once() {
+    use std::io::Read;
+    use std::net::TcpStream;
+    let f = fleet("many", "1ms");
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let files = limits.lines().find(|l| l.starts_with("Max open files"));
+    let files: usize = files.and_then(|l| l.split_whitespace().nth(3)?.parse().ok()).unwrap_or(1024);
+    let many = 10_000.min(files - 200);
+    // A hello: length, kind 1, head of 2 fields (version 1, and the name), written by hand.
+    let hello = [0, 0, 0, 9, 0, 1, 0, 5, 1, 1, 2, 0x61, b'x'];
+    let all: Vec<TcpStream> = (0..many)
+        .map(|_| {
+            let mut stream = TcpStream::connect(&f.gateway.address).expect("it accepts");
+            stream.write_all(&hello).expect("written");
+            stream
+        })
+        .collect();
+    for mut stream in &all {
+        let mut head = [0; 6];
+        stream.read_exact(&mut head).expect("a hello");
+        assert_eq!(head[5], 1, "a hello, no fault");
+    }
+    drop(all);
+    let out = call(&f.gateway.address).output().expect("it runs");
+    assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
+}
--- a/crates/curlewpoint-config/src/check.rs
+++ b/crates/curlewpoint-config/src/check.rs
@@ -296,6 +296,21 @@
         assert!(told.drawn.contains("t.conf:"), "{}", told.drawn);
     }
 
+    #[test]
+    fn an_include_stands_for_its_file_and_its_faults_are_told_there() {
+        let folder = std::env::temp_dir().join(format!("curlewpoint-include-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let write = |name: &str, text: &str| std::fs::write(folder.join(name), text).unwrap();
+        write("main.conf", &format!("include more.conf\n{GOOD}"));
+        write("more.conf", "stop-limit 7s\n");
+        let config = crate::load(folder.join("main.conf")).unwrap();
+        assert_eq!(config.number("", "stop-limit"), 7000.0);
+        write("more.conf", "stop-limit soon\ninclude main.conf\n");
+        let told = crate::load(folder.join("main.conf")).unwrap_err().drawn;
+        assert!(told.contains("more.conf:1:12") && told.contains("does one include itself?"), "{told}");
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     #[test]
     fn all_faults_are_told_at_once() {
         let told = parse("t", &format!("{GOOD}nmae b\nseed x\nstop-limit 5\n}}\n")).unwrap_err();
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -269,7 +269,7 @@
                 "The pause after a failed dial; it doubles with each in a row ...",
             ),
             d("most-back-off", Time, "2s", "", "... up to this."),
-            d("most-frame", Memory, "16MiB", "", "The longest frame taken."),
+            d("most-frame", Memory, "16MiB", "", "The longest frame taken; what a client sends may be 4 KiB less, so that it fits a worker's frame with a call-out's head."),
             d("outbox", Memory, "32MiB", "", "Bytes that may wait to be written on one connection."),
             d("write-limit", Time, "10s", "", "A peer that takes not a byte for so long is cut off."),
             d("outbox-frames", Number, "1024", "", "Frames that may wait to be written on one connection."),
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -30,8 +30,10 @@
     Stopping,
     /// The client has used this tag for an RPC that is open.
     TagInUse,
-    /// The model's name cannot be taken: there are too many, or its id is another's.
+    /// The model's name cannot be taken: it is too long, there are too many, or its id is another's.
     BadModel,
+    /// The token is too long.
+    BadToken,
 }
 
 /// What a worker is asked.
@@ -304,6 +306,9 @@
 
 /// How long after its going the name and the start of a worker are kept: lists told late may still name it.
 const GONE_KEPT: Time = Time(6_000_000);
+/// The longest name of a model, and the longest token, in bytes: with them a call-out's head stays far below what any
+/// worker takes. A longer one would end a connection that carries others' call-outs.
+const MOST_NAME: usize = 1024;
 const MOST_WORKERS: usize = 100_000;
 const MOST_MODELS: usize = 1_000_000;
 
@@ -423,11 +428,17 @@
         if desk.tags.contains_key(&(client, tag)) {
             return Err(Refusal::TagInUse);
         }
-        let function = FunctionId(desk.functions.learn(model).map_err(|_| Refusal::BadModel)?);
         let left = self.give_up[method].map_or(left, |most| left.min(most)) - slack;
         if left == Time(0) {
             return Err(Refusal::NoTime);
         }
+        if token.is_some_and(|t| t.len() > MOST_NAME) {
+            return Err(Refusal::BadToken);
+        }
+        if model.len() > MOST_NAME {
+            return Err(Refusal::BadModel);
+        }
+        let function = FunctionId(self.module.host().functions.learn(model).map_err(|_| Refusal::BadModel)?);
         self.next_rpc += 1;
         let id = RpcId(self.next_rpc);
         let lanes = self.lanes[method];
--- a/crates/curlewpoint-gateway/src/codes.rs
+++ b/crates/curlewpoint-gateway/src/codes.rs
@@ -68,5 +68,6 @@
         Refusal::Stopping => "stopping",
         Refusal::TagInUse => "tag-in-use",
         Refusal::BadModel => "bad-model",
+        Refusal::BadToken => "bad-token",
     }
 }
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -7,7 +7,7 @@
 use curlewpoint_link::{Bounds, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::timeout;
@@ -51,6 +51,10 @@
 const LAST_WRITES: Duration = Duration::from_secs(2);
 /// After a stop, how long clients may take to say that they send nothing more.
 const LEAVE: Duration = Duration::from_secs(2);
+/// A call-out's head is longer than the RPC's by less than this, in bytes.
+const HEADROOM: usize = 4096;
+/// The system's own limit holds where it is lower.
+const BACKLOG: u32 = 16_384;
 /// The clock starts a day on, so that the start of a worker older than this process lies on it.
 const DAY: Time = Time(864_000_000);
 
@@ -103,11 +107,20 @@
     }
 }
 
+/// Listens with as long a queue as the system allows: where it overflows, clients that come at once wait a second each
+/// for their next try.
+fn bind(address: &str) -> std::io::Result<TcpListener> {
+    let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Starts a scheduler. It serves from the moment this returns; the list may come later.
 pub async fn start(config: &Config) -> Result<Running, StartError> {
     let listen = config.text("listen").to_owned();
-    let bound = TcpListener::bind(&listen).await;
-    let listener = bound.map_err(|e| StartError::Listen(listen.clone(), e))?;
+    let listener = bind(&listen).map_err(|e| StartError::Listen(listen.clone(), e))?;
     let address = listener.local_addr().map_err(|e| StartError::Listen(listen, e))?;
     let of = |name| config.number("connections", name);
     let bounds = Bounds {
@@ -143,7 +156,9 @@
 
     let tasks = TaskTracker::new();
     let most = of("clients") as usize;
-    let accepting = clients::accept(listener, most, name.clone(), bounds, asks_in.clone(), tasks.clone());
+    // What a client sends must fit a worker's frame with the longer head of a call-out.
+    let of_clients = Bounds { frame: bounds.frame.saturating_sub(HEADROOM), ..bounds };
+    let accepting = clients::accept(listener, most, name.clone(), of_clients, asks_in.clone(), tasks.clone());
     let accepting = tokio::spawn(accepting).abort_handle();
     let following = list::follow(config.text("list").to_owned(), name, bounds, dial, answers_in, seed);
     let following = tokio::spawn(following).abort_handle();
