Take back what waits for a draining worker that does not read

At the word of a drain or a going, errands that are not begun now end as not sent and go elsewhere; the connection's tickets make that exact. Seen in a test on sockets: of the call-outs to a mute worker that drains only those begun reach it. Tests wait 30 s at most for what does not come.

--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -72,6 +72,8 @@
     /// The list is wanted from the version held on; none: the whole.
     fn watch_list(&mut self, held: Option<(u64, u64)>);
     fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str);
+    /// It drains: what has not been begun is not sent to it any more.
+    fn worker_drains(&mut self, now: Time, worker: WorkerId);
     fn worker_gone(&mut self, now: Time, worker: WorkerId);
     fn log(&mut self, rpc: Option<RpcId>, line: &str);
 }
@@ -598,7 +600,11 @@
         let (read, named) = desk.roster.ends(|id, name, address, standing, since, zone, cell, size| {
             match standing {
                 Standing::Gone => desk.world.worker_gone(now, id),
-                Standing::Ready | Standing::Draining => desk.world.worker_at(now, id, name, address),
+                Standing::Ready => desk.world.worker_at(now, id, name, address),
+                Standing::Draining => {
+                    desk.world.worker_at(now, id, name, address);
+                    desk.world.worker_drains(now, id);
+                }
             }
             rows.push((id, standing, since, zone, cell, size));
         });
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -13,6 +13,8 @@
     fn send(&mut self, conn: ConnId, errand: ErrandId, payload: &P) -> bool;
     /// Takes back what was sent; true: not one byte of it was, or ever will be, handed to the kernel.
     fn take_back(&mut self, conn: ConnId, errand: ErrandId) -> bool;
+    /// Tells the worker that nobody waits for what was begun.
+    fn withdraw(&mut self, conn: ConnId, errand: ErrandId);
     fn close(&mut self, conn: ConnId);
     /// An errand that ends here, without an answer.
     fn ended(&mut self, errand: ErrandId, outcome: Outcome);
@@ -97,8 +99,30 @@
         }
     }
 
+    /// The list says that a worker drains or is gone: what still waits to be sent there is not sent. Guards the rule on
+    /// drains where a worker does not read, as its outbox may hold call-outs for longer than the grace. Should also hold
+    /// for a dial that hangs. Harms little: what is not sent goes elsewhere.
+    pub fn send_nothing_more(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
+        let Some(line) = self.lines.get_mut(&worker) else { return };
+        let conns = line.conns.clone();
+        for (errand, _) in std::mem::take(&mut line.waiting) {
+            self.whereabouts.remove(&errand);
+            wires.ended(errand, Outcome::NotSent);
+        }
+        for conn in conns {
+            let out = self.conns.get(&conn).map(|c| c.out.clone()).unwrap_or_default();
+            for errand in out {
+                if wires.take_back(conn, errand) {
+                    self.answered(now, wires, errand);
+                    wires.ended(errand, Outcome::NotSent);
+                }
+            }
+        }
+    }
+
     /// The list says that a worker is gone: its connections finish what they have, and then it is forgotten.
-    pub fn worker_gone(&mut self, wires: &mut impl Wires<P>, worker: WorkerId) {
+    pub fn worker_gone(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
+        self.send_nothing_more(now, wires, worker);
         let Some(line) = self.lines.get_mut(&worker) else { return };
         line.gone = true;
         for conn in line.conns.clone() {
@@ -287,6 +311,9 @@
             }
             Some((_, Some(conn))) => {
                 let untouched = wires.take_back(conn, errand);
+                if !untouched {
+                    wires.withdraw(conn, errand);
+                }
                 self.answered(now, wires, errand);
                 untouched
             }
--- a/crates/curlewpoint-engine/tests/pool.rs
+++ b/crates/curlewpoint-engine/tests/pool.rs
@@ -10,6 +10,7 @@
     dialled: Vec<ConnId>,
     sent: Vec<(ConnId, ErrandId)>,
     closed: Vec<ConnId>,
+    withdrawn: Vec<ErrandId>,
     ended: Vec<(ErrandId, Outcome)>,
     /// Connections whose outbox is full.
     full: BTreeSet<ConnId>,
@@ -31,6 +32,9 @@
     fn take_back(&mut self, _: ConnId, errand: ErrandId) -> bool {
         self.untouched.contains(&errand)
     }
+    fn withdraw(&mut self, _: ConnId, errand: ErrandId) {
+        self.withdrawn.push(errand);
+    }
     fn close(&mut self, conn: ConnId) {
         self.closed.push(conn);
     }
@@ -118,13 +122,26 @@
     p.conn_up(Time(5), &mut w, conn);
     p.sweep(Time(200_000), &mut w);
     assert!(w.closed.is_empty(), "something is out on it");
-    p.worker_gone(&mut w, W);
+    p.worker_gone(Time(200_000), &mut w, W);
     ask(&mut p, &mut w, 200_001, 2..=2);
     assert_eq!(w.ended, [(ErrandId(2), Outcome::ConnectFailed)], "nothing new goes to it");
     p.answered(Time(200_002), &mut w, ErrandId(1));
     assert_eq!((w.closed.as_slice(), p.conns()), (&[conn][..], 0));
 }
 
+/// Guards against call-outs that reach a worker long after it was known to drain, as it did not read until then.
+#[test]
+fn what_was_not_begun_when_a_worker_drains_is_not_sent() {
+    let (mut p, mut w) = pool();
+    ask(&mut p, &mut w, 0, 1..=3);
+    let conn = w.dialled[0];
+    p.conn_up(Time(5), &mut w, conn);
+    w.untouched.insert(ErrandId(2));
+    p.send_nothing_more(Time(6), &mut w, W);
+    assert_eq!(w.ended, [(ErrandId(3), Outcome::NotSent), (ErrandId(2), Outcome::NotSent)]);
+    assert!(p.is_on(ErrandId(1), conn) && w.withdrawn.is_empty(), "what was begun goes on to its end");
+}
+
 #[test]
 fn what_waits_for_a_dial_can_be_taken_back_as_unsent() {
     let (mut p, mut w) = pool();
--- a/crates/curlewpoint-engine/tests/promises.rs
+++ b/crates/curlewpoint-engine/tests/promises.rs
@@ -47,6 +47,7 @@
         self.asked_list.push(held);
     }
     fn worker_at(&mut self, _: Time, _: WorkerId, _: &str, _: &str) {}
+    fn worker_drains(&mut self, _: Time, _: WorkerId) {}
     fn worker_gone(&mut self, _: Time, worker: WorkerId) {
         self.told_gone.push(worker);
     }
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -43,13 +43,15 @@
         sent
     }
 
-    fn take_back(&mut self, conn: ConnId, errand: ErrandId) -> bool {
-        let untouched = self.tickets.remove(&errand).is_some_and(|t| t.take_back());
-        if let (false, Some(outbox)) = (untouched, self.outboxes.get(&conn)) {
+    fn take_back(&mut self, _conn: ConnId, errand: ErrandId) -> bool {
+        self.tickets.get(&errand).is_some_and(Ticket::take_back)
+    }
+
+    fn withdraw(&mut self, conn: ConnId, errand: ErrandId) {
+        if let Some(outbox) = self.outboxes.get(&conn) {
             // The worker may be spared what nobody waits for; where its outbox is full it is not told.
             let _ = outbox.send(Frame::new(Kind::WITHDRAW).int(Field::TAG, errand.0), None);
         }
-        untouched
     }
 
     fn close(&mut self, conn: ConnId) {
@@ -162,7 +164,9 @@
     }
 
     fn take_back(&mut self, now: Time, id: ErrandId) -> bool {
-        self.pool.take_back(now, &mut self.sockets, id)
+        let untouched = self.pool.take_back(now, &mut self.sockets, id);
+        self.sockets.tickets.remove(&id);
+        untouched
     }
 
     fn answer(
@@ -212,8 +216,12 @@
         self.pool.worker_at(now, &mut self.sockets, worker, address);
     }
 
-    fn worker_gone(&mut self, _now: Time, worker: WorkerId) {
-        self.pool.worker_gone(&mut self.sockets, worker);
+    fn worker_drains(&mut self, now: Time, worker: WorkerId) {
+        self.pool.send_nothing_more(now, &mut self.sockets, worker);
+    }
+
+    fn worker_gone(&mut self, now: Time, worker: WorkerId) {
+        self.pool.worker_gone(now, &mut self.sockets, worker);
     }
 
     fn log(&mut self, rpc: Option<RpcId>, line: &str) {
--- a/crates/curlewpoint-lab/tests/common/mod.rs
+++ b/crates/curlewpoint-lab/tests/common/mod.rs
@@ -41,7 +41,11 @@
     /// The next call-out that arrives.
     pub async fn call_out(&mut self) -> (PeerId, Frame) {
         loop {
-            match self.heard.recv().await.expect("the door is open") {
+            let Some(heard) = self.heard.recv().await else {
+                // It has died: nothing arrives any more.
+                std::future::pending().await
+            };
+            match heard {
                 Heard::Hello(id, _, say) => drop(self.peers.insert(id, say)),
                 Heard::Frame(id, f) if f.kind == Kind::CALL_OUT => return (id, f),
                 Heard::Frame(id, f) if f.kind == Kind::PROBE => {
@@ -113,7 +117,13 @@
 
     /// Waits until what was seen holds this, and gives it with its time.
     pub async fn until(&self, wanted: impl Fn(&Seen) -> bool) -> (Time, Seen) {
+        let began = std::time::Instant::now();
         loop {
+            assert!(
+                began.elapsed().as_secs() < 30,
+                "what was waited for did not come: {:?}",
+                self.record.all()
+            );
             if let Some(found) = self.record.all().into_iter().find(|(_, s)| wanted(s)) {
                 return found;
             }
--- a/crates/curlewpoint-lab/tests/hard.rs
+++ b/crates/curlewpoint-lab/tests/hard.rs
@@ -125,6 +125,36 @@
     assert_eq!((f.taken, f.ok + f.denied + f.aborted, f.guarded), (models, models, 0));
 }
 
+/// A worker that does not read is told to drain: what had not been begun then never reaches it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_takes_back_what_waits_for_a_worker_that_does_not_read() {
+    let mut a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    stage.ask(0, "issue-extract", LONG);
+    let first = a.call_out().await;
+    a.answer(&first, Outcome::Ok);
+    stage.final_of(0).await;
+    a.mute.send(true).unwrap();
+    // Far more than socket buffers hold; each fits its outbox.
+    for key in 1..=4 {
+        stage.office.ask(key, "issue-extract", "model", "", Time(12_000), 6 << 20);
+    }
+    // The refusal of one behind them tells that the four have been taken and called out.
+    stage.ask(9, "no-such-method", LONG);
+    stage.until(|s| matches!(s, Seen::Refused { key: 9, .. })).await;
+    name(&stage.list, &a, Standing::Draining);
+    for key in 1..=4 {
+        assert_ne!(stage.final_of(key).await, Answer::Ok);
+    }
+    a.mute.send(false).unwrap();
+    let f = stop(stage).await;
+    let mut arrived = 0;
+    while a.call_out_before(tokio::time::sleep(std::time::Duration::from_millis(300))).await {
+        arrived += 1;
+    }
+    assert!(f.call_outs >= 3 && arrived < f.call_outs - 1, "{arrived} of {} reached it", f.call_outs);
+}
+
 /// Down at the start: what is asked waits for the list. Away for a while: the list held goes on to be used.
 #[tokio::test]
 async fn the_list_service_may_come_late_and_vanish() {
