Build the catalogue of methods: schemas, documents, routes, releases in force

Law firms ask for descriptions to generate clients from, which must be what the gateway does. A catalogue read from the configuration compiles each method's schemas, tries its examples, gives an OpenAPI 3.1 and an AsyncAPI 3.0 document that are the same to the byte, sorts the changes between two releases into breaking and compatible (curlewpoint describe diff, exit code 1), and knows under which release an RPC was taken, up to a bounded number of them. The HTTP door is not built yet, and the documents are not served.

--- /dev/null
+++ b/crates/curlewpoint-catalogue/src/catalogue.rs
@@ -0,0 +1,284 @@
+use std::collections::BTreeMap;
+
+use curlewpoint_config::Config;
+use jsonschema::Validator;
+use serde_json::Value;
+
+/// Whether a repeat is harmless.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Tokened,
+    SideEffecting,
+}
+
+impl Effect {
+    pub fn word(self) -> &'static str {
+        match self {
+            Effect::Idempotent => "idempotent",
+            Effect::Tokened => "tokened",
+            Effect::SideEffecting => "side-effecting",
+        }
+    }
+}
+
+/// What a body holds.
+pub enum Payload {
+    /// Any bytes.
+    Binary,
+    Json {
+        schema: Value,
+        check: Box<Validator>,
+    },
+}
+
+impl Payload {
+    pub fn media_type(&self) -> &'static str {
+        match self {
+            Payload::Binary => "application/octet-stream",
+            Payload::Json { .. } => "application/json",
+        }
+    }
+
+    pub fn schema(&self) -> Option<&Value> {
+        match self {
+            Payload::Binary => None,
+            Payload::Json { schema, .. } => Some(schema),
+        }
+    }
+
+    /// Checks a body; the fault says where in it and why.
+    pub fn check(&self, body: &[u8]) -> Result<(), String> {
+        let Payload::Json { check, .. } = self else { return Ok(()) };
+        let value = strict(body)?;
+        let Some(fault) = check.iter_errors(&value).next() else { return Ok(()) };
+        let at = fault.instance_path().to_string();
+        Err(format!("at '{}': {fault}", if at.is_empty() { "/" } else { &at }))
+    }
+}
+
+/// Nesting beyond this is refused before it is built: JSON has no bound of its own.
+const DEEPEST: usize = 64;
+
+/// Reads JSON as the documents allow it: valid UTF-8, no key twice in an object, no nesting beyond a bound.
+fn strict(body: &[u8]) -> Result<Value, String> {
+    let text = std::str::from_utf8(body).map_err(|e| format!("byte {}: not UTF-8", e.valid_up_to()))?;
+    let mut depth = 0usize;
+    let (mut quoted, mut escaped) = (false, false);
+    for (at, b) in text.bytes().enumerate() {
+        match (quoted, escaped, b) {
+            (true, true, _) => escaped = false,
+            (true, false, b'\\') => escaped = true,
+            (true, false, b'"') => quoted = false,
+            (false, _, b'"') => quoted = true,
+            (false, _, b'[' | b'{') => {
+                depth += 1;
+                if depth > DEEPEST {
+                    return Err(format!("byte {at}: nested deeper than {DEEPEST}"));
+                }
+            }
+            (false, _, b']' | b'}') => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    let value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    twice(text)?;
+    Ok(value)
+}
+
+/// Refuses an object that has a key twice: two readers would not agree on what it says. The text is known to be JSON.
+fn twice(text: &str) -> Result<(), String> {
+    let bytes = text.as_bytes();
+    // For each open bracket the keys so far; an array has none.
+    let mut open: Vec<Option<Vec<String>>> = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        match bytes[at] {
+            b'{' => open.push(Some(Vec::new())),
+            b'[' => open.push(None),
+            b'}' | b']' => drop(open.pop()),
+            b'"' => {
+                let start = at;
+                at += 1;
+                while bytes[at] != b'"' {
+                    at += if bytes[at] == b'\\' { 2 } else { 1 };
+                }
+                let rest = text[at + 1..].trim_start();
+                if let (true, Some(Some(keys))) = (rest.starts_with(':'), open.last_mut()) {
+                    let key: String = serde_json::from_str(&text[start..=at]).map_err(|e| e.to_string())?;
+                    if keys.contains(&key) {
+                        return Err(format!("byte {start}: the key '{key}' stands twice"));
+                    }
+                    keys.push(key);
+                }
+            }
+            _ => {}
+        }
+        at += 1;
+    }
+    Ok(())
+}
+
+/// What is wrong with a catalogue, and in which of its files.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    pub place: String,
+    pub what: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{}: {}", self.place, self.what)
+    }
+}
+
+/// A method as clients know it.
+pub struct Method {
+    pub name: String,
+    pub about: String,
+    pub effect: Effect,
+    /// Milliseconds.
+    pub soft_deadline: f64,
+    pub deadline: f64,
+    pub request: Payload,
+    pub answer: Payload,
+    pub examples: Vec<Value>,
+    /// The release in which it came, and the one in which it goes, where that is known.
+    pub since: String,
+    pub until: Option<String>,
+}
+
+/// All methods of one release.
+pub struct Catalogue {
+    pub title: String,
+    pub release: String,
+    methods: BTreeMap<String, Method>,
+}
+
+/// The longest regular expression of a schema, in bytes. The library's engine runs in time linear in the text, so
+/// that no text makes one costly; its size is bounded so that compiling is not.
+const LONGEST_PATTERN: usize = 1000;
+
+fn patterns(schema: &Value, found: &mut Vec<String>) {
+    match schema {
+        Value::Object(map) => {
+            found.extend(map.get("pattern").and_then(Value::as_str).map(str::to_owned));
+            if let Some(Value::Object(inner)) = map.get("patternProperties") {
+                found.extend(inner.keys().cloned());
+            }
+            map.values().for_each(|v| patterns(v, found));
+        }
+        Value::Array(all) => all.iter().for_each(|v| patterns(v, found)),
+        _ => {}
+    }
+}
+
+impl Payload {
+    /// A JSON payload from the text of its schema.
+    pub fn json(place: &str, text: &str) -> Result<Payload, Fault> {
+        let fault = |what: String| Fault { place: place.to_owned(), what };
+        let schema: Value = serde_json::from_str(text).map_err(|e| fault(e.to_string()))?;
+        let mut found = Vec::new();
+        patterns(&schema, &mut found);
+        if let Some(long) = found.iter().find(|p| p.len() > LONGEST_PATTERN) {
+            return Err(fault(format!("a pattern of {} bytes is over {LONGEST_PATTERN}", long.len())));
+        }
+        let options = jsonschema::options().with_draft(jsonschema::Draft::Draft202012);
+        let options = options.with_pattern_options(jsonschema::PatternOptions::regex().size_limit(1 << 20));
+        let check = options.should_validate_formats(true).build(&schema).map_err(|e| {
+            let at = e.instance_path().to_string();
+            fault(format!("at '{}': {e}", if at.is_empty() { "/" } else { &at }))
+        })?;
+        Ok(Payload::Json { schema, check: Box::new(check) })
+    }
+}
+
+impl Catalogue {
+    /// Puts methods together; each example must fit its method's request.
+    pub fn new(title: &str, release: &str, methods: Vec<Method>) -> Result<Catalogue, Vec<Fault>> {
+        let mut faults = Vec::new();
+        let mut all = BTreeMap::new();
+        for method in methods {
+            let place = |what: &str| format!("method {}, {what}", method.name);
+            for (no, example) in method.examples.iter().enumerate() {
+                if let Err(what) = method.request.check(example.to_string().as_bytes()) {
+                    faults.push(Fault { place: place(&format!("example {}", no + 1)), what });
+                }
+            }
+            if all.contains_key(&method.name) {
+                faults.push(Fault { place: place("name"), what: "it stands twice".to_owned() });
+            }
+            all.insert(method.name.clone(), method);
+        }
+        if faults.is_empty() {
+            Ok(Catalogue { title: title.to_owned(), release: release.to_owned(), methods: all })
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// The catalogue of a configuration; all faults of its schemas and examples are told at once.
+    pub fn of(config: &Config) -> Result<Catalogue, Vec<Fault>> {
+        let mut faults = Vec::new();
+        let mut methods = Vec::new();
+        for name in config.methods() {
+            let word = |directive| Some(config.of_method(name, directive)).filter(|w| !w.is_empty());
+            let ms = |directive| {
+                curlewpoint_config::milliseconds(config.of_method(name, directive)).unwrap_or(0.0)
+            };
+            let mut payload = |directive| {
+                let Some(file) = word(directive) else { return Payload::Binary };
+                let place = |what| Fault { place: file.to_owned(), what };
+                let read = config.file(file).map_err(place).and_then(|text| Payload::json(file, &text));
+                read.unwrap_or_else(|fault| {
+                    faults.push(fault);
+                    Payload::Binary
+                })
+            };
+            let (request, answer) = (payload("request-schema"), payload("answer-schema"));
+            let examples = word("example").map_or(Ok(Vec::new()), |file| {
+                let place = |what| Fault { place: file.to_owned(), what };
+                let text = config.file(file).map_err(place)?;
+                serde_json::from_str(&text).map_err(|e| place(format!("not an array of requests: {e}")))
+            });
+            let effect = match word("effect") {
+                Some("idempotent") => Effect::Idempotent,
+                Some("tokened") => Effect::Tokened,
+                _ => Effect::SideEffecting,
+            };
+            methods.push(Method {
+                name: name.clone(),
+                about: word("about").unwrap_or(name).to_owned(),
+                effect,
+                soft_deadline: ms("soft-deadline"),
+                deadline: ms("deadline"),
+                request,
+                answer,
+                examples: examples.unwrap_or_else(|fault| {
+                    faults.push(fault);
+                    Vec::new()
+                }),
+                since: word("since").unwrap_or("").to_owned(),
+                until: word("until").map(str::to_owned),
+            });
+        }
+        let title = config.value("", "title").unwrap_or(config.text("name"));
+        match Catalogue::new(title, config.text("release"), methods) {
+            Ok(catalogue) if faults.is_empty() => Ok(catalogue),
+            Ok(_) => Err(faults),
+            Err(more) => {
+                faults.extend(more);
+                Err(faults)
+            }
+        }
+    }
+
+    pub fn method(&self, name: &str) -> Option<&Method> {
+        self.methods.get(name)
+    }
+
+    /// In the order of their names.
+    pub fn methods(&self) -> impl Iterator<Item = &Method> {
+        self.methods.values()
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-catalogue/src/documents.rs
@@ -0,0 +1,181 @@
+//! The OpenAPI 3.1 and the AsyncAPI 3.0 document of a catalogue.
+
+use serde_json::{json, Map, Value};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::catalogue::{Catalogue, Effect, Method, Payload};
+
+/// The path of a method, for a named model.
+pub fn path_of(method: &str) -> String {
+    format!("/v1/{method}/{{model}}")
+}
+
+/// A document as it is served: the same bytes for the same catalogue.
+pub fn render(document: &Value) -> String {
+    let mut text = serde_json::to_string_pretty(document).unwrap_or_default();
+    text.push('\n');
+    text
+}
+
+/// A strong entity tag of a rendered document.
+pub fn etag(text: &str) -> String {
+    format!("\"{:016x}\"", xxh3_64(text.as_bytes()))
+}
+
+fn schema_of(payload: &Payload) -> Value {
+    payload.schema().cloned().unwrap_or_else(|| json!({}))
+}
+
+fn content(payload: &Payload, examples: &[Value]) -> Value {
+    let mut media = json!({"schema": schema_of(payload)});
+    if !examples.is_empty() {
+        let named =
+            examples.iter().enumerate().map(|(no, e)| (format!("example-{}", no + 1), json!({"value": e})));
+        media["examples"] = Value::Object(named.collect());
+    }
+    json!({payload.media_type(): media})
+}
+
+/// What clients may read from a problem's `type`, and the only status each comes with.
+const PROBLEMS: [(&str, &str, &str); 8] = [
+    (
+        "503",
+        "denied",
+        "Denied: the RPC was taken and has not run, or may run again. Repeating it is harmless.",
+    ),
+    ("502", "aborted", "Aborted: the RPC was taken and may have run. Nothing is promised about its effect."),
+    ("400", "malformed", "Refused, nothing was taken: a parameter, a header or the body cannot be read."),
+    ("404", "unknown", "Refused, nothing was taken: there is no such method."),
+    ("410", "withdrawn", "Refused, nothing was taken: the method was withdrawn."),
+    ("413", "too-long", "Refused, nothing was taken: the body is over the limit."),
+    ("422", "unfit", "Refused, nothing was taken: the body does not fit its schema."),
+    ("429", "full", "Refused, nothing was taken: this scheduler is full or stops."),
+];
+
+fn problem_schema() -> Value {
+    json!({
+        "type": "object",
+        "required": ["type", "title", "status"],
+        "properties": {
+            "type": {"type": "string", "format": "uri-reference"},
+            "title": {"type": "string"},
+            "status": {"type": "integer"},
+            "detail": {"type": "string"},
+            "rpc": {"type": "string", "description": "The RPC's name in logs; only where it was taken."},
+        },
+    })
+}
+
+fn problem(status: &str, name: &str, about: &str) -> Value {
+    let kind = format!("/problems/{name}");
+    let mut response = json!({
+        "description": about,
+        "content": {"application/problem+json": {"schema": {
+            "allOf": [{"$ref": "#/components/schemas/Problem"}, {"properties": {"type": {"const": kind}, "status": {"const": status.parse::<u16>().unwrap_or(0)}}}],
+        }}},
+    });
+    if matches!(name, "denied" | "full") {
+        response["headers"] = json!({"Retry-After": {
+            "description": "Whole seconds after which to come back, where that is advised.",
+            "schema": {"type": "integer", "minimum": 0},
+        }});
+    }
+    response
+}
+
+fn parameters(method: &Method) -> Value {
+    let header = |name: &str, required: bool, about: &str, schema: Value| json!({"name": name, "in": "header", "required": required, "description": about, "schema": schema});
+    let mut all = vec![
+        json!({"name": "model", "in": "path", "required": true, "schema": {"type": "string", "minLength": 1, "maxLength": 1024}}),
+        header(
+            "Curlewpoint-Time-Left",
+            false,
+            "Milliseconds that the client still waits; absent: the method's deadline.",
+            json!({"type": "integer", "minimum": 1, "maximum": method.deadline as u64}),
+        ),
+        header("Curlewpoint-Tenant", false, "Who asks.", json!({"type": "string", "maxLength": 1024})),
+    ];
+    if method.effect == Effect::Tokened {
+        let about = "The mark by which a repeat is known.";
+        all.push(header(
+            "Idempotency-Key",
+            true,
+            about,
+            json!({"type": "string", "minLength": 1, "maxLength": 1024}),
+        ));
+    }
+    Value::Array(all)
+}
+
+fn operation(m: &Method) -> Value {
+    let mut responses = Map::new();
+    responses
+        .insert("200".into(), json!({"description": "Ok: the answer.", "content": content(&m.answer, &[])}));
+    for (status, name, about) in PROBLEMS {
+        responses.insert(status.into(), problem(status, name, about));
+    }
+    let mut operation = json!({
+        "operationId": m.name,
+        "summary": m.about,
+        "parameters": parameters(m),
+        "requestBody": {"required": true, "content": content(&m.request, &m.examples)},
+        "responses": responses,
+        "x-effect": m.effect.word(),
+        "x-soft-deadline-ms": m.soft_deadline,
+        "x-deadline-ms": m.deadline,
+        "x-since": m.since,
+    });
+    if let Some(until) = &m.until {
+        operation["deprecated"] = json!(true);
+        operation["x-until"] = json!(until);
+    }
+    operation
+}
+
+pub fn openapi(catalogue: &Catalogue) -> Value {
+    let paths: Map<String, Value> =
+        catalogue.methods().map(|m| (path_of(&m.name), json!({"post": operation(m)}))).collect();
+    json!({
+        "openapi": "3.1.0",
+        "info": {"title": catalogue.title, "version": catalogue.release},
+        "paths": paths,
+        "components": {"schemas": {"Problem": problem_schema()}},
+    })
+}
+
+/// The channels of the AMQP door: a queue a method, and the queue that the requester names for the answer.
+pub fn asyncapi(catalogue: &Catalogue) -> Value {
+    let (mut channels, mut operations) = (Map::new(), Map::new());
+    for m in catalogue.methods() {
+        let message = |payload: &Payload, about: &str, headers: Value| json!({"contentType": payload.media_type(), "summary": about, "payload": schema_of(payload), "headers": headers});
+        let asked = json!({"type": "object", "required": ["model"], "properties": {"model": {"type": "string", "minLength": 1, "maxLength": 1024}, "tenant": {"type": "string", "maxLength": 1024}}});
+        let answered = json!({"type": "object", "required": ["answer"], "properties": {"answer": {"enum": ["ok", "denied", "aborted"]}, "why": {"type": "string"}}});
+        let queue = format!("curlewpoint.{}", m.name);
+        let address = json!({"address": queue, "messages": {"request": message(&m.request, &m.about, asked)}, "bindings": {"amqp": {"is": "queue", "queue": {"name": queue, "durable": true, "exclusive": false, "autoDelete": false}}}});
+        channels.insert(m.name.clone(), address);
+        let answers = json!({"address": null, "messages": {"answer": message(&m.answer, "The one final answer; a body only where it is ok.", answered)}});
+        channels.insert(format!("{}.answer", m.name), answers);
+        let reference = |channel: &str, message: &str| json!({"$ref": format!("#/channels/{channel}/messages/{message}")});
+        let reply = format!("{}.answer", m.name);
+        operations.insert(
+            m.name.clone(),
+            json!({
+                "action": "receive",
+                "channel": {"$ref": format!("#/channels/{}", m.name)},
+                "messages": [reference(&m.name, "request")],
+                "reply": {
+                    "address": {"location": "$message.header#/replyTo"},
+                    "channel": {"$ref": format!("#/channels/{reply}")},
+                    "messages": [reference(&reply, "answer")],
+                },
+            }),
+        );
+    }
+    json!({
+        "asyncapi": "3.0.0",
+        "info": {"title": catalogue.title, "version": catalogue.release},
+        "defaultContentType": "application/octet-stream",
+        "channels": channels,
+        "operations": operations,
+    })
+}
--- /dev/null
+++ b/crates/curlewpoint-catalogue/src/lib.rs
@@ -0,0 +1,17 @@
+//! The methods that a gateway serves. One [`Catalogue`] gives the checks of what comes and goes, the OpenAPI and the
+//! AsyncAPI document and the comparison of releases, so that none can drift from the others.
+//!
+//! [`Routes`] finds the method of a path or a routing key; [`Releases`] knows which catalogue an RPC was taken under.
+//! Nothing here does I/O: files are read by whoever builds a catalogue, and time is handed in.
+
+mod catalogue;
+mod compare;
+mod documents;
+mod releases;
+mod routes;
+
+pub use catalogue::{Catalogue, Effect, Fault, Method, Payload};
+pub use compare::{compare, Change};
+pub use documents::{asyncapi, etag, openapi, path_of, render};
+pub use releases::{Release, Releases, Standing, TooMany};
+pub use routes::Routes;
--- a/crates/curlewpoint-cli/src/commands/check.rs
+++ b/crates/curlewpoint-cli/src/commands/check.rs
@@ -1,7 +1,8 @@
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use clap::Args;
-use curlewpoint_config::{Holds, BLOCKS};
+use curlewpoint_catalogue::Catalogue;
+use curlewpoint_config::{Config, Holds, BLOCKS};
 
 use super::{fail, AT_FAULT, DONE};
 
@@ -19,6 +20,19 @@
     directives: bool,
 }
 
+/// A configuration and its methods' schemas, checked as a whole; the faults as they are to be printed.
+pub fn load(path: &Path) -> Result<(Config, Catalogue), String> {
+    let config =
+        curlewpoint_config::load(path).map_err(|faults| format!("{} faults\n{faults}", faults.count))?;
+    match Catalogue::of(&config) {
+        Ok(catalogue) => Ok((config, catalogue)),
+        Err(faults) => {
+            let lines: Vec<String> = faults.iter().map(|f| format!("error: {f}")).collect();
+            Err(format!("{} faults\n{}", faults.len(), lines.join("\n")))
+        }
+    }
+}
+
 fn holds(of: Holds) -> String {
     let words =
         |all: &[(&str, &str)]| all.iter().map(|w| format!("`{}`", w.0)).collect::<Vec<_>>().join(", ");
@@ -59,12 +73,12 @@
             return DONE;
         }
         let path = self.config.unwrap_or_default();
-        match curlewpoint_config::load(&path) {
-            Ok(config) if self.settings => {
+        match load(&path) {
+            Ok((config, _)) if self.settings => {
                 println!("{:#}", serde_json::Value::Object(config.settings()));
                 DONE
             }
-            Ok(config) => {
+            Ok((config, _)) => {
                 println!(
                     "{}: good, {} methods, {} tenants",
                     path.display(),
@@ -73,7 +87,7 @@
                 );
                 DONE
             }
-            Err(faults) => fail(AT_FAULT, &format!("{} faults\n{faults}", faults.count)),
+            Err(faults) => fail(AT_FAULT, &faults),
         }
     }
 }
--- a/crates/curlewpoint-cli/src/commands/mod.rs
+++ b/crates/curlewpoint-cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 pub mod check;
 pub mod completions;
 pub mod day;
+pub mod describe;
 pub mod serve;
 pub mod stand;
 
--- a/crates/curlewpoint-cli/src/commands/serve.rs
+++ b/crates/curlewpoint-cli/src/commands/serve.rs
@@ -17,8 +17,8 @@
 
 impl Serve {
     pub fn run(self) -> u8 {
-        let config = match curlewpoint_config::load(&self.config) {
-            Ok(config) => config,
+        let config = match super::check::load(&self.config) {
+            Ok((config, _)) => config,
             Err(faults) => return fail(AT_FAULT, &format!("nothing was started\n{faults}")),
         };
         crate::logging::start(config.text("log-level"), config.text("log-format") == "json");
--- a/crates/curlewpoint-cli/src/main.rs
+++ b/crates/curlewpoint-cli/src/main.rs
@@ -28,6 +28,7 @@
     List(commands::stand::List),
     Day(commands::day::PlayDay),
     Rehearse(commands::day::Rehearse),
+    Describe(commands::describe::Describe),
     Completions(commands::completions::Completions),
 }
 
@@ -42,6 +43,7 @@
         Command::List(c) => c.run(),
         Command::Day(c) => c.run(),
         Command::Rehearse(c) => c.run(),
+        Command::Describe(c) => c.run(),
         Command::Completions(c) => c.run(),
     };
     ExitCode::from(code)
--- a/crates/curlewpoint-cli/tests/processes.rs
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -144,6 +144,40 @@
     std::fs::remove_dir_all(&folder).expect("removed");
 }
 
+#[test]
+fn a_release_that_breaks_its_clients_is_told_apart_by_its_exit_code() {
+    let folder = std::env::temp_dir().join(format!("curlewpoint-diff-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let write = |file: &str, text: &str| std::fs::write(folder.join(file), text).expect("written");
+    let config = |schema: &str| {
+        format!(
+            "name a\nlisten 127.0.0.1:1\nlist 127.0.0.1:2\nmethod read {{\n effect idempotent\n soft-deadline 1s\n \
+             deadline 2s\n request-schema {schema}\n example pages.json\n}}\n"
+        )
+    };
+    write("old.json", r#"{"properties": {"page": {"maximum": 400}}}"#);
+    write("wider.json", r#"{"properties": {"page": {"maximum": 900}}}"#);
+    write("closer.json", r#"{"properties": {"page": {"maximum": 9}}}"#);
+    write("broken.json", r#"{"properties": {"page": {"maximum": "x"}}}"#);
+    write("pages.json", r#"[{"page": 3}, {"page": 8}]"#);
+    for (schema, code, want) in [
+        ("old.json", 0, "0 changes"),
+        ("wider.json", 0, "1 changes, 0 breaking"),
+        ("closer.json", 1, "breaking   read: request /page"),
+        ("broken.json", 2, "broken.json: at '/properties/page/maximum'"),
+        ("none.json", 2, "none.json: No such file"),
+    ] {
+        write("old.conf", &config("old.json"));
+        write("new.conf", &config(schema));
+        let (old, new) = (folder.join("old.conf"), folder.join("new.conf"));
+        let out = program().args(["describe", "diff"]).args([old, new]).output().expect("it runs");
+        let told = text(&out.stdout) + &text(&out.stderr);
+        assert_eq!(out.status.code(), Some(code), "{told}");
+        assert!(told.contains(want), "{told}");
+    }
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
+
 #[test]
 fn nobody_there_is_told_plainly() {
     let out = program().args(["call", "127.0.0.1:1", "m", "m"]).output().expect("it runs");
--- a/crates/curlewpoint-config/src/check.rs
+++ b/crates/curlewpoint-config/src/check.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
 
 use crate::directives::{Block, Directive, Holds, BLOCKS};
 use crate::grammar::{Fault, Line, Word};
@@ -11,6 +12,8 @@
     pub(crate) values: BTreeMap<(&'static str, String, &'static str), Vec<String>>,
     /// The names of named blocks, in the order of the file.
     pub(crate) names: BTreeMap<&'static str, Vec<String>>,
+    /// The folder of its file, from which the files that it names are found.
+    pub(crate) folder: Option<PathBuf>,
 }
 
 impl Config {
@@ -38,6 +41,12 @@
         std::time::Duration::from_secs_f64(self.number(block, name) / 1000.0)
     }
 
+    /// The text of a file that it names.
+    pub fn file(&self, name: &str) -> Result<String, String> {
+        let folder = self.folder.as_deref().unwrap_or(Path::new("."));
+        std::fs::read_to_string(folder.join(name)).map_err(|e| e.to_string())
+    }
+
     /// The same configuration with another value at the top: one of many instances, say.
     pub fn with(mut self, name: &'static str, value: &str) -> Config {
         self.values.insert(("", String::new(), name), vec![value.to_owned()]);
@@ -66,7 +75,7 @@
 }
 
 pub(crate) fn check(lines: &[Line], faults: &mut Vec<Fault>) -> Config {
-    let config = Config { values: BTreeMap::new(), names: BTreeMap::new() };
+    let config = Config { values: BTreeMap::new(), names: BTreeMap::new(), folder: None };
     let mut check = Check { faults, config, places: BTreeMap::new() };
     check.block(&BLOCKS[0], "", lines);
     for block in BLOCKS.iter().filter(|b| !b.named) {
--- a/crates/curlewpoint-config/src/source.rs
+++ b/crates/curlewpoint-config/src/source.rs
@@ -103,7 +103,8 @@
 fn finish(name: String, text: String, folder: Option<&Path>) -> Result<Config, Faults> {
     let mut sources = Sources::default();
     let lines = sources.read(name, text, folder);
-    let config = check(&lines, &mut sources.faults);
+    let mut config = check(&lines, &mut sources.faults);
+    config.folder = folder.map(Path::to_owned);
     if sources.faults.is_empty() {
         Ok(config)
     } else {
