Serve the methods over HTTP, checked and described by one catalogue

Law firms integrate by generated clients. A door for HTTP/1.1 and HTTP/2 feeds the same engine: paths by the catalogue's trie, bodies by its schemas, time left, tenant and Idempotency-Key as headers, one status and one problem type for each of ok, denied, aborted and every refusal; slow, long and malformed requests take nothing; a client that goes away is let go; a stop answers what is open. An answer that breaks its schema is an error of its worker, at both doors.

--- a/crates/curlewpoint-catalogue/src/documents.rs
+++ b/crates/curlewpoint-catalogue/src/documents.rs
@@ -37,7 +37,7 @@
 }
 
 /// What clients may read from a problem's `type`, and the only status each comes with.
-const PROBLEMS: [(&str, &str, &str); 8] = [
+const PROBLEMS: [(&str, &str, &str); 11] = [
     (
         "503",
         "denied",
@@ -46,8 +46,11 @@
     ("502", "aborted", "Aborted: the RPC was taken and may have run. Nothing is promised about its effect."),
     ("400", "malformed", "Refused, nothing was taken: a parameter, a header or the body cannot be read."),
     ("404", "unknown", "Refused, nothing was taken: there is no such method."),
+    ("405", "verb", "Refused, nothing was taken: methods are called by POST."),
+    ("408", "slow", "Refused, nothing was taken: the body did not come in its time."),
     ("410", "withdrawn", "Refused, nothing was taken: the method was withdrawn."),
     ("413", "too-long", "Refused, nothing was taken: the body is over the limit."),
+    ("415", "media-type", "Refused, nothing was taken: another content type than the one described."),
     ("422", "unfit", "Refused, nothing was taken: the body does not fit its schema."),
     ("429", "full", "Refused, nothing was taken: this scheduler is full or stops."),
 ];
--- a/crates/curlewpoint-catalogue/tests/catalogue.rs
+++ b/crates/curlewpoint-catalogue/tests/catalogue.rs
@@ -118,7 +118,7 @@
     let all = types.len();
     types.sort();
     types.dedup();
-    assert_eq!((types.len(), all), (8, 8));
+    assert_eq!((types.len(), all), (11, 11));
     assert!(
         types.contains(&"/problems/denied".to_owned()) && types.contains(&"/problems/aborted".to_owned())
     );
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -70,6 +70,7 @@
         directives: &[
             d("name", Text, "", "", "What this instance is called, in hellos, RPC names and logs."),
             d("listen", Address, "", "", "Where clients connect."),
+            d("http", Address, "", "", "Where the HTTP door listens; absent: there is none."),
             d("list", Address, "", "", "Where the list service answers."),
             d(
                 "instances",
@@ -265,6 +266,9 @@
                 "",
                 "Clients connected at a time; more are turned away with a plain frame.",
             ),
+            d("http-clients", Number, "1000", "", "HTTP connections at a time; more are closed."),
+            d("http-slow", Time, "10s", "", "How long a client may take for a request's headers, and again for its body."),
+            d("http-head", Memory, "16KiB", "", "The bytes of a request's headers."),
             d("to-worker", Number, "4", "", "Connections to one worker."),
             d("streams", Number, "32", "", "Call-outs at a time on one of them."),
             d("dial-limit", Time, "250ms", "", "A connection not up by then counts as failed."),
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -387,6 +387,13 @@
         self.module.host().roster.name(worker)
     }
 
+    /// The method that a call-out which is out is for.
+    pub fn method_of(&mut self, errand: ErrandId) -> Option<&str> {
+        let desk = self.module.host();
+        let What::CallOut(rpc, _) = desk.outs.get(&errand)?.what else { return None };
+        Some(&desk.methods[desk.rpcs.get(&rpc)?.method.0])
+    }
+
     /// The moment of the next wake-up, or one before it.
     pub fn next_wake(&mut self) -> Option<Time> {
         self.module.host().wheel.next()
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -0,0 +1,334 @@
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::Request;
+use axum::http::{header, HeaderMap, HeaderValue, Method, StatusCode};
+use axum::response::Response;
+use curlewpoint::types::Time;
+use curlewpoint_catalogue::{asyncapi, etag, openapi, render, Catalogue, Effect, Payload, Routes};
+use curlewpoint_engine::{Answer, ClientId, Refusal};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::service::TowerToHyperService;
+use percent_encoding::percent_decode_str;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+use tracing::{debug, info, warn};
+
+use crate::run::Note;
+
+/// An RPC that came over HTTP and fits its descriptions.
+pub(crate) struct Ask {
+    pub method: String,
+    pub model: String,
+    pub tenant: String,
+    pub left: Time,
+    pub token: Option<String>,
+    pub body: Bytes,
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// What becomes of it.
+pub(crate) enum Reply {
+    Final { answer: Answer, rpc: String, why: String, retry_after: Time, body: Bytes },
+    Refused(Refusal),
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Limits {
+    pub connections: usize,
+    pub body: usize,
+    /// For a request's headers, and again for its body.
+    pub slow: Duration,
+    /// The bytes of its headers.
+    pub head: usize,
+}
+
+/// Clients of this door have ids apart from those of the native one.
+const DOOR: u64 = 1 << 63;
+
+struct Door {
+    catalogue: Arc<Catalogue>,
+    routes: Routes<String>,
+    documents: [(&'static str, String, String); 2],
+    limits: Limits,
+    notes: mpsc::Sender<Note>,
+    next: AtomicU64,
+}
+
+/// Serves HTTP/1.1 and HTTP/2 without TLS until `stop` says so; connections then end after the answers under way.
+pub(crate) async fn serve(
+    listener: TcpListener, catalogue: Arc<Catalogue>, limits: Limits, notes: mpsc::Sender<Note>,
+    stop: watch::Receiver<bool>, tasks: TaskTracker,
+) {
+    let mut routes = Routes::new('/');
+    for method in catalogue.methods() {
+        if let Err(why) = routes.add(&format!("/v1/{}/*", method.name), method.name.clone()) {
+            warn!("http: {why}");
+        }
+    }
+    let document = |path, text: String| (path, etag(&text), text);
+    let documents = [
+        document("/openapi.json", render(&openapi(&catalogue))),
+        document("/asyncapi.json", render(&asyncapi(&catalogue))),
+    ];
+    let door = Arc::new(Door { catalogue, routes, documents, limits, notes, next: AtomicU64::new(DOOR) });
+    let room = Arc::new(Semaphore::new(limits.connections));
+    let mut stopped = stop.clone();
+    loop {
+        let accepted = tokio::select! {
+            _ = stopped.wait_for(|s| *s) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                warn!("a connection could not be accepted: {e}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let Ok(place) = Arc::clone(&room).try_acquire_owned() else {
+            info!(%peer, "http: turned away, {} are connected", limits.connections);
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let (door, mut stop) = (Arc::clone(&door), stop.clone());
+        tasks.spawn(async move {
+            let service = tower::service_fn(move |request: Request<hyper::body::Incoming>| {
+                let door = Arc::clone(&door);
+                async move { Ok::<_, std::convert::Infallible>(door.request(request.map(Body::new)).await) }
+            });
+            let mut server = auto::Builder::new(TokioExecutor::new());
+            server
+                .http1()
+                .timer(TokioTimer::new())
+                .header_read_timeout(limits.slow)
+                .max_buf_size(limits.head.max(8192));
+            server.http2().timer(TokioTimer::new()).max_header_list_size(limits.head as u32);
+            let serving = server.serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+            tokio::pin!(serving);
+            let ended = tokio::select! {
+                ended = serving.as_mut() => ended,
+                () = async { drop(stop.wait_for(|s| *s).await) } => {
+                    serving.as_mut().graceful_shutdown();
+                    serving.await
+                }
+            };
+            if let Err(e) = ended {
+                debug!(%peer, "http: {e}");
+            }
+            drop(place);
+        });
+    }
+}
+
+/// What the door itself refuses: nothing was taken.
+struct Refused {
+    status: StatusCode,
+    name: &'static str,
+    detail: String,
+}
+
+fn refused(status: u16, name: &'static str, detail: impl Into<String>) -> Refused {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    Refused { status, name, detail: detail.into() }
+}
+
+/// An RFC 9457 problem.
+fn problem(status: StatusCode, name: &str, detail: &str, rpc: Option<&str>, retry_after: Time) -> Response {
+    let title = match name {
+        "denied" => "Denied: repeating it is harmless",
+        "aborted" => "Aborted: it may have run, nothing is promised",
+        _ => "Refused: nothing was taken",
+    };
+    let mut told = json!({"type": format!("/problems/{name}"), "title": title, "status": status.as_u16(), "detail": detail});
+    if let Some(rpc) = rpc {
+        told["rpc"] = json!(rpc);
+    }
+    let mut response = Response::new(Body::from(told.to_string()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    if retry_after > Time(0) {
+        // Whole seconds, rounded up: earlier than advised would be too early.
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_after.0.div_ceil(10_000)));
+    }
+    response
+}
+
+fn text<'h>(headers: &'h HeaderMap, name: &str) -> Result<Option<&'h str>, Refused> {
+    let mut all = headers.get_all(name).iter();
+    let Some(first) = all.next() else { return Ok(None) };
+    if all.next().is_some() {
+        return Err(refused(400, "malformed", format!("header {name} stands twice")));
+    }
+    first.to_str().map(Some).map_err(|_| refused(400, "malformed", format!("header {name} is no text")))
+}
+
+impl Door {
+    async fn request(self: Arc<Self>, request: Request) -> Response {
+        let asked = match self.read(request).await {
+            Ok(Read::Rpc(ask, answer)) => (ask, answer),
+            Ok(Read::Document(response)) => return response,
+            Err(r) => return problem(r.status, r.name, &r.detail, None, Time(0)),
+        };
+        self.rpc(asked.0, asked.1).await
+    }
+
+    async fn rpc(&self, ask: Ask, told: oneshot::Receiver<Reply>) -> Response {
+        let id = ClientId(self.next.fetch_add(1, Ordering::Relaxed));
+        let name = ask.method.clone();
+        if self.notes.send(Note::Ask(id, ask)).await.is_err() {
+            return problem(StatusCode::TOO_MANY_REQUESTS, "full", "this scheduler ends", None, Time(0));
+        }
+        let mut waits = Waits { id, notes: &self.notes, over: false };
+        let reply = told.await;
+        waits.over = true;
+        match reply {
+            Ok(Reply::Final { answer: Answer::Ok, body, .. }) => {
+                let media = self
+                    .catalogue
+                    .method(&name)
+                    .map_or("application/octet-stream", |m| m.answer.media_type());
+                let mut response = Response::new(Body::from(body));
+                response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media));
+                response
+            }
+            Ok(Reply::Final { answer, rpc, why, retry_after, .. }) => {
+                let denied = answer == Answer::Denied;
+                let status = if denied { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::BAD_GATEWAY };
+                problem(status, if denied { "denied" } else { "aborted" }, &why, Some(&rpc), retry_after)
+            }
+            Ok(Reply::Refused(why)) => {
+                let detail = crate::refusal_name(why);
+                let r = match why {
+                    Refusal::NoSuchMethod => refused(404, "unknown", detail),
+                    Refusal::Full | Refusal::Stopping => refused(429, "full", detail),
+                    _ => refused(400, "malformed", detail),
+                };
+                problem(r.status, r.name, &r.detail, None, Time(0))
+            }
+            // The engine has gone with the RPC: it may have run.
+            Err(_) => problem(StatusCode::BAD_GATEWAY, "aborted", "the scheduler ended", None, Time(0)),
+        }
+    }
+
+    fn document(&self, path: &str, headers: &HeaderMap) -> Option<Response> {
+        let (_, tag, text) = self.documents.iter().find(|d| d.0 == path)?;
+        let known = headers.get(header::IF_NONE_MATCH).and_then(|v| v.to_str().ok());
+        let same = known.is_some_and(|k| k.split(',').any(|t| t.trim() == tag || t.trim() == "*"));
+        let mut response = Response::new(if same { Body::empty() } else { Body::from(text.clone()) });
+        if same {
+            *response.status_mut() = StatusCode::NOT_MODIFIED;
+        }
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(tag) = HeaderValue::from_str(tag) {
+            headers.insert(header::ETAG, tag);
+        }
+        Some(response)
+    }
+
+    /// Reads a request as the documents allow it; nothing is taken yet.
+    async fn read(&self, request: Request) -> Result<Read, Refused> {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path();
+        if let (&Method::GET, Some(document)) = (&parts.method, self.document(path, &parts.headers)) {
+            return Ok(Read::Document(document));
+        }
+        let (name, stood) =
+            self.routes.find(path).ok_or_else(|| refused(404, "unknown", "no such method"))?;
+        let method = self.catalogue.method(name).ok_or_else(|| refused(404, "unknown", "no such method"))?;
+        if parts.method != Method::POST {
+            return Err(refused(405, "verb", "methods are called by POST"));
+        }
+        if parts.uri.query().is_some() {
+            return Err(refused(400, "malformed", "no query is taken"));
+        }
+        let model = percent_decode_str(stood.first().copied().unwrap_or("")).decode_utf8();
+        let model =
+            model.map_err(|_| refused(400, "malformed", "the model's name is not UTF-8"))?.into_owned();
+        let left = match text(&parts.headers, "curlewpoint-time-left")? {
+            None => Time::from_ms(method.deadline),
+            Some(v) => match v.parse::<u64>() {
+                Ok(ms) if ms >= 1 && ms as f64 <= method.deadline => Time(ms * 10),
+                _ => {
+                    return Err(refused(
+                        400,
+                        "malformed",
+                        format!("Curlewpoint-Time-Left: '{v}' is not 1 to {} ms", method.deadline),
+                    ))
+                }
+            },
+        };
+        let token = text(&parts.headers, "idempotency-key")?.map(str::to_owned);
+        if method.effect == Effect::Tokened && token.as_deref().is_none_or(str::is_empty) {
+            return Err(refused(400, "malformed", "an Idempotency-Key is needed"));
+        }
+        let tenant = text(&parts.headers, "curlewpoint-tenant")?.unwrap_or("").to_owned();
+        let media =
+            text(&parts.headers, "content-type")?.unwrap_or("").split(';').next().unwrap_or("").trim();
+        if !media.eq_ignore_ascii_case(method.request.media_type()) {
+            return Err(refused(
+                415,
+                "media-type",
+                format!("'{media}' is not {}", method.request.media_type()),
+            ));
+        }
+        let body = self.body(body).await?;
+        if let Payload::Json { .. } = method.request {
+            serde_json::from_slice::<serde_json::Value>(&body)
+                .map_err(|e| refused(400, "malformed", e.to_string()))?;
+            method.request.check(&body).map_err(|why| refused(422, "unfit", why))?;
+        }
+        let (reply, told) = oneshot::channel();
+        let method = name.clone();
+        Ok(Read::Rpc(Ask { method, model, tenant, left, token, body, reply }, told))
+    }
+
+    /// A body within its bounds of length and of time.
+    async fn body(&self, body: Body) -> Result<Bytes, Refused> {
+        let whole: Pin<Box<dyn Future<Output = _> + Send>> =
+            Box::pin(Limited::new(body, self.limits.body).collect());
+        match timeout(self.limits.slow, whole).await {
+            Err(_) => {
+                Err(refused(408, "slow", format!("the body did not come within {:?}", self.limits.slow)))
+            }
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                Err(refused(413, "too-long", format!("over {} bytes", self.limits.body)))
+            }
+            Ok(Err(e)) => Err(refused(400, "malformed", e.to_string())),
+            Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        }
+    }
+}
+
+enum Read {
+    Rpc(Ask, oneshot::Receiver<Reply>),
+    Document(Response),
+}
+
+/// While an RPC waits for its answer, its client may go away: hyper then drops the request, and this with it.
+struct Waits<'a> {
+    id: ClientId,
+    notes: &'a mpsc::Sender<Note>,
+    over: bool,
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        if !self.over {
+            // Where the notes are full the RPC goes on to its end, and its answer to nobody.
+            let _ = self.notes.try_send(Note::ClientOut(self.id, None));
+        }
+    }
+}
--- a/crates/curlewpoint-gateway/src/lib.rs
+++ b/crates/curlewpoint-gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod codes;
+mod http;
 mod list;
 mod outside;
 mod run;
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -5,10 +5,12 @@
 use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
 use curlewpoint_link::{Outbox, Ticket};
 use curlewpoint_wire::{Field, Frame, Kind};
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tracing::{debug, info};
 
 use crate::codes::answer_code;
+use crate::http::Reply;
 use crate::workers::Dialler;
 
 /// A client's connection, as the engine's task sees it.
@@ -69,6 +71,8 @@
     /// This run of this instance; it names RPCs in logs and at workers.
     pub run: String,
     pub clients: BTreeMap<ClientId, Client>,
+    /// RPCs that came over HTTP, each a client of its own.
+    pub calls: BTreeMap<ClientId, oneshot::Sender<Reply>>,
     /// Clients that did not read their answers and have been cut off.
     pub lost: Vec<ClientId>,
     pub list: Option<Outbox>,
@@ -80,7 +84,15 @@
     pub fn new(run: String, pool: Pool<Frame>, dialler: Dialler) -> Outside {
         let (outboxes, tickets, ended) = Default::default();
         let sockets = Sockets { dialler, outboxes, tickets, ended };
-        Outside { run, clients: BTreeMap::new(), lost: Vec::new(), list: None, pool, sockets }
+        Outside {
+            run,
+            clients: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            lost: Vec::new(),
+            list: None,
+            pool,
+            sockets,
+        }
     }
 
     /// Sends to a client; one whose outbox is full does not read, and is cut off rather than waited for.
@@ -178,6 +190,12 @@
             Answer::Ok => debug!(rpc = name, client = client.0, tag, "ok"),
             _ => info!(rpc = name, client = client.0, tag, "{answer:?}: {why}"),
         }
+        if let Some(reply) = self.calls.remove(&client) {
+            let (rpc, why) = (name, why.to_owned());
+            // Where the request was dropped meanwhile nobody listens any more.
+            let _ = reply.send(Reply::Final { answer, rpc, why, retry_after, body });
+            return;
+        }
         let mut f = Frame::new(Kind::FINAL).int(Field::TAG, tag).int(Field::OUTCOME, answer_code(answer));
         f = f.text(Field::RPC, &name);
         if answer != Answer::Ok {
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -1,22 +1,25 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use curlewpoint::types::{Copy, Outcome, Time};
+use curlewpoint_catalogue::Catalogue;
 use curlewpoint_config::Config;
 use curlewpoint_engine::{ClientId, ConnId, Engine, ErrandId, Figures, Pool, PoolLimits};
 use curlewpoint_link::{Bounds, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 use tracing::{info, warn};
 
+use crate::http::{Ask, Limits, Reply};
 use crate::outside::{Client, Outside};
 use crate::workers::Dialler;
-use crate::{clients, codes, list};
+use crate::{clients, codes, http, list};
 
 /// What the tasks around connections tell the one that owns the engine.
 pub(crate) enum Note {
@@ -24,6 +27,8 @@
     Client(ClientId, Frame),
     /// It is gone, or what it sent could not be read.
     ClientOut(ClientId, Option<WireError>),
+    /// An RPC over HTTP.
+    Ask(ClientId, Ask),
     /// A connection to a worker is up, could not be opened, brought a frame, has broken.
     Up(ConnId, Outbox),
     Down(ConnId),
@@ -40,6 +45,8 @@
 pub enum StartError {
     #[error("cannot listen on {0}: {1}")]
     Listen(String, std::io::Error),
+    #[error("the methods' schemas are at fault: {0}")]
+    Catalogue(String),
 }
 
 /// Notes that wait for the engine's task; beyond these their senders wait.
@@ -74,9 +81,11 @@
 /// A scheduler that serves.
 pub struct Running {
     pub address: SocketAddr,
+    /// The HTTP door, where there is one.
+    pub http: Option<SocketAddr>,
     stop: mpsc::Sender<Note>,
     end: JoinHandle<Figures>,
-    helpers: [AbortHandle; 2],
+    helpers: Vec<AbortHandle>,
 }
 
 /// Ends a scheduler from elsewhere.
@@ -123,6 +132,15 @@
     let listener = bind(&listen).map_err(|e| StartError::Listen(listen.clone(), e))?;
     let address = listener.local_addr().map_err(|e| StartError::Listen(listen, e))?;
     let of = |name| config.number("connections", name);
+    let catalogue = Catalogue::of(config).map_err(|faults| {
+        StartError::Catalogue(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
+    })?;
+    let catalogue = Arc::new(catalogue);
+    let door = match config.value("", "http") {
+        None => None,
+        Some(at) => Some(bind(at).map_err(|e| StartError::Listen(at.to_owned(), e))?),
+    };
+    let http = door.as_ref().and_then(|d| d.local_addr().ok());
     let bounds = Bounds {
         frame: of("most-frame") as usize,
         outbox: (of("outbox-frames") as usize, of("outbox") as usize),
@@ -160,11 +178,24 @@
     let of_clients = Bounds { frame: bounds.frame.saturating_sub(HEADROOM), ..bounds };
     let accepting = clients::accept(listener, most, name.clone(), of_clients, asks_in.clone(), tasks.clone());
     let accepting = tokio::spawn(accepting).abort_handle();
+    let mut helpers = vec![accepting.clone()];
+    let (no_more, stopped) = watch::channel(false);
+    if let Some(door) = door {
+        let limits = Limits {
+            connections: of("http-clients") as usize,
+            body: of_clients.frame,
+            slow: config.time("connections", "http-slow"),
+            head: of("http-head") as usize,
+        };
+        let serving =
+            http::serve(door, Arc::clone(&catalogue), limits, asks_in.clone(), stopped, tasks.clone());
+        helpers.push(tokio::spawn(serving).abort_handle());
+    }
     let following = list::follow(config.text("list").to_owned(), name, bounds, dial, answers_in, seed);
-    let following = tokio::spawn(following).abort_handle();
-    let turn = Turn { engine, clock, accepting: accepting.clone(), ending: None, over: false };
+    helpers.push(tokio::spawn(following).abort_handle());
+    let turn = Turn { engine, clock, catalogue, accepting, no_more, ending: None, over: false };
     let end = tokio::spawn(turn.run(answers, asks, tasks, config.time("", "stop-limit")));
-    Ok(Running { address, stop: asks_in, end, helpers: [accepting, following] })
+    Ok(Running { address, http, stop: asks_in, end, helpers })
 }
 
 struct Ending {
@@ -178,7 +209,10 @@
 struct Turn {
     engine: Engine<Outside>,
     clock: Clock,
+    catalogue: Arc<Catalogue>,
     accepting: AbortHandle,
+    /// Tells the HTTP door of a stop.
+    no_more: watch::Sender<bool>,
     /// A stop that was asked for.
     ending: Option<Ending>,
     over: bool,
@@ -253,8 +287,10 @@
             Note::ClientOut(id, Some(why)) => self.close_client(now, id, &why),
             Note::ClientOut(id, None) => {
                 engine.world().clients.remove(&id);
+                engine.world().calls.remove(&id);
                 engine.client_gone(now, id);
             }
+            Note::Ask(id, ask) => self.ask(now, id, ask),
             Note::Client(id, frame) => {
                 // What a client sent before it was cut off is void with it.
                 if engine.world().clients.contains_key(&id) {
@@ -303,6 +339,7 @@
                 let now = Instant::now();
                 self.ending = Some(Ending { leave: now + LEAVE.min(stop_limit), limit: now + stop_limit });
                 self.accepting.abort();
+                let _ = self.no_more.send(true);
                 engine.stop_taking();
                 let all: Vec<ClientId> = engine.world().clients.keys().copied().collect();
                 for id in all {
@@ -342,6 +379,28 @@
         Ok(())
     }
 
+    fn ask(&mut self, now: Time, id: ClientId, ask: Ask) {
+        let Ask { method, model, tenant, left, token, body, reply } = ask;
+        // The answer may come within the call.
+        self.engine.world().calls.insert(id, reply);
+        let token = token.as_deref();
+        if let Err(why) = self.engine.rpc(now, id, 1, &method, &model, &tenant, left, token, body) {
+            if let Some(reply) = self.engine.world().calls.remove(&id) {
+                let _ = reply.send(Reply::Refused(why));
+            }
+        }
+    }
+
+    /// Whether what a worker answered is what the method's description promises.
+    fn fits(&mut self, errand: ErrandId, body: &[u8]) -> bool {
+        let Some(method) = self.engine.method_of(errand).map(str::to_owned) else { return true };
+        let checked = self.catalogue.method(&method).map_or(Ok(()), |m| m.answer.check(body));
+        if let Err(why) = &checked {
+            info!(method, "an answer does not fit its schema, {why}");
+        }
+        checked.is_ok()
+    }
+
     fn close_client(&mut self, now: Time, id: ClientId, why: &WireError) {
         info!(client = id.0, "closed: {why}");
         self.engine.world().tell_client(id, Frame::new(Kind::FAULT).text(Field::WHY, &why.to_string()));
@@ -358,6 +417,9 @@
                 let held = f.maybe_int(Field::HELD)?.unwrap_or(0);
                 let copies = f.maybe_int(Field::COPIES)?.unwrap_or(0);
                 let report = f.get_floats(Field::REPORT)?;
+                // It has run, so it is no denial; what was promised did not come, so it is not ok: an error.
+                let unfit = f.kind == Kind::ANSWER && outcome == Outcome::Ok && !self.fits(errand, &f.body);
+                let outcome = if unfit { Outcome::Error } else { outcome };
                 if self.engine.world().answered(now, conn, errand) {
                     let body = f.body.clone();
                     self.engine.errand_ended(now, errand, outcome, copy, held, copies, report, body);
--- a/crates/curlewpoint-lab/tests/hard.rs
+++ b/crates/curlewpoint-lab/tests/sockets/hard.rs
@@ -1,8 +1,6 @@
 //! The hard cases, each caused on real sockets.
 
-mod common;
-
-use common::{answer, config, name, Puppet, Stage};
+use crate::common::{answer, config, name, Puppet, Stage};
 use curlewpoint::types::{Outcome, Standing, Time};
 use curlewpoint_engine::Answer;
 use curlewpoint_lab::stand::wire::Say;
--- /dev/null
+++ b/crates/curlewpoint-lab/tests/sockets/http.rs
@@ -0,0 +1,275 @@
+//! The HTTP door on real sockets: what it does is what its document says, in both directions.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+
+use crate::common::{Puppet, Stage};
+use curlewpoint::types::Outcome;
+use curlewpoint_lab::stand::wire::Say;
+use curlewpoint_lab::CONFIG;
+use curlewpoint_wire::{Field, Frame, Kind};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+struct Answered {
+    status: u16,
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Answered {
+    fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    fn header(&self, name: &str) -> Option<String> {
+        let found =
+            self.head.lines().filter_map(|l| l.split_once(':')).find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, v)| v.trim().to_owned())
+    }
+}
+
+/// Sends these bytes and reads to the end of the connection.
+async fn raw(address: &str, bytes: &[u8]) -> Answered {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut got = Vec::new();
+    let _ = stream.read_to_end(&mut got).await;
+    let at = got.windows(4).position(|w| w == b"\r\n\r\n").unwrap_or(got.len());
+    let head = String::from_utf8_lossy(&got[..at]).into_owned();
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    Answered { status, head, body: got.get(at + 4..).unwrap_or(&[]).to_vec() }
+}
+
+async fn send(address: &str, verb: &str, path: &str, headers: &str, body: &[u8]) -> Answered {
+    let length = body.len();
+    let mut all = format!(
+        "{verb} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n{headers}\r\n"
+    )
+    .into_bytes();
+    all.extend_from_slice(body);
+    raw(address, &all).await
+}
+
+const JSON: &str = "content-type: application/json\r\n";
+
+struct Door {
+    stage: Stage,
+    http: String,
+    _folder: Folder,
+}
+
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The rehearsal's methods, with schemas for one of them.
+async fn door(name: &str, workers: &[&Puppet]) -> Door {
+    let folder = std::env::temp_dir().join(format!("curlewpoint-http-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let write = |file: &str, text: &str| std::fs::write(folder.join(file), text).unwrap();
+    let schemas = "method issue-extract {\n  request-schema asked.json\n  answer-schema told.json\n  example pages.json\n";
+    let text = CONFIG.replace("method issue-extract {\n", schemas);
+    let text = text.replace("dial-limit 250ms", "dial-limit 250ms\n  http-slow 300ms\n  most-frame 64KiB");
+    write("gateway.conf", &format!("http 127.0.0.1:0\n{text}"));
+    write(
+        "asked.json",
+        r#"{"type": "object", "required": ["page"], "properties": {"page": {"type": "integer", "maximum": 400}}}"#,
+    );
+    write("told.json", r#"{"type": "object", "required": ["page"]}"#);
+    write("pages.json", r#"[{"page": 3}]"#);
+    let config = curlewpoint_config::load(folder.join("gateway.conf")).unwrap_or_else(|f| panic!("{f}"));
+    let stage = Stage::with(config.with("seed", "7"), workers).await;
+    let http = stage.gateway.http.expect("it has the door").to_string();
+    Door { stage, http, _folder: Folder(folder) }
+}
+
+/// A worker that answers every call-out with its own body.
+fn echo(mut a: Puppet) -> tokio::task::JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            let asked = a.call_out().await;
+            a.answer(&asked, Outcome::Ok);
+        }
+    })
+}
+
+/// What the document says of an operation that was called: the status, and the content type with it.
+fn described(document: &Value, path: &str, a: &Answered) {
+    let responses = &document["paths"][path]["post"]["responses"];
+    let response = &responses[a.status.to_string()];
+    assert!(response.is_object(), "{path}: status {} is not described", a.status);
+    let media = a.header("content-type").unwrap_or_default();
+    assert!(response["content"][&media].is_object(), "{path}: {} is not described for {}", media, a.status);
+    if media == "application/problem+json" {
+        let given = &response["content"][&media]["schema"]["allOf"][1]["properties"];
+        assert_eq!(
+            (&given["type"]["const"], &given["status"]["const"]),
+            (&a.json()["type"], &a.json()["status"])
+        );
+    }
+    if a.header("retry-after").is_some() {
+        assert!(response["headers"]["Retry-After"].is_object());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_published_operation_is_served_and_every_answer_of_the_door_is_described() {
+    let a = Puppet::start("a").await;
+    let d = door("both-ways", &[&a]).await;
+    let _serving = echo(a);
+    let document = send(&d.http, "GET", "/openapi.json", "", b"").await.json();
+    let paths = document["paths"].as_object().unwrap();
+    assert_eq!(paths.len(), 3);
+    let mut seen = BTreeSet::new();
+    for (path, operations) in paths {
+        let operation = &operations["post"];
+        let (media, content) =
+            operation["requestBody"]["content"].as_object().unwrap().iter().next().unwrap();
+        let example = &content["examples"]["example-1"]["value"];
+        let body = if example.is_null() { b"scan".to_vec() } else { example.to_string().into_bytes() };
+        let token = operation["parameters"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .any(|p| p["name"] == "Idempotency-Key" && p["required"] == true);
+        let typed = format!("content-type: {media}\r\n");
+        let headers = format!("{typed}{}", if token { "idempotency-key: k1\r\n" } else { "" });
+        let at = path.replace("{model}", "births");
+        let ok = send(&d.http, "POST", &at, &headers, &body).await;
+        assert_eq!((ok.status, &ok.body), (200, &body), "{path}");
+        // Everything that the door refuses is described too.
+        let long = vec![b'1'; 80 << 10];
+        let calls = [
+            ok,
+            send(&d.http, "PUT", &at, &headers, &body).await,
+            send(&d.http, "POST", &at, "content-type: text/x\r\n", &body).await,
+            send(&d.http, "POST", &at, &headers, &long).await,
+            send(&d.http, "POST", &at, &format!("{headers}curlewpoint-time-left: 0\r\n"), &body).await,
+            send(&d.http, "POST", &at, &format!("{headers}curlewpoint-time-left: 9\r\ncurlewpoint-time-left: 9\r\n"), &body).await,
+            send(&d.http, "POST", &format!("{at}?x=1"), &headers, &body).await,
+            send(&d.http, "POST", &at, if token { &typed } else { "content-type: no\r\n" }, &body).await,
+            raw(&d.http, format!("POST {at} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: 9\r\n\r\n").as_bytes()).await,
+        ];
+        for answered in &calls {
+            described(&document, path, answered);
+            seen.insert(answered.status);
+        }
+        if media == "application/json" {
+            for (body, status) in
+                [(&b"{"[..], 400), (br#"{"page": 401}"#, 422), (br#"{"page": 1, "page": 2}"#, 422)]
+            {
+                let answered = send(&d.http, "POST", &at, &headers, body).await;
+                assert_eq!(answered.status, status);
+                described(&document, path, &answered);
+                seen.insert(status);
+            }
+        }
+    }
+    assert_eq!(seen.into_iter().collect::<Vec<_>>(), [200, 400, 405, 408, 413, 415, 422]);
+    let tag = send(&d.http, "GET", "/openapi.json", "", b"").await.header("etag").unwrap();
+    assert_eq!(
+        send(&d.http, "GET", "/openapi.json", &format!("if-none-match: {tag}\r\n"), b"").await.status,
+        304
+    );
+    assert_eq!(send(&d.http, "GET", "/asyncapi.json", "", b"").await.json()["asyncapi"], "3.0.0");
+}
+
+/// The three final answers, each caused for real, and an answer that is not what was promised.
+#[tokio::test(flavor = "multi_thread")]
+async fn ok_denied_and_aborted_are_kept_apart() {
+    let mut a = Puppet::start("a").await;
+    let d = door("three", &[&a]).await;
+    let document = send(&d.http, "GET", "/openapi.json", "", b"").await.json();
+    let path = "/v1/issue-extract/{model}";
+    let http = d.http.clone();
+    let issue = move || {
+        let http = http.clone();
+        tokio::spawn(async move {
+            send(&http, "POST", "/v1/issue-extract/b%C3%BCro", JSON, br#"{"page": 3}"#).await
+        })
+    };
+    let call = issue();
+    let (peer, f) = a.call_out().await;
+    assert_eq!(f.get_text(Field::MODEL).unwrap(), "büro");
+    a.answer(&(peer, f), Outcome::Ok);
+    let ok = call.await.unwrap();
+    assert_eq!((ok.status, ok.body.as_slice()), (200, &br#"{"page": 3}"#[..]));
+    described(&document, path, &ok);
+    // It has run, but its answer breaks its schema: no ok, and as it is side-effecting no second call-out either.
+    let call = issue();
+    let (peer, f) = a.call_out().await;
+    let tag = f.get_int(Field::TAG).unwrap();
+    let unfit = Frame::new(Kind::ANSWER).int(Field::TAG, tag).int(Field::OUTCOME, 0).body(&b"{}"[..]);
+    a.say(peer, Say::Frame(unfit));
+    let aborted = call.await.unwrap();
+    assert_eq!((aborted.status, aborted.json()["type"].as_str()), (502, Some("/problems/aborted")));
+    assert!(aborted.json()["rpc"].is_string());
+    described(&document, path, &aborted);
+    // No worker is left: it was not called out, so repeating it is harmless.
+    crate::common::name(&d.stage.list, &a, curlewpoint::types::Standing::Draining);
+    d.stage
+        .until(|s| {
+            matches!(s, curlewpoint_lab::Seen::Told { standing: curlewpoint::types::Standing::Draining, .. })
+        })
+        .await;
+    let denied = issue().await.unwrap();
+    assert_eq!((denied.status, denied.json()["type"].as_str()), (503, Some("/problems/denied")));
+    described(&document, path, &denied);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_requests_take_nothing() {
+    let a = Puppet::start("a").await;
+    let d = door("odd", &[&a]).await;
+    let _serving = echo(a);
+    for path in [
+        "/v1/issue-extract/",
+        "/v1/issue-extract",
+        "/v1/issue-extract/m/",
+        "/v1/issue-extract/m/n",
+        "/v1/none/m",
+        "/",
+        "/v1//m",
+    ] {
+        assert_eq!(send(&d.http, "POST", path, JSON, br#"{"page": 3}"#).await.status, 404, "{path}");
+    }
+    let bad = send(&d.http, "POST", "/v1/issue-extract/%FF", JSON, br#"{"page": 3}"#).await;
+    assert_eq!(bad.status, 400);
+    // A length beside chunks: one request is seen at most, never a second one smuggled in its body.
+    let smuggled = "POST /v1/read-fields/m HTTP/1.1\r\nhost: x\r\ncontent-type: application/octet-stream\r\ncontent-length: 4\r\n\
+                    transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /openapi.json HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let got = raw(&d.http, smuggled.as_bytes()).await;
+    assert!(!String::from_utf8_lossy(&got.body).contains("\"openapi\""), "{}", got.head);
+    // A client that never ends its headers is cut off.
+    assert_eq!(raw(&d.http, b"POST /v1/read-fields/m HTTP/1.1\r\nhost:").await.status / 100 % 4, 0);
+}
+
+/// A client that goes away while its RPC is open is owed nothing; a stop answers those that stay.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_hangs_up_is_let_go_and_a_stop_answers_the_rest() {
+    let mut a = Puppet::start("a").await;
+    let d = door("stop", &[&a]).await;
+    let mut gone = TcpStream::connect(&d.http).await.unwrap();
+    let request = "POST /v1/read-fields/m HTTP/1.1\r\nhost: x\r\ncontent-type: application/octet-stream\r\ncontent-length: 1\r\n\r\nx";
+    gone.write_all(request.as_bytes()).await.unwrap();
+    let _first = a.call_out().await;
+    drop(gone);
+    let http = d.http.clone();
+    let stays = tokio::spawn(async move {
+        send(&http, "POST", "/v1/read-fields/m", "content-type: application/octet-stream\r\n", b"x").await
+    });
+    let second = a.call_out().await;
+    d.stage.gateway.stop().await;
+    a.answer(&second, Outcome::Ok);
+    assert_eq!(stays.await.unwrap().status, 200);
+    let Stage { gateway, office, .. } = d.stage;
+    office.ended().await;
+    let f = gateway.wait().await;
+    assert_eq!((f.taken, f.ok, f.left), (2, 1, 1));
+}
--- /dev/null
+++ b/crates/curlewpoint-lab/tests/sockets/main.rs
@@ -0,0 +1,5 @@
+//! The gateway on real sockets, before workers that do as a test says.
+
+mod common;
+mod hard;
+mod http;
