--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -374,3 +374,18 @@
     s.srv.woken(s.now(), WakeId(u64::MAX >> 1));
     assert_eq!(s.deeds("log").iter().filter(|l| l.contains(" suspect,")).count(), suspects);
 }
+
+/// Guards a daemon that runs for months against the cost of every worker that it ever knew.
+#[test_case(10_000, 1 ; "its lowered ceiling is kept for a while")]
+#[test_case(310_000, 2 ; "then all of it is forgotten")]
+fn a_worker_long_gone_is_forgotten(gone_ms: u64, called_out: usize) {
+    let mut s = Story::new(1);
+    s.served(9);
+    let full = s.rpc(IDEMPOTENT, 9);
+    s.end(full, 0, Outcome::Full, Copy::Untold);
+    s.list(1, Standing::Gone, 0);
+    s.pass(gone_ms);
+    s.list(1, Standing::Ready, 0);
+    let two = [s.rpc(IDEMPOTENT, 9), s.rpc(IDEMPOTENT, 9)];
+    assert_eq!(two.iter().map(|r| s.calls(*r).len()).sum::<usize>(), called_out);
+}
