Refuse at the native door what does not fit its method's schema

Both doors are to refuse what the descriptions do not allow; the native one took any body. Each client's own task now checks a body before the engine hears of it, so that a large one holds up its sender alone, and it is refused with its place in the body. A test calls both ways.

--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -416,6 +416,11 @@
         taken
     }
 
+    /// A door has refused an RPC by itself.
+    pub fn refused(&mut self) {
+        self.module.host().figures.refused += 1;
+    }
+
     fn take(
         &mut self, now: Time, client: ClientId, tag: u64, method: &str, model: &str, tenant: &str,
         left: Time, token: Option<&str>, body: Bytes,
--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use curlewpoint_catalogue::Catalogue;
 use curlewpoint_engine::ClientId;
 use curlewpoint_link::{open, Bounds, Link};
 use curlewpoint_wire::{Field, Frame, Kind};
@@ -12,11 +13,17 @@
 use crate::outside::Client;
 use crate::run::Note;
 
+/// What each client's task knows.
+#[derive(Clone)]
+pub(crate) struct Desk {
+    pub name: String,
+    pub bounds: Bounds,
+    pub catalogue: Arc<Catalogue>,
+    pub notes: mpsc::Sender<Note>,
+}
+
 /// Takes clients' connections, up to a number at a time.
-pub(crate) async fn accept(
-    listener: TcpListener, most: usize, name: String, bounds: Bounds, notes: mpsc::Sender<Note>,
-    tasks: TaskTracker,
-) {
+pub(crate) async fn accept(listener: TcpListener, most: usize, desk: Desk, tasks: TaskTracker) {
     let room = Arc::new(Semaphore::new(most));
     // Those turned away take a task each for as long as their word takes, up to as many again.
     let turning = Arc::new(Semaphore::new(most.max(16)));
@@ -31,16 +38,16 @@
                 continue;
             }
         };
-        let (name, notes) = (name.clone(), notes.clone());
+        let desk = desk.clone();
         match Arc::clone(&room).try_acquire_owned() {
             Ok(place) => {
                 next += 1;
-                tasks.spawn(client(ClientId(next), stream, name, bounds, notes, place));
+                tasks.spawn(client(ClientId(next), stream, desk, place));
             }
             Err(_) => {
                 info!(%peer, "turned away: {most} clients are connected");
                 if let Ok(place) = Arc::clone(&turning).try_acquire_owned() {
-                    tasks.spawn(turn_away(stream, name, bounds, place));
+                    tasks.spawn(turn_away(stream, desk.name, desk.bounds, place));
                 }
             }
         }
@@ -56,10 +63,15 @@
     drop(place);
 }
 
-async fn client(
-    id: ClientId, stream: TcpStream, name: String, bounds: Bounds, notes: mpsc::Sender<Note>,
-    _place: OwnedSemaphorePermit,
-) {
+/// Why a body does not fit its method's description. What cannot be read is left to the engine's task to refuse.
+fn unfit(catalogue: &Catalogue, frame: &Frame) -> Option<String> {
+    let method =
+        catalogue.method(frame.maybe_text(Field::METHOD).ok()??).filter(|_| frame.kind == Kind::RPC)?;
+    method.request.check(&frame.body).err()
+}
+
+async fn client(id: ClientId, stream: TcpStream, desk: Desk, _place: OwnedSemaphorePermit) {
+    let Desk { name, bounds, catalogue, notes } = desk;
     let Link { outbox, mut reader, mut writer, peer } = match open(stream, &name, bounds).await {
         Ok(link) => link,
         Err(why) => return info!(client = id.0, "no hello from a client: {why}"),
@@ -81,7 +93,11 @@
         match next {
             // A full channel holds back this client alone.
             Some(Ok(frame)) => {
-                if notes.send(Note::Client(id, frame)).await.is_err() {
+                let note = match unfit(&catalogue, &frame) {
+                    None => Note::Client(id, frame),
+                    Some(why) => Note::Unfit(id, frame, why),
+                };
+                if notes.send(note).await.is_err() {
                     break;
                 }
             }
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -25,6 +25,8 @@
 pub(crate) enum Note {
     ClientIn(ClientId, Client),
     Client(ClientId, Frame),
+    /// An RPC whose body does not fit its method, and why.
+    Unfit(ClientId, Frame, String),
     /// It is gone, or what it sent could not be read.
     ClientOut(ClientId, Option<WireError>),
     /// An RPC over HTTP.
@@ -176,7 +178,13 @@
     let most = of("clients") as usize;
     // What a client sends must fit a worker's frame with the longer head of a call-out.
     let of_clients = Bounds { frame: bounds.frame.saturating_sub(HEADROOM), ..bounds };
-    let accepting = clients::accept(listener, most, name.clone(), of_clients, asks_in.clone(), tasks.clone());
+    let desk = clients::Desk {
+        name: name.clone(),
+        bounds: of_clients,
+        catalogue: Arc::clone(&catalogue),
+        notes: asks_in.clone(),
+    };
+    let accepting = clients::accept(listener, most, desk, tasks.clone());
     let accepting = tokio::spawn(accepting).abort_handle();
     let mut helpers = vec![accepting.clone()];
     let (no_more, stopped) = watch::channel(false);
@@ -290,6 +298,14 @@
                 engine.world().calls.remove(&id);
                 engine.client_gone(now, id);
             }
+            Note::Unfit(id, frame, why) => match frame.get_int(Field::TAG) {
+                Ok(tag) => {
+                    engine.refused();
+                    let f = Frame::new(Kind::REFUSED).int(Field::TAG, tag);
+                    engine.world().tell_client(id, f.text(Field::WHY, &format!("unfit: {why}")));
+                }
+                Err(e) => self.close_client(now, id, &e),
+            },
             Note::Ask(id, ask) => self.ask(now, id, ask),
             Note::Client(id, frame) => {
                 // What a client sent before it was cut off is void with it.
--- a/crates/curlewpoint-lab/tests/sockets/http.rs
+++ b/crates/curlewpoint-lab/tests/sockets/http.rs
@@ -5,8 +5,9 @@
 
 use crate::common::{Puppet, Stage};
 use curlewpoint::types::Outcome;
+use curlewpoint_engine::Answer;
 use curlewpoint_lab::stand::wire::Say;
-use curlewpoint_lab::CONFIG;
+use curlewpoint_lab::{Called, CONFIG};
 use curlewpoint_wire::{Field, Frame, Kind};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -223,6 +224,27 @@
     described(&document, path, &denied);
 }
 
+/// Both doors refuse the same bodies.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_native_door_refuses_what_does_not_fit_as_well() {
+    let a = Puppet::start("a").await;
+    let d = door("native", &[&a]).await;
+    let _serving = echo(a);
+    let native = d.stage.gateway.address.to_string();
+    let call = |body: &'static [u8]| {
+        let body = bytes::Bytes::from_static(body);
+        curlewpoint_lab::call(&native, "issue-extract", "m", "", curlewpoint::types::Time(9_000), None, body)
+    };
+    let told = call(br#"{"page": 401}"#).await.unwrap();
+    assert!(matches!(&told, Called::Refused(why) if why.starts_with("unfit: at '/page'")), "{told:?}");
+    assert!(matches!(call(br#"{"page": 4}"#).await.unwrap(), Called::Final { answer: Answer::Ok, .. }));
+    let Stage { gateway, office, .. } = d.stage;
+    gateway.stop().await;
+    office.ended().await;
+    let f = gateway.wait().await;
+    assert_eq!((f.taken, f.refused), (1, 1));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_requests_take_nothing() {
     let a = Puppet::start("a").await;
