--- a/crates/curlewpoint-lab/src/lib.rs
+++ b/crates/curlewpoint-lab/src/lib.rs
@@ -13,4 +13,4 @@
 pub use day::{play, Day};
 pub use record::{Record, Seen};
 pub use report::{draw, table, Row};
-pub use script::{At, Kind, Script, BAD_DAY, CONFIG};
+pub use script::{At, Kind, Script, BAD_DAY, CONFIG, SECOND_DAY};
--- a/crates/curlewpoint-lab/src/script.rs
+++ b/crates/curlewpoint-lab/src/script.rs
@@ -8,6 +8,8 @@
 /// The configuration and the script that `rehearse` plays.
 pub const CONFIG: &str = include_str!("../days/rehearsal.conf");
 pub const BAD_DAY: &str = include_str!("../days/bad.day");
+/// The kinds of trouble that the bad day has not.
+pub const SECOND_DAY: &str = include_str!("../days/second.day");
 
 macro_rules! kinds {
     ($($name:ident $text:literal $about:literal)*) => {
--- a/crates/curlewpoint-lab/tests/day.rs
+++ b/crates/curlewpoint-lab/tests/day.rs
@@ -2,12 +2,31 @@
 
 use std::collections::BTreeSet;
 
-use curlewpoint_lab::{play, Record, Script, Seen, BAD_DAY, CONFIG};
+use curlewpoint_lab::{play, Kind, Record, Script, Seen, BAD_DAY, CONFIG, SECOND_DAY};
+
+/// Every kind of trouble that a script can have is caused on one of the two days, which are played one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_other_kinds_of_trouble_keep_all_rules_too() {
+    let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).expect("it is shipped");
+    let [bad, second] =
+        [BAD_DAY, SECOND_DAY].map(|text| Script::parse("a day", text).expect("it is shipped"));
+    let kinds: BTreeSet<_> = bad.events.iter().chain(&second.events).map(|e| e.kind).collect();
+    assert_eq!(kinds.len(), Kind::ALL.len());
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let day = play(&config, &second).await.expect("loopback is there");
+    assert!(day.verdict.kept(), "{}", day.drawn);
+    // Those killed say nothing of themselves any more.
+    assert_eq!(day.figures.len(), second.schedulers);
+}
+
+/// Days share this machine's cores badly.
+static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_bad_day_keeps_all_rules() {
     let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).expect("it is shipped");
     let script = Script::parse("bad.day", BAD_DAY).expect("it is shipped");
+    let _alone = ONE_AT_A_TIME.lock().await;
     let day = play(&config, &script).await.expect("loopback is there");
     assert!(day.verdict.kept(), "{}", day.drawn);
     let troubles: BTreeSet<_> = day
