Hold the door's word on bodies against the published schema

Hand-picked bodies show little of a schema. 400 bodies drawn near it by proptest are sent to the live door; each is taken or refused exactly as the schema in the published document says, read by a validator that knows only the document.

--- a/crates/curlewpoint-lab/tests/sockets/http.rs
+++ b/crates/curlewpoint-lab/tests/sockets/http.rs
@@ -9,6 +9,9 @@
 use curlewpoint_lab::stand::wire::Say;
 use curlewpoint_lab::{Called, CONFIG};
 use curlewpoint_wire::{Field, Frame, Kind};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -224,6 +227,44 @@
     described(&document, path, &denied);
 }
 
+/// Bodies near the schema, some that fit and some that do not.
+fn bodies() -> impl Strategy<Value = Value> {
+    let scalar = prop_oneof![
+        3 => (-5i64..500).prop_map(Value::from),
+        1 => (0.0..9.0f64).prop_map(Value::from),
+        1 => "[a-z\\\\\"ü{]{0,6}".prop_map(Value::from),
+        1 => any::<bool>().prop_map(Value::from),
+        1 => Just(Value::Null),
+    ];
+    let inner =
+        prop_oneof![3 => scalar.clone(), 1 => proptest::collection::vec(scalar, 0..3).prop_map(Value::from)];
+    let object = proptest::collection::btree_map("page|lang|x", inner.clone(), 0..3);
+    prop_oneof![5 => object.prop_map(|m| Value::Object(m.into_iter().collect())), 1 => inner]
+}
+
+/// The door's word on a body is that of the published schema, read by nothing but the document.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_door_takes_exactly_what_the_published_schema_allows() {
+    let a = Puppet::start("a").await;
+    let d = door("generated", &[&a]).await;
+    let _serving = echo(a);
+    let document = send(&d.http, "GET", "/openapi.json", "", b"").await.json();
+    let path = "/v1/issue-extract/{model}";
+    let schema = &document["paths"][path]["post"]["requestBody"]["content"]["application/json"]["schema"];
+    let published = jsonschema::draft202012::new(schema).unwrap();
+    let (mut runner, mut fitting) = (TestRunner::deterministic(), 0);
+    for _ in 0..400 {
+        let body = bodies().new_tree(&mut runner).unwrap().current();
+        // What the worker echoes has to fit the answer's schema too: an object with a page.
+        let fits = published.is_valid(&body);
+        let answered = send(&d.http, "POST", "/v1/issue-extract/m", JSON, body.to_string().as_bytes()).await;
+        assert_eq!(answered.status, if fits { 200 } else { 422 }, "{body}");
+        described(&document, path, &answered);
+        fitting += usize::from(fits);
+    }
+    assert!((20..380).contains(&fitting), "{fitting} of 400 fit");
+}
+
 /// Both doors refuse the same bodies.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_native_door_refuses_what_does_not_fit_as_well() {
