Make the drain's test fail without the code that it is for

Taken out, the code that takes back what waits for a draining worker did not fail its test on sockets: the RPCs' deadlines took the call-outs back as well.

--- a/crates/curlewpoint-lab/tests/sockets/hard.rs
+++ b/crates/curlewpoint-lab/tests/sockets/hard.rs
@@ -141,16 +141,16 @@
     stage.ask(9, "no-such-method", LONG);
     stage.until(|s| matches!(s, Seen::Refused { key: 9, .. })).await;
     name(&stage.list, &a, Standing::Draining);
+    let mut denied = 0;
     for key in 1..=4 {
-        assert_ne!(stage.final_of(key).await, Answer::Ok);
+        denied += usize::from(stage.final_of(key).await == Answer::Denied);
     }
     a.mute.send(false).unwrap();
     let f = stop(stage).await;
-    let mut arrived = 0;
-    while a.call_out_before(tokio::time::sleep(std::time::Duration::from_millis(300))).await {
-        arrived += 1;
-    }
-    assert!(f.call_outs >= 3 && arrived < f.call_outs - 1, "{arrived} of {} reached it", f.call_outs);
+    // Those never called out are denied in any case. One that was called out is denied only if it was taken back before
+    // its first byte: left to its deadline it would be aborted, as it is still out.
+    let called_out = f.call_outs as usize - 1;
+    assert!(called_out >= 2 && denied > 4 - called_out, "{denied} denied, {called_out} of 4 called out");
 }
 
 /// Down at the start: what is asked waits for the list. Away for a while: the list held goes on to be used.
