--- a/crates/curlewpoint-catalogue/src/catalogue.rs
+++ b/crates/curlewpoint-catalogue/src/catalogue.rs
@@ -146,6 +146,9 @@
     /// The release in which it came, and the one in which it goes, where that is known.
     pub since: String,
     pub until: Option<String>,
+    /// The days, in seconds since 1970, from which it should not be used and on which it goes.
+    pub deprecated: Option<u64>,
+    pub sunset: Option<u64>,
 }
 
 /// All methods of one release.
@@ -260,6 +263,8 @@
                 }),
                 since: word("since").unwrap_or("").to_owned(),
                 until: word("until").map(str::to_owned),
+                deprecated: config.day_of_method(name, "deprecated"),
+                sunset: config.day_of_method(name, "sunset"),
             });
         }
         let title = config.value("", "title").unwrap_or(config.text("name"));
--- a/crates/curlewpoint-catalogue/src/compare.rs
+++ b/crates/curlewpoint-catalogue/src/compare.rs
@@ -57,6 +57,14 @@
     if let (None, Some(until)) = (&old.until, &new.until) {
         add(all, &old.name, false, format!("it goes in release {until}"));
     }
+    if let (None, Some(_)) = (old.deprecated, new.deprecated) {
+        add(all, &old.name, false, "it is deprecated");
+    }
+    if old.sunset != new.sunset {
+        // Sooner than was told, or told for the first time: clients have to look, as with one that goes.
+        let sooner = old.sunset.is_some_and(|old| new.sunset.is_some_and(|new| new < old));
+        add(all, &old.name, sooner, "the day on which it goes has changed");
+    }
     payload("request", &old.request, &new.request, Way::Request, &old.name, all);
     payload("answer", &old.answer, &new.answer, Way::Answer, &old.name, all);
 }
--- a/crates/curlewpoint-catalogue/src/documents.rs
+++ b/crates/curlewpoint-catalogue/src/documents.rs
@@ -10,6 +10,11 @@
     format!("/v1/{method}/{{model}}")
 }
 
+/// The method that a path names, whether or not it is served.
+pub fn method_in(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/")?.split('/').next().filter(|name| !name.is_empty())
+}
+
 /// A document as it is served: the same bytes for the same catalogue.
 pub fn render(document: &Value) -> String {
     let mut text = serde_json::to_string_pretty(document).unwrap_or_default();
@@ -69,7 +74,23 @@
     })
 }
 
-fn problem(status: &str, name: &str, about: &str) -> Value {
+/// The headers that every answer of a method that goes has.
+fn notices(m: &Method) -> Map<String, Value> {
+    let header = |about: &str| json!({"description": about, "schema": {"type": "string"}});
+    let mut all = Map::new();
+    if m.deprecated.is_some() {
+        all.insert(
+            "Deprecation".into(),
+            header("@ and the second since 1970 from which it should not be used (RFC 9745)."),
+        );
+    }
+    if m.sunset.is_some() {
+        all.insert("Sunset".into(), header("The day on which the method goes, at the earliest (RFC 8594)."));
+    }
+    all
+}
+
+fn problem(status: &str, name: &str, about: &str, notices: &Map<String, Value>) -> Value {
     let kind = format!("/problems/{name}");
     let mut response = json!({
         "description": about,
@@ -77,11 +98,24 @@
             "allOf": [{"$ref": "#/components/schemas/Problem"}, {"properties": {"type": {"const": kind}, "status": {"const": status.parse::<u16>().unwrap_or(0)}}}],
         }}},
     });
+    let mut headers = notices.clone();
     if matches!(name, "denied" | "full") {
-        response["headers"] = json!({"Retry-After": {
-            "description": "Whole seconds after which to come back, where that is advised.",
-            "schema": {"type": "integer", "minimum": 0},
-        }});
+        headers.insert(
+            "Retry-After".into(),
+            json!({
+                "description": "Whole seconds after which to come back, where that is advised.",
+                "schema": {"type": "integer", "minimum": 0},
+            }),
+        );
+    }
+    if name == "withdrawn" {
+        headers.insert(
+            "Sunset".into(),
+            json!({"description": "When it was withdrawn (RFC 8594).", "schema": {"type": "string"}}),
+        );
+    }
+    if !headers.is_empty() {
+        response["headers"] = Value::Object(headers);
     }
     response
 }
@@ -111,11 +145,14 @@
 }
 
 fn operation(m: &Method) -> Value {
-    let mut responses = Map::new();
-    responses
-        .insert("200".into(), json!({"description": "Ok: the answer.", "content": content(&m.answer, &[])}));
+    let (mut responses, notices) = (Map::new(), notices(m));
+    let mut ok = json!({"description": "Ok: the answer.", "content": content(&m.answer, &[])});
+    if !notices.is_empty() {
+        ok["headers"] = Value::Object(notices.clone());
+    }
+    responses.insert("200".into(), ok);
     for (status, name, about) in PROBLEMS {
-        responses.insert(status.into(), problem(status, name, about));
+        responses.insert(status.into(), problem(status, name, about, &notices));
     }
     let mut operation = json!({
         "operationId": m.name,
@@ -128,8 +165,10 @@
         "x-deadline-ms": m.deadline,
         "x-since": m.since,
     });
-    if let Some(until) = &m.until {
+    if m.until.is_some() || m.deprecated.is_some() || m.sunset.is_some() {
         operation["deprecated"] = json!(true);
+    }
+    if let Some(until) = &m.until {
         operation["x-until"] = json!(until);
     }
     operation
--- a/crates/curlewpoint-catalogue/src/lib.rs
+++ b/crates/curlewpoint-catalogue/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use catalogue::{Catalogue, Effect, Fault, Method, Payload};
 pub use compare::{compare, Change};
-pub use documents::{asyncapi, etag, openapi, path_of, render};
-pub use releases::{Release, Releases, Standing, TooMany};
+pub use documents::{asyncapi, etag, method_in, openapi, path_of, render};
+pub use releases::{Release, Releases, Standing, TooMany, Withdrawn};
 pub use routes::Routes;
--- a/crates/curlewpoint-catalogue/src/releases.rs
+++ b/crates/curlewpoint-catalogue/src/releases.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use curlewpoint::types::Time;
@@ -29,6 +29,40 @@
     open: u64,
 }
 
+/// Methods that were withdrawn of late. Doors have a copy of it.
+#[derive(Clone, Debug)]
+pub struct Withdrawn {
+    notice: Time,
+    since: BTreeMap<String, Time>,
+}
+
+/// Names of withdrawn methods that are kept, the latest.
+const MOST_WITHDRAWN: usize = 10_000;
+
+impl Withdrawn {
+    fn new(notice: Time) -> Withdrawn {
+        Withdrawn { notice, since: BTreeMap::new() }
+    }
+
+    /// How long ago it was withdrawn; none: never, or longer ago than is told.
+    pub fn ago(&self, now: Time, method: &str) -> Option<Time> {
+        let since = *self.since.get(method)?;
+        (since + self.notice > now).then_some(now - since)
+    }
+
+    fn change(&mut self, now: Time, before: &Catalogue, after: &Catalogue) {
+        let gone = before.methods().filter(|m| after.method(&m.name).is_none());
+        self.since.extend(gone.map(|m| (m.name.clone(), now)));
+        // What comes back is withdrawn no more.
+        let notice = self.notice;
+        self.since.retain(|name, since| after.method(name).is_none() && *since + notice > now);
+        while self.since.len() > MOST_WITHDRAWN {
+            let oldest = self.since.iter().min_by_key(|(_, since)| **since).map(|(name, _)| name.clone());
+            oldest.and_then(|name| self.since.remove(&name));
+        }
+    }
+}
+
 /// Which catalogue an RPC was taken under: it ends under that one, whatever has come into force since. Earlier catalogues
 /// are held while RPCs of theirs are open, up to a number; then a further one is refused, rather than an RPC's schema
 /// let go. A method withdrawn is known as such for a stated time.
@@ -36,29 +70,33 @@
     held: BTreeMap<Release, Held>,
     in_force: Release,
     most: usize,
-    notice: Time,
-    withdrawn: VecDeque<(Time, String)>,
+    withdrawn: Withdrawn,
 }
 
-/// Names of withdrawn methods that are kept, the latest.
-const MOST_WITHDRAWN: usize = 10_000;
-
 impl Releases {
-    pub fn new(catalogue: Catalogue, most: usize, notice: Time) -> Releases {
+    pub fn new(catalogue: Arc<Catalogue>, most: usize, notice: Time) -> Releases {
         let first = Release(1);
-        let held = BTreeMap::from([(first, Held { catalogue: Arc::new(catalogue), open: 0 })]);
-        Releases { held, in_force: first, most: most.max(1), notice, withdrawn: VecDeque::new() }
+        let held = BTreeMap::from([(first, Held { catalogue, open: 0 })]);
+        Releases { held, in_force: first, most: most.max(1), withdrawn: Withdrawn::new(notice) }
+    }
+
+    pub fn in_force(&self) -> Release {
+        self.in_force
+    }
+
+    /// A catalogue that is in force or still held.
+    pub fn catalogue(&self, release: Release) -> Option<&Arc<Catalogue>> {
+        Some(&self.held.get(&release)?.catalogue)
     }
 
-    pub fn in_force(&self) -> &Arc<Catalogue> {
-        &self.held[&self.in_force].catalogue
+    pub fn withdrawn(&self) -> &Withdrawn {
+        &self.withdrawn
     }
 
     /// An RPC is taken: it ends under the catalogue in force now.
-    pub fn taken(&mut self) -> (Release, Arc<Catalogue>) {
-        let held = self.held.get_mut(&self.in_force).expect("the one in force is held");
-        held.open += 1;
-        (self.in_force, Arc::clone(&held.catalogue))
+    pub fn taken(&mut self) -> Release {
+        self.held.entry(self.in_force).and_modify(|held| held.open += 1);
+        self.in_force
     }
 
     /// An RPC has ended; a catalogue not in force goes with its last one.
@@ -70,36 +108,34 @@
         }
     }
 
-    /// Another catalogue comes into force.
-    pub fn reload(&mut self, now: Time, catalogue: Catalogue) -> Result<Release, TooMany> {
+    /// Whether another catalogue may come into force now.
+    pub fn has_room(&self) -> Result<(), TooMany> {
         let idle = self.held[&self.in_force].open == 0;
         let stay = self.held.len() - usize::from(idle);
         if stay >= self.most {
             return Err(TooMany(stay));
         }
-        let before = Arc::clone(self.in_force());
-        for method in before.methods().filter(|m| catalogue.method(&m.name).is_none()) {
-            self.withdrawn.push_back((now, method.name.clone()));
-        }
-        // What comes back is withdrawn no more.
-        self.withdrawn.retain(|(at, name)| catalogue.method(name).is_none() && *at + self.notice > now);
-        while self.withdrawn.len() > MOST_WITHDRAWN {
-            self.withdrawn.pop_front();
-        }
-        if idle {
+        Ok(())
+    }
+
+    /// Another catalogue comes into force.
+    pub fn reload(&mut self, now: Time, catalogue: Arc<Catalogue>) -> Result<Release, TooMany> {
+        self.has_room()?;
+        let before = &self.held[&self.in_force];
+        self.withdrawn.change(now, &before.catalogue, &catalogue);
+        if before.open == 0 {
             self.held.remove(&self.in_force);
         }
         self.in_force = Release(self.in_force.0 + 1);
-        self.held.insert(self.in_force, Held { catalogue: Arc::new(catalogue), open: 0 });
+        self.held.insert(self.in_force, Held { catalogue, open: 0 });
         Ok(self.in_force)
     }
 
     pub fn standing(&self, now: Time, method: &str) -> Standing {
-        if self.in_force().method(method).is_some() {
+        if self.held[&self.in_force].catalogue.method(method).is_some() {
             return Standing::Served;
         }
-        let gone = self.withdrawn.iter().rev().find(|(at, name)| name == method && *at + self.notice > now);
-        gone.map_or(Standing::Unknown, |(at, _)| Standing::Withdrawn { ago: now - *at })
+        self.withdrawn.ago(now, method).map_or(Standing::Unknown, |ago| Standing::Withdrawn { ago })
     }
 
     /// How many catalogues are held, the one in force included.
--- a/crates/curlewpoint-catalogue/tests/catalogue.rs
+++ b/crates/curlewpoint-catalogue/tests/catalogue.rs
@@ -1,9 +1,13 @@
 //! Stories of a catalogue: what fits, what the documents say, what a release changes.
 
+use std::sync::Arc;
+
 use curlewpoint::types::Time;
 use curlewpoint_catalogue::{
-    asyncapi, compare, etag, openapi, render, Catalogue, Effect, Method, Payload, Releases, Standing, TooMany,
+    asyncapi, compare, etag, openapi, render, Catalogue, Effect, Method, Payload, Release, Releases,
+    Standing, TooMany,
 };
+use proptest::prelude::*;
 use serde_json::{json, Value};
 use test_case::test_case;
 
@@ -32,6 +36,8 @@
         examples: vec![json!({"page": 3})],
         since: "1".to_owned(),
         until: None,
+        deprecated: None,
+        sunset: None,
     }
 }
 
@@ -185,34 +191,74 @@
     assert_eq!(told, [("a", true), ("c", false)]);
 }
 
+fn released(release: &str, names: &[&str]) -> Arc<Catalogue> {
+    Arc::new(catalogue(release, names))
+}
+
+fn in_force(r: &Releases) -> &str {
+    &r.catalogue(r.in_force()).unwrap().release
+}
+
 #[test]
 fn an_rpc_ends_under_the_catalogue_that_it_was_taken_under() {
-    let mut r = Releases::new(catalogue("1", &["a"]), 2, Time(600_000));
-    let (first, under) = r.taken();
-    r.reload(Time(10), catalogue("2", &["b"])).unwrap();
-    assert_eq!((under.release.as_str(), r.in_force().release.as_str(), r.held()), ("1", "2", 2));
-    let (second, _) = r.taken();
+    let mut r = Releases::new(released("1", &["a"]), 2, Time(600_000));
+    let first = r.taken();
+    r.reload(Time(10), released("2", &["b"])).unwrap();
+    assert_eq!((r.catalogue(first).unwrap().release.as_str(), in_force(&r), r.held()), ("1", "2", 2));
+    let second = r.taken();
     // Two with RPCs open are the most: the third waits, and the one in force stays.
-    assert_eq!(r.reload(Time(20), catalogue("3", &["c"])), Err(TooMany(2)));
-    assert_eq!(r.in_force().release, "2");
+    assert_eq!(r.reload(Time(20), released("3", &["c"])), Err(TooMany(2)));
+    assert_eq!(in_force(&r), "2");
     r.ended(first);
-    assert_eq!(r.held(), 1);
-    r.reload(Time(30), catalogue("3", &["c"])).unwrap();
+    assert_eq!((r.held(), r.catalogue(first).is_none()), (1, true));
+    r.reload(Time(30), released("3", &["c"])).unwrap();
     r.ended(second);
     r.ended(second);
-    assert_eq!(r.held(), 1);
+    assert_eq!((r.held(), in_force(&r)), (1, "3"));
 }
 
 #[test]
 fn a_withdrawn_method_is_known_as_such_for_a_time_and_may_come_back() {
-    let mut r = Releases::new(catalogue("1", &["a", "b"]), 3, Time(1_000));
-    r.reload(Time(100), catalogue("2", &["b"])).unwrap();
+    let mut r = Releases::new(released("1", &["a", "b"]), 3, Time(1_000));
+    r.reload(Time(100), released("2", &["b"])).unwrap();
     assert_eq!(r.standing(Time(400), "a"), Standing::Withdrawn { ago: Time(300) });
     assert_eq!(
         (r.standing(Time(400), "b"), r.standing(Time(400), "z")),
         (Standing::Served, Standing::Unknown)
     );
-    assert_eq!(r.standing(Time(1_200), "a"), Standing::Unknown);
-    r.reload(Time(500), catalogue("3", &["a", "b"])).unwrap();
+    assert_eq!(r.standing(Time(1_100), "a"), Standing::Unknown);
+    r.reload(Time(500), released("3", &["a", "b"])).unwrap();
     assert_eq!(r.standing(Time(600), "a"), Standing::Served);
 }
+
+fn bare(release: usize) -> Arc<Catalogue> {
+    Arc::new(Catalogue::new("Registers", &release.to_string(), Vec::new()).unwrap())
+}
+
+proptest! {
+    /// Whatever is taken, ended and reloaded in whatever order: an RPC that is open has its catalogue, no more are held
+    /// than may be, and none is held for nothing.
+    #[test]
+    fn an_open_rpc_never_loses_its_catalogue(steps in proptest::collection::vec(0u8..4, 1..200), most in 1usize..4) {
+        let mut r = Releases::new(bare(0), most, Time(1_000));
+        let mut open: Vec<(Release, String)> = Vec::new();
+        for (no, step) in steps.into_iter().enumerate() {
+            match step {
+                0 | 1 => {
+                    let release = r.taken();
+                    open.push((release, in_force(&r).to_owned()));
+                }
+                2 if !open.is_empty() => r.ended(open.remove(no % open.len()).0),
+                _ => drop(r.reload(Time(no as u64), bare(no + 1))),
+            }
+            for (release, name) in &open {
+                prop_assert_eq!(&r.catalogue(*release).unwrap().release, name);
+            }
+            let mut wanted: Vec<_> = open.iter().map(|o| o.0).chain([r.in_force()]).collect();
+            wanted.sort();
+            wanted.dedup();
+            prop_assert_eq!(r.held(), wanted.len());
+            prop_assert!(r.held() <= most);
+        }
+    }
+}
--- a/crates/curlewpoint-cli/src/commands/check.rs
+++ b/crates/curlewpoint-cli/src/commands/check.rs
@@ -43,6 +43,7 @@
         Holds::Memory => "memory: `B`, `KiB`, `MiB`, `GiB`".into(),
         Holds::Number => "a number".into(),
         Holds::Share => "a share: `25%` or `0.25`".into(),
+        Holds::Date => "a day in UTC, `2027-03-01`".into(),
         Holds::YesNo => "`yes` or `no`".into(),
         Holds::OneOf(all) => format!("one of {}", words(all)),
         Holds::AnyOf(all) => format!("any of {}", words(all)),
--- a/crates/curlewpoint-cli/tests/processes.rs
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -125,6 +125,33 @@
     }
 }
 
+/// SIGHUP reads the file anew: one at fault changes nothing, one that is good does, and a call goes on meanwhile.
+#[test]
+fn a_reload_by_signal_serves_other_methods_or_leaves_those_in_force() {
+    let f = fleet("hup", "900ms");
+    let path = f.folder.join("gateway.conf");
+    let good = std::fs::read_to_string(&path).expect("written");
+    let change = |text: &str, logged: &str| {
+        std::fs::write(&path, text).expect("written");
+        f.gateway.signal("HUP");
+        f.gateway.logs(logged);
+    };
+    let open = call(&f.gateway.address).stdout(Stdio::piped()).spawn().expect("it starts");
+    f.gateway.logs("call-out");
+    change(
+        &good.replace("deadline 5s\n}", "deadline 5s\n"),
+        "reload refused, the methods in force stay: error",
+    );
+    change(&good.replace("name front-1", "name front-2"), "this changes only at a restart: name");
+    change(&good.replace("issue-extract", "issue-extracts"), "reloaded");
+    let Output { status, stdout, .. } = open.wait_with_output().expect("it ends");
+    assert_eq!((status.code(), text(&stdout).as_str()), (Some(0), "scan of page 1"));
+    let gone = call(&f.gateway.address).output().expect("it runs");
+    assert!(!gone.status.success() && text(&gone.stderr).contains("withdrawn"), "{}", text(&gone.stderr));
+    change(&good, "reloaded");
+    assert!(call(&f.gateway.address).output().expect("it runs").status.success());
+}
+
 #[test]
 fn a_faulty_configuration_starts_nothing_and_tells_all_faults() {
     let folder = std::env::temp_dir().join(format!("curlewpoint-faulty-{}", std::process::id()));
--- a/crates/curlewpoint-config/src/check.rs
+++ b/crates/curlewpoint-config/src/check.rs
@@ -53,11 +53,41 @@
         self
     }
 
+    /// What differs in another configuration, but for methods, as block and directive: the methods and what describes
+    /// them may change while a scheduler runs, and nothing else.
+    pub fn differs(&self, other: &Config) -> Vec<String> {
+        let fixed = |c: &Config| -> BTreeMap<_, Vec<String>> {
+            let of_methods = |block: &str, name: &str| {
+                block == "method" || (block.is_empty() && ["title", "release"].contains(&name))
+            };
+            let values = c.values.iter().filter(|((block, _, name), _)| !of_methods(block, name));
+            values.map(|(key, words)| (key.clone(), words.clone())).collect()
+        };
+        let (a, b) = (fixed(self), fixed(other));
+        let keys: std::collections::BTreeSet<_> = a.keys().chain(b.keys()).collect();
+        let changed = keys.into_iter().filter(|k| a.get(*k) != b.get(*k));
+        let mut told: Vec<String> = changed
+            .map(|(block, of, name)| {
+                [*block, of, *name].into_iter().filter(|w| !w.is_empty()).collect::<Vec<_>>().join(" ")
+            })
+            .collect();
+        // The module knows tenants by their order.
+        if told.is_empty() && self.tenants() != other.tenants() {
+            told.push("the order of tenants".to_owned());
+        }
+        told
+    }
+
     /// A directive of a method.
     pub fn of_method(&self, method: &str, name: &'static str) -> &str {
         self.words("method", method, name).and_then(|w| w.first()).map_or("", String::as_str)
     }
 
+    /// A day that a method names, in seconds since 1970.
+    pub fn day_of_method(&self, method: &str, name: &'static str) -> Option<u64> {
+        units::date(self.of_method(method, name)).ok()
+    }
+
     pub fn methods(&self) -> &[String] {
         self.names.get("method").map_or(&[], Vec::as_slice)
     }
@@ -189,6 +219,7 @@
                 Holds::Memory => units::bytes(text).map(|_| ()),
                 Holds::Number => units::number(text).map(|_| ()),
                 Holds::Share => units::share(text).map(|_| ()),
+                Holds::Date => units::date(text).map(|_| ()),
                 Holds::YesNo if ["yes", "no"].contains(&text) => Ok(()),
                 Holds::YesNo => Err(format!("'{text}' is neither yes nor no")),
                 Holds::OneOf(all) | Holds::AnyOf(all) if all.iter().any(|(w, _)| *w == text) => Ok(()),
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -10,6 +10,8 @@
     Number,
     Share,
     YesNo,
+    /// A day in UTC, `2027-03-01`.
+    Date,
     /// One of these words; what the module calls each stands behind it.
     OneOf(&'static [(&'static str, &'static str)]),
     /// Any of these words, in any order.
@@ -83,6 +85,8 @@
             d("stop-limit", Time, "30s", "", "How long a stop waits for open RPCs before it aborts them."),
             d("title", Text, "", "", "What the descriptions are called; absent: the name."),
             d("release", Text, "1", "", "The release of the methods, for the descriptions."),
+            d("withdrawn-for", Time, "24h", "", "How long a method that a reload withdrew is answered as withdrawn (410), not as unknown."),
+            d("most-releases", Number, "3", "", "Sets of methods held at a time, the one in force included: each is held while RPCs taken under it are open."),
             d("log-level", LEVELS, "info", "", "The least level that is logged."),
             d("log-format", FORMS, "text", "", "The form of log lines."),
         ],
@@ -124,6 +128,8 @@
             d("example", Text, "", "", "A file with a JSON array of requests that fit."),
             d("since", Text, "", "", "The release in which it came."),
             d("until", Text, "", "", "The release in which it goes, where that is known."),
+            d("deprecated", Date, "", "", "The day from which clients should use something else; told in a `Deprecation` header."),
+            d("sunset", Date, "", "", "The day on which it goes, at the earliest; told in a `Sunset` header."),
         ],
     },
     Block {
--- a/crates/curlewpoint-config/src/settings.rs
+++ b/crates/curlewpoint-config/src/settings.rs
@@ -11,7 +11,7 @@
         all.iter().find(|(w, _)| *w == word).map_or(Value::Null, |(_, term)| json!(term))
     };
     match directive.holds {
-        Holds::Text | Holds::Address => json!(first),
+        Holds::Text | Holds::Address | Holds::Date => json!(first),
         Holds::Time => json!(units::milliseconds(first).unwrap_or(0.0)),
         Holds::Memory => json!(units::bytes(first).unwrap_or(0.0)),
         Holds::Number => json!(units::number(first).unwrap_or(0.0)),
@@ -45,16 +45,22 @@
         for block in BLOCKS.iter().filter(|b| !b.named) {
             self.fill(&mut map, block.name, "");
         }
-        for (block, part, names) in
-            [("method", "requestClasses", self.methods()), ("tenant", "tenants", self.tenants())]
-        {
-            let each = |name: &String| {
-                let mut one = Map::from_iter([("name".to_owned(), json!(name))]);
-                self.fill(&mut one, block, name);
-                Value::Object(one)
-            };
-            map.insert(part.to_owned(), names.iter().map(each).collect());
-        }
+        map.insert("requestClasses".to_owned(), self.each("method", self.methods()).into());
+        map.insert("tenants".to_owned(), self.each("tenant", self.tenants()).into());
         map
     }
+
+    /// The module's terms of each method.
+    pub fn terms(&self) -> Vec<Value> {
+        self.each("method", self.methods())
+    }
+
+    fn each(&self, block: &'static str, names: &[String]) -> Vec<Value> {
+        let one = |name: &String| {
+            let mut one = Map::from_iter([("name".to_owned(), json!(name))]);
+            self.fill(&mut one, block, name);
+            Value::Object(one)
+        };
+        names.iter().map(one).collect()
+    }
 }
--- a/crates/curlewpoint-config/src/units.rs
+++ b/crates/curlewpoint-config/src/units.rs
@@ -6,6 +6,14 @@
     (number.is_finite() && text.as_bytes()[0] != b'.').then_some((number, &text[at..]))
 }
 
+/// A day in UTC, as the seconds since 1970 at its begin.
+pub fn date(text: &str) -> Result<u64, String> {
+    let day: jiff::civil::Date =
+        text.parse().map_err(|_| format!("'{text}' is not a day: write 2027-03-01"))?;
+    let begin = jiff::tz::TimeZone::UTC.to_timestamp(day.at(0, 0, 0, 0)).map_err(|e| e.to_string())?;
+    u64::try_from(begin.as_second()).map_err(|_| format!("'{text}' is before 1970"))
+}
+
 /// A span of time, in milliseconds: `500ms`, `1.5s`, `2min`, `1h`.
 pub fn milliseconds(text: &str) -> Result<f64, String> {
     let unit = |u: &str| {
--- a/crates/curlewpoint-engine/benches/held.rs
+++ b/crates/curlewpoint-engine/benches/held.rs
@@ -33,6 +33,8 @@
     fn worker_at(&mut self, _: Time, _: WorkerId, _: &str, _: &str) {}
     fn worker_drains(&mut self, _: Time, _: WorkerId) {}
     fn worker_gone(&mut self, _: Time, _: WorkerId) {}
+    fn taken(&mut self, _: RpcId) {}
+    fn forgotten(&mut self, _: RpcId) {}
     fn log(&mut self, _: Option<RpcId>, _: &str) {}
 }
 
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Refusal {
     NoSuchMethod,
+    /// It was withdrawn a short while ago.
+    Withdrawn,
     NoSuchTenant,
     /// As many RPCs are open as this scheduler holds.
     Full,
@@ -32,7 +34,7 @@
     TagInUse,
     /// The model's name cannot be taken: it is too long, there are too many, or its id is another's.
     BadModel,
-    /// The token is too long.
+    /// The token is too long, or the method needs one and there is none: without it no worker could know a repeat.
     BadToken,
 }
 
@@ -75,6 +77,10 @@
     /// It drains: what has not been begun is not sent to it any more.
     fn worker_drains(&mut self, now: Time, worker: WorkerId);
     fn worker_gone(&mut self, now: Time, worker: WorkerId);
+    /// An RPC has been taken: what it needs until it is forgotten is to be kept.
+    fn taken(&mut self, rpc: RpcId);
+    /// It has its answer and no call-out of it is open: nothing comes for it any more.
+    fn forgotten(&mut self, rpc: RpcId);
     fn log(&mut self, rpc: Option<RpcId>, line: &str);
 }
 
@@ -99,6 +105,34 @@
     pub passed_over: u64,
 }
 
+/// More sets of terms than this have been served since this scheduler started: the next need a restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooManyTerms;
+
+/// A method as it was served at some time.
+struct Terms {
+    name: String,
+    tokened: bool,
+    give_up: Option<Time>,
+    lanes: f64,
+}
+
+fn name_of(settings: &Value) -> &str {
+    settings.get("name").and_then(Value::as_str).unwrap_or_default()
+}
+
+impl Terms {
+    fn of(settings: &Value) -> Terms {
+        let number = |name| settings.get(name).and_then(Value::as_f64);
+        Terms {
+            name: name_of(settings).to_owned(),
+            tokened: settings.get("effect").is_some_and(|e| e == "idempotency_key"),
+            give_up: number("giveUp").map(Time::from_ms),
+            lanes: number("lanes").unwrap_or(1.0),
+        }
+    }
+}
+
 struct Owed {
     client: ClientId,
     tag: u64,
@@ -155,7 +189,11 @@
     wheel: Wheel<Wake>,
     functions: Ids,
     roster: Roster,
-    methods: Vec<String>,
+    /// All that were ever served here, by their ids; and which of them are now.
+    methods: Vec<Terms>,
+    /// The same by their settings, written out.
+    known: BTreeMap<String, MethodId>,
+    served: BTreeMap<String, MethodId>,
     tenants: Vec<String>,
     next_errand: u64,
     order_limit: Time,
@@ -209,6 +247,7 @@
     fn forget_if_done(&mut self, rpc: RpcId) {
         if self.rpcs.get(&rpc).is_some_and(|o| o.answered && o.open.is_empty()) {
             self.rpcs.remove(&rpc);
+            self.world.forgotten(rpc);
         }
     }
 }
@@ -235,7 +274,7 @@
         if until < owed.deadline {
             self.wheel.set(until, Wake::Errand(id));
         }
-        let (method, tenant) = (&self.methods[owed.method.0], self.tenants.get(owed.tenant.0));
+        let (method, tenant) = (&self.methods[owed.method.0].name, self.tenants.get(owed.tenant.0));
         let (model, tenant) = (self.functions.name(owed.function.0), tenant.map_or("", String::as_str));
         let (token, left, body) = (owed.token.as_deref(), until - now, &owed.body);
         let errand = Errand::CallOut { rpc, no, method, model, tenant, token, left, body };
@@ -300,8 +339,6 @@
     next_rpc: u64,
     slack: Time,
     most_open: usize,
-    give_up: Vec<Option<Time>>,
-    lanes: Vec<f64>,
     stopping: bool,
     gone: BTreeMap<WorkerId, Time>,
 }
@@ -313,26 +350,23 @@
 const MOST_NAME: usize = 1024;
 const MOST_WORKERS: usize = 100_000;
 const MOST_MODELS: usize = 1_000_000;
+const MOST_TERMS: usize = 10_000;
 
 fn number(settings: &Map<String, Value>, part: &str, name: &str, default: f64) -> f64 {
     settings.get(part).and_then(|p| p.get(name)).and_then(Value::as_f64).unwrap_or(default)
 }
 
-fn each<'a, T>(
-    settings: &'a Map<String, Value>, part: &str, get: impl Fn(&'a Value) -> Option<T> + 'a,
-) -> Vec<Option<T>> {
-    let all = settings.get(part).and_then(Value::as_array);
-    all.into_iter().flatten().map(get).collect()
+fn list<'a>(settings: &'a Map<String, Value>, part: &str) -> &'a [Value] {
+    settings.get(part).and_then(Value::as_array).map_or(&[], Vec::as_slice)
 }
 
 impl<W: World> Engine<W> {
     pub fn start(now: Time, world: W, seed: u128, settings: Map<String, Value>) -> Self {
-        let name = |v: &Value| v.get("name").and_then(Value::as_str).map(str::to_owned);
-        let names = |part| each(&settings, part, name).into_iter().map(Option::unwrap_or_default).collect();
+        let of_methods = list(&settings, "requestClasses");
+        let methods: Vec<Terms> = of_methods.iter().map(Terms::of).collect();
+        let known = of_methods.iter().enumerate().map(|(no, m)| (m.to_string(), MethodId(no))).collect();
+        let served = methods.iter().enumerate().map(|(no, m)| (m.name.clone(), MethodId(no))).collect();
         let ms = |part, name, default| Time::from_ms(number(&settings, part, name, default));
-        let give_up =
-            each(&settings, "requestClasses", |v| v.get("giveUp").and_then(Value::as_f64).map(Time::from_ms));
-        let lanes = each(&settings, "requestClasses", |v| v.get("lanes").and_then(Value::as_f64));
         let desk = Desk {
             world,
             now,
@@ -343,8 +377,10 @@
             wheel: Wheel::default(),
             functions: Ids::new(MOST_MODELS),
             roster: Roster::new(MOST_WORKERS),
-            methods: names("requestClasses"),
-            tenants: names("tenants"),
+            methods,
+            known,
+            served,
+            tenants: list(&settings, "tenants").iter().map(|t| name_of(t).to_owned()).collect(),
             next_errand: 0,
             order_limit: ms("familyInfo", "orderLimit", 10_000.0),
             probe_limit: ms("limits", "probeLimit", 1_000.0),
@@ -358,8 +394,6 @@
             next_rpc: 0,
             slack,
             most_open: most_open as usize,
-            give_up,
-            lanes: lanes.into_iter().map(|l| l.unwrap_or(1.0)).collect(),
             stopping: false,
             gone: BTreeMap::new(),
         }
@@ -387,11 +421,34 @@
         self.module.host().roster.name(worker)
     }
 
-    /// The method that a call-out which is out is for.
-    pub fn method_of(&mut self, errand: ErrandId) -> Option<&str> {
+    /// The RPC that a call-out which is out is for, and its method.
+    pub fn asked_by(&mut self, errand: ErrandId) -> Option<(RpcId, &str)> {
         let desk = self.module.host();
         let What::CallOut(rpc, _) = desk.outs.get(&errand)?.what else { return None };
-        Some(&desk.methods[desk.rpcs.get(&rpc)?.method.0])
+        Some((rpc, &desk.methods[desk.rpcs.get(&rpc)?.method.0].name))
+    }
+
+    /// From here on these methods are served and no others, by these terms. A method whose terms have changed is another
+    /// one here and in the module: RPCs that are open go on under the terms that they were taken under.
+    pub fn serve(&mut self, methods: Vec<Value>) -> Result<(), TooManyTerms> {
+        let desk = self.module.host();
+        let keys: Vec<String> = methods.iter().map(Value::to_string).collect();
+        let new: BTreeSet<&String> = keys.iter().filter(|key| !desk.known.contains_key(*key)).collect();
+        if desk.methods.len() + new.len() > MOST_TERMS {
+            return Err(TooManyTerms);
+        }
+        desk.served.clear();
+        for (settings, key) in methods.into_iter().zip(keys) {
+            let desk = self.module.host();
+            let next = MethodId(desk.methods.len());
+            let id = *desk.known.entry(key).or_insert(next);
+            desk.served.insert(name_of(&settings).to_owned(), id);
+            if id == next {
+                desk.methods.push(Terms::of(&settings));
+                self.module.method_added(settings);
+            }
+        }
+        Ok(())
     }
 
     /// The moment of the next wake-up, or one before it.
@@ -427,7 +484,7 @@
     ) -> Result<RpcId, Refusal> {
         let (stopping, slack, most_open) = (self.stopping, self.slack, self.most_open);
         let desk = self.desk(now);
-        let method = desk.methods.iter().position(|m| m == method).ok_or(Refusal::NoSuchMethod)?;
+        let method = *desk.served.get(method).ok_or(Refusal::NoSuchMethod)?;
         let tenant = match desk.tenants.iter().position(|t| t == tenant) {
             Some(no) => no,
             None if desk.tenants.is_empty() => 0,
@@ -442,11 +499,12 @@
         if desk.tags.contains_key(&(client, tag)) {
             return Err(Refusal::TagInUse);
         }
-        let left = self.give_up[method].map_or(left, |most| left.min(most)) - slack;
+        let Terms { tokened, give_up, lanes, .. } = desk.methods[method.0];
+        let left = give_up.map_or(left, |most| left.min(most)) - slack;
         if left == Time(0) {
             return Err(Refusal::NoTime);
         }
-        if token.is_some_and(|t| t.len() > MOST_NAME) {
+        if token.map_or(tokened, |t| t.len() > MOST_NAME || (tokened && t.is_empty())) {
             return Err(Refusal::BadToken);
         }
         if model.len() > MOST_NAME {
@@ -455,8 +513,7 @@
         let function = FunctionId(self.module.host().functions.learn(model).map_err(|_| Refusal::BadModel)?);
         self.next_rpc += 1;
         let id = RpcId(self.next_rpc);
-        let lanes = self.lanes[method];
-        let (method, tenant) = (MethodId(method), TenantId(tenant));
+        let tenant = TenantId(tenant);
         let desk = self.module.host();
         let (call_outs, open, answered) = (0, BTreeMap::new(), false);
         let (deadline, token) = (now + left, token.map(str::to_owned));
@@ -465,6 +522,7 @@
         desk.rpcs.insert(id, owed);
         desk.tags.insert((client, tag), id);
         desk.figures.taken += 1;
+        desk.world.taken(id);
         // The module has said nothing by then: half the slack is left for the answer's way.
         desk.wheel.set(deadline + Time(slack.0 / 2), Wake::Guard(id));
         self.module.rpc(now, id, method, function, tenant, left, lanes);
--- a/crates/curlewpoint-engine/src/lib.rs
+++ b/crates/curlewpoint-engine/src/lib.rs
@@ -11,7 +11,7 @@
 mod roster;
 mod wheel;
 
-pub use engine::{Answer, Engine, Errand, Figures, Refusal, World};
+pub use engine::{Answer, Engine, Errand, Figures, Refusal, TooManyTerms, World};
 pub use ids::{id_of, ClientId, ConnId, ErrandId, Ids};
 pub use pool::{Pool, PoolLimits, Wires};
 pub use roster::{Read, Roster};
--- a/crates/curlewpoint-engine/tests/promises.rs
+++ b/crates/curlewpoint-engine/tests/promises.rs
@@ -20,6 +20,8 @@
     untouched: bool,
     asked_list: Vec<Option<(u64, u64)>>,
     told_gone: Vec<WorkerId>,
+    /// RPCs taken and not forgotten.
+    kept: BTreeSet<RpcId>,
 }
 
 impl World for Fake {
@@ -51,11 +53,20 @@
     fn worker_gone(&mut self, _: Time, worker: WorkerId) {
         self.told_gone.push(worker);
     }
+    fn taken(&mut self, rpc: RpcId) {
+        assert!(self.kept.insert(rpc), "taken twice");
+    }
+    fn forgotten(&mut self, rpc: RpcId) {
+        assert!(self.kept.remove(&rpc), "forgotten twice, or never taken");
+    }
     fn log(&mut self, _: Option<RpcId>, _: &str) {}
 }
 
+fn method(name: &str, effect: &str) -> Value {
+    json!({"name": name, "effect": effect, "group": "all", "memorySpan": 5000.0, "aim": 300.0, "giveUp": 2000.0, "gain": 1.0, "lanes": 2.0})
+}
+
 fn settings() -> Map<String, Value> {
-    let method = |name: &str, effect: &str| json!({"name": name, "effect": effect, "group": "all", "memorySpan": 5000.0, "aim": 300.0, "giveUp": 2000.0, "gain": 1.0, "lanes": 2.0});
     let all = json!({
         "instances": 1,
         "requestClasses": [method("read", "read_like"), method("issue", "non_idempotent")],
@@ -209,6 +220,17 @@
     assert_eq!((f.taken, f.refused), (50, 5));
 }
 
+/// Without a token no worker can tell a repeat: the module would repeat what runs twice.
+#[test]
+fn a_tokened_method_is_not_taken_without_its_token() {
+    let mut s = Story::new(1);
+    s.engine.serve(vec![method("read", "idempotency_key")]).unwrap();
+    let mut ask =
+        |tag, token| s.engine.rpc(s.now, CLIENT, tag, "read", "model", "", Time(10_000), token, Bytes::new());
+    assert_eq!((ask(1, None), ask(2, Some(""))), (Err(Refusal::BadToken), Err(Refusal::BadToken)));
+    assert!(ask(3, Some("k")).is_ok());
+}
+
 #[test]
 fn a_full_list_without_a_worker_lets_it_go_and_a_gap_asks_anew() {
     let mut s = Story::new(3);
@@ -218,6 +240,21 @@
     assert_eq!(s.engine.world().asked_list.last(), Some(&None));
 }
 
+#[test]
+fn as_many_sets_of_terms_are_known_as_may_be_and_the_same_ones_cost_nothing() {
+    let mut s = Story::new(1);
+    for no in 0..20_000 {
+        let gain = json!(no % 9_000);
+        let mut read = method("read", "read_like");
+        read["gain"] = gain;
+        assert_eq!(s.engine.serve(vec![read]), Ok(()), "{no}");
+    }
+    let many = (0..2_000).map(|no| method(&format!("m{no}"), "read_like")).collect();
+    assert!(s.engine.serve(many).is_err());
+    assert!(s.rpc(1, "read").is_ok(), "what was in force stays");
+    assert_eq!(s.rpc(2, "m1"), Err(Refusal::NoSuchMethod));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Rpc(bool),
@@ -227,8 +264,17 @@
     Kill(usize),
     Untouched(bool),
     Relist(usize),
+    /// Which effects the two methods have from here on, or that the second is withdrawn.
+    Serve(usize),
 }
 
+const SETS: [&[(&str, &str)]; 4] = [
+    &[("read", "read_like"), ("issue", "non_idempotent")],
+    &[("read", "non_idempotent"), ("issue", "read_like")],
+    &[("read", "read_like")],
+    &[("issue", "non_idempotent"), ("read", "idempotency_key")],
+];
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         6 => any::<bool>().prop_map(Step::Rpc),
@@ -238,6 +284,7 @@
         1 => (0usize..4).prop_map(Step::Kill),
         1 => any::<bool>().prop_map(Step::Untouched),
         1 => (1usize..5).prop_map(Step::Relist),
+        1 => (0..SETS.len()).prop_map(Step::Serve),
     ]
 }
 
@@ -254,13 +301,20 @@
         let mut asked: BTreeMap<u64, Time> = BTreeMap::new();
         let mut may_have_run: BTreeSet<RpcId> = BTreeSet::new();
         let mut issues: BTreeSet<RpcId> = BTreeSet::new();
+        let mut served = SETS[0];
         for step in steps {
             match step {
                 Step::Rpc(issue) => {
                     tag += 1;
-                    if let Ok(id) = s.rpc(tag, if issue { "issue" } else { "read" }) {
+                    let name = if issue { "issue" } else { "read" };
+                    let effect = served.iter().find(|m| m.0 == name).map(|m| m.1);
+                    let taken = s.rpc(tag, name);
+                    prop_assert_eq!(taken == Err(Refusal::NoSuchMethod), effect.is_none());
+                    prop_assert!(effect != Some("idempotency_key") || taken.is_err(), "it has no token");
+                    if let Ok(id) = taken {
                         asked.insert(tag, s.now + Time(10_000));
-                        if issue {
+                        // By its effect at the time, whatever is served later.
+                        if effect != Some("read_like") {
                             issues.insert(id);
                         }
                     }
@@ -285,6 +339,11 @@
                     s.engine.world().dead.insert(worker);
                 }
                 Step::Untouched(untouched) => s.engine.world().untouched = untouched,
+                Step::Serve(which) => {
+                    served = SETS[which];
+                    let methods = served.iter().map(|(name, effect)| method(name, effect)).collect();
+                    prop_assert!(s.engine.serve(methods).is_ok());
+                }
                 Step::Relist(workers) => {
                     version += 1;
                     s.list((1, version), None, workers);
@@ -298,12 +357,14 @@
             let out = &s.engine.world().out;
             prop_assert!(!out.values().any(|o| o.0.is_some_and(|r| may_have_run.contains(&r))), "no effect twice");
             let f = s.engine.figures();
+            prop_assert_eq!(s.engine.world().kept.len(), s.engine.held());
             prop_assert_eq!(f.taken, f.ok + f.denied + f.aborted + f.left + s.engine.open() as u64);
         }
         s.pass(30_000);
         prop_assert_eq!(s.engine.world().answers.len(), asked.len());
         prop_assert_eq!(s.engine.world().sent_after_answer, 0);
         prop_assert_eq!(s.engine.held(), 0, "nothing is kept of what is over");
+        prop_assert!(s.engine.world().kept.is_empty());
         prop_assert_eq!(s.engine.figures().guarded, 0, "the module answers by itself");
     }
 }
--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -5,12 +5,13 @@
 use curlewpoint_link::{open, Bounds, Link};
 use curlewpoint_wire::{Field, Frame, Kind};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio_stream::StreamExt;
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
 use crate::outside::Client;
+use crate::reload::InForce;
 use crate::run::Note;
 
 /// What each client's task knows.
@@ -18,7 +19,7 @@
 pub(crate) struct Desk {
     pub name: String,
     pub bounds: Bounds,
-    pub catalogue: Arc<Catalogue>,
+    pub in_force: watch::Receiver<Arc<InForce>>,
     pub notes: mpsc::Sender<Note>,
 }
 
@@ -64,14 +65,14 @@
 }
 
 /// Why a body does not fit its method's description. What cannot be read is left to the engine's task to refuse.
-fn unfit(catalogue: &Catalogue, frame: &Frame) -> Option<String> {
+pub(crate) fn unfit(catalogue: &Catalogue, frame: &Frame) -> Option<String> {
     let method =
         catalogue.method(frame.maybe_text(Field::METHOD).ok()??).filter(|_| frame.kind == Kind::RPC)?;
     method.request.check(&frame.body).err()
 }
 
 async fn client(id: ClientId, stream: TcpStream, desk: Desk, _place: OwnedSemaphorePermit) {
-    let Desk { name, bounds, catalogue, notes } = desk;
+    let Desk { name, bounds, in_force, notes } = desk;
     let Link { outbox, mut reader, mut writer, peer } = match open(stream, &name, bounds).await {
         Ok(link) => link,
         Err(why) => return info!(client = id.0, "no hello from a client: {why}"),
@@ -93,8 +94,9 @@
         match next {
             // A full channel holds back this client alone.
             Some(Ok(frame)) => {
-                let note = match unfit(&catalogue, &frame) {
-                    None => Note::Client(id, frame),
+                let now = Arc::clone(&in_force.borrow());
+                let note = match unfit(&now.prepared.catalogue, &frame) {
+                    None => Note::Client(id, now.release, frame),
                     Some(why) => Note::Unfit(id, frame, why),
                 };
                 if notes.send(note).await.is_err() {
--- a/crates/curlewpoint-gateway/src/codes.rs
+++ b/crates/curlewpoint-gateway/src/codes.rs
@@ -62,6 +62,7 @@
 pub fn refusal_name(of: Refusal) -> &'static str {
     match of {
         Refusal::NoSuchMethod => "no-such-method",
+        Refusal::Withdrawn => "withdrawn",
         Refusal::NoSuchTenant => "no-such-tenant",
         Refusal::Full => "full",
         Refusal::NoTime => "no-time",
--- a/crates/curlewpoint-gateway/src/http.rs
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -2,14 +2,14 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use axum::body::{Body, Bytes};
 use axum::extract::Request;
-use axum::http::{header, HeaderMap, HeaderValue, Method, StatusCode};
+use axum::http::{header, request, HeaderMap, HeaderValue, Method, StatusCode};
 use axum::response::Response;
 use curlewpoint::types::Time;
-use curlewpoint_catalogue::{asyncapi, etag, openapi, render, Catalogue, Effect, Payload, Routes};
+use curlewpoint_catalogue::{method_in, Effect, Method as Described, Payload, Release};
 use curlewpoint_engine::{Answer, ClientId, Refusal};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -23,10 +23,13 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
-use crate::run::Note;
+use crate::reload::InForce;
+use crate::run::{Clock, Note};
 
 /// An RPC that came over HTTP and fits its descriptions.
 pub(crate) struct Ask {
+    /// The methods in force that it was read by.
+    pub release: Release,
     pub method: String,
     pub model: String,
     pub tenant: String,
@@ -38,8 +41,16 @@
 
 /// What becomes of it.
 pub(crate) enum Reply {
-    Final { answer: Answer, rpc: String, why: String, retry_after: Time, body: Bytes },
+    Final {
+        answer: Answer,
+        rpc: String,
+        why: String,
+        retry_after: Time,
+        body: Bytes,
+    },
     Refused(Refusal),
+    /// Other methods came into force on its way: nothing was taken, it is to be read anew.
+    Changed,
 }
 
 #[derive(Clone, Copy)]
@@ -56,9 +67,8 @@
 const DOOR: u64 = 1 << 63;
 
 struct Door {
-    catalogue: Arc<Catalogue>,
-    routes: Routes<String>,
-    documents: [(&'static str, String, String); 2],
+    in_force: watch::Receiver<Arc<InForce>>,
+    clock: Clock,
     limits: Limits,
     notes: mpsc::Sender<Note>,
     next: AtomicU64,
@@ -66,21 +76,10 @@
 
 /// Serves HTTP/1.1 and HTTP/2 without TLS until `stop` says so; connections then end after the answers under way.
 pub(crate) async fn serve(
-    listener: TcpListener, catalogue: Arc<Catalogue>, limits: Limits, notes: mpsc::Sender<Note>,
-    stop: watch::Receiver<bool>, tasks: TaskTracker,
+    listener: TcpListener, in_force: watch::Receiver<Arc<InForce>>, clock: Clock, limits: Limits,
+    notes: mpsc::Sender<Note>, stop: watch::Receiver<bool>, tasks: TaskTracker,
 ) {
-    let mut routes = Routes::new('/');
-    for method in catalogue.methods() {
-        if let Err(why) = routes.add(&format!("/v1/{}/*", method.name), method.name.clone()) {
-            warn!("http: {why}");
-        }
-    }
-    let document = |path, text: String| (path, etag(&text), text);
-    let documents = [
-        document("/openapi.json", render(&openapi(&catalogue))),
-        document("/asyncapi.json", render(&asyncapi(&catalogue))),
-    ];
-    let door = Arc::new(Door { catalogue, routes, documents, limits, notes, next: AtomicU64::new(DOOR) });
+    let door = Arc::new(Door { in_force, clock, limits, notes, next: AtomicU64::new(DOOR) });
     let room = Arc::new(Semaphore::new(limits.connections));
     let mut stopped = stop.clone();
     loop {
@@ -174,80 +173,103 @@
     first.to_str().map(Some).map_err(|_| refused(400, "malformed", format!("header {name} is no text")))
 }
 
+/// A request's head as the documents allow it.
+struct Head<'a> {
+    method: &'a Described,
+    model: String,
+    left: Time,
+    token: Option<String>,
+    tenant: String,
+}
+
+/// So often an RPC is read anew because other methods came into force on its way.
+const READ_ANEW: usize = 8;
+
 impl Door {
-    async fn request(self: Arc<Self>, request: Request) -> Response {
-        let asked = match self.read(request).await {
-            Ok(Read::Rpc(ask, answer)) => (ask, answer),
-            Ok(Read::Document(response)) => return response,
-            Err(r) => return problem(r.status, r.name, &r.detail, None, Time(0)),
-        };
-        self.rpc(asked.0, asked.1).await
+    fn in_force(&self) -> Arc<InForce> {
+        Arc::clone(&self.in_force.borrow())
     }
 
-    async fn rpc(&self, ask: Ask, told: oneshot::Receiver<Reply>) -> Response {
-        let id = ClientId(self.next.fetch_add(1, Ordering::Relaxed));
-        let name = ask.method.clone();
-        if self.notes.send(Note::Ask(id, ask)).await.is_err() {
-            return problem(StatusCode::TOO_MANY_REQUESTS, "full", "this scheduler ends", None, Time(0));
-        }
-        let mut waits = Waits { id, notes: &self.notes, over: false };
-        let reply = told.await;
-        waits.over = true;
-        match reply {
-            Ok(Reply::Final { answer: Answer::Ok, body, .. }) => {
-                let media = self
-                    .catalogue
-                    .method(&name)
-                    .map_or("application/octet-stream", |m| m.answer.media_type());
-                let mut response = Response::new(Body::from(body));
-                response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media));
-                response
-            }
-            Ok(Reply::Final { answer, rpc, why, retry_after, .. }) => {
-                let denied = answer == Answer::Denied;
-                let status = if denied { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::BAD_GATEWAY };
-                problem(status, if denied { "denied" } else { "aborted" }, &why, Some(&rpc), retry_after)
-            }
-            Ok(Reply::Refused(why)) => {
-                let detail = crate::refusal_name(why);
-                let r = match why {
-                    Refusal::NoSuchMethod => refused(404, "unknown", detail),
-                    Refusal::Full | Refusal::Stopping => refused(429, "full", detail),
-                    _ => refused(400, "malformed", detail),
-                };
-                problem(r.status, r.name, &r.detail, None, Time(0))
-            }
-            // The engine has gone with the RPC: it may have run.
-            Err(_) => problem(StatusCode::BAD_GATEWAY, "aborted", "the scheduler ended", None, Time(0)),
+    async fn request(self: Arc<Self>, request: Request) -> Response {
+        let (parts, body) = request.into_parts();
+        let in_force = self.in_force();
+        if let (&Method::GET, Some(document)) = (&parts.method, document(&in_force, &parts)) {
+            return document;
         }
+        // The head is looked at first: a body that is refused anyway is not read.
+        let done = match self.head(&in_force, &parts) {
+            Err(refused) => Err(refused),
+            Ok(_) => match self.body(body).await {
+                Err(refused) => Err(refused),
+                Ok(body) => self.rpc(&parts, body).await,
+            },
+        };
+        let mut response = done.unwrap_or_else(|r| problem(r.status, r.name, &r.detail, None, Time(0)));
+        self.notices(&parts, response.headers_mut());
+        response
     }
 
-    fn document(&self, path: &str, headers: &HeaderMap) -> Option<Response> {
-        let (_, tag, text) = self.documents.iter().find(|d| d.0 == path)?;
-        let known = headers.get(header::IF_NONE_MATCH).and_then(|v| v.to_str().ok());
-        let same = known.is_some_and(|k| k.split(',').any(|t| t.trim() == tag || t.trim() == "*"));
-        let mut response = Response::new(if same { Body::empty() } else { Body::from(text.clone()) });
-        if same {
-            *response.status_mut() = StatusCode::NOT_MODIFIED;
-        }
-        let headers = response.headers_mut();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Ok(tag) = HeaderValue::from_str(tag) {
-            headers.insert(header::ETAG, tag);
+    /// Asks the engine, and turns the one final answer into a response.
+    async fn rpc(&self, parts: &request::Parts, body: Bytes) -> Result<Response, Refused> {
+        for _ in 0..READ_ANEW {
+            let in_force = self.in_force();
+            let head = self.head(&in_force, parts)?;
+            let media = head.method.answer.media_type();
+            let (reply, told) = oneshot::channel();
+            let ask = ask(&in_force, head, body.clone(), reply)?;
+            let id = ClientId(self.next.fetch_add(1, Ordering::Relaxed));
+            if self.notes.send(Note::Ask(id, ask)).await.is_err() {
+                return Err(refused(429, "full", "this scheduler ends"));
+            }
+            let mut waits = Waits { id, notes: &self.notes, over: false };
+            let reply = told.await;
+            waits.over = true;
+            return match reply {
+                Ok(Reply::Changed) => continue,
+                Ok(Reply::Final { answer: Answer::Ok, body, .. }) => {
+                    let mut response = Response::new(Body::from(body));
+                    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media));
+                    Ok(response)
+                }
+                Ok(Reply::Final { answer, rpc, why, retry_after, .. }) => {
+                    let denied = answer == Answer::Denied;
+                    let (status, name) = if denied {
+                        (StatusCode::SERVICE_UNAVAILABLE, "denied")
+                    } else {
+                        (StatusCode::BAD_GATEWAY, "aborted")
+                    };
+                    Ok(problem(status, name, &why, Some(&rpc), retry_after))
+                }
+                Ok(Reply::Refused(why)) => {
+                    let detail = crate::refusal_name(why);
+                    Err(match why {
+                        Refusal::NoSuchMethod => refused(404, "unknown", detail),
+                        Refusal::Withdrawn => refused(410, "withdrawn", detail),
+                        Refusal::Full | Refusal::Stopping => refused(429, "full", detail),
+                        _ => refused(400, "malformed", detail),
+                    })
+                }
+                // The engine has gone with the RPC: it may have run.
+                Err(_) => {
+                    Ok(problem(StatusCode::BAD_GATEWAY, "aborted", "the scheduler ended", None, Time(0)))
+                }
+            };
         }
-        Some(response)
+        Err(refused(429, "full", "the methods in force change too fast"))
     }
 
-    /// Reads a request as the documents allow it; nothing is taken yet.
-    async fn read(&self, request: Request) -> Result<Read, Refused> {
-        let (parts, body) = request.into_parts();
+    /// Reads a request's head; nothing is taken yet.
+    fn head<'a>(&self, in_force: &'a InForce, parts: &request::Parts) -> Result<Head<'a>, Refused> {
         let path = parts.uri.path();
-        if let (&Method::GET, Some(document)) = (&parts.method, self.document(path, &parts.headers)) {
-            return Ok(Read::Document(document));
-        }
-        let (name, stood) =
-            self.routes.find(path).ok_or_else(|| refused(404, "unknown", "no such method"))?;
-        let method = self.catalogue.method(name).ok_or_else(|| refused(404, "unknown", "no such method"))?;
+        let found = in_force.prepared.routes.find(path);
+        let method = found.as_ref().and_then(|(name, _)| in_force.prepared.catalogue.method(name));
+        let (Some((_, stood)), Some(method)) = (found, method) else {
+            let gone = method_in(path).and_then(|name| in_force.withdrawn.ago(self.clock.now(), name));
+            return Err(match gone {
+                Some(_) => refused(410, "withdrawn", "the method was withdrawn"),
+                None => refused(404, "unknown", "no such method"),
+            });
+        };
         if parts.method != Method::POST {
             return Err(refused(405, "verb", "methods are called by POST"));
         }
@@ -262,11 +284,8 @@
             Some(v) => match v.parse::<u64>() {
                 Ok(ms) if ms >= 1 && ms as f64 <= method.deadline => Time(ms * 10),
                 _ => {
-                    return Err(refused(
-                        400,
-                        "malformed",
-                        format!("Curlewpoint-Time-Left: '{v}' is not 1 to {} ms", method.deadline),
-                    ))
+                    let what = format!("Curlewpoint-Time-Left: '{v}' is not 1 to {} ms", method.deadline);
+                    return Err(refused(400, "malformed", what));
                 }
             },
         };
@@ -277,22 +296,11 @@
         let tenant = text(&parts.headers, "curlewpoint-tenant")?.unwrap_or("").to_owned();
         let media =
             text(&parts.headers, "content-type")?.unwrap_or("").split(';').next().unwrap_or("").trim();
-        if !media.eq_ignore_ascii_case(method.request.media_type()) {
-            return Err(refused(
-                415,
-                "media-type",
-                format!("'{media}' is not {}", method.request.media_type()),
-            ));
-        }
-        let body = self.body(body).await?;
-        if let Payload::Json { .. } = method.request {
-            serde_json::from_slice::<serde_json::Value>(&body)
-                .map_err(|e| refused(400, "malformed", e.to_string()))?;
-            method.request.check(&body).map_err(|why| refused(422, "unfit", why))?;
+        let wanted = method.request.media_type();
+        if !media.eq_ignore_ascii_case(wanted) {
+            return Err(refused(415, "media-type", format!("'{media}' is not {wanted}")));
         }
-        let (reply, told) = oneshot::channel();
-        let method = name.clone();
-        Ok(Read::Rpc(Ask { method, model, tenant, left, token, body, reply }, told))
+        Ok(Head { method, model, left, token, tenant })
     }
 
     /// A body within its bounds of length and of time.
@@ -310,11 +318,51 @@
             Ok(Ok(whole)) => Ok(whole.to_bytes()),
         }
     }
+
+    /// Every answer of a method that goes, or has gone of late, says so in its headers.
+    fn notices(&self, parts: &request::Parts, headers: &mut HeaderMap) {
+        let (in_force, Some(name)) = (self.in_force(), method_in(parts.uri.path())) else { return };
+        let (deprecated, sunset) = match in_force.prepared.catalogue.method(name) {
+            Some(m) => (m.deprecated, m.sunset.map(|s| UNIX_EPOCH + Duration::from_secs(s))),
+            None => {
+                let ago = in_force.withdrawn.ago(self.clock.now(), name);
+                (None, ago.map(|ago| SystemTime::now() - Duration::from_micros(ago.0 * 100)))
+            }
+        };
+        if let Some(Ok(day)) = deprecated.map(|d| HeaderValue::from_str(&format!("@{d}"))) {
+            headers.insert("deprecation", day);
+        }
+        if let Some(Ok(day)) = sunset.map(|s| HeaderValue::from_str(&httpdate::fmt_http_date(s))) {
+            headers.insert("sunset", day);
+        }
+    }
 }
 
-enum Read {
-    Rpc(Ask, oneshot::Receiver<Reply>),
-    Document(Response),
+fn ask(in_force: &InForce, head: Head, body: Bytes, reply: oneshot::Sender<Reply>) -> Result<Ask, Refused> {
+    let Head { method, model, left, token, tenant } = head;
+    if let Payload::Json { .. } = method.request {
+        serde_json::from_slice::<serde_json::Value>(&body)
+            .map_err(|e| refused(400, "malformed", e.to_string()))?;
+        method.request.check(&body).map_err(|why| refused(422, "unfit", why))?;
+    }
+    let (release, method) = (in_force.release, method.name.clone());
+    Ok(Ask { release, method, model, tenant, left, token, body, reply })
+}
+
+fn document(in_force: &InForce, parts: &request::Parts) -> Option<Response> {
+    let (_, tag, text) = in_force.prepared.documents.iter().find(|d| d.0 == parts.uri.path())?;
+    let known = parts.headers.get(header::IF_NONE_MATCH).and_then(|v| v.to_str().ok());
+    let same = known.is_some_and(|k| k.split(',').any(|t| t.trim() == tag || t.trim() == "*"));
+    let mut response = Response::new(if same { Body::empty() } else { Body::from(text.clone()) });
+    if same {
+        *response.status_mut() = StatusCode::NOT_MODIFIED;
+    }
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(tag) = HeaderValue::from_str(tag) {
+        headers.insert(header::ETAG, tag);
+    }
+    Some(response)
 }
 
 /// While an RPC waits for its answer, its client may go away: hyper then drops the request, and this with it.
--- a/crates/curlewpoint-gateway/src/lib.rs
+++ b/crates/curlewpoint-gateway/src/lib.rs
@@ -6,8 +6,10 @@
 mod http;
 mod list;
 mod outside;
+mod reload;
 mod run;
 mod workers;
 
 pub use codes::{answer_code, answer_of, copy_code, outcome_code, refusal_name, standing_code};
+pub use reload::{ReloadError, Reloader};
 pub use run::{start, Running, StartError, Stopper};
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use curlewpoint::types::{Outcome, RpcId, Time, WorkerId};
+use curlewpoint_catalogue::{Catalogue, Release, Releases};
 use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
 use curlewpoint_link::{Outbox, Ticket};
 use curlewpoint_wire::{Field, Frame, Kind};
@@ -76,12 +77,15 @@
     /// Clients that did not read their answers and have been cut off.
     pub lost: Vec<ClientId>,
     pub list: Option<Outbox>,
+    pub releases: Releases,
+    /// Which methods each RPC was taken under.
+    under: BTreeMap<RpcId, Release>,
     pool: Pool<Frame>,
     sockets: Sockets,
 }
 
 impl Outside {
-    pub fn new(run: String, pool: Pool<Frame>, dialler: Dialler) -> Outside {
+    pub fn new(run: String, releases: Releases, pool: Pool<Frame>, dialler: Dialler) -> Outside {
         let (outboxes, tickets, ended) = Default::default();
         let sockets = Sockets { dialler, outboxes, tickets, ended };
         Outside {
@@ -90,11 +94,17 @@
             calls: BTreeMap::new(),
             lost: Vec::new(),
             list: None,
+            releases,
+            under: BTreeMap::new(),
             pool,
             sockets,
         }
     }
 
+    pub fn taken_under(&self, rpc: RpcId) -> Option<&Catalogue> {
+        self.releases.catalogue(*self.under.get(&rpc)?).map(|c| &**c)
+    }
+
     /// Sends to a client; one whose outbox is full does not read, and is cut off rather than waited for.
     pub fn tell_client(&mut self, id: ClientId, frame: Frame) {
         let Some(client) = self.clients.get(&id) else { return };
@@ -242,6 +252,17 @@
         self.pool.worker_gone(now, &mut self.sockets, worker);
     }
 
+    fn taken(&mut self, rpc: RpcId) {
+        let release = self.releases.taken();
+        self.under.insert(rpc, release);
+    }
+
+    fn forgotten(&mut self, rpc: RpcId) {
+        if let Some(release) = self.under.remove(&rpc) {
+            self.releases.ended(release);
+        }
+    }
+
     fn log(&mut self, rpc: Option<RpcId>, line: &str) {
         match rpc {
             Some(rpc) => info!(rpc = self.rpc_name(rpc), "{line}"),
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/reload.rs
@@ -0,0 +1,101 @@
+use std::sync::Arc;
+
+use curlewpoint_catalogue::{asyncapi, etag, openapi, render, Catalogue, Release, Routes, Withdrawn};
+use curlewpoint_config::Config;
+use serde_json::Value;
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+use tracing::{info, warn};
+
+use crate::run::Note;
+
+/// All that doors need of a catalogue, made before it comes into force so that the engine's task does not wait for it.
+pub(crate) struct Prepared {
+    pub catalogue: Arc<Catalogue>,
+    pub routes: Routes<String>,
+    /// Path, entity tag and text of each.
+    pub documents: [(&'static str, String, String); 2],
+}
+
+impl Prepared {
+    pub fn of(config: &Config) -> Result<Prepared, ReloadError> {
+        let at_fault = |what: Vec<String>| ReloadError::Catalogue(what.join("; "));
+        let catalogue = Catalogue::of(config)
+            .map_err(|faults| at_fault(faults.iter().map(ToString::to_string).collect()))?;
+        let mut routes = Routes::new('/');
+        for method in catalogue.methods() {
+            let pattern = format!("/v1/{}/*", method.name);
+            routes.add(&pattern, method.name.clone()).map_err(|why| at_fault(vec![why]))?;
+        }
+        let document = |path, text: String| (path, etag(&text), text);
+        let documents = [
+            document("/openapi.json", render(&openapi(&catalogue))),
+            document("/asyncapi.json", render(&asyncapi(&catalogue))),
+        ];
+        Ok(Prepared { catalogue: Arc::new(catalogue), routes, documents })
+    }
+}
+
+/// What doors go by from one reload to the next.
+pub(crate) struct InForce {
+    pub release: Release,
+    pub prepared: Arc<Prepared>,
+    pub withdrawn: Withdrawn,
+}
+
+/// Why the methods in force stay.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum ReloadError {
+    #[error("this changes only at a restart: {}", .0.join(", "))]
+    Fixed(Vec<String>),
+    #[error("the methods' schemas are at fault: {0}")]
+    Catalogue(String),
+    #[error("{0} sets of methods still have RPCs open: try again later")]
+    TooMany(usize),
+    #[error("too many sets of terms have been served: this needs a restart")]
+    TooManyTerms,
+    #[error("the scheduler ends")]
+    Ended,
+}
+
+pub(crate) struct Reload {
+    pub prepared: Arc<Prepared>,
+    pub terms: Vec<Value>,
+    pub told: oneshot::Sender<Result<Release, ReloadError>>,
+}
+
+/// Puts other methods into force while a scheduler runs.
+#[derive(Clone)]
+pub struct Reloader {
+    pub(crate) notes: mpsc::Sender<Note>,
+    /// What was started with: all but the methods stays as it is there.
+    pub(crate) started: Arc<Config>,
+}
+
+impl Reloader {
+    /// Serves the methods of this configuration from here on; nothing else in it may differ from that of the start. On
+    /// any fault those in force stay, and one log line says why.
+    pub async fn reload(&self, config: Config) -> Result<Release, ReloadError> {
+        let done = self.put_into_force(config).await;
+        match &done {
+            Ok(release) => info!(release = release.0, "reloaded"),
+            Err(why) => warn!("reload refused, the methods in force stay: {why}"),
+        }
+        done
+    }
+
+    async fn put_into_force(&self, config: Config) -> Result<Release, ReloadError> {
+        let differs = self.started.differs(&config);
+        if !differs.is_empty() {
+            return Err(ReloadError::Fixed(differs));
+        }
+        // Schemas are compiled and documents written on a thread of their own: a large catalogue takes its time.
+        let preparing =
+            tokio::task::spawn_blocking(move || Ok((Arc::new(Prepared::of(&config)?), config.terms())));
+        let (prepared, terms) = preparing.await.map_err(|_| ReloadError::Ended)??;
+        let (told, tell) = oneshot::channel();
+        let reload = Reload { prepared, terms, told };
+        self.notes.send(Note::Reload(reload)).await.map_err(|_| ReloadError::Ended)?;
+        tell.await.map_err(|_| ReloadError::Ended)?
+    }
+}
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use curlewpoint::types::{Copy, Outcome, Time};
-use curlewpoint_catalogue::Catalogue;
+use curlewpoint_catalogue::{Release, Releases, Standing};
 use curlewpoint_config::Config;
-use curlewpoint_engine::{ClientId, ConnId, Engine, ErrandId, Figures, Pool, PoolLimits};
+use curlewpoint_engine::{ClientId, ConnId, Engine, ErrandId, Figures, Pool, PoolLimits, Refusal};
 use curlewpoint_link::{Bounds, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use thiserror::Error;
@@ -18,13 +18,15 @@
 
 use crate::http::{Ask, Limits, Reply};
 use crate::outside::{Client, Outside};
+use crate::reload::{InForce, Prepared, Reload, ReloadError, Reloader};
 use crate::workers::Dialler;
 use crate::{clients, codes, http, list};
 
 /// What the tasks around connections tell the one that owns the engine.
 pub(crate) enum Note {
     ClientIn(ClientId, Client),
-    Client(ClientId, Frame),
+    /// What a client sent, and the methods in force when it was looked at.
+    Client(ClientId, Release, Frame),
     /// An RPC whose body does not fit its method, and why.
     Unfit(ClientId, Frame, String),
     /// It is gone, or what it sent could not be read.
@@ -39,6 +41,7 @@
     ListUp(Outbox),
     List(Frame),
     ListBroke,
+    Reload(Reload),
     /// Take nothing more, answer what is open; at a second one, end at once.
     Stop,
 }
@@ -47,8 +50,8 @@
 pub enum StartError {
     #[error("cannot listen on {0}: {1}")]
     Listen(String, std::io::Error),
-    #[error("the methods' schemas are at fault: {0}")]
-    Catalogue(String),
+    #[error("{0}")]
+    Methods(ReloadError),
 }
 
 /// Notes that wait for the engine's task; beyond these their senders wait.
@@ -68,10 +71,10 @@
 const DAY: Time = Time(864_000_000);
 
 #[derive(Clone, Copy)]
-struct Clock(Instant);
+pub(crate) struct Clock(Instant);
 
 impl Clock {
-    fn now(&self) -> Time {
+    pub fn now(&self) -> Time {
         DAY + Time((self.0.elapsed().as_micros() / 100) as u64)
     }
 
@@ -86,6 +89,7 @@
     /// The HTTP door, where there is one.
     pub http: Option<SocketAddr>,
     stop: mpsc::Sender<Note>,
+    started: Arc<Config>,
     end: JoinHandle<Figures>,
     helpers: Vec<AbortHandle>,
 }
@@ -106,6 +110,10 @@
         Stopper(self.stop.clone())
     }
 
+    pub fn reloader(&self) -> Reloader {
+        Reloader { notes: self.stop.clone(), started: Arc::clone(&self.started) }
+    }
+
     pub async fn stop(&self) {
         self.stopper().stop().await;
     }
@@ -134,10 +142,7 @@
     let listener = bind(&listen).map_err(|e| StartError::Listen(listen.clone(), e))?;
     let address = listener.local_addr().map_err(|e| StartError::Listen(listen, e))?;
     let of = |name| config.number("connections", name);
-    let catalogue = Catalogue::of(config).map_err(|faults| {
-        StartError::Catalogue(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
-    })?;
-    let catalogue = Arc::new(catalogue);
+    let prepared = Arc::new(Prepared::of(config).map_err(StartError::Methods)?);
     let door = match config.value("", "http") {
         None => None,
         Some(at) => Some(bind(at).map_err(|e| StartError::Listen(at.to_owned(), e))?),
@@ -170,7 +175,12 @@
         back_off: (ms("back-off"), ms("most-back-off")),
     };
     let run = format!("{name}.{:08x}", oorandom::Rand64::new(seed).rand_u64() as u32);
-    let outside = Outside::new(run, Pool::new(limits, seed), dialler);
+    let most = config.number("", "most-releases") as usize;
+    let notice = Time::from_ms(config.number("", "withdrawn-for"));
+    let releases = Releases::new(Arc::clone(&prepared.catalogue), most, notice);
+    let first = InForce { release: releases.in_force(), prepared, withdrawn: releases.withdrawn().clone() };
+    let (publish, in_force) = watch::channel(Arc::new(first));
+    let outside = Outside::new(run, releases, Pool::new(limits, seed), dialler);
     let clock = Clock(Instant::now());
     let engine = Engine::start(clock.now(), outside, seed, config.settings());
 
@@ -181,7 +191,7 @@
     let desk = clients::Desk {
         name: name.clone(),
         bounds: of_clients,
-        catalogue: Arc::clone(&catalogue),
+        in_force: in_force.clone(),
         notes: asks_in.clone(),
     };
     let accepting = clients::accept(listener, most, desk, tasks.clone());
@@ -195,15 +205,15 @@
             slow: config.time("connections", "http-slow"),
             head: of("http-head") as usize,
         };
-        let serving =
-            http::serve(door, Arc::clone(&catalogue), limits, asks_in.clone(), stopped, tasks.clone());
+        let serving = http::serve(door, in_force, clock, limits, asks_in.clone(), stopped, tasks.clone());
         helpers.push(tokio::spawn(serving).abort_handle());
     }
     let following = list::follow(config.text("list").to_owned(), name, bounds, dial, answers_in, seed);
     helpers.push(tokio::spawn(following).abort_handle());
-    let turn = Turn { engine, clock, catalogue, accepting, no_more, ending: None, over: false };
+    let turn = Turn { engine, clock, publish, accepting, no_more, ending: None, over: false };
     let end = tokio::spawn(turn.run(answers, asks, tasks, config.time("", "stop-limit")));
-    Ok(Running { address, http, stop: asks_in, end, helpers })
+    let started = Arc::new(config.clone());
+    Ok(Running { address, http, stop: asks_in, started, end, helpers })
 }
 
 struct Ending {
@@ -217,7 +227,8 @@
 struct Turn {
     engine: Engine<Outside>,
     clock: Clock,
-    catalogue: Arc<Catalogue>,
+    /// Tells the doors which methods are in force.
+    publish: watch::Sender<Arc<InForce>>,
     accepting: AbortHandle,
     /// Tells the HTTP door of a stop.
     no_more: watch::Sender<bool>,
@@ -298,19 +309,20 @@
                 engine.world().calls.remove(&id);
                 engine.client_gone(now, id);
             }
-            Note::Unfit(id, frame, why) => match frame.get_int(Field::TAG) {
-                Ok(tag) => {
-                    engine.refused();
-                    let f = Frame::new(Kind::REFUSED).int(Field::TAG, tag);
-                    engine.world().tell_client(id, f.text(Field::WHY, &format!("unfit: {why}")));
+            Note::Unfit(id, frame, why) => {
+                if let Err(e) = self.unfit(id, &frame, &why) {
+                    self.close_client(now, id, &e);
                 }
-                Err(e) => self.close_client(now, id, &e),
-            },
+            }
+            Note::Reload(reload) => {
+                let done = self.reload(now, reload.prepared, reload.terms);
+                let _ = reload.told.send(done);
+            }
             Note::Ask(id, ask) => self.ask(now, id, ask),
-            Note::Client(id, frame) => {
+            Note::Client(id, release, frame) => {
                 // What a client sent before it was cut off is void with it.
                 if engine.world().clients.contains_key(&id) {
-                    if let Err(e) = self.client(now, id, frame) {
+                    if let Err(e) = self.client(now, id, release, frame) {
                         self.close_client(now, id, &e);
                     }
                 }
@@ -365,15 +377,24 @@
         }
     }
 
-    fn client(&mut self, now: Time, id: ClientId, frame: Frame) -> Result<(), WireError> {
+    fn client(&mut self, now: Time, id: ClientId, release: Release, frame: Frame) -> Result<(), WireError> {
         match frame.kind {
             Kind::RPC => {
-                let tag = frame.get_int(Field::TAG)?;
+                let releases = &self.engine.world().releases;
+                let in_force = releases.in_force();
+                if release != in_force {
+                    // Other methods came into force on its way here: it is taken under those, if at all.
+                    let fits = releases.catalogue(in_force).map(|c| clients::unfit(c, &frame));
+                    if let Some(why) = fits.flatten() {
+                        return self.unfit(id, &frame, &why);
+                    }
+                }
+                let (tag, method) = (frame.get_int(Field::TAG)?, frame.get_text(Field::METHOD)?);
                 let taken = self.engine.rpc(
                     now,
                     id,
                     tag,
-                    frame.get_text(Field::METHOD)?,
+                    method,
                     frame.get_text(Field::MODEL)?,
                     frame.maybe_text(Field::TENANT)?.unwrap_or(""),
                     Time(frame.get_int(Field::LEFT)?),
@@ -381,8 +402,9 @@
                     frame.body.clone(),
                 );
                 if let Err(why) = taken {
+                    let why = codes::refusal_name(self.refusal(now, method, why));
                     let refused = Frame::new(Kind::REFUSED).int(Field::TAG, tag);
-                    self.engine.world().tell_client(id, refused.text(Field::WHY, codes::refusal_name(why)));
+                    self.engine.world().tell_client(id, refused.text(Field::WHY, why));
                 }
             }
             Kind::GO_AWAY => {
@@ -395,22 +417,60 @@
         Ok(())
     }
 
+    fn unfit(&mut self, id: ClientId, frame: &Frame, why: &str) -> Result<(), WireError> {
+        let tag = frame.get_int(Field::TAG)?;
+        self.engine.refused();
+        let f = Frame::new(Kind::REFUSED).int(Field::TAG, tag).text(Field::WHY, &format!("unfit: {why}"));
+        self.engine.world().tell_client(id, f);
+        Ok(())
+    }
+
+    /// A method that was withdrawn of late is not one that never was.
+    fn refusal(&mut self, now: Time, method: &str, why: Refusal) -> Refusal {
+        match (why, self.engine.world().releases.standing(now, method)) {
+            (Refusal::NoSuchMethod, Standing::Withdrawn { .. }) => Refusal::Withdrawn,
+            _ => why,
+        }
+    }
+
+    /// Other methods come into force: all of it in this one turn, so that no RPC meets half of it.
+    fn reload(
+        &mut self, now: Time, prepared: Arc<Prepared>, terms: Vec<serde_json::Value>,
+    ) -> Result<Release, ReloadError> {
+        self.engine.world().releases.has_room().map_err(|e| ReloadError::TooMany(e.0))?;
+        self.engine.serve(terms).map_err(|_| ReloadError::TooManyTerms)?;
+        let releases = &mut self.engine.world().releases;
+        let release =
+            releases.reload(now, Arc::clone(&prepared.catalogue)).map_err(|e| ReloadError::TooMany(e.0))?;
+        let (held, withdrawn) = (releases.held(), releases.withdrawn().clone());
+        let (methods, of) = (prepared.catalogue.methods().count(), &prepared.catalogue.release);
+        info!(release = release.0, of, methods, held, "other methods are in force");
+        self.publish.send_replace(Arc::new(InForce { release, prepared, withdrawn }));
+        Ok(release)
+    }
+
     fn ask(&mut self, now: Time, id: ClientId, ask: Ask) {
-        let Ask { method, model, tenant, left, token, body, reply } = ask;
+        let Ask { release, method, model, tenant, left, token, body, reply } = ask;
+        if release != self.engine.world().releases.in_force() {
+            let _ = reply.send(Reply::Changed);
+            return;
+        }
         // The answer may come within the call.
         self.engine.world().calls.insert(id, reply);
         let token = token.as_deref();
         if let Err(why) = self.engine.rpc(now, id, 1, &method, &model, &tenant, left, token, body) {
             if let Some(reply) = self.engine.world().calls.remove(&id) {
-                let _ = reply.send(Reply::Refused(why));
+                let _ = reply.send(Reply::Refused(self.refusal(now, &method, why)));
             }
         }
     }
 
-    /// Whether what a worker answered is what the method's description promises.
+    /// Whether what a worker answered is what the method's description promised when the RPC was taken.
     fn fits(&mut self, errand: ErrandId, body: &[u8]) -> bool {
-        let Some(method) = self.engine.method_of(errand).map(str::to_owned) else { return true };
-        let checked = self.catalogue.method(&method).map_or(Ok(()), |m| m.answer.check(body));
+        let Some((rpc, method)) = self.engine.asked_by(errand) else { return true };
+        let method = method.to_owned();
+        let catalogue = self.engine.world().taken_under(rpc);
+        let checked = catalogue.and_then(|c| c.method(&method)).map_or(Ok(()), |m| m.answer.check(body));
         if let Err(why) = &checked {
             info!(method, "an answer does not fit its schema, {why}");
         }
--- a/crates/curlewpoint-lab/tests/sockets/http.rs
+++ b/crates/curlewpoint-lab/tests/sockets/http.rs
@@ -61,7 +61,23 @@
 struct Door {
     stage: Stage,
     http: String,
-    _folder: Folder,
+    folder: Folder,
+}
+
+impl Door {
+    /// Reloads with these changes to the file that it was started with.
+    async fn reload(&self, changes: &[(&str, &str)]) -> Result<(), curlewpoint_gateway::ReloadError> {
+        let path = self.folder.0.join("gateway.conf");
+        let before = std::fs::read_to_string(&path).unwrap();
+        let text = changes.iter().fold(before, |text, (from, to)| {
+            assert!(text.contains(from), "{from}");
+            text.replace(from, to)
+        });
+        std::fs::write(&path, text).unwrap();
+        let config = curlewpoint_config::load(&path).unwrap_or_else(|f| panic!("{f}")).with("seed", "7");
+        let config = config.with("list", &self.stage.list.address.to_string());
+        self.stage.gateway.reloader().reload(config).await.map(drop)
+    }
 }
 
 struct Folder(PathBuf);
@@ -90,7 +106,7 @@
     let config = curlewpoint_config::load(folder.join("gateway.conf")).unwrap_or_else(|f| panic!("{f}"));
     let stage = Stage::with(config.with("seed", "7"), workers).await;
     let http = stage.gateway.http.expect("it has the door").to_string();
-    Door { stage, http, _folder: Folder(folder) }
+    Door { stage, http, folder: Folder(folder) }
 }
 
 /// A worker that answers every call-out with its own body.
@@ -117,8 +133,14 @@
             (&a.json()["type"], &a.json()["status"])
         );
     }
-    if a.header("retry-after").is_some() {
-        assert!(response["headers"]["Retry-After"].is_object());
+    for header in ["Retry-After", "Deprecation", "Sunset"] {
+        if a.header(header).is_some() {
+            assert!(
+                response["headers"][header].is_object(),
+                "{path}: {header} is not described for {}",
+                a.status
+            );
+        }
     }
 }
 
@@ -227,6 +249,54 @@
     described(&document, path, &denied);
 }
 
+/// What clients see of a method that is to go, has gone, and has changed, and what an RPC that was open meanwhile gets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reload_changes_what_is_served_and_described_and_nothing_that_is_open() {
+    let mut a = Puppet::start("a").await;
+    let d = door("reload", &[&a]).await;
+    let before = send(&d.http, "GET", "/openapi.json", "", b"").await;
+    let issue = |page: u64| {
+        let (http, body) = (d.http.clone(), format!("{{\"page\": {page}}}"));
+        tokio::spawn(async move { send(&http, "POST", "/v1/issue-extract/m", JSON, body.as_bytes()).await })
+    };
+    // It is told that it goes, and is served with that word; its request is narrowed and its answer is another one.
+    let open = issue(390);
+    let (peer, f) = a.call_out().await;
+    std::fs::write(d.folder.0.join("asked.json"), r#"{"properties": {"page": {"maximum": 300}}}"#).unwrap();
+    std::fs::write(d.folder.0.join("told.json"), r#"{"type": "object", "required": ["extract"]}"#).unwrap();
+    let told = "method issue-extract {\n  deprecated 2026-11-01\n  sunset 2027-03-01";
+    d.reload(&[("method issue-extract {", told)]).await.unwrap();
+    assert_eq!(issue(390).await.unwrap().status, 422);
+    // What was taken before the reload ends by the schema of its time.
+    a.answer(&(peer, f), Outcome::Ok);
+    assert_eq!(open.await.unwrap().status, 200);
+    let call = issue(3);
+    let (peer, f) = a.call_out().await;
+    let tag = f.get_int(Field::TAG).unwrap();
+    let new =
+        Frame::new(Kind::ANSWER).int(Field::TAG, tag).int(Field::OUTCOME, 0).body(&b"{\"extract\": 1}"[..]);
+    a.say(peer, Say::Frame(new));
+    let ok = call.await.unwrap();
+    assert_eq!(
+        (ok.status, ok.header("deprecation").as_deref(), ok.header("sunset").as_deref()),
+        (200, Some("@1793491200"), Some("Mon, 01 Mar 2027 00:00:00 GMT"))
+    );
+    let after = send(&d.http, "GET", "/openapi.json", "", b"").await;
+    assert_ne!(before.header("etag"), after.header("etag"));
+    described(&after.json(), "/v1/issue-extract/{model}", &ok);
+    // It goes: 410 and when, as the document of the time before describes it.
+    d.reload(&[("method issue-extract {", "method issue-extracts {")]).await.unwrap();
+    let gone = issue(3).await.unwrap();
+    assert_eq!((gone.status, gone.json()["type"].as_str()), (410, Some("/problems/withdrawn")));
+    let when = httpdate::parse_http_date(&gone.header("sunset").unwrap()).unwrap();
+    assert!(when.elapsed().unwrap().as_secs() < 60);
+    described(&after.json(), "/v1/issue-extract/{model}", &gone);
+    let document = send(&d.http, "GET", "/openapi.json", "", b"").await.json();
+    assert!(document["paths"]["/v1/issue-extract/{model}"].is_null());
+    assert!(document["paths"]["/v1/issue-extracts/{model}"].is_object());
+    assert_eq!(send(&d.http, "POST", "/v1/none/m", JSON, b"{}").await.status, 404);
+}
+
 /// Bodies near the schema, some that fit and some that do not.
 fn bodies() -> impl Strategy<Value = Value> {
     let scalar = prop_oneof![
--- a/crates/curlewpoint-lab/tests/sockets/main.rs
+++ b/crates/curlewpoint-lab/tests/sockets/main.rs
@@ -3,3 +3,4 @@
 mod common;
 mod hard;
 mod http;
+mod reload;
--- /dev/null
+++ b/crates/curlewpoint-lab/tests/sockets/reload.rs
@@ -0,0 +1,200 @@
+//! Other methods come into force while RPCs are open: each ends under those that it was taken under.
+
+use std::time::Duration;
+
+use crate::common::{config, Puppet, Stage};
+use curlewpoint::types::{Outcome, Time};
+use curlewpoint_config::Config;
+use curlewpoint_engine::Answer;
+use curlewpoint_gateway::ReloadError;
+use curlewpoint_lab::stand::wire::Say;
+use curlewpoint_lab::{Called, Seen, CONFIG};
+use curlewpoint_wire::{Field, Frame, Kind};
+
+/// The rehearsal's configuration with these changes, as the stage started it.
+fn changed(s: &Stage, changes: &[(&str, &str)]) -> Config {
+    let mut text = CONFIG.to_owned();
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    let config = curlewpoint_config::parse("rehearsal.conf", &text).unwrap_or_else(|f| panic!("{f}"));
+    config.with("list", &s.list.address.to_string()).with("seed", "7")
+}
+
+const NO_ISSUE: (&str, &str) = ("method issue-extract {", "method issue-extracts {");
+
+async fn refusal(s: &Stage, key: u64) -> String {
+    match s.until(|x| matches!(x, Seen::Refused { key: k, .. } if *k == key)).await.1 {
+        Seen::Refused { why, .. } => why,
+        _ => unreachable!("it was looked for"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_method_withdrawn_ends_what_is_open_and_takes_nothing_more() {
+    let mut a = Puppet::start("a").await;
+    let s = Stage::new(&[&a]).await;
+    s.ask(1, "issue-extract", 4_000);
+    let asked = a.call_out().await;
+    let reloader = s.gateway.reloader();
+    reloader.reload(changed(&s, &[NO_ISSUE])).await.unwrap();
+    s.ask(2, "issue-extract", 4_000);
+    assert_eq!(refusal(&s, 2).await, "withdrawn");
+    s.ask(3, "no-such", 4_000);
+    assert_eq!(refusal(&s, 3).await, "no-such-method");
+    // The one that came is served here at once.
+    s.ask(4, "issue-extracts", 4_000);
+    let new = a.call_out().await;
+    assert_eq!(new.1.get_text(Field::METHOD).unwrap(), "issue-extracts");
+    a.answer(&new, Outcome::Ok);
+    a.answer(&asked, Outcome::Ok);
+    assert_eq!((s.final_of(1).await, s.final_of(4).await), (Answer::Ok, Answer::Ok));
+    // It comes back, and is served as before.
+    reloader.reload(changed(&s, &[])).await.unwrap();
+    s.ask(5, "issue-extract", 4_000);
+    let back = a.call_out().await;
+    a.answer(&back, Outcome::Ok);
+    assert_eq!(s.final_of(5).await, Answer::Ok);
+}
+
+/// Under the old terms an RPC may be repeated, under the new ones not: each goes by its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_effect_that_changes_holds_for_what_is_taken_after_it() {
+    let (mut a, mut b) = (Puppet::start("a").await, Puppet::start("b").await);
+    let s = Stage::new(&[&a, &b]).await;
+    let only_issue = ("effect idempotent", "effect side-effecting");
+    s.ask(1, "read-fields", 4_000);
+    let (first, to_a) = tokio::select! {
+        x = a.call_out() => (x, true),
+        x = b.call_out() => (x, false),
+    };
+    s.gateway.reloader().reload(changed(&s, &[only_issue])).await.unwrap();
+    let (this, other) = if to_a { (&mut a, &mut b) } else { (&mut b, &mut a) };
+    this.answer(&first, Outcome::Error);
+    // Taken as idempotent: it may have run, and goes out again.
+    let again = tokio::select! {
+        x = this.call_out() => { this.answer(&x, Outcome::Ok); x }
+        x = other.call_out() => { other.answer(&x, Outcome::Ok); x }
+    };
+    assert_eq!(again.1.get_int(Field::NO).unwrap(), 1);
+    assert_eq!(s.final_of(1).await, Answer::Ok);
+    // Taken as side-effecting: no second call-out.
+    s.ask(2, "read-fields", 4_000);
+    tokio::select! {
+        x = a.call_out() => a.answer(&x, Outcome::Error),
+        x = b.call_out() => b.answer(&x, Outcome::Error),
+    }
+    assert_eq!(s.final_of(2).await, Answer::Aborted);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn as_many_sets_are_held_as_are_stated_and_a_further_reload_waits_for_one_to_end() {
+    let mut a = Puppet::start("a").await;
+    let s = Stage::new(&[&a]).await;
+    let reloader = s.gateway.reloader();
+    let mut asked = Vec::new();
+    for (key, release) in [(1, "2"), (2, "3")] {
+        s.ask(key, "issue-extract", 4_000);
+        asked.push(a.call_out().await);
+        reloader.reload(changed(&s, &[]).with("release", release)).await.unwrap();
+    }
+    s.ask(3, "issue-extract", 4_000);
+    asked.push(a.call_out().await);
+    let third = changed(&s, &[NO_ISSUE]);
+    assert_eq!(reloader.reload(third.clone()).await, Err(ReloadError::TooMany(3)));
+    // Nothing of it came into force.
+    s.ask(4, "issue-extract", 4_000);
+    let more = a.call_out().await;
+    a.answer(&more, Outcome::Ok);
+    assert_eq!(s.final_of(4).await, Answer::Ok);
+    a.answer(&asked[0], Outcome::Ok);
+    assert_eq!(s.final_of(1).await, Answer::Ok);
+    reloader.reload(third).await.unwrap();
+    for (key, asked) in [(2, &asked[1]), (3, &asked[2])] {
+        a.answer(asked, Outcome::Ok);
+        assert_eq!(s.final_of(key).await, Answer::Ok);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_no_method_changes_only_at_a_restart() {
+    let a = Puppet::start("a").await;
+    let s = Stage::new(&[&a]).await;
+    let new = changed(&s, &[("drain-grace 500ms", "drain-grace 900ms"), ("deadline 4s", "deadline 3s")]);
+    let told = s.gateway.reloader().reload(new.with("listen", "127.0.0.1:9")).await.unwrap_err();
+    assert_eq!(told, ReloadError::Fixed(vec!["listen".into(), "workers drain-grace".into()]));
+}
+
+/// Two instances, one of which knows the method already: clients meet both.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_method_that_one_instance_knows_already_is_refused_harmlessly_by_the_other() {
+    let mut a = Puppet::start("a").await;
+    let s = Stage::new(&[&a]).await;
+    let behind =
+        curlewpoint_gateway::start(&config().with("list", &s.list.address.to_string())).await.unwrap();
+    s.gateway.reloader().reload(changed(&s, &[NO_ISSUE])).await.unwrap();
+    let call = |address: String, method: &'static str| async move {
+        curlewpoint_lab::call(&address, method, "m", "", Time(40_000), None, bytes::Bytes::new())
+            .await
+            .unwrap()
+    };
+    let (ahead, behind) = (s.gateway.address.to_string(), behind.address.to_string());
+    let refused = |why: &str| Called::Refused(why.to_owned());
+    assert_eq!(call(behind.clone(), "issue-extracts").await, refused("no-such-method"));
+    assert_eq!(call(ahead.clone(), "issue-extract").await, refused("withdrawn"));
+    for (address, method) in [(ahead, "issue-extracts"), (behind, "issue-extract")] {
+        let called = tokio::spawn(call(address, method));
+        let asked = a.call_out().await;
+        a.answer(&asked, Outcome::Ok);
+        assert!(matches!(called.await.unwrap(), Called::Final { answer: Answer::Ok, .. }), "{method}");
+    }
+}
+
+/// Reloads under load: every RPC has its one answer, and none is refused, as its method is served all the time.
+#[tokio::test(flavor = "multi_thread")]
+async fn reloads_during_load_lose_nothing() {
+    let mut a = Puppet::start("a").await;
+    let s = Stage::new(&[&a]).await;
+    let (stop, mut stopped) = tokio::sync::oneshot::channel::<()>();
+    let worker = tokio::spawn(async move {
+        let mut held = std::collections::VecDeque::new();
+        loop {
+            tokio::select! {
+                asked = a.call_out() => held.push_back(asked),
+                // Answers come a while after: RPCs are open at every reload.
+                () = tokio::time::sleep(Duration::from_millis(5)), if !held.is_empty() => {}
+                _ = &mut stopped, if held.is_empty() => return,
+            }
+            if held.len() > 6 || (!held.is_empty() && held.len() < 3) {
+                let (peer, f) = held.pop_front().expect("it is not empty");
+                let tag = f.get_int(Field::TAG).unwrap();
+                a.say(peer, Say::Frame(Frame::new(Kind::ANSWER).int(Field::TAG, tag).int(Field::OUTCOME, 0)));
+            }
+        }
+    });
+    let reloader = s.gateway.reloader();
+    let mut done = 0;
+    for key in 1..=200 {
+        s.ask(key, "read-fields", 4_000);
+        if key % 10 == 0 {
+            let terms = if key % 20 == 0 { ("gain 2", "gain 3") } else { ("gain 2", "gain 4") };
+            done += usize::from(reloader.reload(changed(&s, &[terms])).await.is_ok());
+        }
+    }
+    // One worker is little for so many at once: the module may deny some.
+    let mut ok = 0;
+    for key in 1..=200 {
+        let answer = s.final_of(key).await;
+        assert_ne!(answer, Answer::Aborted, "{key}");
+        ok += u64::from(answer == Answer::Ok);
+    }
+    assert!(done >= 1 && ok > 100, "{done} reloads, {ok} ok");
+    let _ = stop.send(());
+    worker.await.unwrap();
+    let Stage { gateway, office, .. } = s;
+    gateway.stop().await;
+    office.ended().await;
+    let f = gateway.wait().await;
+    assert_eq!((f.taken, f.ok, f.denied, f.refused), (200, ok, 200 - ok, 0));
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -188,6 +188,12 @@
         &mut self.host
     }
 
+    /// One method more: its id is the next of the settings' list. RPCs of those before it go on as they were.
+    pub fn method_added(&mut self, method: Value) {
+        let all = self.settings.entry("requestClasses").or_insert_with(|| Value::Array(Vec::new()));
+        all.as_array_mut().into_iter().for_each(|all| all.push(method.clone()));
+    }
+
     pub fn worker_listed(
         &mut self, now: Time, id: WorkerId, standing: Standing, since: Time, zone: ZoneId, cell: CellId,
         size: f64,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -76,6 +76,17 @@
     assert_eq!(s.deeds("abort").len(), usize::from(answer == "abort"));
 }
 
+#[test]
+fn a_method_added_goes_by_its_own_terms_and_those_before_it_by_theirs() {
+    let mut s = Story::new(4);
+    let before = s.rpc(IDEMPOTENT, 9);
+    s.srv.method_added(settings()["requestClasses"][SIDE_EFFECTING].clone());
+    let added = s.rpc(TOKENED + 1, 9);
+    s.end(before, 0, Outcome::Error, Copy::Untold);
+    s.end(added, 0, Outcome::Error, Copy::Untold);
+    assert_eq!((s.calls(before).len(), s.calls(added).len(), s.deeds("abort").len()), (2, 1, 1));
+}
+
 #[test_case(0, true ; "within its memory")]
 #[test_case(900, false ; "after its memory")]
 fn tokened_repeats_stay_in_their_group_and_memory(later_ms: u64, again: bool) {
