--- a/crates/curlewpoint-cli/src/commands/day.rs
+++ b/crates/curlewpoint-cli/src/commands/day.rs
@@ -2,7 +2,7 @@
 
 use clap::Args;
 use curlewpoint_config::Config;
-use curlewpoint_lab::{play, Script, BAD_DAY, CONFIG};
+use curlewpoint_lab::{play, Entrance, Script, BAD_DAY, CONFIG};
 
 use super::{block_on, fail, AT_FAULT, DONE, FAILED};
 
@@ -17,6 +17,9 @@
     /// Another seed than the script's.
     #[arg(long)]
     seed: Option<u64>,
+    /// Let the clients come by the HTTP door (HTTP/2), not by the native one.
+    #[arg(long)]
+    http: bool,
     /// Log the schedulers' lines too.
     #[arg(long)]
     log: bool,
@@ -28,12 +31,15 @@
     /// Another seed than the day's.
     #[arg(long)]
     seed: Option<u64>,
+    /// Let the clients come by the HTTP door (HTTP/2), not by the native one.
+    #[arg(long)]
+    http: bool,
     /// Log the schedulers' lines too.
     #[arg(long)]
     log: bool,
 }
 
-fn run(config: Config, mut script: Script, seed: Option<u64>, log: bool) -> u8 {
+fn run(config: Config, mut script: Script, seed: Option<u64>, http: bool, log: bool) -> u8 {
     crate::logging::start(if log { "info" } else { "error" }, false);
     script.seed = seed.unwrap_or(script.seed);
     let (length, seed) = (script.length.ms() / 1000.0, script.seed);
@@ -45,8 +51,9 @@
         let kind = curlewpoint_lab::Kind::ALL.iter().find(|k| k.1 == e.kind);
         println!("  at {:>6.1} s: {}", e.at.ms() / 1000.0, kind.map_or("", |k| k.2));
     }
+    let by = if http { Entrance::Http } else { Entrance::Native };
     block_on(async {
-        match play(&config, &script).await {
+        match play(&config, &script, by).await {
             Ok(day) => {
                 println!("\n{}", day.drawn);
                 if day.verdict.kept() {
@@ -72,7 +79,7 @@
             None => curlewpoint_config::parse("rehearsal.conf", CONFIG),
         };
         match (config, Script::parse(&self.script.display().to_string(), &text)) {
-            (Ok(config), Ok(script)) => run(config, script, self.seed, self.log),
+            (Ok(config), Ok(script)) => run(config, script, self.seed, self.http, self.log),
             (Err(faults), _) | (_, Err(faults)) => fail(AT_FAULT, &format!("nothing was started\n{faults}")),
         }
     }
@@ -81,7 +88,7 @@
 impl Rehearse {
     pub fn run(self) -> u8 {
         match (curlewpoint_config::parse("rehearsal.conf", CONFIG), Script::parse("bad.day", BAD_DAY)) {
-            (Ok(config), Ok(script)) => run(config, script, self.seed, self.log),
+            (Ok(config), Ok(script)) => run(config, script, self.seed, self.http, self.log),
             (Err(faults), _) | (_, Err(faults)) => fail(AT_FAULT, &faults.to_string()),
         }
     }
--- a/crates/curlewpoint-lab/src/day.rs
+++ b/crates/curlewpoint-lab/src/day.rs
@@ -18,6 +18,7 @@
 use crate::report::draw;
 use crate::script::{At, Kind, Script};
 use crate::stand::{ListStand, StoreStand, Trade, WorkerStand};
+use crate::web::WebOffice;
 
 /// A day that has been played.
 pub struct Day {
@@ -28,6 +29,49 @@
     pub drawn: String,
 }
 
+/// Which door the day's clients come by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entrance {
+    Native,
+    Http,
+}
+
+/// One client's connection.
+enum Front {
+    Native(Office),
+    Http(WebOffice),
+}
+
+impl Front {
+    async fn open(by: Entrance, address: &str, scheduler: &str, record: &Record) -> Option<Front> {
+        match by {
+            Entrance::Native => Office::open(address, scheduler, record).await.ok().map(Front::Native),
+            Entrance::Http => WebOffice::open(address, scheduler, record).await.ok().map(Front::Http),
+        }
+    }
+
+    fn ask(&self, key: u64, method: &str, model: &str, tenant: &str, left: Time, size: usize) {
+        match self {
+            Front::Native(office) => office.ask(key, method, model, tenant, left, size),
+            Front::Http(office) => office.ask(key, method, model, tenant, left, size),
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        match self {
+            Front::Native(office) => office.is_over(),
+            Front::Http(office) => office.is_over(),
+        }
+    }
+
+    async fn ended(self) {
+        match self {
+            Front::Native(office) => office.ended().await,
+            Front::Http(office) => office.ended().await,
+        }
+    }
+}
+
 /// A scheduler on a thread and a runtime of its own, as in a process of its own: it can be held still or killed.
 struct Instance {
     name: String,
@@ -55,7 +99,9 @@
                         return None;
                     }
                 };
-                let _ = tell.send(Ok((running.address, tokio::runtime::Handle::current())));
+                // Where clients come by HTTP, that is its address.
+                let address = running.http.unwrap_or(running.address);
+                let _ = tell.send(Ok((address, tokio::runtime::Handle::current())));
                 match stopped.recv().await {
                     Some(true) => {
                         running.stop().await;
@@ -109,6 +155,7 @@
     script: Script,
     record: Record,
     config: Config,
+    by: Entrance,
     list: ListStand,
     store: StoreStand,
     workers: Vec<WorkerStand>,
@@ -137,9 +184,9 @@
     StartScheduler(usize),
 }
 
-/// Plays a script against real sockets, with schedulers that run this configuration.
-pub async fn play(config: &Config, script: &Script) -> std::io::Result<Day> {
-    let mut fleet = Fleet::start(config, script).await?;
+/// Plays a script against real sockets, with schedulers that run this configuration and clients that come by this door.
+pub async fn play(config: &Config, script: &Script, by: Entrance) -> std::io::Result<Day> {
+    let mut fleet = Fleet::start(config, script, by).await?;
     let load = fleet.load();
     for event in fleet.script.events.clone() {
         fleet.plan(event.at, Deed::Begin(event));
@@ -160,7 +207,7 @@
 }
 
 impl Fleet {
-    async fn start(config: &Config, script: &Script) -> std::io::Result<Fleet> {
+    async fn start(config: &Config, script: &Script, by: Entrance) -> std::io::Result<Fleet> {
         let record = Record::default();
         let spec =
             StoreSpec { lines: script.store_lines, thrash: script.store_thrash, most: script.store_most };
@@ -209,6 +256,7 @@
             script: script.clone(),
             record,
             config,
+            by,
             list,
             store,
             workers,
@@ -237,7 +285,11 @@
     }
 
     async fn instance(&self, no: usize, listen: &str) -> std::io::Result<Instance> {
-        let config = self.config.clone().with("name", &format!("front-{no}")).with("listen", listen);
+        let config = self.config.clone().with("name", &format!("front-{no}"));
+        let config = match self.by {
+            Entrance::Native => config.with("listen", listen),
+            Entrance::Http => config.with("http", listen),
+        };
         Instance::start(config.with("seed", &format!("{}", self.script.seed * 100 + no as u64))).await
     }
 
@@ -263,7 +315,7 @@
         for no in 0..self.instances.len() {
             let (record, shared, script) =
                 (self.record.clone(), Arc::clone(&self.traffic), self.script.clone());
-            tasks.spawn(client(no, record, shared, script, self.config.clone()));
+            tasks.spawn(client(no, self.by, record, shared, script, self.config.clone()));
         }
         tasks
     }
@@ -482,10 +534,10 @@
 }
 
 /// One scheduler's clients: arrivals at random, whatever became of those before (an open loop).
-async fn client(no: usize, record: Record, shared: Shared, script: Script, config: Config) {
+async fn client(no: usize, by: Entrance, record: Record, shared: Shared, script: Script, config: Config) {
     let mut rng = Rand64::new(u128::from(script.seed * 31 + no as u64));
     let mut key = (no as u64 + 1) << 40;
-    let mut office: Option<Office> = None;
+    let mut office: Option<Front> = None;
     let weights: Vec<f64> = (1..=script.models).map(|rank| (rank as f64).powf(-script.zipf)).collect();
     let sum: f64 = weights.iter().sum();
     let deadline = |m: &str| Time::from_ms(milliseconds(config.of_method(m, "deadline")).unwrap_or(1000.0));
@@ -506,8 +558,8 @@
         if rate == 0.0 || gap >= 0.2 {
             continue;
         }
-        if office.as_ref().is_none_or(Office::is_over) {
-            office = Office::open(&address.to_string(), &format!("front-{no}"), &record).await.ok();
+        if office.as_ref().is_none_or(Front::is_over) {
+            office = Front::open(by, &address.to_string(), &format!("front-{no}"), &record).await;
         }
         let Some(up) = &office else { continue };
         let mut draw = rng.rand_float() * script.methods.values().map(|m| m.0).sum::<f64>();
--- a/crates/curlewpoint-lab/src/lib.rs
+++ b/crates/curlewpoint-lab/src/lib.rs
@@ -7,10 +7,12 @@
 mod report;
 mod script;
 pub mod stand;
+mod web;
 
 pub use check::{judge, Break, Effect, Terms, Verdict, RULES};
 pub use client::{call, Called, Office};
-pub use day::{play, Day};
+pub use day::{play, Day, Entrance};
 pub use record::{Record, Seen};
 pub use report::{draw, table, Row};
 pub use script::{At, Kind, Script, BAD_DAY, CONFIG, SECOND_DAY};
+pub use web::WebOffice;
--- a/crates/curlewpoint-lab/tests/day.rs
+++ b/crates/curlewpoint-lab/tests/day.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use curlewpoint_lab::{play, Kind, Record, Script, Seen, BAD_DAY, CONFIG, SECOND_DAY};
+use curlewpoint_lab::{play, Entrance, Kind, Record, Script, Seen, BAD_DAY, CONFIG, SECOND_DAY};
 
 /// Every kind of trouble that a script can have is caused on one of the two days, which are played one after the other.
 #[tokio::test(flavor = "multi_thread")]
@@ -13,7 +13,7 @@
     let kinds: BTreeSet<_> = bad.events.iter().chain(&second.events).map(|e| e.kind).collect();
     assert_eq!(kinds.len(), Kind::ALL.len());
     let _alone = ONE_AT_A_TIME.lock().await;
-    let day = play(&config, &second).await.expect("loopback is there");
+    let day = play(&config, &second, Entrance::Native).await.expect("loopback is there");
     assert!(day.verdict.kept(), "{}", day.drawn);
     // Those killed say nothing of themselves any more.
     assert_eq!(day.figures.len(), second.schedulers);
@@ -27,7 +27,7 @@
     let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).expect("it is shipped");
     let script = Script::parse("bad.day", BAD_DAY).expect("it is shipped");
     let _alone = ONE_AT_A_TIME.lock().await;
-    let day = play(&config, &script).await.expect("loopback is there");
+    let day = play(&config, &script, Entrance::Native).await.expect("loopback is there");
     assert!(day.verdict.kept(), "{}", day.drawn);
     let troubles: BTreeSet<_> = day
         .seen
@@ -48,3 +48,19 @@
     }
     assert!(Record::since_start(day.seen[0].0).ms() >= 0.0);
 }
+
+/// The same bad day with clients that come by HTTP/2.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_day_over_http_keeps_all_rules() {
+    let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).expect("it is shipped");
+    let script = Script::parse("bad.day", BAD_DAY).expect("it is shipped");
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let day = play(&config, &script, Entrance::Http).await.expect("loopback is there");
+    assert!(day.verdict.kept(), "{}", day.drawn);
+    let judged = day.verdict.judged;
+    assert!(judged[0] > 500 && judged[1] > 100 && judged[3] > 10 && judged[4] > 10, "{judged:?}");
+    for (name, f) in &day.figures {
+        assert_eq!(f.taken, f.ok + f.denied + f.aborted + f.left, "{name}");
+        assert_eq!((f.guarded, f.cut_off, f.left), (0, 0, 0), "{name}");
+    }
+}
--- a/crates/curlewpoint-lab/tests/sockets/http.rs
+++ b/crates/curlewpoint-lab/tests/sockets/http.rs
@@ -4,33 +4,33 @@
 use std::path::PathBuf;
 
 use crate::common::{Puppet, Stage};
+use crate::document::{fits, operations, Draw};
 use curlewpoint::types::Outcome;
 use curlewpoint_engine::Answer;
 use curlewpoint_lab::stand::wire::Say;
 use curlewpoint_lab::{Called, CONFIG};
 use curlewpoint_wire::{Field, Frame, Kind};
-use proptest::prelude::*;
-use proptest::strategy::ValueTree;
-use proptest::test_runner::TestRunner;
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-struct Answered {
-    status: u16,
+pub struct Answered {
+    pub status: u16,
     head: String,
-    body: Vec<u8>,
+    pub body: Vec<u8>,
 }
 
 impl Answered {
-    fn json(&self) -> Value {
+    pub fn json(&self) -> Value {
         serde_json::from_slice(&self.body).unwrap_or(Value::Null)
     }
 
-    fn header(&self, name: &str) -> Option<String> {
-        let found =
-            self.head.lines().filter_map(|l| l.split_once(':')).find(|(n, _)| n.eq_ignore_ascii_case(name));
-        found.map(|(_, v)| v.trim().to_owned())
+    pub fn headers(&self) -> impl Iterator<Item = (String, &str)> {
+        self.head.lines().filter_map(|l| l.split_once(':')).map(|(n, v)| (n.to_ascii_lowercase(), v.trim()))
+    }
+
+    pub fn header(&self, name: &str) -> Option<String> {
+        self.headers().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.to_owned())
     }
 }
 
@@ -46,7 +46,7 @@
     Answered { status, head, body: got.get(at + 4..).unwrap_or(&[]).to_vec() }
 }
 
-async fn send(address: &str, verb: &str, path: &str, headers: &str, body: &[u8]) -> Answered {
+pub async fn send(address: &str, verb: &str, path: &str, headers: &str, body: &[u8]) -> Answered {
     let length = body.len();
     let mut all = format!(
         "{verb} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n{headers}\r\n"
@@ -119,29 +119,11 @@
     })
 }
 
-/// What the document says of an operation that was called: the status, and the content type with it.
+/// The document says this of an operation that was called.
 fn described(document: &Value, path: &str, a: &Answered) {
-    let responses = &document["paths"][path]["post"]["responses"];
-    let response = &responses[a.status.to_string()];
-    assert!(response.is_object(), "{path}: status {} is not described", a.status);
-    let media = a.header("content-type").unwrap_or_default();
-    assert!(response["content"][&media].is_object(), "{path}: {} is not described for {}", media, a.status);
-    if media == "application/problem+json" {
-        let given = &response["content"][&media]["schema"]["allOf"][1]["properties"];
-        assert_eq!(
-            (&given["type"]["const"], &given["status"]["const"]),
-            (&a.json()["type"], &a.json()["status"])
-        );
-    }
-    for header in ["Retry-After", "Deprecation", "Sunset"] {
-        if a.header(header).is_some() {
-            assert!(
-                response["headers"][header].is_object(),
-                "{path}: {header} is not described for {}",
-                a.status
-            );
-        }
-    }
+    let all = operations(document);
+    let of = all.iter().find(|o| o.path == path).unwrap_or_else(|| panic!("{path} is not described"));
+    of.allows(a).unwrap_or_else(|why| panic!("{why}"));
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -297,42 +279,143 @@
     assert_eq!(send(&d.http, "POST", "/v1/none/m", JSON, b"{}").await.status, 404);
 }
 
-/// Bodies near the schema, some that fit and some that do not.
-fn bodies() -> impl Strategy<Value = Value> {
-    let scalar = prop_oneof![
-        3 => (-5i64..500).prop_map(Value::from),
-        1 => (0.0..9.0f64).prop_map(Value::from),
-        1 => "[a-z\\\\\"ü{]{0,6}".prop_map(Value::from),
-        1 => any::<bool>().prop_map(Value::from),
-        1 => Just(Value::Null),
-    ];
-    let inner =
-        prop_oneof![3 => scalar.clone(), 1 => proptest::collection::vec(scalar, 0..3).prop_map(Value::from)];
-    let object = proptest::collection::btree_map("page|lang|x", inner.clone(), 0..3);
-    prop_oneof![5 => object.prop_map(|m| Value::Object(m.into_iter().collect())), 1 => inner]
+const ASKED: &str = r#"{
+  "type": "object", "additionalProperties": false, "required": ["pages", "register"],
+  "properties": {
+    "register": {"enum": ["births", "deaths", "marriages"]},
+    "pages": {"type": "array", "minItems": 1, "maxItems": 5, "items": {"type": "integer", "minimum": 1, "maximum": 400}},
+    "names": {"type": "array", "maxItems": 3, "items": {"type": "object", "required": ["given"], "properties": {
+      "given": {"type": "string", "minLength": 1, "maxLength": 9}, "born": {"type": "integer", "minimum": 1850, "maximum": 2026}}}},
+    "certified": {"type": "boolean"},
+    "sure": {"type": "number", "minimum": 0}
+  }
+}"#;
+const TOLD: &str = r#"{
+  "type": "object", "required": ["fields"],
+  "properties": {"fields": {"type": "array", "items": {"type": "object", "required": ["name", "sure"], "properties": {
+    "name": {"type": "string", "minLength": 2}, "sure": {"type": "number"}}}}}
+}"#;
+
+/// All three methods with schemas: JSON to JSON, bytes to JSON, JSON to bytes. A worker answers with drawn bodies.
+async fn described_door(name: &str) -> (Door, Puppet) {
+    let a = Puppet::start("a").await;
+    let d = door(name, &[&a]).await;
+    std::fs::write(d.folder.0.join("asked-fields.json"), ASKED).unwrap();
+    std::fs::write(d.folder.0.join("told-fields.json"), TOLD).unwrap();
+    d.reload(&[
+        (
+            "method read-fields {",
+            "method read-fields {\n  request-schema asked-fields.json\n  answer-schema told-fields.json",
+        ),
+        (
+            "method read-register {",
+            "method read-register {\n  answer-schema told-fields.json\n  sunset 2027-06-01",
+        ),
+        ("  answer-schema told.json\n", ""),
+    ])
+    .await
+    .unwrap();
+    (d, a)
+}
+
+fn drawing(mut a: Puppet) -> tokio::task::JoinHandle<()> {
+    let (told, mut draw) = (serde_json::from_str::<Value>(TOLD).unwrap(), Draw::new(5));
+    tokio::spawn(async move {
+        loop {
+            let (peer, f) = a.call_out().await;
+            let answer = match f.get_text(Field::METHOD).unwrap() {
+                "issue-extract" => b"%PDF".to_vec(),
+                _ => draw.value(&told).to_string().into_bytes(),
+            };
+            let frame = Frame::new(Kind::ANSWER).int(Field::TAG, f.get_int(Field::TAG).unwrap());
+            a.say(peer, Say::Frame(frame.int(Field::OUTCOME, 0).body(answer)));
+        }
+    })
 }
 
-/// The door's word on a body is that of the published schema, read by nothing but the document.
+/// A client that has nothing but the document calls each method with drawn parameters and bodies that fit, and is told
+/// what the document says; then with bodies that were changed, and the door's word is that of the published schema.
 #[tokio::test(flavor = "multi_thread")]
-async fn the_door_takes_exactly_what_the_published_schema_allows() {
-    let a = Puppet::start("a").await;
-    let d = door("generated", &[&a]).await;
-    let _serving = echo(a);
+async fn a_client_driven_by_the_document_alone_is_served_and_refused_as_it_says() {
+    let (d, a) = described_door("alone").await;
+    let _serving = drawing(a);
     let document = send(&d.http, "GET", "/openapi.json", "", b"").await.json();
-    let path = "/v1/issue-extract/{model}";
-    let schema = &document["paths"][path]["post"]["requestBody"]["content"]["application/json"]["schema"];
-    let published = jsonschema::draft202012::new(schema).unwrap();
-    let (mut runner, mut fitting) = (TestRunner::deterministic(), 0);
-    for _ in 0..400 {
-        let body = bodies().new_tree(&mut runner).unwrap().current();
-        // What the worker echoes has to fit the answer's schema too: an object with a page.
-        let fits = published.is_valid(&body);
-        let answered = send(&d.http, "POST", "/v1/issue-extract/m", JSON, body.to_string().as_bytes()).await;
-        assert_eq!(answered.status, if fits { 200 } else { 422 }, "{body}");
-        described(&document, path, &answered);
-        fitting += usize::from(fits);
+    let mut draw = Draw::new(11);
+    let mut media = BTreeSet::new();
+    for operation in operations(&document) {
+        let (of, schema) = operation.media();
+        for _ in 0..60 {
+            let body = operation.body(&mut draw);
+            let answered = operation.call(&d.http, &mut draw, &body).await;
+            operation.allows(&answered).unwrap();
+            // A drawn time left may be too short for an answer: that is a refusal or a denial that the document describes.
+            assert!([200, 400, 502, 503].contains(&answered.status), "{}", answered.status);
+            if answered.status == 200 {
+                media.insert((of.to_owned(), answered.header("content-type").unwrap()));
+            }
+        }
+        if of != "application/json" {
+            continue;
+        }
+        let mut fitting = 0;
+        for _ in 0..200 {
+            let body = draw.value(schema);
+            let body = draw.changed(&body);
+            let fits = fits(schema, &body).is_ok();
+            let answered = send(
+                &d.http,
+                "POST",
+                &operation.path.replace("{model}", "m"),
+                JSON,
+                body.to_string().as_bytes(),
+            )
+            .await;
+            assert_eq!(answered.status, if fits { 200 } else { 422 }, "{body}");
+            operation.allows(&answered).unwrap();
+            fitting += usize::from(fits);
+        }
+        assert!((10..190).contains(&fitting), "{fitting} of 200 fit");
+    }
+    let [json, bytes] = ["application/json", "application/octet-stream"].map(str::to_owned);
+    let all = [(json.clone(), json.clone()), (json.clone(), bytes.clone()), (bytes, json)];
+    assert_eq!(media, all.into());
+}
+
+/// Taking any one line out of the document that speaks of what was seen is caught, and so is taking out a route.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_that_lacks_a_line_is_caught() {
+    let (d, a) = described_door("lacks").await;
+    let _serving = drawing(a);
+    let document = send(&d.http, "GET", "/openapi.json", "", b"").await.json();
+    let path = "/v1/read-register/{model}";
+    let at = "/v1/read-register/m";
+    let typed = "content-type: application/octet-stream\r\n";
+    let tokened = format!("{typed}idempotency-key: k\r\n");
+    let seen = [
+        send(&d.http, "POST", at, &tokened, b"x").await,
+        send(&d.http, "POST", at, typed, b"x").await,
+        send(&d.http, "GET", at, "", b"").await,
+        send(&d.http, "POST", at, JSON, b"{}").await,
+    ];
+    assert_eq!(seen.each_ref().map(|a| a.status), [200, 400, 405, 400]);
+    let caught = |change: &dyn Fn(&mut Value), a: &Answered| {
+        let mut document = document.clone();
+        change(&mut document["paths"][path]["post"]);
+        let allowed = operations(&document).iter().find(|o| o.path == path).unwrap().allows(a);
+        assert!(allowed.is_err(), "{} is allowed still", a.status);
+    };
+    for a in &seen {
+        described(&document, path, a);
+        let status = a.status.to_string();
+        caught(&|o| drop(o["responses"].as_object_mut().unwrap().remove(&status)), a);
+        caught(&|o| drop(o["responses"][&status].as_object_mut().unwrap().remove("content")), a);
+        caught(&|o| drop(o["responses"][&status]["headers"].as_object_mut().unwrap().remove("Sunset")), a);
     }
-    assert!((20..380).contains(&fitting), "{fitting} of 400 fit");
+    // The other way: what is described and not served.
+    let gone = d.reload(&[("method read-register {", "method other {")]).await;
+    assert_eq!(gone, Ok(()));
+    let answered = send(&d.http, "POST", at, &tokened, b"x").await;
+    assert_eq!(answered.status, 410);
 }
 
 /// Both doors refuse the same bodies.
--- a/crates/curlewpoint-lab/tests/sockets/main.rs
+++ b/crates/curlewpoint-lab/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The gateway on real sockets, before workers that do as a test says.
 
 mod common;
+mod document;
 mod hard;
 mod http;
 mod reload;
