Decide what becomes of a broker's message, with a model of drops, kills and redeliveries

Triggers need one final answer a message and no effect twice among instances that share nothing. Inbox decides for each message whether it is sent, answered at once or given back; Intake how many to hold. Both do no I/O.

--- a/crates/curlewpoint-catalogue/src/catalogue.rs
+++ b/crates/curlewpoint-catalogue/src/catalogue.rs
@@ -3,6 +3,9 @@
 use curlewpoint_config::Config;
 use jsonschema::Validator;
 use serde_json::Value;
+use thiserror::Error;
+
+use crate::strict;
 
 /// Whether a repeat is harmless.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,75 +51,24 @@
     }
 
     /// Checks a body; the fault says where in it and why.
-    pub fn check(&self, body: &[u8]) -> Result<(), String> {
+    pub fn check(&self, body: &[u8]) -> Result<(), Misfit> {
         let Payload::Json { check, .. } = self else { return Ok(()) };
-        let value = strict(body)?;
+        let value = strict::read(body)?;
         let Some(fault) = check.iter_errors(&value).next() else { return Ok(()) };
         let at = fault.instance_path().to_string();
-        Err(format!("at '{}': {fault}", if at.is_empty() { "/" } else { &at }))
+        Err(Misfit::Unfit(format!("at '{}': {fault}", if at.is_empty() { "/" } else { &at })))
     }
 }
 
-/// Nesting beyond this is refused before it is built: JSON has no bound of its own.
-const DEEPEST: usize = 64;
-
-/// Reads JSON as the documents allow it: valid UTF-8, no key twice in an object, no nesting beyond a bound.
-fn strict(body: &[u8]) -> Result<Value, String> {
-    let text = std::str::from_utf8(body).map_err(|e| format!("byte {}: not UTF-8", e.valid_up_to()))?;
-    let mut depth = 0usize;
-    let (mut quoted, mut escaped) = (false, false);
-    for (at, b) in text.bytes().enumerate() {
-        match (quoted, escaped, b) {
-            (true, true, _) => escaped = false,
-            (true, false, b'\\') => escaped = true,
-            (true, false, b'"') => quoted = false,
-            (false, _, b'"') => quoted = true,
-            (false, _, b'[' | b'{') => {
-                depth += 1;
-                if depth > DEEPEST {
-                    return Err(format!("byte {at}: nested deeper than {DEEPEST}"));
-                }
-            }
-            (false, _, b']' | b'}') => depth = depth.saturating_sub(1),
-            _ => {}
-        }
-    }
-    let value = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    twice(text)?;
-    Ok(value)
-}
-
-/// Refuses an object that has a key twice: two readers would not agree on what it says. The text is known to be JSON.
-fn twice(text: &str) -> Result<(), String> {
-    let bytes = text.as_bytes();
-    // For each open bracket the keys so far; an array has none.
-    let mut open: Vec<Option<Vec<String>>> = Vec::new();
-    let mut at = 0;
-    while at < bytes.len() {
-        match bytes[at] {
-            b'{' => open.push(Some(Vec::new())),
-            b'[' => open.push(None),
-            b'}' | b']' => drop(open.pop()),
-            b'"' => {
-                let start = at;
-                at += 1;
-                while bytes[at] != b'"' {
-                    at += if bytes[at] == b'\\' { 2 } else { 1 };
-                }
-                let rest = text[at + 1..].trim_start();
-                if let (true, Some(Some(keys))) = (rest.starts_with(':'), open.last_mut()) {
-                    let key: String = serde_json::from_str(&text[start..=at]).map_err(|e| e.to_string())?;
-                    if keys.contains(&key) {
-                        return Err(format!("byte {start}: the key '{key}' stands twice"));
-                    }
-                    keys.push(key);
-                }
-            }
-            _ => {}
-        }
-        at += 1;
-    }
-    Ok(())
+/// Why a body is not taken.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum Misfit {
+    /// It is no JSON.
+    #[error("{0}")]
+    Unreadable(String),
+    /// It is not what its schema says, or two readers might not agree on what it says.
+    #[error("{0}")]
+    Unfit(String),
 }
 
 /// What is wrong with a catalogue, and in which of its files.
@@ -204,7 +156,8 @@
         for method in methods {
             let place = |what: &str| format!("method {}, {what}", method.name);
             for (no, example) in method.examples.iter().enumerate() {
-                if let Err(what) = method.request.check(example.to_string().as_bytes()) {
+                if let Err(why) = method.request.check(example.to_string().as_bytes()) {
+                    let what = why.to_string();
                     faults.push(Fault { place: place(&format!("example {}", no + 1)), what });
                 }
             }
--- a/crates/curlewpoint-catalogue/src/lib.rs
+++ b/crates/curlewpoint-catalogue/src/lib.rs
@@ -9,8 +9,9 @@
 mod documents;
 mod releases;
 mod routes;
+mod strict;
 
-pub use catalogue::{Catalogue, Effect, Fault, Method, Payload};
+pub use catalogue::{Catalogue, Effect, Fault, Method, Misfit, Payload};
 pub use compare::{compare, Change};
 pub use documents::{asyncapi, etag, method_in, openapi, path_of, render};
 pub use releases::{Release, Releases, Standing, TooMany, Withdrawn};
--- a/crates/curlewpoint-catalogue/tests/catalogue.rs
+++ b/crates/curlewpoint-catalogue/tests/catalogue.rs
@@ -58,13 +58,13 @@
 fn a_body_is_checked_as_the_schema_says(body: &[u8], want: &str) {
     let told = payload(&schema()).check(body);
     assert_eq!(told.is_ok(), want.is_empty(), "{told:?}");
-    assert!(told.err().unwrap_or_default().contains(want));
+    assert!(told.err().map(|e| e.to_string()).unwrap_or_default().contains(want));
 }
 
 #[test]
 fn deep_nesting_is_refused_before_it_is_built() {
     let body = "[".repeat(1_000_000);
-    let told = payload(&json!({})).check(body.as_bytes()).unwrap_err();
+    let told = payload(&json!({})).check(body.as_bytes()).unwrap_err().to_string();
     assert!(told.contains("nested deeper than 64"), "{told}");
     assert!(payload(&json!({})).check(br#"{"a": "[[[[\"{{{"}"#).is_ok(), "brackets in a text are text");
 }
--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -68,7 +68,7 @@
 pub(crate) fn unfit(catalogue: &Catalogue, frame: &Frame) -> Option<String> {
     let method =
         catalogue.method(frame.maybe_text(Field::METHOD).ok()??).filter(|_| frame.kind == Kind::RPC)?;
-    method.request.check(&frame.body).err()
+    method.request.check(&frame.body).err().map(|why| why.to_string())
 }
 
 async fn client(id: ClientId, stream: TcpStream, desk: Desk, _place: OwnedSemaphorePermit) {
--- a/crates/curlewpoint-gateway/src/http.rs
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -9,7 +9,7 @@
 use axum::http::{header, request, HeaderMap, HeaderValue, Method, StatusCode};
 use axum::response::Response;
 use curlewpoint::types::Time;
-use curlewpoint_catalogue::{method_in, Effect, Method as Described, Payload, Release};
+use curlewpoint_catalogue::{method_in, Effect, Method as Described, Misfit, Release};
 use curlewpoint_engine::{Answer, ClientId, Refusal};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -340,11 +340,10 @@
 
 fn ask(in_force: &InForce, head: Head, body: Bytes, reply: oneshot::Sender<Reply>) -> Result<Ask, Refused> {
     let Head { method, model, left, token, tenant } = head;
-    if let Payload::Json { .. } = method.request {
-        serde_json::from_slice::<serde_json::Value>(&body)
-            .map_err(|e| refused(400, "malformed", e.to_string()))?;
-        method.request.check(&body).map_err(|why| refused(422, "unfit", why))?;
-    }
+    method.request.check(&body).map_err(|why| match why {
+        Misfit::Unreadable(why) => refused(400, "malformed", why),
+        Misfit::Unfit(why) => refused(422, "unfit", why),
+    })?;
     let (release, method) = (in_force.release, method.name.clone());
     Ok(Ask { release, method, model, tenant, left, token, body, reply })
 }
--- a/crates/curlewpoint-lab/benches/forward.rs
+++ b/crates/curlewpoint-lab/benches/forward.rs
@@ -18,6 +18,10 @@
 use curlewpoint_link::{open, Bounds, Link, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind};
 use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http2;
+use hyper::Request;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio_stream::StreamExt;
@@ -164,6 +168,40 @@
     (all.iter().map(|s| s.ok).sum::<u64>() as f64 / SPAN.as_secs_f64(), all.iter().map(|s| s.other).sum())
 }
 
+/// The same over HTTP/2, which the gateway's other door speaks.
+async fn saturate_http(address: SocketAddr) -> (f64, u64) {
+    let mut tasks = tokio::task::JoinSet::new();
+    for _ in 0..CLIENTS {
+        let stream = TcpStream::connect(address).await.expect("it listens");
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) =
+            http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await.expect("it speaks");
+        tokio::spawn(connection);
+        for lane in 0..IN_FLIGHT as u64 {
+            let mut sender = sender.clone();
+            tasks.spawn(async move {
+                let (body, mut sums) = (Bytes::from(vec![7; BODY]), Sums::default());
+                let (began, mut tag) = (Instant::now(), lane);
+                while began.elapsed() < SPAN {
+                    let model = tag.wrapping_mul(0x9e37_79b9_7f4a_7c15) % 100;
+                    let request = Request::post(format!("http://door/v1/read-fields/model-{model}"))
+                        .header("content-type", "application/octet-stream")
+                        .body(Full::new(body.clone()))
+                        .expect("a request");
+                    let response = sender.send_request(request).await.expect("it answers");
+                    let ok = response.status() == 200;
+                    response.into_body().collect().await.expect("to the end");
+                    *(if ok { &mut sums.ok } else { &mut sums.other }) += 1;
+                    tag += IN_FLIGHT as u64;
+                }
+                sums
+            });
+        }
+    }
+    let all = tasks.join_all().await;
+    (all.iter().map(|s| s.ok).sum::<u64>() as f64 / SPAN.as_secs_f64(), all.iter().map(|s| s.other).sum())
+}
+
 /// Sends at set times whatever has come back; latencies from the time at which each was due.
 async fn at_rate(address: SocketAddr, rate: f64) -> Histogram<u64> {
     let mut tasks = tokio::task::JoinSet::new();
@@ -219,12 +257,16 @@
     }
     let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).expect("shipped");
     let config = config.with("list", &list.address.to_string()).with("seed", "1");
+    let (tell, told) = std::sync::mpsc::channel();
     let gateway = on_its_own(move || async move {
-        let running = curlewpoint_gateway::start(&config).await.expect("it starts");
+        let running =
+            curlewpoint_gateway::start(&config.with("http", "127.0.0.1:0")).await.expect("it starts");
         let address = running.address;
+        let _ = tell.send(running.http.expect("it has the door"));
         tokio::spawn(running.wait());
         address
     });
+    let http = told.recv().expect("it starts");
     let plain = on_its_own(move || forwarder(workers));
     let cores = std::thread::available_parallelism().map_or(0, |n| n.get());
     println!("{cores} cores, {WORKERS} workers that answer at once, bodies of {BODY} bytes, {CLIENTS} x {IN_FLIGHT} in flight");
@@ -237,6 +279,10 @@
         most.push(rate);
     }
     println!("gateway / forwarder: {:.2}", most[1] / most[0]);
+    saturate_http(http).await;
+    let (rate, other) = saturate_http(http).await;
+    println!("by HTTP/2  saturates at {rate:8.0} RPCs a second; {other} ended otherwise than ok");
+    println!("by HTTP/2 / by the native door: {:.2}", rate / most[1]);
     for rate in [most[1] / 2.0, most[1] / 10.0] {
         for (name, address) in [("forwarder", plain), ("gateway", gateway)] {
             let h = at_rate(address, rate).await;
--- /dev/null
+++ b/crates/curlewpoint-trigger/src/inbox.rs
@@ -0,0 +1,365 @@
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use curlewpoint::types::Time;
+
+/// What a message is known by, here and at its requester: its id and the address that its answer goes to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Name {
+    pub id: String,
+    pub reply_to: String,
+}
+
+/// One delivery of a message: the connection that brought it, counted, and its tag there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Delivery {
+    pub conn: u64,
+    pub tag: u64,
+}
+
+/// Whether a repeat is harmless, and for a tokened method where and for how long it is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Effect {
+    Idempotent,
+    Tokened {
+        /// All workers know each other's tokens.
+        everywhere: bool,
+        span: Time,
+    },
+    SideEffecting,
+}
+
+/// What a delivery says of its message, and its method's description of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Terms {
+    pub effect: Effect,
+    /// How long the requester still waits.
+    pub left: Time,
+    /// The broker has delivered it before, and it was not given back by a scheduler that proves that nothing was sent.
+    pub redelivered: bool,
+    /// How long ago it was first put into its queue, where that is known.
+    pub age: Option<Time>,
+    /// How often schedulers gave it back unsent.
+    pub given_back: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    Ok,
+    Denied,
+    Aborted,
+}
+
+/// The one final answer of a message.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Final {
+    pub end: End,
+    pub why: String,
+    pub body: Bytes,
+}
+
+impl Final {
+    fn of(end: End, why: &str) -> Final {
+        Final { end, why: why.to_owned(), body: Bytes::new() }
+    }
+}
+
+/// What an inbox acts through.
+pub trait Desk {
+    /// Notes on disk that call-outs may be sent from here on; `intent_written` or `intent_lost` follows, with this number.
+    fn write_intent(&mut self, name: &Name, no: u64);
+    /// Notes the answer, and that it need not be kept any more; nobody waits for either.
+    fn write_answer(&mut self, name: &Name, answer: &Final);
+    fn write_done(&mut self, name: &Name);
+    /// Hands the RPC to the engine, which answers within `left` (`answered`) or does not take it (`refused`).
+    fn ask(&mut self, name: &Name, left: Time);
+    /// Publishes the answer and acknowledges the delivery in one transaction of the broker, so that either both are done or
+    /// neither; `settled` follows, or the connection ends.
+    fn settle(&mut self, name: &Name, delivery: Delivery, answer: &Final);
+    /// Puts a copy that says that nothing was sent into its queue and acknowledges the delivery, in one transaction.
+    fn give_back(&mut self, name: &Name, delivery: Delivery, given_back: u32);
+    /// The same into the dead-letter exchange, with the reason.
+    fn dead_letter(&mut self, delivery: Delivery, why: &str);
+    fn log(&mut self, name: &Name, line: &str);
+}
+
+/// How far a message has come.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// Its intent, of this number, is being written; nothing was sent. The word of an earlier one is none for this: what was
+    /// noted after it may have taken it back.
+    Intending(u64),
+    /// The engine has it.
+    Asked,
+    /// It has its answer, which waits for the broker's word, or for the next delivery.
+    Answered(Final),
+    /// A record of a run before this one says that call-outs may have been sent since this moment.
+    SentBefore(Time),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Message {
+    stage: Stage,
+    /// On connections that are up; more than one where the requester sent it twice.
+    deliveries: Vec<Delivery>,
+    terms: Option<Terms>,
+    /// The broker has its answer, for one delivery at least.
+    settled: bool,
+    /// When the last connection that brought it ended, or it was read from the journal.
+    alone_since: Option<Time>,
+}
+
+/// Decides what becomes of each message.
+///
+/// Guards against effects that happen twice after a redelivery, whoever had the message before: connection lost, scheduler
+/// killed, broker restarted, a consumer cancelled. It harms where a broker redelivers messages that nobody has looked at: a
+/// side-effecting one is then aborted although it never ran, which the prefetch keeps rare (see `Intake`).
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Inbox<D> {
+    desk: D,
+    messages: BTreeMap<Name, Message>,
+    /// Records are kept so long after nothing was heard of their message.
+    keep: Time,
+    intents: u64,
+    stopping: bool,
+}
+
+/// A message that was given back so often is denied: no instance can take it.
+const MOST_GIVEN_BACK: u32 = 5;
+
+impl<D: Desk> Inbox<D> {
+    pub fn new(desk: D, keep: Time) -> Inbox<D> {
+        Inbox { desk, messages: BTreeMap::new(), keep, intents: 0, stopping: false }
+    }
+
+    pub fn desk(&mut self) -> &mut D {
+        &mut self.desk
+    }
+
+    /// Messages that are held, those that wait for a delivery included.
+    pub fn held(&self) -> usize {
+        self.messages.len()
+    }
+
+    /// Messages that the engine has or is about to get.
+    pub fn open(&self) -> usize {
+        self.messages.values().filter(|m| matches!(m.stage, Stage::Intending(_) | Stage::Asked)).count()
+    }
+
+    /// The journal of the run before has an intent, so old, and no answer.
+    pub fn recovered_intent(&mut self, now: Time, name: Name, age: Time) {
+        self.recovered(now, name, Stage::SentBefore(now - age));
+    }
+
+    /// It has an answer that the broker may not have got.
+    pub fn recovered_answer(&mut self, now: Time, name: Name, answer: Final) {
+        self.recovered(now, name, Stage::Answered(answer));
+    }
+
+    fn recovered(&mut self, now: Time, name: Name, stage: Stage) {
+        let message =
+            Message { stage, deliveries: Vec::new(), terms: None, settled: false, alone_since: Some(now) };
+        self.messages.insert(name, message);
+    }
+
+    /// A message comes.
+    pub fn delivered(&mut self, now: Time, name: Name, delivery: Delivery, terms: Terms) {
+        if let Some(message) = self.messages.get_mut(&name) {
+            // The same message again: its old delivery has ended, or the requester has sent it twice.
+            message.deliveries.push(delivery);
+            message.alone_since = None;
+            match message.stage.clone() {
+                Stage::Intending(_) | Stage::Asked => {}
+                Stage::Answered(answer) => self.desk.settle(&name, delivery, &answer),
+                Stage::SentBefore(since) => self.repeat(&name, terms, Some(now - since)),
+            }
+            return;
+        }
+        // Until more is known of it, nothing was sent.
+        let (stage, deliveries) = (Stage::Intending(0), vec![delivery]);
+        let message = Message { stage, deliveries, terms: Some(terms), settled: false, alone_since: None };
+        self.messages.insert(name.clone(), message);
+        if terms.redelivered {
+            // Whoever had it may have sent it, from the moment on at which it came into its queue.
+            return self.repeat(&name, terms, terms.age);
+        }
+        if terms.left == Time(0) {
+            return self.end(&name, Final::of(End::Denied, "it came too late"));
+        }
+        if self.stopping {
+            return self.give_back(&name);
+        }
+        match terms.effect {
+            Effect::Idempotent => self.ask(&name, terms.left),
+            _ => self.intend(&name),
+        }
+    }
+
+    fn intend(&mut self, name: &Name) {
+        self.intents += 1;
+        if let Some(message) = self.messages.get_mut(name) {
+            message.stage = Stage::Intending(self.intents);
+            self.desk.write_intent(name, self.intents);
+        }
+    }
+
+    /// A message that may have had its call-out before, so long ago if that is known.
+    fn repeat(&mut self, name: &Name, terms: Terms, sent: Option<Time>) {
+        let left = match (terms.effect, sent) {
+            (Effect::Idempotent, _) => terms.left,
+            // Where it went is not known, so it may go anywhere only if the token is known everywhere, and only for as long as
+            // the token is remembered.
+            (Effect::Tokened { everywhere: true, span }, Some(sent)) => terms.left.min(span - sent),
+            _ => Time(0),
+        };
+        if let Some(message) = self.messages.get_mut(name) {
+            message.terms = Some(Terms { left, redelivered: true, ..terms });
+        }
+        match terms.effect {
+            Effect::Idempotent if left > Time(0) => self.ask(name, left),
+            Effect::Idempotent => self.end(name, Final::of(End::Denied, "it came too late")),
+            _ if left > Time(0) => self.intend(name),
+            _ => self.end(name, Final::of(End::Aborted, "it was delivered before and may have run")),
+        }
+    }
+
+    fn ask(&mut self, name: &Name, left: Time) {
+        if let Some(message) = self.messages.get_mut(name) {
+            message.stage = Stage::Asked;
+            self.desk.ask(name, left);
+        }
+    }
+
+    /// The intent is on disk: from here on a crash cannot hide that it may have been sent.
+    pub fn intent_written(&mut self, name: &Name, no: u64) {
+        let Some(message) = self.messages.get(name).filter(|m| m.stage == Stage::Intending(no)) else {
+            return;
+        };
+        match message.terms {
+            _ if message.deliveries.is_empty() => self.forget(name),
+            Some(terms) if self.stopping && !terms.redelivered => self.give_back(name),
+            Some(terms) => self.ask(name, terms.left),
+            None => {}
+        }
+    }
+
+    /// It could not be written: nothing is sent.
+    pub fn intent_lost(&mut self, name: &Name, no: u64) {
+        let Some(message) = self.messages.get(name).filter(|m| m.stage == Stage::Intending(no)) else {
+            return;
+        };
+        self.desk.log(name, "its intent could not be written: it is not sent");
+        match message.terms {
+            _ if message.deliveries.is_empty() => self.forget(name),
+            // A tokened one that may have been sent before must not go back as one that was not.
+            Some(terms) if terms.redelivered => {
+                let why = "it was delivered before and cannot be noted now";
+                self.end(name, Final::of(End::Aborted, why));
+            }
+            _ => self.give_back(name),
+        }
+    }
+
+    /// The engine has ended it.
+    pub fn answered(&mut self, name: &Name, answer: Final) {
+        let Some(message) = self.messages.get(name).filter(|m| m.stage == Stage::Asked) else { return };
+        let denied_repeat = answer.end == End::Denied
+            && message.terms.is_some_and(|t| t.redelivered && t.effect != Effect::Idempotent);
+        // This run's call-outs never ran, but one before may have: no denial.
+        let answer = if denied_repeat {
+            Final::of(End::Aborted, "it was delivered before and may have run")
+        } else {
+            answer
+        };
+        self.end(name, answer);
+    }
+
+    /// The engine has not taken it: nothing was sent.
+    pub fn refused(&mut self, name: &Name, why: &str, for_good: bool) {
+        let Some(message) = self.messages.get(name).filter(|m| m.stage == Stage::Asked) else { return };
+        let terms = message.terms;
+        if terms.is_some_and(|t| t.redelivered && t.effect != Effect::Idempotent) {
+            return self.end(name, Final::of(End::Aborted, why));
+        }
+        if for_good {
+            self.end(name, Final::of(End::Denied, why));
+        } else {
+            self.give_back(name);
+        }
+    }
+
+    fn end(&mut self, name: &Name, answer: Final) {
+        let Some(message) = self.messages.get_mut(name) else { return };
+        if message.terms.is_none_or(|t| t.effect != Effect::Idempotent) {
+            self.desk.write_answer(name, &answer);
+        }
+        message.stage = Stage::Answered(answer.clone());
+        message.deliveries.iter().for_each(|d| self.desk.settle(name, *d, &answer));
+    }
+
+    /// Other instances may take it; one that nobody could take is denied, as nothing was sent.
+    fn give_back(&mut self, name: &Name) {
+        let Some(message) = self.messages.get(name) else { return };
+        let given_back = message.terms.map_or(0, |t| t.given_back) + 1;
+        if given_back > MOST_GIVEN_BACK {
+            return self.end(name, Final::of(End::Denied, "no scheduler could take it"));
+        }
+        // Two copies could run twice: the last goes back. Those before it are dead already, or the requester's repeats.
+        let deliveries = message.deliveries.clone();
+        if let [before @ .., last] = deliveries.as_slice() {
+            self.desk.give_back(name, *last, given_back);
+            before.iter().for_each(|d| self.desk.dead_letter(*d, "sent twice, and given back once"));
+        }
+        self.forget(name);
+    }
+
+    fn forget(&mut self, name: &Name) {
+        if self.messages.remove(name).is_some_and(|m| m.terms.is_none_or(|t| t.effect != Effect::Idempotent))
+        {
+            self.desk.write_done(name);
+        }
+    }
+
+    /// The broker has the answer and the acknowledgement.
+    pub fn settled(&mut self, name: &Name, delivery: Delivery) {
+        let Some(message) = self.messages.get_mut(name) else { return };
+        message.deliveries.retain(|d| *d != delivery);
+        message.settled = true;
+        if message.deliveries.is_empty() {
+            self.forget(name);
+        }
+    }
+
+    /// A connection has ended: what it brought comes again, here or elsewhere, unless the broker has its acknowledgement.
+    pub fn conn_lost(&mut self, now: Time, conn: u64) {
+        let mut over = Vec::new();
+        for (name, message) in &mut self.messages {
+            let before = message.deliveries.len();
+            message.deliveries.retain(|d| d.conn != conn);
+            if before > 0 && message.deliveries.is_empty() {
+                message.alone_since = Some(now);
+                // What was not sent yet is another's now, or comes again.
+                if message.settled || matches!(message.stage, Stage::Intending(_)) {
+                    over.push(name.clone());
+                }
+            }
+        }
+        over.iter().for_each(|name| self.forget(name));
+    }
+
+    /// No more is asked for: what comes from here on, and what was not sent yet, goes back.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Records whose message has not come again are forgotten after their time.
+    pub fn sweep(&mut self, now: Time) {
+        let over = |m: &Message| {
+            let waits = matches!(m.stage, Stage::Answered(_) | Stage::SentBefore(_));
+            waits && m.alone_since.is_some_and(|since| since + self.keep <= now)
+        };
+        let long: Vec<Name> =
+            self.messages.iter().filter(|(_, m)| over(m)).map(|(name, _)| name.clone()).collect();
+        long.iter().for_each(|name| self.forget(name));
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-trigger/tests/stories.rs
@@ -0,0 +1,243 @@
+//! Short stories of what becomes of a message.
+
+use bytes::Bytes;
+use curlewpoint::types::Time;
+use curlewpoint_trigger::{Delivery, Desk, Effect, End, Final, Inbox, Name, Terms};
+use test_case::test_case;
+
+/// What was asked for, in words.
+#[derive(Default)]
+struct Deeds(Vec<String>);
+
+impl Desk for Deeds {
+    fn write_intent(&mut self, _: &Name, no: u64) {
+        self.0.push(format!("intent {no}"));
+    }
+    fn write_answer(&mut self, _: &Name, answer: &Final) {
+        self.0.push(format!("note {:?}", answer.end));
+    }
+    fn write_done(&mut self, _: &Name) {
+        self.0.push("done".to_owned());
+    }
+    fn ask(&mut self, _: &Name, left: Time) {
+        self.0.push(format!("ask {}", left.ms()));
+    }
+    fn settle(&mut self, _: &Name, delivery: Delivery, answer: &Final) {
+        self.0.push(format!("settle {} {:?}", delivery.tag, answer.end));
+    }
+    fn give_back(&mut self, _: &Name, delivery: Delivery, given_back: u32) {
+        self.0.push(format!("back {} {given_back}", delivery.tag));
+    }
+    fn dead_letter(&mut self, delivery: Delivery, _: &str) {
+        self.0.push(format!("dead {}", delivery.tag));
+    }
+    fn log(&mut self, _: &Name, _: &str) {}
+}
+
+const NOW: Time = Time(1_000_000);
+const EVERYWHERE: Effect = Effect::Tokened { everywhere: true, span: Time(50_000) };
+const IN_CELLS: Effect = Effect::Tokened { everywhere: false, span: Time(50_000) };
+
+struct Story(Inbox<Deeds>);
+
+fn name() -> Name {
+    Name { id: "m1".to_owned(), reply_to: "office".to_owned() }
+}
+
+fn at(conn: u64, tag: u64) -> Delivery {
+    Delivery { conn, tag }
+}
+
+fn terms(effect: Effect) -> Terms {
+    Terms { effect, left: Time(40_000), redelivered: false, age: Some(Time(20_000)), given_back: 0 }
+}
+
+impl Story {
+    fn new() -> Story {
+        Story(Inbox::new(Deeds::default(), Time(100_000)))
+    }
+
+    fn comes(&mut self, tag: u64, terms: Terms) {
+        self.0.delivered(NOW, name(), at(1, tag), terms);
+    }
+
+    fn answered(&mut self, end: End) {
+        self.0.answered(&name(), Final { end, why: String::new(), body: Bytes::new() });
+    }
+
+    /// What was asked for since the last look.
+    fn deeds(&mut self) -> String {
+        std::mem::take(&mut self.0.desk().0).join(", ")
+    }
+}
+
+#[test]
+fn an_extract_is_noted_before_it_is_asked_for_and_settled_once() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::SideEffecting));
+    assert_eq!(s.deeds(), "intent 1");
+    s.0.intent_written(&name(), 1);
+    assert_eq!(s.deeds(), "ask 4000");
+    s.answered(End::Ok);
+    s.answered(End::Aborted);
+    assert_eq!(s.deeds(), "note Ok, settle 1 Ok");
+    s.0.settled(&name(), at(1, 1));
+    assert_eq!((s.deeds().as_str(), s.0.held()), ("done", 0));
+}
+
+#[test]
+fn what_may_be_repeated_is_not_noted() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::Idempotent));
+    s.answered(End::Ok);
+    s.0.settled(&name(), at(1, 1));
+    assert_eq!((s.deeds().as_str(), s.0.held()), ("ask 4000, settle 1 Ok", 0));
+}
+
+#[test_case(Effect::Idempotent, Some(20_000), "ask 4000" ; "harmless")]
+#[test_case(Effect::SideEffecting, Some(20_000), "note Aborted, settle 1 Aborted" ; "it may have run elsewhere")]
+#[test_case(IN_CELLS, Some(20_000), "note Aborted, settle 1 Aborted" ; "whose cell is not known")]
+#[test_case(EVERYWHERE, Some(20_000), "intent 1" ; "known everywhere")]
+#[test_case(EVERYWHERE, Some(50_000), "note Aborted, settle 1 Aborted" ; "forgotten by now")]
+#[test_case(EVERYWHERE, None, "note Aborted, settle 1 Aborted" ; "who knows since when")]
+fn a_message_delivered_before_goes_by_its_effect(effect: Effect, age: Option<u64>, want: &str) {
+    let mut s = Story::new();
+    s.comes(1, Terms { redelivered: true, age: age.map(Time), ..terms(effect) });
+    assert_eq!(s.deeds(), want);
+}
+
+/// Its token is remembered for 5 s, 2 of which have passed.
+#[test]
+fn a_repeat_by_token_has_what_is_left_of_the_span() {
+    let mut s = Story::new();
+    s.comes(1, Terms { redelivered: true, ..terms(EVERYWHERE) });
+    s.0.intent_written(&name(), 1);
+    assert_eq!(s.deeds(), "intent 1, ask 3000");
+    // Nothing was sent now, but it may have been before: no denial, and it does not go back as unsent.
+    s.0.refused(&name(), "full", false);
+    assert_eq!(s.deeds(), "note Aborted, settle 1 Aborted");
+}
+
+#[test]
+fn an_answer_waits_for_the_message_when_its_connection_is_lost() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::SideEffecting));
+    s.0.intent_written(&name(), 1);
+    s.0.conn_lost(NOW, 1);
+    s.answered(End::Ok);
+    s.deeds();
+    // It comes again, and is marked so: here it is known what became of it.
+    s.0.delivered(NOW, name(), at(2, 9), Terms { redelivered: true, ..terms(Effect::SideEffecting) });
+    assert_eq!(s.deeds(), "settle 9 Ok");
+    s.0.settled(&name(), at(2, 9));
+    assert_eq!((s.deeds().as_str(), s.0.held()), ("done", 0));
+}
+
+#[test]
+fn a_lost_connection_takes_back_what_was_not_sent() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::SideEffecting));
+    s.0.conn_lost(NOW, 1);
+    s.0.intent_written(&name(), 1);
+    assert_eq!((s.deeds().as_str(), s.0.held()), ("intent 1, done", 0));
+}
+
+/// Found by the model: the word of the first intent came for the second, which a note in between had taken back.
+#[test]
+fn the_word_of_an_earlier_intent_sends_nothing() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::SideEffecting));
+    s.0.conn_lost(NOW, 1);
+    s.0.delivered(NOW, name(), at(2, 1), terms(Effect::SideEffecting));
+    s.deeds();
+    s.0.intent_written(&name(), 1);
+    assert_eq!(s.deeds(), "");
+    s.0.intent_written(&name(), 2);
+    assert_eq!(s.deeds(), "ask 4000");
+}
+
+#[test]
+fn after_a_kill_the_journal_decides() {
+    let mut s = Story::new();
+    s.0.recovered_intent(NOW, name(), Time(10_000));
+    s.comes(1, terms(Effect::SideEffecting));
+    assert_eq!(s.deeds(), "note Aborted, settle 1 Aborted");
+    let mut s = Story::new();
+    let ok = Final { end: End::Ok, why: String::new(), body: Bytes::from_static(b"%PDF") };
+    s.0.recovered_answer(NOW, name(), ok);
+    s.comes(1, Terms { redelivered: true, ..terms(Effect::SideEffecting) });
+    assert_eq!(s.deeds(), "settle 1 Ok");
+    // By token: the span counts from the intent that was noted, 1 s before the start.
+    let mut s = Story::new();
+    s.0.recovered_intent(NOW, name(), Time(10_000));
+    s.comes(1, terms(EVERYWHERE));
+    s.0.intent_written(&name(), 1);
+    assert_eq!(s.deeds(), "intent 1, ask 4000");
+}
+
+#[test]
+fn what_cannot_be_noted_is_not_sent() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::SideEffecting));
+    s.0.intent_lost(&name(), 1);
+    assert_eq!((s.deeds().as_str(), s.0.held()), ("intent 1, back 1 1, done", 0));
+    // One that nobody could take is denied, and does not go round for ever.
+    s.comes(2, Terms { given_back: 5, ..terms(Effect::SideEffecting) });
+    s.0.intent_lost(&name(), 2);
+    assert_eq!(s.deeds(), "intent 2, note Denied, settle 2 Denied");
+}
+
+#[test_case(false, "back 1 1" ; "another instance may take it")]
+#[test_case(true, "settle 1 Denied" ; "no instance will")]
+fn what_the_engine_does_not_take_was_not_sent(for_good: bool, want: &str) {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::Idempotent));
+    s.deeds();
+    s.0.refused(&name(), "full", for_good);
+    assert_eq!(s.deeds(), want);
+}
+
+#[test]
+fn a_message_that_comes_too_late_is_denied_as_nothing_was_sent() {
+    let mut s = Story::new();
+    s.comes(1, Terms { left: Time(0), ..terms(Effect::SideEffecting) });
+    assert_eq!(s.deeds(), "note Denied, settle 1 Denied");
+}
+
+#[test]
+fn a_stop_gives_back_what_was_not_sent_and_answers_the_rest() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::SideEffecting));
+    s.0.stop();
+    s.0.intent_written(&name(), 1);
+    assert_eq!(s.deeds(), "intent 1, back 1 1, done");
+    s.comes(2, terms(Effect::Idempotent));
+    assert_eq!(s.deeds(), "back 2 1");
+    // One that may have run is answered all the same.
+    s.comes(3, Terms { redelivered: true, ..terms(Effect::SideEffecting) });
+    assert_eq!(s.deeds(), "note Aborted, settle 3 Aborted");
+}
+
+/// The requester has sent it twice while it was open: one call-out, and each of the two has the answer.
+#[test]
+fn a_message_sent_twice_is_asked_for_once() {
+    let mut s = Story::new();
+    s.comes(1, terms(Effect::Idempotent));
+    s.comes(2, terms(Effect::Idempotent));
+    s.answered(End::Ok);
+    assert_eq!(s.deeds(), "ask 4000, settle 1 Ok, settle 2 Ok");
+    s.0.settled(&name(), at(1, 1));
+    assert_eq!(s.0.held(), 1);
+    s.0.settled(&name(), at(1, 2));
+    assert_eq!(s.0.held(), 0);
+}
+
+#[test]
+fn a_record_is_kept_for_its_time_and_no_longer() {
+    let mut s = Story::new();
+    s.0.recovered_intent(NOW, name(), Time(0));
+    s.0.sweep(NOW + Time(99_999));
+    assert_eq!(s.0.held(), 1);
+    s.0.sweep(NOW + Time(100_000));
+    assert_eq!((s.0.held(), s.deeds().as_str()), (0, "done"));
+}
