--- /dev/null
+++ b/crates/curlewpoint-amqp/src/lib.rs
@@ -0,0 +1,8 @@
+//! AMQP 0-9-1 from its public specification: a codec of frames with bounds, and contents put together from them. The frames'
+//! own types are those of the `amq-protocol` library.
+
+mod codec;
+mod content;
+
+pub use codec::{Codec, FrameError, LEAST_FRAME};
+pub use content::{Content, Contents, Misplaced};
--- a/crates/curlewpoint-cli/src/main.rs
+++ b/crates/curlewpoint-cli/src/main.rs
@@ -29,6 +29,7 @@
     Day(commands::day::PlayDay),
     Rehearse(commands::day::Rehearse),
     Describe(commands::describe::Describe),
+    Journal(commands::journal::LookInto),
     Completions(commands::completions::Completions),
 }
 
@@ -44,6 +45,7 @@
         Command::Day(c) => c.run(),
         Command::Rehearse(c) => c.run(),
         Command::Describe(c) => c.run(),
+        Command::Journal(c) => c.run(),
         Command::Completions(c) => c.run(),
     };
     ExitCode::from(code)
--- a/crates/curlewpoint-cli/tests/processes.rs
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -205,6 +205,41 @@
     std::fs::remove_dir_all(&folder).expect("removed");
 }
 
+/// A journal is listed with what the next start would do, and one that was damaged is said to be.
+#[test]
+fn a_journal_is_listed_and_verified() {
+    use curlewpoint::types::Time;
+    use curlewpoint_journal::{Journal, Limits, Reader};
+    use curlewpoint_trigger::{End, Final, Name};
+    struct Nobody;
+    impl Reader for Nobody {
+        fn intent(&mut self, _: Name, _: Time) {}
+        fn answer(&mut self, _: Name, _: Time, _: Final) {}
+    }
+    let path = std::env::temp_dir().join(format!("curlewpoint-journal-{}", std::process::id()));
+    let journal = Journal::open(&path, Limits::default(), &mut Nobody).expect("it opens");
+    let name = |id: &str| Name { id: id.to_owned(), reply_to: "office".to_owned() };
+    journal.intent(&name("sent"), Time(1), |_| {});
+    let aborted = Final { end: End::Aborted, why: String::new(), body: Default::default() };
+    journal.answer(&name("told"), Time(2), &aborted);
+    let run = |what: &str| program().args(["journal", what]).arg(&path).output().expect("it runs");
+    let busy = run("verify");
+    assert_eq!(busy.status.code(), Some(1), "a scheduler holds it");
+    drop(journal);
+    let listed = text(&run("list").stdout);
+    let lines: Vec<&str> = listed.lines().collect();
+    assert!(lines[0].starts_with("sent  office") && lines[0].contains("may have been sent"), "{listed}");
+    assert!(lines[1].starts_with("told  office") && lines[1].contains("answered Aborted"), "{listed}");
+    assert!(lines[2].contains("whole, 2 records"), "{listed}");
+    let mut bytes = std::fs::read(&path).expect("it is there");
+    // The first half of the file holds the store's own pages, all of them checked.
+    bytes.iter_mut().skip(64).step_by(97).for_each(|b| *b ^= 0x55);
+    std::fs::write(&path, bytes).expect("written");
+    let told = run("verify");
+    assert_eq!(told.status.code(), Some(1), "{}", text(&told.stdout));
+    std::fs::remove_file(&path).expect("removed");
+}
+
 #[test]
 fn nobody_there_is_told_plainly() {
     let out = program().args(["call", "127.0.0.1:1", "m", "m"]).output().expect("it runs");
--- a/crates/curlewpoint-trigger/src/inbox.rs
+++ b/crates/curlewpoint-trigger/src/inbox.rs
@@ -71,8 +71,8 @@
     /// Notes the answer, and that it need not be kept any more; nobody waits for either.
     fn write_answer(&mut self, name: &Name, answer: &Final);
     fn write_done(&mut self, name: &Name);
-    /// Hands the RPC to the engine, which answers within `left` (`answered`) or does not take it (`refused`).
-    fn ask(&mut self, name: &Name, left: Time);
+    /// Hands the RPC to the engine, which answers by `until` (`answered`) or does not take it (`refused`).
+    fn ask(&mut self, name: &Name, until: Time);
     /// Publishes the answer and acknowledges the delivery in one transaction of the broker, so that either both are done or
     /// neither; `settled` follows, or the connection ends.
     fn settle(&mut self, name: &Name, delivery: Delivery, answer: &Final);
@@ -103,6 +103,8 @@
     /// On connections that are up; more than one where the requester sent it twice.
     deliveries: Vec<Delivery>,
     terms: Option<Terms>,
+    /// When its requester gives up.
+    until: Time,
     /// The broker has its answer, for one delivery at least.
     settled: bool,
     /// When the last connection that brought it ended, or it was read from the journal.
@@ -157,8 +159,8 @@
     }
 
     fn recovered(&mut self, now: Time, name: Name, stage: Stage) {
-        let message =
-            Message { stage, deliveries: Vec::new(), terms: None, settled: false, alone_since: Some(now) };
+        let (deliveries, settled, alone_since) = (Vec::new(), false, Some(now));
+        let message = Message { stage, deliveries, terms: None, until: now, settled, alone_since };
         self.messages.insert(name, message);
     }
 
@@ -171,17 +173,19 @@
             match message.stage.clone() {
                 Stage::Intending(_) | Stage::Asked => {}
                 Stage::Answered(answer) => self.desk.settle(&name, delivery, &answer),
-                Stage::SentBefore(since) => self.repeat(&name, terms, Some(now - since)),
+                Stage::SentBefore(since) => self.repeat(now, &name, terms, Some(now - since)),
             }
             return;
         }
         // Until more is known of it, nothing was sent.
         let (stage, deliveries) = (Stage::Intending(0), vec![delivery]);
-        let message = Message { stage, deliveries, terms: Some(terms), settled: false, alone_since: None };
+        let until = now + terms.left;
+        let message =
+            Message { stage, deliveries, terms: Some(terms), until, settled: false, alone_since: None };
         self.messages.insert(name.clone(), message);
         if terms.redelivered {
             // Whoever had it may have sent it, from the moment on at which it came into its queue.
-            return self.repeat(&name, terms, terms.age);
+            return self.repeat(now, &name, terms, terms.age);
         }
         if terms.left == Time(0) {
             return self.end(&name, Final::of(End::Denied, "it came too late"));
@@ -190,7 +194,7 @@
             return self.give_back(&name);
         }
         match terms.effect {
-            Effect::Idempotent => self.ask(&name, terms.left),
+            Effect::Idempotent => self.ask(&name),
             _ => self.intend(&name),
         }
     }
@@ -204,7 +208,7 @@
     }
 
     /// A message that may have had its call-out before, so long ago if that is known.
-    fn repeat(&mut self, name: &Name, terms: Terms, sent: Option<Time>) {
+    fn repeat(&mut self, now: Time, name: &Name, terms: Terms, sent: Option<Time>) {
         let left = match (terms.effect, sent) {
             (Effect::Idempotent, _) => terms.left,
             // Where it went is not known, so it may go anywhere only if the token is known everywhere, and only for as long as
@@ -214,19 +218,20 @@
         };
         if let Some(message) = self.messages.get_mut(name) {
             message.terms = Some(Terms { left, redelivered: true, ..terms });
+            message.until = now + left;
         }
         match terms.effect {
-            Effect::Idempotent if left > Time(0) => self.ask(name, left),
+            Effect::Idempotent if left > Time(0) => self.ask(name),
             Effect::Idempotent => self.end(name, Final::of(End::Denied, "it came too late")),
             _ if left > Time(0) => self.intend(name),
             _ => self.end(name, Final::of(End::Aborted, "it was delivered before and may have run")),
         }
     }
 
-    fn ask(&mut self, name: &Name, left: Time) {
+    fn ask(&mut self, name: &Name) {
         if let Some(message) = self.messages.get_mut(name) {
             message.stage = Stage::Asked;
-            self.desk.ask(name, left);
+            self.desk.ask(name, message.until);
         }
     }
 
@@ -238,8 +243,7 @@
         match message.terms {
             _ if message.deliveries.is_empty() => self.forget(name),
             Some(terms) if self.stopping && !terms.redelivered => self.give_back(name),
-            Some(terms) => self.ask(name, terms.left),
-            None => {}
+            _ => self.ask(name),
         }
     }
 
@@ -352,8 +356,17 @@
         self.stopping = true;
     }
 
-    /// Records whose message has not come again are forgotten after their time.
+    /// Messages whose intent is not on disk in their time are not sent; records whose message has not come again are
+    /// forgotten after theirs.
     pub fn sweep(&mut self, now: Time) {
+        let unwritten = |m: &Message| matches!(m.stage, Stage::Intending(_)) && m.until <= now;
+        let late: Vec<Name> =
+            self.messages.iter().filter(|(_, m)| unwritten(m)).map(|(name, _)| name.clone()).collect();
+        for name in late {
+            let before = self.messages.get(&name).and_then(|m| m.terms).is_some_and(|t| t.redelivered);
+            let end = if before { End::Aborted } else { End::Denied };
+            self.end(&name, Final::of(end, "the journal was too slow: it was not sent"));
+        }
         let over = |m: &Message| {
             let waits = matches!(m.stage, Stage::Answered(_) | Stage::SentBefore(_));
             waits && m.alone_since.is_some_and(|since| since + self.keep <= now)
--- a/crates/curlewpoint-trigger/tests/stories.rs
+++ b/crates/curlewpoint-trigger/tests/stories.rs
@@ -19,8 +19,8 @@
     fn write_done(&mut self, _: &Name) {
         self.0.push("done".to_owned());
     }
-    fn ask(&mut self, _: &Name, left: Time) {
-        self.0.push(format!("ask {}", left.ms()));
+    fn ask(&mut self, _: &Name, until: Time) {
+        self.0.push(format!("ask {}", (until - NOW).ms()));
     }
     fn settle(&mut self, _: &Name, delivery: Delivery, answer: &Final) {
         self.0.push(format!("settle {} {:?}", delivery.tag, answer.end));
@@ -187,6 +187,19 @@
     assert_eq!(s.deeds(), "intent 2, note Denied, settle 2 Denied");
 }
 
+/// A disk that stands still: its word comes when the requester has given up, and counts for nothing.
+#[test_case(false, "Denied" ; "nothing was sent")]
+#[test_case(true, "Aborted" ; "it may have been sent before")]
+fn an_intent_that_takes_too_long_sends_nothing(redelivered: bool, want: &str) {
+    let mut s = Story::new();
+    s.comes(1, Terms { redelivered, ..terms(EVERYWHERE) });
+    s.0.sweep(NOW + Time(29_999));
+    assert_eq!(s.deeds(), "intent 1");
+    s.0.sweep(NOW + Time(40_000));
+    s.0.intent_written(&name(), 1);
+    assert_eq!(s.deeds(), format!("note {want}, settle 1 {want}"));
+}
+
 #[test_case(false, "back 1 1" ; "another instance may take it")]
 #[test_case(true, "settle 1 Denied" ; "no instance will")]
 fn what_the_engine_does_not_take_was_not_sent(for_good: bool, want: &str) {
