Speak AMQP as a client's session, against a model of a broker from the specification

Triggers need a client that knows which transaction a lost connection left open, and a broker to try it on. Session is one connection from its greeting to its end, without I/O: a channel of transactions a queue, one commit at a time with all that waited, prefetch for the channel as a whole, heartbeats, blocked, cancelled consumers, returns; any closed channel ends it whole. Broker is a model of the other side: exchanges, queues with expiry, dead letters and priorities, prefetch, tx, confirms, faults by setting.

--- a/crates/curlewpoint-amqp/src/lib.rs
+++ b/crates/curlewpoint-amqp/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod codec;
 mod content;
+mod session;
 
 pub use codec::{Codec, FrameError, LEAST_FRAME};
 pub use content::{Content, Contents, Misplaced};
+pub use session::{Host, Login, Session};
--- a/crates/curlewpoint-emulator/src/lib.rs
+++ b/crates/curlewpoint-emulator/src/lib.rs
@@ -3,11 +3,13 @@
 //!
 //! What is not in the users' pages is marked as assumed where it is set.
 
+mod broker;
 mod list;
 mod share;
 mod store;
 mod worker;
 
+pub use broker::{Broker, BrokerFaults, Lines};
 pub use list::{ListModel, Row};
 pub use share::Share;
 pub use store::{FetchId, StoreModel, StoreSpec};
