--- a/crates/curlewpoint-emulator/src/broker.rs
+++ b/crates/curlewpoint-emulator/src/broker.rs
@@ -66,7 +66,7 @@
 
 /// What a transaction holds until its commit.
 enum Held {
-    Publish(basic::Publish, AMQPProperties, Bytes),
+    Publish(basic::Publish, Box<AMQPProperties>, Bytes),
     Ack(u64, bool),
     Drop(u64, bool, bool),
 }
@@ -400,7 +400,7 @@
     ) {
         let Some(channel) = self.conns.get_mut(&conn).and_then(|c| c.channels.get_mut(&no)) else { return };
         if let Some(held) = &mut channel.tx {
-            return held.push(Held::Publish(publish, properties, body));
+            return held.push(Held::Publish(publish, Box::new(properties), body));
         }
         let seq = channel.confirms.as_mut().map(|n| {
             *n += 1;
@@ -439,7 +439,7 @@
 
     fn apply(&mut self, conn: u64, no: u16, held: Held) {
         match held {
-            Held::Publish(publish, properties, body) => self.published(conn, no, publish, properties, body),
+            Held::Publish(publish, properties, body) => self.published(conn, no, publish, *properties, body),
             Held::Ack(tag, multiple) => drop(self.taken(conn, no, tag, multiple)),
             Held::Drop(tag, multiple, requeue) => {
                 for (queue, message) in self.taken(conn, no, tag, multiple) {
