Consume a broker's queues: one final answer a message, no extract twice, on sockets

Marriage offices queue extracts at their broker. Intake sets how many messages are held; a stop gives back what was not sent. AsyncAPI says which properties are read and written, and a test holds answers against it. A broker's stand-in on sockets drops connections, before and after a commit, blocks, cancels and forgets its marks by a test's word.

--- a/crates/curlewpoint-amqp/src/session.rs
+++ b/crates/curlewpoint-amqp/src/session.rs
@@ -65,6 +65,7 @@
     hold: u16,
     /// Published and acknowledged since the last commit, and those that wait for the word of one.
     open: Vec<u64>,
+    dirty: bool,
     committing: Option<Vec<u64>>,
 }
 
@@ -166,7 +167,8 @@
         let Some(no) = known else {
             let no = self.lines.len() as u16 + 1;
             let (queue, open) = (queue.to_owned(), Vec::new());
-            let line = Line { queue, up: false, consuming: false, hold: most, open, committing: None };
+            let (up, consuming, dirty, committing) = (false, false, false, None);
+            let line = Line { queue, up, consuming, hold: most, open, dirty, committing };
             self.lines.insert(no, line);
             return self.send(
                 now,
@@ -207,9 +209,10 @@
         }
     }
 
-    /// Publishes something and acknowledges a delivery in one transaction; `committed` follows, or the session ends.
+    /// Publishes something and acknowledges a delivery, if there is one, in one transaction; `committed` follows, or the
+    /// session ends.
     pub fn exchange(
-        &mut self, now: Time, queue: &str, tag: u64, exchange: &str, routing_key: &str,
+        &mut self, now: Time, queue: &str, tag: Option<u64>, exchange: &str, routing_key: &str,
         properties: AMQPProperties, body: &[u8],
     ) {
         let Some((&no, _)) = self.lines.iter().find(|(_, l)| l.queue == queue && l.up) else { return };
@@ -221,10 +224,12 @@
         for part in body.chunks(self.frame_max as usize - 8) {
             self.send(now, AMQPFrame::Body(no, part.to_vec()));
         }
-        let ack = basic::Ack { delivery_tag: tag, multiple: false };
-        self.basic(now, no, basic::AMQPMethod::Ack(ack));
+        if let Some(delivery_tag) = tag {
+            self.basic(now, no, basic::AMQPMethod::Ack(basic::Ack { delivery_tag, multiple: false }));
+        }
         if let Some(line) = self.lines.get_mut(&no) {
-            line.open.push(tag);
+            line.open.extend(tag);
+            line.dirty = true;
         }
         self.commit(now, no);
     }
@@ -232,7 +237,7 @@
     /// One commit at a time: what comes meanwhile goes with the next.
     fn commit(&mut self, now: Time, no: u16) {
         let Some(line) = self.lines.get_mut(&no) else { return };
-        if line.committing.is_none() && !line.open.is_empty() {
+        if line.committing.is_none() && std::mem::take(&mut line.dirty) {
             line.committing = Some(std::mem::take(&mut line.open));
             self.send(now, AMQPFrame::Method(no, AMQPClass::Tx(tx::AMQPMethod::Commit(tx::Commit {}))));
         }
--- a/crates/curlewpoint-catalogue/src/documents.rs
+++ b/crates/curlewpoint-catalogue/src/documents.rs
@@ -189,13 +189,20 @@
 pub fn asyncapi(catalogue: &Catalogue) -> Value {
     let (mut channels, mut operations) = (Map::new(), Map::new());
     for m in catalogue.methods() {
-        let message = |payload: &Payload, about: &str, headers: Value| json!({"contentType": payload.media_type(), "summary": about, "payload": schema_of(payload), "headers": headers});
+        let message = |payload: &Payload, about: &str, headers: Value, properties: Value| json!({"contentType": payload.media_type(), "summary": about, "payload": schema_of(payload), "headers": headers, "x-amqp-properties": properties});
+        let asks = json!({
+            "message_id": "Required. Names the message; a repeat has the same one.",
+            "reply_to": "Required. The queue for the answer.",
+            "expiration": "Milliseconds that the requester waits; absent: the method's deadline.",
+            "timestamp": "When it was sent, in seconds since 1970: what has passed since is taken off.",
+        });
+        let says = json!({"correlation_id": "The message_id of what it answers."});
         let asked = json!({"type": "object", "required": ["model"], "properties": {"model": {"type": "string", "minLength": 1, "maxLength": 1024}, "tenant": {"type": "string", "maxLength": 1024}}});
         let answered = json!({"type": "object", "required": ["answer"], "properties": {"answer": {"enum": ["ok", "denied", "aborted"]}, "why": {"type": "string"}}});
         let queue = format!("curlewpoint.{}", m.name);
-        let address = json!({"address": queue, "messages": {"request": message(&m.request, &m.about, asked)}, "bindings": {"amqp": {"is": "queue", "queue": {"name": queue, "durable": true, "exclusive": false, "autoDelete": false}}}});
+        let address = json!({"address": queue, "messages": {"request": message(&m.request, &m.about, asked, asks)}, "bindings": {"amqp": {"is": "queue", "queue": {"name": queue, "durable": true, "exclusive": false, "autoDelete": false}}}});
         channels.insert(m.name.clone(), address);
-        let answers = json!({"address": null, "messages": {"answer": message(&m.answer, "The one final answer; a body only where it is ok.", answered)}});
+        let answers = json!({"address": null, "messages": {"answer": message(&m.answer, "The one final answer; a body only where it is ok.", answered, says)}});
         channels.insert(format!("{}.answer", m.name), answers);
         let reference = |channel: &str, message: &str| json!({"$ref": format!("#/channels/{channel}/messages/{message}")});
         let reply = format!("{}.answer", m.name);
--- a/crates/curlewpoint-config/src/check.rs
+++ b/crates/curlewpoint-config/src/check.rs
@@ -41,10 +41,14 @@
         std::time::Duration::from_secs_f64(self.number(block, name) / 1000.0)
     }
 
+    /// Where a file that it names is.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.as_deref().unwrap_or(Path::new(".")).join(name)
+    }
+
     /// The text of a file that it names.
     pub fn file(&self, name: &str) -> Result<String, String> {
-        let folder = self.folder.as_deref().unwrap_or(Path::new("."));
-        std::fs::read_to_string(folder.join(name)).map_err(|e| e.to_string())
+        std::fs::read_to_string(self.path(name)).map_err(|e| e.to_string())
     }
 
     /// The same configuration with another value at the top: one of many instances, say.
@@ -78,6 +82,12 @@
         told
     }
 
+    /// The same with another value in an unnamed block.
+    pub fn with_in(mut self, block: &'static str, name: &'static str, value: &str) -> Config {
+        self.values.insert((block, String::new(), name), vec![value.to_owned()]);
+        self
+    }
+
     /// A directive of a method.
     pub fn of_method(&self, method: &str, name: &'static str) -> &str {
         self.words("method", method, name).and_then(|w| w.first()).map_or("", String::as_str)
--- a/crates/curlewpoint-emulator/src/broker.rs
+++ b/crates/curlewpoint-emulator/src/broker.rs
@@ -151,8 +151,23 @@
 
     /// The bodies that wait in a queue, in its order.
     pub fn waiting(&self, queue: &str) -> Vec<Bytes> {
-        let ready = self.queues.get(queue).map(|q| &q.ready);
-        ready.into_iter().flatten().map(|m| m.body.clone()).collect()
+        self.messages(queue).map(|m| m.body.clone()).collect()
+    }
+
+    pub fn messages(&self, queue: &str) -> impl Iterator<Item = &Message> {
+        self.queues.get(queue).into_iter().flat_map(|q| &q.ready)
+    }
+
+    /// A plain queue, as an operator sets one up.
+    pub fn declare(&mut self, queue: &str) {
+        self.queues.entry(queue.to_owned()).or_default();
+    }
+
+    /// Puts a message into a queue, as a requester does.
+    pub fn put(&mut self, now: Time, queue: &str, properties: AMQPProperties, body: Bytes) {
+        self.now = self.now.max(now);
+        self.route("", queue, properties, body);
+        self.deliver_all();
     }
 
     /// Messages that are out and not acknowledged.
--- a/crates/curlewpoint-emulator/src/lib.rs
+++ b/crates/curlewpoint-emulator/src/lib.rs
@@ -9,7 +9,7 @@
 mod store;
 mod worker;
 
-pub use broker::{Broker, BrokerFaults, Lines};
+pub use broker::{Broker, BrokerFaults, Lines, Message};
 pub use list::{ListModel, Row};
 pub use share::Share;
 pub use store::{FetchId, StoreModel, StoreSpec};
--- a/crates/curlewpoint-emulator/tests/broker.rs
+++ b/crates/curlewpoint-emulator/tests/broker.rs
@@ -172,7 +172,7 @@
         let now = self.now;
         self.session(98).hold(now, "office", 0);
         self.run();
-        self.session(98).exchange(now, "office", 0, "", EXTRACTS, properties, body.as_bytes());
+        self.session(98).exchange(now, "office", None, "", EXTRACTS, properties, body.as_bytes());
         self.run();
         self.sessions.remove(&98);
         self.broker.closed(now, 98);
@@ -182,7 +182,7 @@
     /// Answers a delivery, up to the commit.
     fn answer(&mut self, conn: u64, tag: u64) {
         let now = self.now;
-        self.session(conn).exchange(now, EXTRACTS, tag, "", "office", plain(), b"extract");
+        self.session(conn).exchange(now, EXTRACTS, Some(tag), "", "office", plain(), b"extract");
     }
 
     fn drop_conn(&mut self, conn: u64) {
@@ -292,7 +292,7 @@
     s.connect(1);
     s.hold(1, 9);
     let now = s.now;
-    s.session(1).exchange(now, EXTRACTS, 1, "", "no-office", plain(), b"extract");
+    s.session(1).exchange(now, EXTRACTS, Some(1), "", "no-office", plain(), b"extract");
     s.run();
     assert_eq!(s.told(1), "ready; returned no-office: NO_ROUTE");
     assert_eq!(s.session(1).host().committed, [1]);
--- a/crates/curlewpoint-gateway/src/lib.rs
+++ b/crates/curlewpoint-gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: doors for clients, connections to workers, the list. It moves bytes and nothing else: one task owns the
 //! [`Engine`](curlewpoint_engine::Engine), all others read or write a connection and speak with it by channels.
 
+mod amqp;
 mod clients;
 mod codes;
 mod http;
--- a/crates/curlewpoint-gateway/src/reload.rs
+++ b/crates/curlewpoint-gateway/src/reload.rs
@@ -1,7 +1,10 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use curlewpoint::types::Time;
 use curlewpoint_catalogue::{asyncapi, etag, openapi, render, Catalogue, Release, Routes, Withdrawn};
-use curlewpoint_config::Config;
+use curlewpoint_config::{milliseconds, Config};
+use curlewpoint_trigger::Effect;
 use serde_json::Value;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
@@ -15,6 +18,8 @@
     pub routes: Routes<String>,
     /// Path, entity tag and text of each.
     pub documents: [(&'static str, String, String); 2],
+    /// What triggers go by: the effect of each method, and where and for how long its tokens are known.
+    pub effects: BTreeMap<String, Effect>,
 }
 
 impl Prepared {
@@ -32,7 +37,17 @@
             document("/openapi.json", render(&openapi(&catalogue))),
             document("/asyncapi.json", render(&asyncapi(&catalogue))),
         ];
-        Ok(Prepared { catalogue: Arc::new(catalogue), routes, documents })
+        let effect = |name: &String| match config.of_method(name, "effect") {
+            "idempotent" => Effect::Idempotent,
+            "tokened" => {
+                let span = milliseconds(config.of_method(name, "memory-span")).unwrap_or(0.0);
+                let everywhere = config.of_method(name, "group") == "all";
+                Effect::Tokened { everywhere, span: Time::from_ms(span) }
+            }
+            _ => Effect::SideEffecting,
+        };
+        let effects = config.methods().iter().map(|name| (name.clone(), effect(name))).collect();
+        Ok(Prepared { catalogue: Arc::new(catalogue), routes, documents, effects })
     }
 }
 
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -3,9 +3,11 @@
 use std::time::{Duration, Instant};
 
 use curlewpoint::types::{Copy, Outcome, Time};
+use curlewpoint_amqp::Login;
 use curlewpoint_catalogue::{Release, Releases, Standing};
 use curlewpoint_config::Config;
 use curlewpoint_engine::{ClientId, ConnId, Engine, ErrandId, Figures, Pool, PoolLimits, Refusal};
+use curlewpoint_journal::{Journal, JournalError, Limits as JournalLimits};
 use curlewpoint_link::{Bounds, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use thiserror::Error;
@@ -20,7 +22,7 @@
 use crate::outside::{Client, Outside};
 use crate::reload::{InForce, Prepared, Reload, ReloadError, Reloader};
 use crate::workers::Dialler;
-use crate::{clients, codes, http, list};
+use crate::{amqp, clients, codes, http, list};
 
 /// What the tasks around connections tell the one that owns the engine.
 pub(crate) enum Note {
@@ -52,6 +54,10 @@
     Listen(String, std::io::Error),
     #[error("{0}")]
     Methods(ReloadError),
+    #[error("amqp needs a journal: a file")]
+    NoJournal,
+    #[error(transparent)]
+    Journal(#[from] JournalError),
 }
 
 /// Notes that wait for the engine's task; beyond these their senders wait.
@@ -136,6 +142,31 @@
     socket.listen(BACKLOG)
 }
 
+/// The broker whose queues are consumed, if there is one.
+fn broker(config: &Config, seed: u128) -> Option<amqp::Settings> {
+    let text = |name| config.value("amqp", name).unwrap_or("").to_owned();
+    let ms = |name| Time::from_ms(config.number("amqp", name));
+    let login = Login {
+        user: text("user"),
+        password: text("password"),
+        vhost: text("vhost"),
+        heartbeat: ms("heartbeat"),
+        frame_max: 128 << 10,
+        most_body: config.number("connections", "most-frame") as u64,
+    };
+    Some(amqp::Settings {
+        address: config.value("amqp", "address")?.to_owned(),
+        login,
+        connections: config.number("amqp", "connections") as usize,
+        most_held: config.number("amqp", "most-held") as u64,
+        time_left: config.value("amqp", "time-left").map(|_| ms("time-left")),
+        dead_letters: text("dead-letters"),
+        keep: ms("keep"),
+        back_off: (config.time("amqp", "amqp-back-off"), config.time("amqp", "amqp-most-back-off")),
+        seed,
+    })
+}
+
 /// Starts a scheduler. It serves from the moment this returns; the list may come later.
 pub async fn start(config: &Config) -> Result<Running, StartError> {
     let listen = config.text("listen").to_owned();
@@ -205,9 +236,28 @@
             slow: config.time("connections", "http-slow"),
             head: of("http-head") as usize,
         };
-        let serving = http::serve(door, in_force, clock, limits, asks_in.clone(), stopped, tasks.clone());
+        let serving =
+            http::serve(door, in_force.clone(), clock, limits, asks_in.clone(), stopped, tasks.clone());
         helpers.push(tokio::spawn(serving).abort_handle());
     }
+    if let Some(settings) = broker(config, seed) {
+        let path = config.value("amqp", "journal").ok_or(StartError::NoJournal)?;
+        let most = config.number("amqp", "journal-most") as u64;
+        let limits =
+            JournalLimits { delay: config.time("amqp", "journal-delay"), most, ..Default::default() };
+        let mut before = amqp::Before::default();
+        let journal = Journal::open(&config.path(path), limits, &mut before)?;
+        let stopped = no_more.subscribe();
+        tasks.spawn(amqp::serve(
+            settings,
+            journal,
+            before,
+            in_force.clone(),
+            clock,
+            asks_in.clone(),
+            stopped,
+        ));
+    }
     let following = list::follow(config.text("list").to_owned(), name, bounds, dial, answers_in, seed);
     helpers.push(tokio::spawn(following).abort_handle());
     let turn = Turn { engine, clock, publish, accepting, no_more, ending: None, over: false };
--- /dev/null
+++ b/crates/curlewpoint-lab/src/stand/broker.rs
@@ -0,0 +1,209 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use amq_protocol::frame::AMQPFrame;
+use amq_protocol::protocol::basic::AMQPProperties;
+use bytes::Bytes;
+use curlewpoint::types::Time;
+use curlewpoint_amqp::Codec;
+use curlewpoint_emulator::{Broker, BrokerFaults, Lines, Message};
+use futures_util::SinkExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio_stream::StreamExt;
+use tokio_util::codec::Framed;
+
+enum Out {
+    Frame(Box<AMQPFrame>),
+    Agreed(u32, u16),
+}
+
+enum Event {
+    Up(u64, mpsc::UnboundedSender<Out>, AbortHandle),
+    Frame(u64, Box<AMQPFrame>),
+    Gone(u64),
+    /// Ends the connections of all clients that are up.
+    DropAll,
+    /// Ends a connection when it sends its next commit, before or after that is done.
+    DropAtCommit(bool),
+    Faults(BrokerFaults),
+    Block(bool),
+    CancelConsumers(String),
+    Put(String, Box<AMQPProperties>, Bytes),
+    Waiting(String, oneshot::Sender<Vec<Message>>),
+}
+
+#[derive(Default)]
+struct Sockets {
+    outs: BTreeMap<u64, (mpsc::UnboundedSender<Out>, AbortHandle)>,
+}
+
+impl Lines for Sockets {
+    fn send(&mut self, conn: u64, frame: AMQPFrame) {
+        if let Some((out, _)) = self.outs.get(&conn) {
+            let _ = out.send(Out::Frame(Box::new(frame)));
+        }
+    }
+    fn agreed(&mut self, conn: u64, frame_max: u32, channel_max: u16) {
+        if let Some((out, _)) = self.outs.get(&conn) {
+            let _ = out.send(Out::Agreed(frame_max, channel_max));
+        }
+    }
+    fn close(&mut self, conn: u64) {
+        self.outs.remove(&conn);
+    }
+}
+
+/// A broker on a socket, with what goes wrong by a test's word.
+pub struct BrokerStand {
+    pub address: SocketAddr,
+    events: mpsc::UnboundedSender<Event>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Drop for BrokerStand {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl BrokerStand {
+    /// A broker with these queues.
+    pub async fn start(listen: &str, queues: &[&str]) -> std::io::Result<BrokerStand> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let (events, heard) = mpsc::unbounded_channel();
+        let tell = events.clone();
+        let accepting = tokio::spawn(async move {
+            let mut conn = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                conn += 1;
+                let (out, waiting) = mpsc::unbounded_channel();
+                let talk = tokio::spawn(converse(conn, stream, waiting, tell.clone()));
+                let _ = tell.send(Event::Up(conn, out, talk.abort_handle()));
+                let tell = tell.clone();
+                tokio::spawn(async move {
+                    let _ = talk.await;
+                    let _ = tell.send(Event::Gone(conn));
+                });
+            }
+        });
+        let tasks = [accepting, tokio::spawn(run(queues.iter().map(|q| (*q).to_owned()).collect(), heard))];
+        Ok(BrokerStand { address, events, tasks })
+    }
+
+    fn say(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+
+    /// Puts a message into a queue, as a requester does.
+    pub fn put(&self, queue: &str, properties: AMQPProperties, body: Bytes) {
+        self.say(Event::Put(queue.to_owned(), Box::new(properties), body));
+    }
+
+    /// What waits in a queue.
+    pub async fn waiting(&self, queue: &str) -> Vec<Message> {
+        let (tell, told) = oneshot::channel();
+        self.say(Event::Waiting(queue.to_owned(), tell));
+        told.await.unwrap_or_default()
+    }
+
+    pub fn drop_all(&self) {
+        self.say(Event::DropAll);
+    }
+
+    pub fn drop_at_commit(&self, done: bool) {
+        self.say(Event::DropAtCommit(done));
+    }
+
+    pub fn faults(&self, faults: BrokerFaults) {
+        self.say(Event::Faults(faults));
+    }
+
+    pub fn block(&self, blocked: bool) {
+        self.say(Event::Block(blocked));
+    }
+
+    pub fn cancel_consumers(&self, queue: &str) {
+        self.say(Event::CancelConsumers(queue.to_owned()));
+    }
+}
+
+async fn converse(
+    conn: u64, stream: TcpStream, mut out: mpsc::UnboundedReceiver<Out>, events: mpsc::UnboundedSender<Event>,
+) {
+    let _ = stream.set_nodelay(true);
+    let mut framed = Framed::new(stream, Codec::default());
+    loop {
+        tokio::select! {
+            next = framed.next() => match next {
+                Some(Ok(frame)) => drop(events.send(Event::Frame(conn, Box::new(frame)))),
+                _ => return,
+            },
+            said = out.recv() => match said {
+                Some(Out::Frame(frame)) => if framed.send(*frame).await.is_err() {
+                    return;
+                },
+                Some(Out::Agreed(frame_max, channel_max)) => framed.codec_mut().agreed(frame_max, channel_max),
+                None => return,
+            },
+        }
+    }
+}
+
+fn is_commit(frame: &AMQPFrame) -> bool {
+    use amq_protocol::protocol::{tx, AMQPClass};
+    matches!(frame, AMQPFrame::Method(_, AMQPClass::Tx(tx::AMQPMethod::Commit(_))))
+}
+
+async fn run(queues: Vec<String>, mut heard: mpsc::UnboundedReceiver<Event>) {
+    let (mut broker, began, mut at_commit) = (Broker::new(Sockets::default()), Instant::now(), None);
+    queues.iter().for_each(|q| broker.declare(q));
+    let mut tick = tokio::time::interval(std::time::Duration::from_millis(20));
+    loop {
+        let now = Time((began.elapsed().as_micros() / 100) as u64);
+        let event = tokio::select! {
+            event = heard.recv() => event,
+            _ = tick.tick() => {
+                broker.advance(now);
+                continue;
+            }
+        };
+        let Some(event) = event else { return };
+        let drop_conn = |broker: &mut Broker<Sockets>, conn: u64| {
+            if let Some((_, talk)) = broker.lines().outs.remove(&conn) {
+                talk.abort();
+            }
+            broker.closed(now, conn);
+        };
+        match event {
+            Event::Up(conn, out, talk) => {
+                broker.lines().outs.insert(conn, (out, talk));
+                broker.opened(conn);
+            }
+            Event::Frame(conn, frame) => match at_commit.filter(|_| is_commit(&frame)) {
+                Some(done) => {
+                    at_commit = None;
+                    if done {
+                        broker.frame(now, conn, *frame);
+                    }
+                    drop_conn(&mut broker, conn);
+                }
+                None => broker.frame(now, conn, *frame),
+            },
+            Event::Gone(conn) => drop_conn(&mut broker, conn),
+            Event::DropAll => {
+                let all: Vec<u64> = broker.lines().outs.keys().copied().collect();
+                all.into_iter().for_each(|conn| drop_conn(&mut broker, conn));
+            }
+            Event::DropAtCommit(done) => at_commit = Some(done),
+            Event::Put(queue, properties, body) => broker.put(now, &queue, *properties, body),
+            Event::Faults(faults) => broker.faults = faults,
+            Event::Block(blocked) => broker.block(blocked),
+            Event::CancelConsumers(queue) => broker.cancel_consumers(&queue),
+            Event::Waiting(queue, tell) => drop(tell.send(broker.messages(&queue).cloned().collect())),
+        }
+    }
+}
--- a/crates/curlewpoint-lab/src/stand/mod.rs
+++ b/crates/curlewpoint-lab/src/stand/mod.rs
@@ -1,10 +1,12 @@
 //! The stand-ins on sockets.
 
+pub mod broker;
 pub mod list;
 pub mod store;
 pub mod wire;
 pub mod worker;
 
+pub use broker::BrokerStand;
 pub use list::ListStand;
 pub use store::StoreStand;
 pub use worker::{Trade, WorkerStand};
--- /dev/null
+++ b/crates/curlewpoint-lab/tests/sockets/amqp.rs
@@ -0,0 +1,360 @@
+//! Triggers end to end: a broker, a gateway or two, workers, on real sockets.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amq_protocol::protocol::basic::AMQPProperties;
+use amq_protocol::types::{AMQPValue, FieldTable};
+use bytes::Bytes;
+use curlewpoint::types::{Outcome, Standing, Time};
+use curlewpoint_config::Config;
+use curlewpoint_emulator::{BrokerFaults, Message};
+use curlewpoint_gateway::Running;
+use curlewpoint_lab::stand::wire::Say;
+use curlewpoint_lab::stand::{BrokerStand, ListStand};
+use curlewpoint_lab::Record;
+use curlewpoint_wire::Field;
+
+use crate::common::{config, name, Puppet};
+
+const EXTRACTS: &str = "curlewpoint.issue-extract";
+const QUEUES: [&str; 5] =
+    [EXTRACTS, "curlewpoint.read-fields", "curlewpoint.read-register", "office", "curlewpoint.dead"];
+
+struct Office {
+    broker: BrokerStand,
+    list: ListStand,
+    folder: PathBuf,
+}
+
+impl Drop for Office {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Office {
+    async fn open(test: &str, workers: &[&Puppet]) -> Office {
+        let broker = BrokerStand::start("127.0.0.1:0", &QUEUES).await.unwrap();
+        let list = ListStand::start("127.0.0.1:0", &Record::default(), Time(0)).await.unwrap();
+        workers.iter().for_each(|w| name(&list, w, Standing::Ready));
+        let folder = std::env::temp_dir().join(format!("curlewpoint-amqp-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Office { broker, list, folder }
+    }
+
+    fn config(&self, instance: &str) -> Config {
+        let journal = self.folder.join(instance).display().to_string();
+        let c =
+            config().with("name", instance).with("list", &self.list.address.to_string()).with("seed", "7");
+        c.with_in("amqp", "address", &self.broker.address.to_string())
+            .with_in("amqp", "journal", &journal)
+            .with_in("amqp", "amqp-back-off", "20ms")
+    }
+
+    async fn gateway(&self, instance: &str) -> Running {
+        curlewpoint_gateway::start(&self.config(instance)).await.unwrap()
+    }
+
+    fn ask(&self, queue: &str, id: &str, with: impl FnOnce(AMQPProperties) -> AMQPProperties) {
+        let mut headers = FieldTable::default();
+        headers.insert("model".into(), AMQPValue::LongString("births".into()));
+        let plain = AMQPProperties::default()
+            .with_message_id(id.into())
+            .with_reply_to("office".into())
+            .with_expiration("4000".into())
+            .with_headers(headers);
+        self.broker.put(queue, with(plain), Bytes::from(id.to_owned()));
+    }
+
+    /// Waits until so many messages are in a queue.
+    async fn waiting(&self, queue: &str, many: usize) -> Vec<Message> {
+        let began = std::time::Instant::now();
+        loop {
+            let all = self.broker.waiting(queue).await;
+            if all.len() >= many {
+                return all;
+            }
+            assert!(began.elapsed().as_secs() < 30, "{} of {many} came to {queue}", all.len());
+            tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+        }
+    }
+}
+
+/// What an answer says: to which message, and how it ended.
+fn answer(m: &Message) -> (String, String) {
+    let word = match m.properties.headers().as_ref().and_then(|h| h.inner().get("answer")) {
+        Some(AMQPValue::LongString(s)) => s.to_string(),
+        _ => String::new(),
+    };
+    (m.properties.correlation_id().as_ref().map(ToString::to_string).unwrap_or_default(), word)
+}
+
+/// An answer is what the AsyncAPI document says that is published.
+fn described(m: &Message, method: &str) {
+    let catalogue = curlewpoint_catalogue::Catalogue::of(&config()).unwrap_or_else(|f| panic!("{f:?}"));
+    let document = curlewpoint_catalogue::asyncapi(&catalogue);
+    let message = &document["channels"][format!("{method}.answer")]["messages"]["answer"];
+    let mut headers = serde_json::Map::new();
+    for (name, value) in m.properties.headers().as_ref().unwrap().inner() {
+        let AMQPValue::LongString(text) = value else { panic!("{name} is no text") };
+        assert!(message["headers"]["properties"][name.as_str()].is_object(), "{name} is not described");
+        headers.insert(name.to_string(), text.to_string().into());
+    }
+    crate::document::fits(&message["headers"], &headers.into()).unwrap();
+    assert_eq!(m.properties.content_type().as_ref().map(|t| t.as_str()), message["contentType"].as_str());
+    let queue = &document["channels"][method]["bindings"]["amqp"]["queue"]["name"];
+    assert!(QUEUES.contains(&queue.as_str().unwrap()));
+}
+
+fn said(id: &str, word: &str) -> (String, String) {
+    (id.to_owned(), word.to_owned())
+}
+
+/// A gateway on a runtime of its own, which ends with all its tasks and sockets as a process that is killed.
+struct Killable {
+    kill: tokio::sync::oneshot::Sender<()>,
+    life: std::thread::JoinHandle<()>,
+}
+
+impl Killable {
+    async fn start(config: Config) -> Killable {
+        let (tell, told) = tokio::sync::oneshot::channel();
+        let (kill, killed) = tokio::sync::oneshot::channel::<()>();
+        let life = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let running = curlewpoint_gateway::start(&config).await.unwrap();
+                tell.send(()).unwrap();
+                let _ = killed.await;
+                drop(running);
+            });
+        });
+        told.await.unwrap();
+        Killable { kill, life }
+    }
+
+    async fn kill(self) {
+        drop(self.kill);
+        tokio::task::spawn_blocking(move || self.life.join().unwrap()).await.unwrap();
+    }
+}
+
+async fn end(gateway: Running) -> curlewpoint_engine::Figures {
+    gateway.stop().await;
+    gateway.wait().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_message_is_decided_called_out_answered_and_gone() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("plain", &[&a]).await;
+    let gateway = o.gateway("front-1").await;
+    o.ask(EXTRACTS, "m1", |p| p);
+    let asked = a.call_out().await;
+    let read = |f| asked.1.get_text(f).unwrap().to_owned();
+    assert_eq!(
+        (read(Field::METHOD), read(Field::MODEL), read(Field::TOKEN)),
+        ("issue-extract".into(), "births".into(), "m1".into())
+    );
+    a.answer(&asked, Outcome::Ok);
+    let told = o.waiting("office", 1).await;
+    assert_eq!((answer(&told[0]), &told[0].body[..]), (said("m1", "ok"), &b"m1"[..]));
+    described(&told[0], "issue-extract");
+    let f = end(gateway).await;
+    assert_eq!((f.taken, f.ok), (1, 1));
+    assert_eq!((o.waiting("office", 1).await.len(), o.waiting(EXTRACTS, 0).await.len()), (1, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_cannot_be_read_goes_to_the_dead_letters_and_what_is_refused_is_denied() {
+    let a = Puppet::start("a").await;
+    let o = Office::open("poison", &[&a]).await;
+    let gateway = o.gateway("front-1").await;
+    o.broker.put(
+        EXTRACTS,
+        AMQPProperties::default().with_reply_to("office".into()),
+        Bytes::from_static(b"who"),
+    );
+    o.ask(EXTRACTS, "late", |p| p.with_timestamp(1_000));
+    o.ask(EXTRACTS, "none", |p| {
+        let mut headers = FieldTable::default();
+        headers.insert("model".into(), AMQPValue::LongString("births".into()));
+        headers.insert("tenant".into(), AMQPValue::LongString("nobody".into()));
+        // An address that does not exist: its answer is kept with the dead letters.
+        p.with_headers(headers).with_reply_to("nowhere".into()).with_timestamp(1_000)
+    });
+    let told = o.waiting("office", 1).await;
+    assert_eq!(answer(&told[0]), said("late", "denied"));
+    described(&told[0], "issue-extract");
+    let dead = o.waiting("curlewpoint.dead", 2).await;
+    assert_eq!(dead.iter().filter(|m| m.body == "who").count(), 1);
+    assert_eq!(dead.iter().filter(|m| answer(m) == said("none", "denied")).count(), 1);
+    assert_eq!(end(gateway).await.call_outs, 0);
+}
+
+/// The connection drops while a worker has the extract: it comes again, and the answer is that of the one call-out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dropped_connection_does_not_run_an_extract_twice() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("drop", &[&a]).await;
+    let gateway = o.gateway("front-1").await;
+    o.ask(EXTRACTS, "m1", |p| p);
+    let asked = a.call_out().await;
+    o.broker.drop_all();
+    a.answer(&asked, Outcome::Ok);
+    let told = o.waiting("office", 1).await;
+    assert_eq!(answer(&told[0]), said("m1", "ok"));
+    let f = end(gateway).await;
+    assert_eq!((f.taken, f.call_outs, o.waiting("office", 1).await.len()), (1, 1, 1));
+}
+
+/// The connection drops with the commit: before it was done the answer comes with the next delivery, after it there is one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_commit_that_is_cut_off_answers_once() {
+    for done in [false, true] {
+        let mut a = Puppet::start("a").await;
+        let o = Office::open(&format!("commit-{done}"), &[&a]).await;
+        let gateway = o.gateway("front-1").await;
+        o.broker.drop_at_commit(done);
+        o.ask(EXTRACTS, "m1", |p| p);
+        let asked = a.call_out().await;
+        a.answer(&asked, Outcome::Ok);
+        let told = o.waiting("office", 1).await;
+        assert_eq!(answer(&told[0]), said("m1", "ok"), "{done}");
+        let f = end(gateway).await;
+        assert_eq!((f.call_outs, o.waiting("office", 1).await.len()), (1, 1), "{done}");
+        assert_eq!(o.waiting(EXTRACTS, 0).await.len(), 0);
+    }
+}
+
+/// One instance is killed while it has the extract out; another gets the message, and must not run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_instance_ends_a_redelivered_extract_aborted_and_repeats_a_read() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("another", &[&a]).await;
+    let first = Killable::start(o.config("front-1")).await;
+    o.ask(EXTRACTS, "extract", |p| p);
+    o.ask("curlewpoint.read-fields", "read", |p| p);
+    let out = [a.call_out().await, a.call_out().await];
+    first.kill().await;
+    let second = o.gateway("front-2").await;
+    let again = a.call_out().await;
+    assert_eq!(again.1.get_text(Field::METHOD).unwrap(), "read-fields");
+    a.answer(&again, Outcome::Ok);
+    let mut told: Vec<_> = o.waiting("office", 2).await.iter().map(answer).collect();
+    told.sort();
+    assert_eq!(told, [said("extract", "aborted"), said("read", "ok")]);
+    assert_eq!(end(second).await.call_outs, 1);
+    drop(out);
+}
+
+/// A broker that forgets what it has delivered: the journal of the instance knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn after_a_kill_the_journal_keeps_an_extract_from_running_twice() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("journal", &[&a]).await;
+    o.broker.faults(BrokerFaults { forgets_marks: true, ..BrokerFaults::default() });
+    let first = Killable::start(o.config("front-1")).await;
+    o.ask(EXTRACTS, "m1", |p| p);
+    let _out = a.call_out().await;
+    first.kill().await;
+    let next = o.gateway("front-1").await;
+    let told = o.waiting("office", 1).await;
+    assert_eq!(answer(&told[0]), said("m1", "aborted"));
+    assert_eq!(end(next).await.call_outs, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_gives_back_what_it_has_not_sent_and_answers_the_rest() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("stop", &[&a]).await;
+    let gateway = o.gateway("front-1").await;
+    o.ask(EXTRACTS, "m1", |p| p);
+    let asked = a.call_out().await;
+    gateway.stop().await;
+    o.ask(EXTRACTS, "m2", |p| p);
+    a.answer(&asked, Outcome::Ok);
+    assert_eq!(gateway.wait().await.ok, 1);
+    assert_eq!(answer(&o.waiting("office", 1).await[0]), said("m1", "ok"));
+    // Another instance serves the one that was left, as it was not sent.
+    let next = o.gateway("front-2").await;
+    let left = a.call_out().await;
+    a.answer(&left, Outcome::Ok);
+    let told: Vec<_> = o.waiting("office", 2).await.iter().map(answer).collect();
+    assert_eq!(told[1], said("m2", "ok"));
+    end(next).await;
+}
+
+/// Answers every call-out after a while, and counts by message what ran.
+fn works(mut a: Puppet, ran: Arc<Mutex<BTreeMap<String, u32>>>) -> tokio::task::JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            let asked = a.call_out().await;
+            let id = asked.1.get_text(Field::TOKEN).unwrap().to_owned();
+            *ran.lock().unwrap().entry(id).or_default() += 1;
+            // Some answers take longer, so that there is always something out when trouble comes.
+            if asked.1.get_int(Field::TAG).unwrap() % 4 == 0 {
+                tokio::time::sleep(Duration::from_millis(15)).await;
+            }
+            if let Some(say) = a.peers.get(&asked.0) {
+                let _ = say.send(Say::Frame(crate::common::answer(&asked.1, Outcome::Ok)));
+            }
+        }
+    })
+}
+
+/// A morning: extracts and reads over three instances, three dropped connections, a killed instance, a broker that blocks.
+/// Each message has one answer, no extract ran twice, and each answer is true to what the workers saw.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_morning_of_trouble_answers_each_message_once() {
+    let ran = Arc::new(Mutex::new(BTreeMap::new()));
+    let (a, b) = (Puppet::start("a").await, Puppet::start("b").await);
+    let o = Office::open("morning", &[&a, &b]).await;
+    let _works = [works(a, Arc::clone(&ran)), works(b, Arc::clone(&ran))];
+    let doomed = Killable::start(o.config("front-1")).await;
+    let gateways = [o.gateway("front-2").await, o.gateway("front-3").await];
+    let (mut doomed, rounds, each) = (Some(doomed), 8, 25);
+    for round in 0..rounds {
+        for no in 0..each {
+            o.ask(EXTRACTS, &format!("extract-{round}-{no}"), |p| p.with_expiration("20000".into()));
+            o.ask("curlewpoint.read-fields", &format!("read-{round}-{no}"), |p| {
+                p.with_expiration("20000".into())
+            });
+        }
+        // Trouble comes when some of the round is answered and some is not.
+        o.waiting("office", (round * 2 * each + each / 2).min(round * 2 * each + 5)).await;
+        match round {
+            1 | 3 | 6 => o.broker.drop_all(),
+            2 => o.broker.block(true),
+            4 => doomed.take().unwrap().kill().await,
+            5 => o.broker.cancel_consumers(EXTRACTS),
+            _ => {}
+        }
+        if round == 2 {
+            o.broker.block(false);
+        }
+        o.waiting("office", (round + 1) * 2 * each).await;
+    }
+    let told: Vec<_> = o.waiting("office", 2 * rounds * each).await.iter().map(answer).collect();
+    let ids: BTreeSet<&String> = told.iter().map(|t| &t.0).collect();
+    assert_eq!((told.len(), ids.len()), (2 * rounds * each, 2 * rounds * each), "one answer each");
+    let mut figures = BTreeMap::new();
+    for (id, word) in &told {
+        let times = ran.lock().unwrap().get(id).copied().unwrap_or(0);
+        *figures.entry(word.as_str()).or_insert(0) += 1;
+        if id.starts_with("extract") {
+            assert!(times <= 1, "{id} ran {times} times");
+            assert!(word != "denied" || times == 0, "{id} was denied and ran");
+        }
+        assert!(word != "ok" || times > 0, "{id} is ok and never ran");
+    }
+    assert!(figures["ok"] > rounds * each, "{figures:?}");
+    assert!(o.waiting("curlewpoint.dead", 0).await.is_empty());
+    for gateway in gateways {
+        let f = end(gateway).await;
+        assert_eq!(f.taken, f.ok + f.denied + f.aborted);
+    }
+}
--- a/crates/curlewpoint-lab/tests/sockets/main.rs
+++ b/crates/curlewpoint-lab/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The gateway on real sockets, before workers that do as a test says.
 
+mod amqp;
 mod common;
 mod document;
 mod hard;
