Kill schedulers at every step between a message's delivery and its end, as processes

Whether a killed scheduler leaves one answer and no effect twice was shown for two moments, within one process.

--- a/crates/curlewpoint-lab/src/stand/broker.rs
+++ b/crates/curlewpoint-lab/src/stand/broker.rs
@@ -28,6 +28,10 @@
     DropAll,
     /// Ends a connection when it sends its next commit, before or after that is done.
     DropAtCommit(bool),
+    /// Says nothing more to whoever sends the next commit, before or after that is done, and tells of it.
+    HoldAtCommit(bool, oneshot::Sender<()>),
+    /// Tells of the next message that is delivered.
+    AtDelivery(oneshot::Sender<()>),
     Faults(BrokerFaults),
     Block(bool),
     CancelConsumers(String),
@@ -118,6 +122,20 @@
         self.say(Event::DropAtCommit(done));
     }
 
+    /// When the next commit has come: it is done, or not, and its sender hears nothing of it.
+    pub async fn hold_at_commit(&self, done: bool) -> oneshot::Receiver<()> {
+        let (tell, told) = oneshot::channel();
+        self.say(Event::HoldAtCommit(done, tell));
+        told
+    }
+
+    /// When the next message has been delivered.
+    pub async fn at_delivery(&self) -> oneshot::Receiver<()> {
+        let (tell, told) = oneshot::channel();
+        self.say(Event::AtDelivery(tell));
+        told
+    }
+
     pub fn faults(&self, faults: BrokerFaults) {
         self.say(Event::Faults(faults));
     }
@@ -160,6 +178,8 @@
 
 async fn run(queues: Vec<String>, mut heard: mpsc::UnboundedReceiver<Event>) {
     let (mut broker, began, mut at_commit) = (Broker::new(Sockets::default()), Instant::now(), None);
+    let mut hold: Option<(bool, oneshot::Sender<()>)> = None;
+    let mut at_delivery: Option<oneshot::Sender<()>> = None;
     queues.iter().for_each(|q| broker.declare(q));
     let mut tick = tokio::time::interval(std::time::Duration::from_millis(20));
     loop {
@@ -183,6 +203,16 @@
                 broker.lines().outs.insert(conn, (out, talk));
                 broker.opened(conn);
             }
+            Event::Frame(conn, frame) if hold.is_some() && is_commit(&frame) => {
+                if let Some((done, tell)) = hold.take() {
+                    if done {
+                        broker.faults.silent_commits = true;
+                        broker.frame(now, conn, *frame);
+                        broker.faults.silent_commits = false;
+                    }
+                    let _ = tell.send(());
+                }
+            }
             Event::Frame(conn, frame) => match at_commit.filter(|_| is_commit(&frame)) {
                 Some(done) => {
                     at_commit = None;
@@ -198,6 +228,8 @@
                 let all: Vec<u64> = broker.lines().outs.keys().copied().collect();
                 all.into_iter().for_each(|conn| drop_conn(&mut broker, conn));
             }
+            Event::HoldAtCommit(done, tell) => hold = Some((done, tell)),
+            Event::AtDelivery(tell) => at_delivery = Some(tell),
             Event::DropAtCommit(done) => at_commit = Some(done),
             Event::Put(queue, properties, body) => broker.put(now, &queue, *properties, body),
             Event::Faults(faults) => broker.faults = faults,
@@ -205,5 +237,10 @@
             Event::CancelConsumers(queue) => broker.cancel_consumers(&queue),
             Event::Waiting(queue, tell) => drop(tell.send(broker.messages(&queue).cloned().collect())),
         }
+        if broker.unacknowledged() > 0 {
+            if let Some(tell) = at_delivery.take() {
+                let _ = tell.send(());
+            }
+        }
     }
 }
