Send a trigger and await its answer from the command line, with a broker's stand-in

Operators and requesters need to try the whole way without a program of their own. 'curlewpoint trigger' puts one message into a method's queue over a session of its own and waits for its answer, with the exit codes of 'call'; 'curlewpoint broker' runs the stand-in with the queues named. Seen by processes: answered ok, and denied when it came too late.

--- a/crates/curlewpoint-amqp/src/session.rs
+++ b/crates/curlewpoint-amqp/src/session.rs
@@ -210,12 +210,12 @@
     }
 
     /// Publishes something and acknowledges a delivery, if there is one, in one transaction; `committed` follows, or the
-    /// session ends.
+    /// session ends. False: its queue's channel is not up yet, and nothing was done.
     pub fn exchange(
         &mut self, now: Time, queue: &str, tag: Option<u64>, exchange: &str, routing_key: &str,
         properties: AMQPProperties, body: &[u8],
-    ) {
-        let Some((&no, _)) = self.lines.iter().find(|(_, l)| l.queue == queue && l.up) else { return };
+    ) -> bool {
+        let Some(no) = self.channel_of(queue) else { return false };
         let (exchange, routing_key) = (short(exchange), short(routing_key));
         let publish = basic::Publish { exchange, routing_key, mandatory: true, immediate: false };
         self.basic(now, no, basic::AMQPMethod::Publish(publish));
@@ -224,6 +224,22 @@
         for part in body.chunks(self.frame_max as usize - 8) {
             self.send(now, AMQPFrame::Body(no, part.to_vec()));
         }
+        self.acknowledge_on(now, no, tag);
+        true
+    }
+
+    /// Acknowledges a delivery for which nothing is published; `committed` follows.
+    pub fn acknowledge(&mut self, now: Time, queue: &str, tag: u64) {
+        if let Some(no) = self.channel_of(queue) {
+            self.acknowledge_on(now, no, Some(tag));
+        }
+    }
+
+    fn channel_of(&self, queue: &str) -> Option<u16> {
+        self.lines.iter().find(|(_, l)| l.queue == queue && l.up).map(|(no, _)| *no)
+    }
+
+    fn acknowledge_on(&mut self, now: Time, no: u16, tag: Option<u64>) {
         if let Some(delivery_tag) = tag {
             self.basic(now, no, basic::AMQPMethod::Ack(basic::Ack { delivery_tag, multiple: false }));
         }
--- a/crates/curlewpoint-cli/src/commands/call.rs
+++ b/crates/curlewpoint-cli/src/commands/call.rs
@@ -8,9 +8,9 @@
 
 use super::{block_on, fail, AT_FAULT, DONE};
 
-const DENIED: u8 = 3;
-const ABORTED: u8 = 4;
-const NOTHING: u8 = 5;
+pub(super) const DENIED: u8 = 3;
+pub(super) const ABORTED: u8 = 4;
+pub(super) const NOTHING: u8 = 5;
 
 /// Calls a method of a scheduler once and prints the answer.
 #[derive(Args)]
@@ -79,7 +79,7 @@
     }
 }
 
-fn block_on_value<T>(work: impl std::future::Future<Output = T>) -> T {
+pub(super) fn block_on_value<T>(work: impl std::future::Future<Output = T>) -> T {
     let mut value = None;
     block_on(async {
         value = Some(work.await);
--- a/crates/curlewpoint-cli/src/commands/mod.rs
+++ b/crates/curlewpoint-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod journal;
 pub mod serve;
 pub mod stand;
+pub mod trigger;
 
 use std::future::Future;
 
--- a/crates/curlewpoint-cli/src/commands/stand.rs
+++ b/crates/curlewpoint-cli/src/commands/stand.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use curlewpoint::types::{Standing, Time};
 use curlewpoint_emulator::{Row, StoreSpec, WorkerSpec};
-use curlewpoint_lab::stand::{ListStand, StoreStand, WorkerStand};
+use curlewpoint_lab::stand::{BrokerStand, ListStand, StoreStand, WorkerStand};
 use curlewpoint_lab::{Record, Script, BAD_DAY};
 
 use super::{block_on, fail, AT_FAULT, DONE, FAILED};
@@ -146,3 +146,25 @@
         })
     }
 }
+
+/// Runs a stand-in broker (AMQP 0-9-1) with these queues.
+#[derive(Args)]
+pub struct Broker {
+    /// Where it listens.
+    listen: String,
+    /// A queue; a gateway wants curlewpoint.METHOD for each method, and curlewpoint.dead.
+    #[arg(long = "queue", required = true)]
+    queues: Vec<String>,
+}
+
+impl Broker {
+    pub fn run(self) -> u8 {
+        let queues: Vec<&str> = self.queues.iter().map(String::as_str).collect();
+        block_on(async {
+            match BrokerStand::start(&self.listen, &queues).await {
+                Ok(stand) => until_stopped(stand.address).await,
+                Err(e) => fail(FAILED, &format!("{}: {e}", self.listen)),
+            }
+        })
+    }
+}
--- a/crates/curlewpoint-cli/src/main.rs
+++ b/crates/curlewpoint-cli/src/main.rs
@@ -29,6 +29,8 @@
     Day(commands::day::PlayDay),
     Rehearse(commands::day::Rehearse),
     Describe(commands::describe::Describe),
+    Broker(commands::stand::Broker),
+    Trigger(commands::trigger::Trigger),
     Journal(commands::journal::LookInto),
     Completions(commands::completions::Completions),
 }
@@ -45,6 +47,8 @@
         Command::Day(c) => c.run(),
         Command::Rehearse(c) => c.run(),
         Command::Describe(c) => c.run(),
+        Command::Broker(c) => c.run(),
+        Command::Trigger(c) => c.run(),
         Command::Journal(c) => c.run(),
         Command::Completions(c) => c.run(),
     };
--- a/crates/curlewpoint-cli/tests/processes.rs
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -125,6 +125,33 @@
     }
 }
 
+/// The whole way over a broker, by the command line alone.
+#[test]
+fn a_trigger_is_answered_over_a_broker() {
+    let f = fleet("trigger", "1ms");
+    let queues = ["curlewpoint.issue-extract", "curlewpoint.dead", "replies"];
+    let args: Vec<&str> = queues.iter().flat_map(|q| ["--queue", q]).collect();
+    let broker = Process::start(&[&["broker", "127.0.0.1:0"], &args[..]].concat());
+    let good = std::fs::read_to_string(f.folder.join("gateway.conf")).expect("written");
+    let path = f.folder.join("consumes.conf");
+    let amqp = format!("amqp {{\n  address {}\n  journal consumes.journal\n}}\n", broker.address);
+    std::fs::write(&path, good.replace("front-1", "front-2") + &amqp).expect("written");
+    let consumes = Process::start(&["serve", &path.display().to_string()]);
+    consumes.logs("the broker is there");
+    let trigger = |more: &[&str]| {
+        let to =
+            [&broker.address[..], "issue-extract", "births", "--reply-to", "replies", "--body", "page 1"];
+        program().arg("trigger").args(to).args(more).output().expect("it runs")
+    };
+    let out = trigger(&["--id", "m1"]);
+    assert_eq!((out.status.code(), text(&out.stdout).as_str()), (Some(0), "page 1"), "{}", text(&out.stderr));
+    let out = trigger(&["--tenant", "nobody", "--left", "0ms"]);
+    assert_eq!(out.status.code(), Some(3), "it came too late: {}", text(&out.stderr));
+    consumes.signal("TERM");
+    let mut consumes = consumes;
+    assert_eq!(consumes.child.wait().expect("it ends").code(), Some(0));
+}
+
 /// SIGHUP reads the file anew: one at fault changes nothing, one that is good does, and a call goes on meanwhile.
 #[test]
 fn a_reload_by_signal_serves_other_methods_or_leaves_those_in_force() {
--- a/crates/curlewpoint-lab/src/lib.rs
+++ b/crates/curlewpoint-lab/src/lib.rs
@@ -7,6 +7,7 @@
 mod report;
 mod script;
 pub mod stand;
+mod trigger;
 mod web;
 
 pub use check::{judge, Break, Effect, Terms, Verdict, RULES};
@@ -15,4 +16,5 @@
 pub use record::{Record, Seen};
 pub use report::{draw, table, Row};
 pub use script::{At, Kind, Script, BAD_DAY, CONFIG, SECOND_DAY};
+pub use trigger::{trigger, Ask, Told};
 pub use web::WebOffice;
