--- a/crates/curlewpoint-emulator/src/broker.rs
+++ b/crates/curlewpoint-emulator/src/broker.rs
@@ -33,6 +33,8 @@
     pub routing_key: String,
     pub properties: AMQPProperties,
     pub body: Bytes,
+    /// When it came into its queue.
+    pub at: Time,
     redelivered: bool,
     /// It may not be delivered after this moment.
     until: Option<Time>,
@@ -297,8 +299,17 @@
             let (exchange, routing_key) = (exchange.to_owned(), key.to_owned());
             let (properties, body, until) = (properties.clone(), body.clone(), ttl.map(|ttl| self.now + ttl));
             let priority = |m: &Message| (*m.properties.priority()).unwrap_or(0).min(q.terms.priorities);
-            let message =
-                Message { exchange, routing_key, properties, body, redelivered: false, until, no: self.next };
+            let at = self.now;
+            let message = Message {
+                exchange,
+                routing_key,
+                properties,
+                body,
+                at,
+                redelivered: false,
+                until,
+                no: self.next,
+            };
             let above = priority(&message);
             let at = q.ready.iter().position(|m| priority(m) < above).unwrap_or(q.ready.len());
             q.ready.insert(at, message);
--- a/crates/curlewpoint-lab/src/stand/broker.rs
+++ b/crates/curlewpoint-lab/src/stand/broker.rs
@@ -37,6 +37,7 @@
     CancelConsumers(String),
     Put(String, Box<AMQPProperties>, Bytes),
     Waiting(String, oneshot::Sender<Vec<Message>>),
+    Count(String, oneshot::Sender<usize>),
 }
 
 #[derive(Default)]
@@ -114,6 +115,13 @@
         told.await.unwrap_or_default()
     }
 
+    /// How many messages wait in a queue.
+    pub async fn count(&self, queue: &str) -> usize {
+        let (tell, told) = oneshot::channel();
+        self.say(Event::Count(queue.to_owned(), tell));
+        told.await.unwrap_or_default()
+    }
+
     pub fn drop_all(&self) {
         self.say(Event::DropAll);
     }
@@ -235,6 +243,7 @@
             Event::Faults(faults) => broker.faults = faults,
             Event::Block(blocked) => broker.block(blocked),
             Event::CancelConsumers(queue) => broker.cancel_consumers(&queue),
+            Event::Count(queue, tell) => drop(tell.send(broker.messages(&queue).count())),
             Event::Waiting(queue, tell) => drop(tell.send(broker.messages(&queue).cloned().collect())),
         }
         if broker.unacknowledged() > 0 {
