Speak TLS to a broker where configured, and keep answers that nobody takes whole

A broker across a network wants TLS: with tls-roots its certificate has to be signed by one of that file and to have tls-name; one that has not is not spoken to, as a test with a certificate of its own shows. Answers that are returned go to the dead letters with their body and by any channel that is up; they had lost the first, and could be lost where the first queue was another connection's. A record of later than now counts as of unknown age, as the clock was set back.

--- a/crates/curlewpoint-amqp/src/session.rs
+++ b/crates/curlewpoint-amqp/src/session.rs
@@ -22,7 +22,7 @@
     /// The broker has committed what was published for these deliveries, and their acknowledgements.
     fn committed(&mut self, queue: &str, tags: &[u64]);
     /// Nobody takes what was published there.
-    fn returned(&mut self, exchange: &str, routing_key: &str, why: &str, properties: AMQPProperties);
+    fn returned(&mut self, routing_key: &str, why: &str, properties: AMQPProperties, body: Bytes);
     /// The broker has ended the consumer of this queue; it may be asked for again by `hold`.
     fn cancelled(&mut self, queue: &str);
     /// The broker takes nothing that is published, or takes it again.
@@ -310,8 +310,8 @@
                     self.host.delivered(&line.queue, tag, redelivered, whole.properties, whole.body);
                 }
                 Carrier::Return(r) => {
-                    let (exchange, key) = (r.exchange.to_string(), r.routing_key.to_string());
-                    self.host.returned(&exchange, &key, &r.reply_text.to_string(), whole.properties);
+                    let (key, why) = (r.routing_key.to_string(), r.reply_text.to_string());
+                    self.host.returned(&key, &why, whole.properties, whole.body);
                 }
             },
         }
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -269,6 +269,8 @@
             d("user", Text, "guest", "", "Who logs in."),
             d("password", Text, "guest", "", "With what."),
             d("vhost", Text, "/", "", "The virtual host."),
+            d("tls-roots", Text, "", "", "A file of certificates (PEM), one of which the broker's has to be signed by; absent: no TLS."),
+            d("tls-name", Text, "localhost", "", "The name that the broker's certificate has to have."),
             d("connections", Number, "1", "", "Connections to it; the queues are spread over them."),
             d("heartbeat", Time, "10s", "", "A broker that is silent for twice as long is given up; whole seconds."),
             d("most-held", Number, "256", "", "Messages of one queue that are held here at most; fewer where fewer can be answered in time."),
--- a/crates/curlewpoint-emulator/tests/broker.rs
+++ b/crates/curlewpoint-emulator/tests/broker.rs
@@ -38,8 +38,8 @@
     fn committed(&mut self, _: &str, tags: &[u64]) {
         self.committed.extend(tags);
     }
-    fn returned(&mut self, _: &str, key: &str, why: &str, _: AMQPProperties) {
-        self.told.push(format!("returned {key}: {why}"));
+    fn returned(&mut self, key: &str, why: &str, _: AMQPProperties, body: Bytes) {
+        self.told.push(format!("returned {key}: {why}, {} bytes", body.len()));
     }
     fn cancelled(&mut self, queue: &str) {
         self.told.push(format!("cancelled {queue}"));
@@ -294,7 +294,7 @@
     let now = s.now;
     s.session(1).exchange(now, EXTRACTS, Some(1), "", "no-office", plain(), b"extract");
     s.run();
-    assert_eq!(s.told(1), "ready; returned no-office: NO_ROUTE");
+    assert_eq!(s.told(1), "ready; returned no-office: NO_ROUTE, 7 bytes");
     assert_eq!(s.session(1).host().committed, [1]);
 }
 
--- a/crates/curlewpoint-gateway/src/amqp.rs
+++ b/crates/curlewpoint-gateway/src/amqp.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, VecDeque};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -13,10 +14,15 @@
 use curlewpoint_trigger::{Delivery, Desk, End, Final, Inbox, Intake, Name, Terms};
 use futures_util::SinkExt;
 use oorandom::Rand64;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{interval, sleep, MissedTickBehavior};
+use tokio_rustls::rustls::pki_types::pem::PemObject;
+use tokio_rustls::rustls::pki_types::{CertificateDer, ServerName};
+use tokio_rustls::rustls::{crypto, ClientConfig, RootCertStore};
+use tokio_rustls::TlsConnector;
 use tokio_stream::StreamExt;
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
@@ -28,6 +34,7 @@
 /// What a broker and its queues are consumed by.
 pub(crate) struct Settings {
     pub address: String,
+    pub tls: Option<Tls>,
     pub login: Login,
     pub connections: usize,
     pub most_held: u64,
@@ -38,6 +45,48 @@
     pub seed: u128,
 }
 
+/// Whom a broker has to be signed by, and what it has to be called.
+#[derive(Clone)]
+pub(crate) struct Tls {
+    connector: TlsConnector,
+    name: ServerName<'static>,
+}
+
+impl Tls {
+    pub fn new(roots: &Path, name: &str) -> Result<Tls, String> {
+        let at_fault = |e: &dyn std::fmt::Display| format!("{}: {e}", roots.display());
+        let mut store = RootCertStore::empty();
+        for certificate in CertificateDer::pem_file_iter(roots).map_err(|e| at_fault(&e))? {
+            store.add(certificate.map_err(|e| at_fault(&e))?).map_err(|e| at_fault(&e))?;
+        }
+        if store.is_empty() {
+            return Err(at_fault(&"no certificate"));
+        }
+        let name = ServerName::try_from(name.to_owned()).map_err(|e| format!("'{name}': {e}"))?;
+        let provider = Arc::new(crypto::ring::default_provider());
+        let config = ClientConfig::builder_with_provider(provider).with_safe_default_protocol_versions();
+        let config = config.map_err(|e| e.to_string())?.with_root_certificates(store).with_no_client_auth();
+        Ok(Tls { connector: TlsConnector::from(Arc::new(config)), name })
+    }
+}
+
+/// A connection, with TLS or without.
+trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Stream for T {}
+
+async fn dial(address: &str, tls: Option<&Tls>) -> std::io::Result<Box<dyn Stream>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    match tls {
+        None => Ok(Box::new(stream)),
+        Some(tls) => Ok(Box::new(tls.connector.connect(tls.name.clone(), stream).await?)),
+    }
+}
+
+/// A dial, with all of TLS, that takes longer has failed.
+const DIAL: Duration = Duration::from_secs(5);
+
 /// What the tasks around the broker tell the one that owns the inbox.
 enum Event {
     Up(u64, usize, mpsc::UnboundedSender<Out>, AbortHandle),
@@ -60,7 +109,7 @@
     Ready,
     Delivered(String, u64, bool, Box<AMQPProperties>, Bytes),
     Committed(String, Vec<u64>),
-    Returned(String, String, Box<AMQPProperties>),
+    Returned(String, String, Box<AMQPProperties>, Bytes),
     Cancelled(String),
     Blocked(bool),
     Over(String),
@@ -95,8 +144,13 @@
     fn committed(&mut self, queue: &str, tags: &[u64]) {
         self.heard.push_back(Heard::Committed(queue.to_owned(), tags.to_vec()));
     }
-    fn returned(&mut self, _: &str, routing_key: &str, why: &str, properties: AMQPProperties) {
-        self.heard.push_back(Heard::Returned(routing_key.to_owned(), why.to_owned(), Box::new(properties)));
+    fn returned(&mut self, routing_key: &str, why: &str, properties: AMQPProperties, body: Bytes) {
+        self.heard.push_back(Heard::Returned(
+            routing_key.to_owned(),
+            why.to_owned(),
+            Box::new(properties),
+            body,
+        ));
     }
     fn cancelled(&mut self, queue: &str) {
         self.heard.push_back(Heard::Cancelled(queue.to_owned()));
@@ -111,17 +165,17 @@
 
 /// Opens a connection, tells of what comes, and begins anew when it ends.
 async fn connect(
-    slot: usize, address: String, back_off: (Duration, Duration), seed: u128,
+    slot: usize, address: String, tls: Option<Tls>, back_off: (Duration, Duration), seed: u128,
     events: mpsc::UnboundedSender<Event>,
 ) {
     let (mut rng, mut pause, mut no) = (Rand64::new(seed + slot as u128), back_off.0, 0u64);
     loop {
         no += 1;
         let conn = (slot as u64) << 32 | no;
-        let why = match TcpStream::connect(&address).await {
-            Err(e) => e.to_string(),
-            Ok(stream) => {
-                let _ = stream.set_nodelay(true);
+        let why = match tokio::time::timeout(DIAL, dial(&address, tls.as_ref())).await {
+            Err(_) => format!("not up within {DIAL:?}"),
+            Ok(Err(e)) => e.to_string(),
+            Ok(Ok(stream)) => {
                 let (out, waiting) = mpsc::unbounded_channel();
                 let talk = tokio::spawn(converse(conn, stream, waiting, events.clone()));
                 if events.send(Event::Up(conn, slot, out, talk.abort_handle())).is_err() {
@@ -150,7 +204,8 @@
 }
 
 async fn converse(
-    conn: u64, stream: TcpStream, mut out: mpsc::UnboundedReceiver<Out>, events: mpsc::UnboundedSender<Event>,
+    conn: u64, stream: Box<dyn Stream>, mut out: mpsc::UnboundedReceiver<Out>,
+    events: mpsc::UnboundedSender<Event>,
 ) -> String {
     let mut framed = Framed::new(stream, Codec::default());
     loop {
@@ -391,8 +446,9 @@
     let (events, mut heard) = mpsc::unbounded_channel();
     let mut dialling = Vec::new();
     for slot in 0..settings.connections.max(1) {
-        let (address, back_off, seed) = (settings.address.clone(), settings.back_off, settings.seed);
-        dialling.push(tokio::spawn(connect(slot, address, back_off, seed, events.clone())).abort_handle());
+        let (address, tls, back_off) = (settings.address.clone(), settings.tls.clone(), settings.back_off);
+        let connecting = connect(slot, address, tls, back_off, settings.seed, events.clone());
+        dialling.push(tokio::spawn(connecting).abort_handle());
     }
     let hands = Hands {
         sessions: BTreeMap::new(),
@@ -412,7 +468,11 @@
     for (name, at, answer) in before.0 {
         match answer {
             Some(answer) => inbox.recovered_answer(now, name, answer),
-            None => inbox.recovered_intent(now, name, today - at),
+            // A record of later than now: the clock was set back, and nobody knows how old it is.
+            None => {
+                let age = today.0.checked_sub(at.0).map_or(Time(u64::MAX), Time);
+                inbox.recovered_intent(now, name, age);
+            }
         }
     }
     if found > 0 {
@@ -581,15 +641,19 @@
                     }
                 }
             }
-            Heard::Returned(to, why, properties) => {
+            Heard::Returned(to, why, properties, body) => {
                 let hands = self.inbox.desk();
                 warn!(to, "an answer was returned: {why}");
                 let dead = hands.dead_letters.clone();
-                let Some(queue) = hands.queues.first().cloned().filter(|_| to != dead) else { return };
-                let properties =
-                    with_header(&properties, "curlewpoint-why", AMQPValue::LongString(why.as_str().into()));
-                if let Some(up) = hands.sessions.get_mut(&conn) {
-                    up.session.exchange(now, &queue, None, "", &dead, properties, &[]);
+                let Some(up) = hands.sessions.get_mut(&conn).filter(|_| to != dead) else { return };
+                let why = AMQPValue::LongString(why.as_str().into());
+                let properties = with_header(&properties, "curlewpoint-why", why);
+                // Any channel of the connection that is up will do.
+                let put = |queue: &String| {
+                    up.session.exchange(now, queue, None, "", &dead, properties.clone(), &body)
+                };
+                if !hands.queues.iter().any(put) {
+                    warn!(to, "it is lost, as no channel is up");
                 }
             }
             Heard::Cancelled(queue) => info!(queue, "the broker ended the consumer: asked for again"),
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -54,6 +54,8 @@
     Listen(String, std::io::Error),
     #[error("{0}")]
     Methods(ReloadError),
+    #[error("tls-roots: {0}")]
+    Tls(String),
     #[error("amqp needs a journal: a file")]
     NoJournal,
     #[error(transparent)]
@@ -143,7 +145,15 @@
 }
 
 /// The broker whose queues are consumed, if there is one.
-fn broker(config: &Config, seed: u128) -> Option<amqp::Settings> {
+fn broker(config: &Config, seed: u128) -> Result<Option<amqp::Settings>, StartError> {
+    let Some(address) = config.value("amqp", "address") else { return Ok(None) };
+    let tls = match config.value("amqp", "tls-roots") {
+        None => None,
+        Some(file) => {
+            let name = config.value("amqp", "tls-name").unwrap_or("");
+            Some(amqp::Tls::new(&config.path(file), name).map_err(StartError::Tls)?)
+        }
+    };
     let text = |name| config.value("amqp", name).unwrap_or("").to_owned();
     let ms = |name| Time::from_ms(config.number("amqp", name));
     let login = Login {
@@ -154,8 +164,9 @@
         frame_max: 128 << 10,
         most_body: config.number("connections", "most-frame") as u64,
     };
-    Some(amqp::Settings {
-        address: config.value("amqp", "address")?.to_owned(),
+    Ok(Some(amqp::Settings {
+        address: address.to_owned(),
+        tls,
         login,
         connections: config.number("amqp", "connections") as usize,
         most_held: config.number("amqp", "most-held") as u64,
@@ -164,7 +175,7 @@
         keep: ms("keep"),
         back_off: (config.time("amqp", "amqp-back-off"), config.time("amqp", "amqp-most-back-off")),
         seed,
-    })
+    }))
 }
 
 /// Starts a scheduler. It serves from the moment this returns; the list may come later.
@@ -240,7 +251,7 @@
             http::serve(door, in_force.clone(), clock, limits, asks_in.clone(), stopped, tasks.clone());
         helpers.push(tokio::spawn(serving).abort_handle());
     }
-    if let Some(settings) = broker(config, seed) {
+    if let Some(settings) = broker(config, seed)? {
         let path = config.value("amqp", "journal").ok_or(StartError::NoJournal)?;
         let most = config.number("amqp", "journal-most") as u64;
         let limits =
--- a/crates/curlewpoint-lab/src/trigger.rs
+++ b/crates/curlewpoint-lab/src/trigger.rs
@@ -58,7 +58,7 @@
     fn committed(&mut self, _: &str, tags: &[u64]) {
         self.committed.extend(tags);
     }
-    fn returned(&mut self, _: &str, key: &str, why: &str, _: AMQPProperties) {
+    fn returned(&mut self, key: &str, why: &str, _: AMQPProperties, _: Bytes) {
         self.over = Some(format!("nobody consumes {key}: {why}"));
     }
     fn cancelled(&mut self, queue: &str) {
--- a/crates/curlewpoint-lab/tests/sockets/amqp.rs
+++ b/crates/curlewpoint-lab/tests/sockets/amqp.rs
@@ -288,6 +288,53 @@
     end(next).await;
 }
 
+/// The broker's certificate has to be signed by one of ours and to have the name: one that has not is not spoken to.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broker_behind_tls_has_to_be_the_one_that_is_meant() {
+    use tokio_rustls::rustls::pki_types::{PrivateKeyDer, PrivatePkcs8KeyDer};
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("tls", &[&a]).await;
+    let made = rcgen::generate_simple_self_signed(vec!["broker.test".to_owned()]).unwrap();
+    std::fs::write(o.folder.join("roots.pem"), made.cert.pem()).unwrap();
+    let key = PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(made.signing_key.serialize_der()));
+    let provider = Arc::new(tokio_rustls::rustls::crypto::ring::default_provider());
+    let server = tokio_rustls::rustls::ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .unwrap()
+        .with_no_client_auth()
+        .with_single_cert(vec![made.cert.der().clone()], key)
+        .unwrap();
+    let acceptor = tokio_rustls::TlsAcceptor::from(Arc::new(server));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (address, behind) = (listener.local_addr().unwrap().to_string(), o.broker.address);
+    let (tell, mut refused) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            match acceptor.accept(stream).await {
+                Ok(mut clear) => drop(tokio::spawn(async move {
+                    let mut inner = tokio::net::TcpStream::connect(behind).await.unwrap();
+                    let _ = tokio::io::copy_bidirectional(&mut clear, &mut inner).await;
+                })),
+                Err(_) => tell.send(()).unwrap(),
+            }
+        }
+    });
+    let roots = o.folder.join("roots.pem").display().to_string();
+    let tls = o.config("front-1").with_in("amqp", "address", &address).with_in("amqp", "tls-roots", &roots);
+    let wrong =
+        curlewpoint_gateway::start(&tls.clone().with_in("amqp", "tls-name", "other.test")).await.unwrap();
+    refused.recv().await.unwrap();
+    end(wrong).await;
+    let right = curlewpoint_gateway::start(&tls.with_in("amqp", "tls-name", "broker.test")).await.unwrap();
+    o.ask(EXTRACTS, "m1", |p| p);
+    let asked = a.call_out().await;
+    a.answer(&asked, Outcome::Ok);
+    assert_eq!(answer(&o.waiting("office", 1).await[0]), said("m1", "ok"));
+    end(right).await;
+    let none = o.config("front-2").with_in("amqp", "tls-roots", "/nowhere.pem");
+    assert!(curlewpoint_gateway::start(&none).await.is_err());
+}
+
 /// Answers every call-out after a while, and counts by message what ran.
 fn works(mut a: Puppet, ran: Arc<Mutex<BTreeMap<String, u32>>>) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
