Ask again for messages that a full engine had no room for, before giving them back

A full engine sent messages back at once; where every instance was as full, or there was one only, they went round five times within milliseconds and were denied although their requesters had seconds left. One that may have been sent before ends aborted, as before.

--- a/crates/curlewpoint-gateway/src/amqp.rs
+++ b/crates/curlewpoint-gateway/src/amqp.rs
@@ -583,7 +583,7 @@
             }
             Event::Intent(name, no, true) => self.inbox.intent_written(&name, no),
             Event::Intent(name, no, false) => self.inbox.intent_lost(&name, no),
-            Event::Unfit(name, why) => self.inbox.refused(&name, &format!("unfit: {why}"), true),
+            Event::Unfit(name, why) => self.inbox.refused(now, &name, &format!("unfit: {why}"), true),
             Event::Ended(name, None) => {
                 let (why, body) = ("the scheduler ended".to_owned(), Bytes::new());
                 self.inbox.answered(&name, Final { end: End::Aborted, why, body });
@@ -603,7 +603,7 @@
             }
             Event::Ended(name, Some(Reply::Refused(why))) => {
                 let for_good = !matches!(why, Refusal::Full | Refusal::Stopping);
-                self.inbox.refused(&name, crate::refusal_name(why), for_good);
+                self.inbox.refused(now, &name, crate::refusal_name(why), for_good);
             }
             Event::Ended(_, Some(Reply::Changed)) => {}
         }
--- a/crates/curlewpoint-trigger/src/inbox.rs
+++ b/crates/curlewpoint-trigger/src/inbox.rs
@@ -89,6 +89,8 @@
     /// Its intent, of this number, is being written; nothing was sent. The word of an earlier one is none for this: what was
     /// noted after it may have taken it back.
     Intending(u64),
+    /// The engine had no room for it; nothing was sent. It is asked for again, as long as half of its time is left.
+    Again,
     /// The engine has it.
     Asked,
     /// It has its answer, which waits for the broker's word, or for the next delivery.
@@ -126,6 +128,14 @@
     stopping: bool,
 }
 
+impl Message {
+    /// Whether half of its time is left yet: what is given back later than that has little chance elsewhere.
+    fn may_wait(&self, now: Time) -> bool {
+        let left = self.terms.map_or(Time(0), |t| t.left);
+        now + Time(left.0 / 2) < self.until
+    }
+}
+
 /// A message that was given back so often is denied: no instance can take it.
 const MOST_GIVEN_BACK: u32 = 5;
 
@@ -171,7 +181,7 @@
             message.deliveries.push(delivery);
             message.alone_since = None;
             match message.stage.clone() {
-                Stage::Intending(_) | Stage::Asked => {}
+                Stage::Intending(_) | Stage::Again | Stage::Asked => {}
                 Stage::Answered(answer) => self.desk.settle(&name, delivery, &answer),
                 Stage::SentBefore(since) => self.repeat(now, &name, terms, Some(now - since)),
             }
@@ -279,17 +289,28 @@
     }
 
     /// The engine has not taken it: nothing was sent.
-    pub fn refused(&mut self, name: &Name, why: &str, for_good: bool) {
-        let Some(message) = self.messages.get(name).filter(|m| m.stage == Stage::Asked) else { return };
+    pub fn refused(&mut self, now: Time, name: &Name, why: &str, for_good: bool) {
+        let stopping = self.stopping;
+        let Some(message) = self.messages.get_mut(name).filter(|m| m.stage == Stage::Asked) else { return };
         let terms = message.terms;
+        if !for_good && !stopping && !message.deliveries.is_empty() && message.may_wait(now) {
+            // At once another instance would be as full, or there is none: it would go round and be denied in no time.
+            message.stage = Stage::Again;
+            return;
+        }
+        if for_good && terms.is_none_or(|t| !t.redelivered || t.effect == Effect::Idempotent) {
+            return self.end(name, Final::of(End::Denied, why));
+        }
+        self.put_off(name, why);
+    }
+
+    /// It goes back unsent; one that may have been sent before cannot, and ends here.
+    fn put_off(&mut self, name: &Name, why: &str) {
+        let terms = self.messages.get(name).and_then(|m| m.terms);
         if terms.is_some_and(|t| t.redelivered && t.effect != Effect::Idempotent) {
             return self.end(name, Final::of(End::Aborted, why));
         }
-        if for_good {
-            self.end(name, Final::of(End::Denied, why));
-        } else {
-            self.give_back(name);
-        }
+        self.give_back(name);
     }
 
     fn end(&mut self, name: &Name, answer: Final) {
@@ -343,7 +364,7 @@
             if before > 0 && message.deliveries.is_empty() {
                 message.alone_since = Some(now);
                 // What was not sent yet is another's now, or comes again.
-                if message.settled || matches!(message.stage, Stage::Intending(_)) {
+                if message.settled || matches!(message.stage, Stage::Intending(_) | Stage::Again) {
                     over.push(name.clone());
                 }
             }
@@ -356,9 +377,24 @@
         self.stopping = true;
     }
 
-    /// Messages whose intent is not on disk in their time are not sent; records whose message has not come again are
+    /// Messages that the engine had no room for are asked for again, or given back when half of their time is over; those
+    /// whose intent is not on disk in their time are not sent; records whose message has not come again are
     /// forgotten after theirs.
     pub fn sweep(&mut self, now: Time) {
+        let again: Vec<Name> = self
+            .messages
+            .iter()
+            .filter(|(_, m)| m.stage == Stage::Again)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in again {
+            let may_wait = self.messages.get(&name).is_some_and(|m| m.may_wait(now));
+            if may_wait && !self.stopping {
+                self.ask(&name);
+            } else {
+                self.put_off(&name, "no room");
+            }
+        }
         let unwritten = |m: &Message| matches!(m.stage, Stage::Intending(_)) && m.until <= now;
         let late: Vec<Name> =
             self.messages.iter().filter(|(_, m)| unwritten(m)).map(|(name, _)| name.clone()).collect();
