Play the morning at full size, and keep a corpus of frames

The issue asks for a morning of 500 extracts over four instances by one command and for frames that are kept.

--- a/crates/curlewpoint-amqp/tests/frames.rs
+++ b/crates/curlewpoint-amqp/tests/frames.rs
@@ -151,6 +151,26 @@
     assert_eq!(out.len(), 8192, "nothing of it is there");
 }
 
+/// Every line of the corpus: what it is, what becomes of it, and its bytes. What fuzzing or a peer brings is added there.
+#[test]
+fn the_kept_corpus_is_read_as_it_was() {
+    let corpus = include_str!("corpus.txt");
+    let mut lines = 0;
+    for line in corpus.lines().filter(|l| !l.is_empty() && !l.starts_with('#')) {
+        let [what, want, hex] = line.split(" | ").collect::<Vec<_>>()[..] else { panic!("{line}") };
+        let bytes: Vec<u8> =
+            (0..hex.len() / 2).map(|no| u8::from_str_radix(&hex[no * 2..no * 2 + 2], 16).unwrap()).collect();
+        let told = match codec().decode(&mut BytesMut::from(&bytes[..])) {
+            Ok(Some(_)) => "a frame".to_owned(),
+            Ok(None) => "waits".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        assert!(told.contains(want), "{what}: {told}");
+        lines += 1;
+    }
+    assert!(lines >= 20, "{lines}");
+}
+
 fn header(size: u64) -> AMQPContentHeader {
     AMQPContentHeader { class_id: 60, body_size: size, properties: properties() }
 }
--- a/crates/curlewpoint-lab/tests/sockets/amqp.rs
+++ b/crates/curlewpoint-lab/tests/sockets/amqp.rs
@@ -353,17 +353,28 @@
     })
 }
 
-/// A morning: extracts and reads over three instances, three dropped connections, a killed instance, a broker that blocks.
-/// Each message has one answer, no extract ran twice, and each answer is true to what the workers saw.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_morning_of_trouble_answers_each_message_once() {
+    morning(8, 25).await;
+}
+
+/// `cargo test -p curlewpoint-lab --test sockets -- --ignored`
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "500 extracts and 500 reads"]
+async fn a_whole_morning_of_trouble_answers_each_message_once() {
+    morning(20, 25).await;
+}
+
+/// A morning: extracts and reads over four instances, dropped connections, a killed instance, a broker that blocks and one that
+/// cancels. Each message has one answer, no extract ran twice, and each answer is true to what the workers saw.
+async fn morning(rounds: usize, each: usize) {
     let ran = Arc::new(Mutex::new(BTreeMap::new()));
     let (a, b) = (Puppet::start("a").await, Puppet::start("b").await);
-    let o = Office::open("morning", &[&a, &b]).await;
+    let o = Office::open(&format!("morning-{rounds}"), &[&a, &b]).await;
     let _works = [works(a, Arc::clone(&ran)), works(b, Arc::clone(&ran))];
     let doomed = Killable::start(o.config("front-1")).await;
-    let gateways = [o.gateway("front-2").await, o.gateway("front-3").await];
-    let (mut doomed, rounds, each) = (Some(doomed), 8, 25);
+    let gateways = [o.gateway("front-2").await, o.gateway("front-3").await, o.gateway("front-4").await];
+    let mut doomed = Some(doomed);
     for round in 0..rounds {
         for no in 0..each {
             o.ask(EXTRACTS, &format!("extract-{round}-{no}"), |p| p.with_expiration("20000".into()));
@@ -373,14 +384,18 @@
         }
         // Trouble comes when some of the round is answered and some is not.
         o.waiting("office", (round * 2 * each + each / 2).min(round * 2 * each + 5)).await;
-        match round {
+        match round % 8 {
             1 | 3 | 6 => o.broker.drop_all(),
             2 => o.broker.block(true),
-            4 => doomed.take().unwrap().kill().await,
+            4 => {
+                if let Some(doomed) = doomed.take() {
+                    doomed.kill().await;
+                }
+            }
             5 => o.broker.cancel_consumers(EXTRACTS),
             _ => {}
         }
-        if round == 2 {
+        if round % 8 == 2 {
             o.broker.block(false);
         }
         o.waiting("office", (round + 1) * 2 * each).await;
