Try the broker's stand-in with another client library, cut deliveries and a silence

A requester on amqprs declares its queue, publishes with confirms and reads its answer through the gateway. A delivery that is cut comes again marked: a read is answered ok, an extract ends aborted as nobody can prove that it was not looked at. A broker that is silent for two heartbeats is given up for another connection, and the answer of the one call-out is settled there.

--- a/crates/curlewpoint-lab/src/stand/broker.rs
+++ b/crates/curlewpoint-lab/src/stand/broker.rs
@@ -1,21 +1,26 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Instant;
 
 use amq_protocol::frame::AMQPFrame;
 use amq_protocol::protocol::basic::AMQPProperties;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use curlewpoint::types::Time;
 use curlewpoint_amqp::Codec;
 use curlewpoint_emulator::{Broker, BrokerFaults, Lines, Message};
 use futures_util::SinkExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio_stream::StreamExt;
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Encoder, Framed};
 
 enum Out {
+    /// Half of it, and then nothing more.
+    Cut(Box<AMQPFrame>),
     Frame(Box<AMQPFrame>),
     Agreed(u32, u16),
 }
@@ -34,6 +39,7 @@
     AtDelivery(oneshot::Sender<()>),
     Faults(BrokerFaults),
     Block(bool),
+    CutDelivery,
     CancelConsumers(String),
     Put(String, Box<AMQPProperties>, Bytes),
     Waiting(String, oneshot::Sender<Vec<Message>>),
@@ -42,12 +48,18 @@
 
 #[derive(Default)]
 struct Sockets {
+    cut_delivery: bool,
     outs: BTreeMap<u64, (mpsc::UnboundedSender<Out>, AbortHandle)>,
 }
 
 impl Lines for Sockets {
     fn send(&mut self, conn: u64, frame: AMQPFrame) {
         if let Some((out, _)) = self.outs.get(&conn) {
+            if self.cut_delivery && is_delivery(&frame) {
+                self.cut_delivery = false;
+                let _ = out.send(Out::Cut(Box::new(frame)));
+                return;
+            }
             let _ = out.send(Out::Frame(Box::new(frame)));
         }
     }
@@ -65,6 +77,8 @@
 pub struct BrokerStand {
     pub address: SocketAddr,
     events: mpsc::UnboundedSender<Event>,
+    mute: watch::Sender<bool>,
+    accepted: Arc<AtomicU64>,
     tasks: [JoinHandle<()>; 2],
 }
 
@@ -81,12 +95,16 @@
         let address = listener.local_addr()?;
         let (events, heard) = mpsc::unbounded_channel();
         let tell = events.clone();
+        let (mute, muted) = watch::channel(false);
+        let accepted = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&accepted);
         let accepting = tokio::spawn(async move {
             let mut conn = 0;
             while let Ok((stream, _)) = listener.accept().await {
                 conn += 1;
+                count.store(conn, Ordering::Relaxed);
                 let (out, waiting) = mpsc::unbounded_channel();
-                let talk = tokio::spawn(converse(conn, stream, waiting, tell.clone()));
+                let talk = tokio::spawn(converse(conn, stream, waiting, tell.clone(), muted.clone()));
                 let _ = tell.send(Event::Up(conn, out, talk.abort_handle()));
                 let tell = tell.clone();
                 tokio::spawn(async move {
@@ -96,7 +114,7 @@
             }
         });
         let tasks = [accepting, tokio::spawn(run(queues.iter().map(|q| (*q).to_owned()).collect(), heard))];
-        Ok(BrokerStand { address, events, tasks })
+        Ok(BrokerStand { address, events, mute, accepted, tasks })
     }
 
     fn say(&self, event: Event) {
@@ -148,6 +166,21 @@
         self.say(Event::Faults(faults));
     }
 
+    /// The next delivery is cut off in its middle, and its connection with it.
+    pub fn cut_delivery(&self) {
+        self.say(Event::CutDelivery);
+    }
+
+    /// Connections so far.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Reads nothing and writes nothing, or does again; connections stay up.
+    pub fn mute(&self, mute: bool) {
+        let _ = self.mute.send(mute);
+    }
+
     pub fn block(&self, blocked: bool) {
         self.say(Event::Block(blocked));
     }
@@ -158,12 +191,15 @@
 }
 
 async fn converse(
-    conn: u64, stream: TcpStream, mut out: mpsc::UnboundedReceiver<Out>, events: mpsc::UnboundedSender<Event>,
+    conn: u64, stream: TcpStream, mut out: mpsc::UnboundedReceiver<Out>,
+    events: mpsc::UnboundedSender<Event>, mut muted: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let mut framed = Framed::new(stream, Codec::default());
     loop {
+        let _ = muted.wait_for(|mute| !*mute).await;
         tokio::select! {
+            _ = muted.changed() => {}
             next = framed.next() => match next {
                 Some(Ok(frame)) => drop(events.send(Event::Frame(conn, Box::new(frame)))),
                 _ => return,
@@ -172,6 +208,12 @@
                 Some(Out::Frame(frame)) => if framed.send(*frame).await.is_err() {
                     return;
                 },
+                Some(Out::Cut(frame)) => {
+                    let mut bytes = BytesMut::new();
+                    let _ = framed.codec_mut().encode(*frame, &mut bytes);
+                    let _ = framed.get_mut().write_all(&bytes[..bytes.len() / 2]).await;
+                    return;
+                }
                 Some(Out::Agreed(frame_max, channel_max)) => framed.codec_mut().agreed(frame_max, channel_max),
                 None => return,
             },
@@ -179,6 +221,11 @@
     }
 }
 
+fn is_delivery(frame: &AMQPFrame) -> bool {
+    use amq_protocol::protocol::{basic, AMQPClass};
+    matches!(frame, AMQPFrame::Method(_, AMQPClass::Basic(basic::AMQPMethod::Deliver(_))))
+}
+
 fn is_commit(frame: &AMQPFrame) -> bool {
     use amq_protocol::protocol::{tx, AMQPClass};
     matches!(frame, AMQPFrame::Method(_, AMQPClass::Tx(tx::AMQPMethod::Commit(_))))
@@ -241,6 +288,7 @@
             Event::DropAtCommit(done) => at_commit = Some(done),
             Event::Put(queue, properties, body) => broker.put(now, &queue, *properties, body),
             Event::Faults(faults) => broker.faults = faults,
+            Event::CutDelivery => broker.lines().cut_delivery = true,
             Event::Block(blocked) => broker.block(blocked),
             Event::CancelConsumers(queue) => broker.cancel_consumers(&queue),
             Event::Count(queue, tell) => drop(tell.send(broker.messages(&queue).count())),
--- a/crates/curlewpoint-lab/tests/sockets/amqp.rs
+++ b/crates/curlewpoint-lab/tests/sockets/amqp.rs
@@ -288,6 +288,87 @@
     end(next).await;
 }
 
+/// A requester that is not of our making: another client library declares its queue, asks with confirms, and reads the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_library_of_others_is_served() {
+    use amqprs::channel::{
+        BasicConsumeArguments, BasicPublishArguments, ConfirmSelectArguments, QueueDeclareArguments,
+    };
+    use amqprs::connection::{Connection, OpenConnectionArguments};
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("library", &[&a]).await;
+    let gateway = o.gateway("front-1").await;
+    let port = o.broker.address.port();
+    let connection =
+        Connection::open(&OpenConnectionArguments::new("127.0.0.1", port, "guest", "guest")).await.unwrap();
+    let channel = connection.open_channel(None).await.unwrap();
+    channel.queue_declare(QueueDeclareArguments::durable_client_named("replies")).await.unwrap();
+    channel.confirm_select(ConfirmSelectArguments::default()).await.unwrap();
+    let (_, mut answers) =
+        channel.basic_consume_rx(BasicConsumeArguments::new("replies", "me")).await.unwrap();
+    let mut headers = amqprs::FieldTable::new();
+    headers.insert("model".try_into().unwrap(), amqprs::FieldValue::S("births".try_into().unwrap()));
+    let mut properties = amqprs::BasicProperties::default();
+    properties.with_message_id("m1").with_reply_to("replies").with_expiration("4000").with_headers(headers);
+    let to = BasicPublishArguments::new("", EXTRACTS);
+    channel.basic_publish(properties.finish(), b"page 1".to_vec(), to).await.unwrap();
+    let asked = a.call_out().await;
+    a.answer(&asked, Outcome::Ok);
+    let answer = answers.recv().await.unwrap();
+    let told = answer.basic_properties.unwrap();
+    assert_eq!(
+        (told.correlation_id().map(String::as_str), answer.content.unwrap()),
+        (Some("m1"), b"page 1".to_vec())
+    );
+    channel.close().await.unwrap();
+    connection.close().await.unwrap();
+    assert_eq!(end(gateway).await.ok, 1);
+}
+
+/// A delivery cut in its middle was never read, but the broker cannot know: it comes again, marked.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_delivery_cut_in_its_middle_comes_again() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("cut", &[&a]).await;
+    let gateway = o.gateway("front-1").await;
+    for (queue, id, word) in [("curlewpoint.read-fields", "read", "ok"), (EXTRACTS, "extract", "aborted")] {
+        o.broker.cut_delivery();
+        o.ask(queue, id, |p| p);
+        if word == "ok" {
+            let asked = a.call_out().await;
+            a.answer(&asked, Outcome::Ok);
+        }
+        assert_eq!(
+            answer(o.waiting("office", if word == "ok" { 1 } else { 2 }).await.last().unwrap()),
+            said(id, word)
+        );
+    }
+    assert_eq!(end(gateway).await.call_outs, 1);
+}
+
+/// A broker that reads and writes nothing while its connection stays up is given up, and the answer waits for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broker_that_stands_still_is_given_up_and_its_message_answered_once() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("still", &[&a]).await;
+    let gateway =
+        curlewpoint_gateway::start(&o.config("front-1").with_in("amqp", "heartbeat", "1s")).await.unwrap();
+    o.ask(EXTRACTS, "m1", |p| p.with_expiration("20000".into()));
+    let asked = a.call_out().await;
+    o.broker.mute(true);
+    a.answer(&asked, Outcome::Ok);
+    // Nothing is heard for two heartbeats: another connection is opened. The broker then finds the old one ended.
+    let began = std::time::Instant::now();
+    while o.broker.accepted() < 2 {
+        assert!(began.elapsed().as_secs() < 30, "it is not given up");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    o.broker.mute(false);
+    assert_eq!(answer(&o.waiting("office", 1).await[0]), said("m1", "ok"));
+    let f = end(gateway).await;
+    assert_eq!((f.call_outs, o.waiting("office", 1).await.len()), (1, 1));
+}
+
 /// The broker's certificate has to be signed by one of ours and to have the name: one that has not is not spoken to.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broker_behind_tls_has_to_be_the_one_that_is_meant() {
