Try a body that its schema refuses over AMQP, and a disk whose syncs are slow

Two behaviours that the issue names had no test of their own on sockets and disk: a message refused by its schema is denied with the place and nothing is sent for it, and intents that come during a slow sync go together with the next one.

--- a/crates/curlewpoint-journal/tests/disk.rs
+++ b/crates/curlewpoint-journal/tests/disk.rs
@@ -24,6 +24,8 @@
     budget: Option<u64>,
     read_only: bool,
     syncs: u64,
+    /// How long a sync takes.
+    slow: Duration,
 }
 
 /// A disk in memory; clones are the same one.
@@ -105,6 +107,7 @@
     fn sync_data(&self) -> std::io::Result<()> {
         self.with(|p| {
             Disk::spend(p)?;
+            std::thread::sleep(p.slow);
             p.syncs += 1;
             p.since.clear();
             p.durable = p.now.clone();
@@ -205,6 +208,22 @@
     );
 }
 
+/// What comes while a slow sync is under way goes with the next one: the wait does not grow with the number.
+#[test]
+fn a_slow_disk_is_waited_for_by_all_at_once() {
+    let disk = Disk::default();
+    let (journal, _) = open(&disk);
+    disk.with(|p| (p.slow, p.syncs) = (Duration::from_millis(20), 0));
+    let (tell, told) = channel();
+    for no in 0..500 {
+        let tell = tell.clone();
+        journal.intent(&name(&format!("m{no}")), Time(1), move |written| tell.send(written).unwrap());
+    }
+    assert!((0..500).all(|_| told.recv().unwrap()));
+    let syncs = disk.with(|p| p.syncs);
+    assert!(syncs < 50, "{syncs} syncs for 500 intents");
+}
+
 #[test]
 fn a_read_only_disk_is_told_at_the_start_or_at_the_first_intent() {
     let disk = Disk::default();
--- a/crates/curlewpoint-lab/tests/sockets/amqp.rs
+++ b/crates/curlewpoint-lab/tests/sockets/amqp.rs
@@ -325,6 +325,32 @@
     assert_eq!(end(gateway).await.ok, 1);
 }
 
+/// A body that its method's schema refuses is denied with the place, and nothing is sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_does_not_fit_is_denied_with_its_place() {
+    let mut a = Puppet::start("a").await;
+    let o = Office::open("unfit", &[&a]).await;
+    let schema = "method issue-extract {\n  request-schema asked.json";
+    let text = curlewpoint_lab::CONFIG.replace("method issue-extract {", schema);
+    std::fs::write(o.folder.join("gateway.conf"), text).unwrap();
+    std::fs::write(o.folder.join("asked.json"), r#"{"required": ["page"]}"#).unwrap();
+    let config = curlewpoint_config::load(o.folder.join("gateway.conf")).unwrap_or_else(|f| panic!("{f}"));
+    let config = config.with("list", &o.list.address.to_string()).with_in("amqp", "journal", "journal");
+    let config = config.with_in("amqp", "address", &o.broker.address.to_string());
+    let gateway = curlewpoint_gateway::start(&config).await.unwrap();
+    o.ask(EXTRACTS, "m1", |p| p);
+    let told = o.waiting("office", 1).await;
+    assert_eq!(answer(&told[0]), said("m1", "denied"));
+    let why = told[0].properties.headers().as_ref().and_then(|h| h.inner().get("why"));
+    assert_eq!(why, Some(&AMQPValue::LongString("unfit: expected value at line 1 column 1".into())));
+    o.ask("curlewpoint.read-fields", "m2", |p| p);
+    let asked = a.call_out().await;
+    assert_eq!(asked.1.get_text(Field::TOKEN).unwrap(), "m2", "nothing was sent for the first");
+    a.answer(&asked, Outcome::Ok);
+    o.waiting("office", 2).await;
+    assert_eq!(end(gateway).await.call_outs, 1);
+}
+
 /// A delivery cut in its middle was never read, but the broker cannot know: it comes again, marked.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_delivery_cut_in_its_middle_comes_again() {
