Let answers of harmless messages go when their requesters have given up

What may run again is now let go at its requester's time; what may not run twice is kept as before, as it is the only record.

--- a/crates/curlewpoint-trigger/src/inbox.rs
+++ b/crates/curlewpoint-trigger/src/inbox.rs
@@ -405,7 +405,9 @@
         }
         let over = |m: &Message| {
             let waits = matches!(m.stage, Stage::Answered(_) | Stage::SentBefore(_));
-            waits && m.alone_since.is_some_and(|since| since + self.keep <= now)
+            // What may run again is worth no more than its requester waits: answers kept for long would fill the memory.
+            let harmless = m.terms.is_some_and(|t| t.effect == Effect::Idempotent) && m.until <= now;
+            waits && m.alone_since.is_some_and(|since| harmless || since + self.keep <= now)
         };
         let long: Vec<Name> =
             self.messages.iter().filter(|(_, m)| over(m)).map(|(name, _)| name.clone()).collect();
--- a/crates/curlewpoint-trigger/tests/stories.rs
+++ b/crates/curlewpoint-trigger/tests/stories.rs
@@ -263,6 +263,21 @@
     assert_eq!(s.0.held(), 0);
 }
 
+/// A flapping connection leaves answers without a delivery: those of reads go when nobody waits for them any more.
+#[test_case(Effect::Idempotent, 0 ; "it may run again")]
+#[test_case(Effect::SideEffecting, 1 ; "it may not")]
+fn an_answer_that_nobody_came_for_is_kept_if_it_must_not_run_again(effect: Effect, held: usize) {
+    let mut s = Story::new();
+    s.comes(1, terms(effect));
+    s.0.intent_written(&name(), 1);
+    s.0.conn_lost(NOW, 1);
+    s.answered(End::Ok);
+    s.0.sweep(NOW + Time(39_999));
+    assert_eq!(s.0.held(), 1);
+    s.0.sweep(NOW + Time(40_000));
+    assert_eq!(s.0.held(), held);
+}
+
 #[test]
 fn a_record_is_kept_for_its_time_and_no_longer() {
     let mut s = Story::new();
