Serve the platform's protocol: a scheduler node on the engine, pool and link there are

Need: the scheduler goes into service on a platform with clients on RESP, workers on JSON lines and a directory over DNS. `curlewpoint-platform` reads and writes these without I/O, `curlewpoint-node` is the tokio shell, `node` the sub-command that the platform starts.

Changes beneath: an outbox takes bytes of any protocol, `listen` moved to the link, an RPC may tell its own lanes.

--- a/crates/curlewpoint-cli/src/commands/mod.rs
+++ b/crates/curlewpoint-cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod day;
 pub mod describe;
 pub mod journal;
+pub mod node;
 pub mod serve;
 pub mod stand;
 pub mod trigger;
--- a/crates/curlewpoint-cli/src/main.rs
+++ b/crates/curlewpoint-cli/src/main.rs
@@ -21,6 +21,7 @@
 #[derive(Subcommand)]
 enum Command {
     Serve(commands::serve::Serve),
+    Node(commands::node::Node),
     Check(commands::check::Check),
     Call(commands::call::Call),
     Worker(commands::stand::Worker),
@@ -39,6 +40,7 @@
     let program = Program::parse();
     let code = match program.command {
         Command::Serve(c) => c.run(),
+        Command::Node(c) => c.run(),
         Command::Check(c) => c.run(),
         Command::Call(c) => c.run(),
         Command::Worker(c) => c.run(),
--- a/crates/curlewpoint-engine/benches/held.rs
+++ b/crates/curlewpoint-engine/benches/held.rs
@@ -66,7 +66,7 @@
         let before = resident();
         let ask = |engine: &mut Engine<Quiet>, now, tag: u64| {
             let model = format!("model-{}", tag % 100);
-            engine.rpc(now, ClientId(1), tag, "read", &model, "", Time(5_000_000), None, body.clone())
+            engine.rpc(now, (ClientId(1), tag), "read", &model, "", Time(5_000_000), None, None, body.clone())
         };
         let taken = (0..open).filter(|tag| ask(&mut engine, now, *tag).is_ok()).count();
         let held = resident().saturating_sub(before);
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -461,12 +461,13 @@
         self.stopping = true;
     }
 
-    /// An RPC comes in. Once it is taken, one answer is owed until `left` less the slack has passed.
+    /// An RPC comes in, from a client that calls it by this tag. Once it is taken, one answer is owed until `left` less
+    /// the slack has passed. Where it tells how many a copy of its model runs at a time, that holds; else its method's.
     pub fn rpc(
-        &mut self, now: Time, client: ClientId, tag: u64, method: &str, model: &str, tenant: &str,
-        left: Time, token: Option<&str>, body: Bytes,
+        &mut self, now: Time, from: (ClientId, u64), method: &str, model: &str, tenant: &str, left: Time,
+        token: Option<&str>, lanes: Option<f64>, body: Bytes,
     ) -> Result<RpcId, Refusal> {
-        let taken = self.take(now, client, tag, method, model, tenant, left, token, body);
+        let taken = self.take(now, from, method, model, tenant, left, token, lanes, body);
         if taken.is_err() {
             self.module.host().figures.refused += 1;
         }
@@ -479,9 +480,10 @@
     }
 
     fn take(
-        &mut self, now: Time, client: ClientId, tag: u64, method: &str, model: &str, tenant: &str,
-        left: Time, token: Option<&str>, body: Bytes,
+        &mut self, now: Time, from: (ClientId, u64), method: &str, model: &str, tenant: &str, left: Time,
+        token: Option<&str>, lanes: Option<f64>, body: Bytes,
     ) -> Result<RpcId, Refusal> {
+        let (client, tag) = from;
         let (stopping, slack, most_open) = (self.stopping, self.slack, self.most_open);
         let desk = self.desk(now);
         let method = *desk.served.get(method).ok_or(Refusal::NoSuchMethod)?;
@@ -496,10 +498,10 @@
         if desk.rpcs.len() >= most_open {
             return Err(Refusal::Full);
         }
-        if desk.tags.contains_key(&(client, tag)) {
+        if desk.tags.contains_key(&from) {
             return Err(Refusal::TagInUse);
         }
-        let Terms { tokened, give_up, lanes, .. } = desk.methods[method.0];
+        let Terms { tokened, give_up, lanes: usual, .. } = desk.methods[method.0];
         let left = give_up.map_or(left, |most| left.min(most)) - slack;
         if left == Time(0) {
             return Err(Refusal::NoTime);
@@ -520,12 +522,12 @@
         let owed =
             Owed { client, tag, method, tenant, function, token, deadline, body, answered, call_outs, open };
         desk.rpcs.insert(id, owed);
-        desk.tags.insert((client, tag), id);
+        desk.tags.insert(from, id);
         desk.figures.taken += 1;
         desk.world.taken(id);
         // The module has said nothing by then: half the slack is left for the answer's way.
         desk.wheel.set(deadline + Time(slack.0 / 2), Wake::Guard(id));
-        self.module.rpc(now, id, method, function, tenant, left, lanes);
+        self.module.rpc(now, id, method, function, tenant, left, lanes.unwrap_or(usual));
         self.settle(now);
         Ok(id)
     }
--- a/crates/curlewpoint-engine/tests/promises.rs
+++ b/crates/curlewpoint-engine/tests/promises.rs
@@ -104,7 +104,7 @@
 
     fn rpc(&mut self, tag: u64, method: &str) -> Result<RpcId, Refusal> {
         let body = Bytes::from_static(b"scan");
-        self.engine.rpc(self.now, CLIENT, tag, method, "model", "", Time(10_000), None, body)
+        self.engine.rpc(self.now, (CLIENT, tag), method, "model", "", Time(10_000), None, None, body)
     }
 
     fn end(&mut self, id: ErrandId, outcome: Outcome) {
@@ -208,7 +208,7 @@
     assert_eq!(s.rpc(1, "no-such"), Err(Refusal::NoSuchMethod));
     s.rpc(2, "read").unwrap();
     assert_eq!(s.rpc(2, "read"), Err(Refusal::TagInUse));
-    let none = s.engine.rpc(s.now, CLIENT, 3, "read", "m", "", Time(200), None, Bytes::new());
+    let none = s.engine.rpc(s.now, (CLIENT, 3), "read", "m", "", Time(200), None, None, Bytes::new());
     assert_eq!(none, Err(Refusal::NoTime), "all of it is the slack");
     for tag in 10..59 {
         s.rpc(tag, "read").unwrap();
@@ -225,8 +225,9 @@
 fn a_tokened_method_is_not_taken_without_its_token() {
     let mut s = Story::new(1);
     s.engine.serve(vec![method("read", "idempotency_key")]).unwrap();
-    let mut ask =
-        |tag, token| s.engine.rpc(s.now, CLIENT, tag, "read", "model", "", Time(10_000), token, Bytes::new());
+    let mut ask = |tag, token| {
+        s.engine.rpc(s.now, (CLIENT, tag), "read", "model", "", Time(10_000), token, None, Bytes::new())
+    };
     assert_eq!((ask(1, None), ask(2, Some(""))), (Err(Refusal::BadToken), Err(Refusal::BadToken)));
     assert!(ask(3, Some("k")).is_ok());
 }
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -11,7 +11,6 @@
 use curlewpoint_link::{Bounds, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::timeout;
@@ -73,8 +72,6 @@
 const LEAVE: Duration = Duration::from_secs(2);
 /// A call-out's head is longer than the RPC's by less than this, in bytes.
 const HEADROOM: usize = 4096;
-/// The system's own limit holds where it is lower.
-const BACKLOG: u32 = 16_384;
 /// The clock starts a day on, so that the start of a worker older than this process lies on it.
 const DAY: Time = Time(864_000_000);
 
@@ -134,16 +131,6 @@
     }
 }
 
-/// Listens with as long a queue as the system allows: where it overflows, clients that come at once wait a second each
-/// for their next try.
-fn bind(address: &str) -> std::io::Result<TcpListener> {
-    let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// The broker whose queues are consumed, if there is one.
 fn broker(config: &Config, seed: u128) -> Result<Option<amqp::Settings>, StartError> {
     let Some(address) = config.value("amqp", "address") else { return Ok(None) };
@@ -181,13 +168,13 @@
 /// Starts a scheduler. It serves from the moment this returns; the list may come later.
 pub async fn start(config: &Config) -> Result<Running, StartError> {
     let listen = config.text("listen").to_owned();
-    let listener = bind(&listen).map_err(|e| StartError::Listen(listen.clone(), e))?;
+    let listener = curlewpoint_link::listen(&listen).map_err(|e| StartError::Listen(listen.clone(), e))?;
     let address = listener.local_addr().map_err(|e| StartError::Listen(listen, e))?;
     let of = |name| config.number("connections", name);
     let prepared = Arc::new(Prepared::of(config).map_err(StartError::Methods)?);
     let door = match config.value("", "http") {
         None => None,
-        Some(at) => Some(bind(at).map_err(|e| StartError::Listen(at.to_owned(), e))?),
+        Some(at) => Some(curlewpoint_link::listen(at).map_err(|e| StartError::Listen(at.to_owned(), e))?),
     };
     let http = door.as_ref().and_then(|d| d.local_addr().ok());
     let bounds = Bounds {
@@ -453,13 +440,13 @@
                 let (tag, method) = (frame.get_int(Field::TAG)?, frame.get_text(Field::METHOD)?);
                 let taken = self.engine.rpc(
                     now,
-                    id,
-                    tag,
+                    (id, tag),
                     method,
                     frame.get_text(Field::MODEL)?,
                     frame.maybe_text(Field::TENANT)?.unwrap_or(""),
                     Time(frame.get_int(Field::LEFT)?),
                     frame.maybe_text(Field::TOKEN)?,
+                    None,
                     frame.body.clone(),
                 );
                 if let Err(why) = taken {
@@ -519,7 +506,7 @@
         // The answer may come within the call.
         self.engine.world().calls.insert(id, reply);
         let token = token.as_deref();
-        if let Err(why) = self.engine.rpc(now, id, 1, &method, &model, &tenant, left, token, body) {
+        if let Err(why) = self.engine.rpc(now, (id, 1), &method, &model, &tenant, left, token, None, body) {
             if let Some(reply) = self.engine.world().calls.remove(&id) {
                 let _ = reply.send(Reply::Refused(self.refusal(now, &method, why)));
             }
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -6,5 +6,5 @@
 mod link;
 mod outbox;
 
-pub use link::{open, Bounds, Link, LinkError, Reader};
-pub use outbox::{Outbox, SendError, Ticket};
+pub use link::{listen, open, outbox, Bounds, Link, LinkError, Reader};
+pub use outbox::{Outbox, Parcel, SendError, Ticket};
--- a/crates/curlewpoint-link/src/link.rs
+++ b/crates/curlewpoint-link/src/link.rs
@@ -1,14 +1,15 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use curlewpoint_wire::{Codec, Field, Frame, Kind, WireError, VERSION};
 use thiserror::Error;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
 
-use crate::outbox::{write_all, Outbox};
+use crate::outbox::{write_all, Outbox, Parcel};
 
 /// What a connection may take.
 #[derive(Clone, Copy, Debug)]
@@ -63,14 +64,34 @@
     pub writer: JoinHandle<std::io::Result<()>>,
 }
 
+/// The system's own limit holds where it is lower.
+const BACKLOG: u32 = 16_384;
+
+/// Listens with as long a queue as the system allows: where it overflows, clients that come at once wait a second each
+/// for their next try.
+pub fn listen(address: &str) -> std::io::Result<TcpListener> {
+    let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// The outbox of a connection, whatever is spoken on it, and the task that writes.
+pub fn outbox<P: Parcel>(
+    write: OwnedWriteHalf, bounds: Bounds,
+) -> (Outbox<P>, JoinHandle<std::io::Result<()>>) {
+    let (outbox, inside) = Outbox::new(bounds.outbox.0, bounds.outbox.1);
+    (outbox, tokio::spawn(write_all(inside, write, bounds.write)))
+}
+
 /// Says hello on a new connection and waits for the peer's. A peer of another version is told so.
 pub async fn open(stream: TcpStream, name: &str, bounds: Bounds) -> Result<Link, LinkError> {
     // A delay for the sake of fuller packets would add to every answer.
     stream.set_nodelay(true).map_err(WireError::from)?;
     let (read, write) = stream.into_split();
     let mut reader = FramedRead::new(read, Codec { most: bounds.frame });
-    let (outbox, inside) = Outbox::new(bounds.outbox.0, bounds.outbox.1);
-    let writer = tokio::spawn(write_all(inside, write, bounds.write));
+    let (outbox, writer) = outbox(write, bounds);
     let hello = Frame::new(Kind::HELLO).int(Field::VERSION, VERSION).text(Field::INSTANCE, name);
     let _ = outbox.send(hello, None);
     let first = tokio::time::timeout(bounds.hello, reader.next()).await;
--- a/crates/curlewpoint-link/src/outbox.rs
+++ b/crates/curlewpoint-link/src/outbox.rs
@@ -29,8 +29,42 @@
     }
 }
 
-struct Item {
-    frame: Frame,
+/// What an outbox holds: its front is gathered with those of others, its body may be written from where it lies.
+pub trait Parcel: Send + 'static {
+    fn size(&self) -> usize;
+    fn front(&self, dst: &mut BytesMut);
+    fn body(self) -> Bytes;
+}
+
+impl Parcel for Frame {
+    fn size(&self) -> usize {
+        self.body.len() + self.head().len() + HEAD_BYTES
+    }
+
+    fn front(&self, dst: &mut BytesMut) {
+        Codec::front(self, dst);
+    }
+
+    fn body(self) -> Bytes {
+        self.body
+    }
+}
+
+/// Bytes of another protocol, already as they are to be written.
+impl Parcel for Bytes {
+    fn size(&self) -> usize {
+        self.len()
+    }
+
+    fn front(&self, _dst: &mut BytesMut) {}
+
+    fn body(self) -> Bytes {
+        self
+    }
+}
+
+struct Item<P> {
+    frame: P,
     ticket: Option<Ticket>,
 }
 
@@ -44,22 +78,22 @@
 /// What waits to be written on a connection, bounded in frames and in bytes. Dropping the last one ends the
 /// connection once all is written.
 #[derive(Clone, Debug)]
-pub struct Outbox {
-    items: mpsc::Sender<Item>,
+pub struct Outbox<P = Frame> {
+    items: mpsc::Sender<Item<P>>,
     bytes: Arc<AtomicUsize>,
     most_bytes: usize,
 }
 
-impl Outbox {
-    pub(crate) fn new(most_frames: usize, most_bytes: usize) -> (Outbox, Inside) {
+impl<P: Parcel> Outbox<P> {
+    pub(crate) fn new(most_frames: usize, most_bytes: usize) -> (Outbox<P>, Inside<P>) {
         let (items, taken) = mpsc::channel(most_frames);
         let bytes = Arc::new(AtomicUsize::new(0));
         (Outbox { items, bytes: Arc::clone(&bytes), most_bytes }, Inside { taken, bytes })
     }
 
     /// Queues a frame. One frame is taken whatever its size while nothing else waits.
-    pub fn send(&self, frame: Frame, ticket: Option<Ticket>) -> Result<(), SendError> {
-        let size = frame.body.len() + frame.head().len() + HEAD_BYTES;
+    pub fn send(&self, frame: P, ticket: Option<Ticket>) -> Result<(), SendError> {
+        let size = frame.size();
         let before = self.bytes.fetch_add(size, Ordering::AcqRel);
         if before > 0 && before + size > self.most_bytes {
             self.bytes.fetch_sub(size, Ordering::AcqRel);
@@ -76,8 +110,8 @@
 }
 
 /// The writer's side of an outbox.
-pub(crate) struct Inside {
-    taken: mpsc::Receiver<Item>,
+pub(crate) struct Inside<P> {
+    taken: mpsc::Receiver<Item<P>>,
     bytes: Arc<AtomicUsize>,
 }
 
@@ -87,25 +121,26 @@
 
 /// Writes until the outbox is dropped or the connection breaks. After an error the tickets of frames that had no
 /// byte written are queued again, so that whoever asks next can take them back.
-pub(crate) async fn write_all(
-    mut inside: Inside, mut to: impl AsyncWrite + Unpin, limit: Duration,
+pub(crate) async fn write_all<P: Parcel>(
+    mut inside: Inside<P>, mut to: impl AsyncWrite + Unpin, limit: Duration,
 ) -> std::io::Result<()> {
     let mut parts: VecDeque<Bytes> = VecDeque::new();
     while let Some(first) = inside.taken.recv().await {
         let (mut small, mut begun, mut length, mut freed) = (BytesMut::new(), Vec::new(), 0, 0);
         let mut next = Some(first);
         while let Some(Item { frame, ticket }) = next {
-            let size = frame.body.len() + frame.head().len() + HEAD_BYTES;
+            let size = frame.size();
             freed += size;
             if ticket.as_ref().is_none_or(|t| t.step(QUEUED, BEGUN)) {
                 begun.extend(ticket.map(|t| (length, t)));
                 length += size;
-                Codec::front(&frame, &mut small);
-                if frame.body.len() < LARGE {
-                    small.extend_from_slice(&frame.body);
+                frame.front(&mut small);
+                let body = frame.body();
+                if body.len() < LARGE {
+                    small.extend_from_slice(&body);
                 } else {
                     parts.push_back(small.split().freeze());
-                    parts.push_back(frame.body);
+                    parts.push_back(body);
                 }
             }
             next = if length < BATCH { inside.taken.try_recv().ok() } else { None };
--- /dev/null
+++ b/crates/curlewpoint-node/src/lib.rs
@@ -0,0 +1,10 @@
+//! One scheduler on the platform's sockets. It moves bytes and nothing else: one task owns the
+//! [`Engine`](curlewpoint_engine::Engine), all others read or write a connection and speak with it by channels.
+
+mod clients;
+mod directory;
+mod outside;
+mod run;
+mod workers;
+
+pub use run::{start, Running, StartError, Stopper};
--- /dev/null
+++ b/crates/curlewpoint-node/src/outside.rs
@@ -0,0 +1,264 @@
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use curlewpoint::types::{Outcome, RpcId, Time, WorkerId};
+use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
+use curlewpoint_link::{Outbox, Ticket};
+use curlewpoint_platform::asked::{self, Tags};
+use curlewpoint_platform::{lines, resp};
+use tokio::task::AbortHandle;
+use tracing::{debug, info};
+
+use crate::workers::Dialler;
+
+/// A client's connection, as the engine's task sees it.
+pub(crate) struct Client {
+    pub outbox: Outbox<Bytes>,
+    pub writer: AbortHandle,
+    pub tags: Tags,
+    pub open: BTreeSet<u64>,
+    /// What it asked that could not be taken, for a fault of its own.
+    pub faults: u32,
+    /// How often in a row it was seen to say nothing.
+    pub quiet: u32,
+}
+
+/// What a worker is asked: under this name, in these bytes, and taken back so.
+pub(crate) struct Asked {
+    name: Arc<str>,
+    line: Bytes,
+    call_out: bool,
+}
+
+/// Sockets towards workers, as the pool acts on them.
+pub(crate) struct Sockets {
+    dialler: Dialler,
+    outboxes: BTreeMap<ConnId, Outbox<Bytes>>,
+    tickets: BTreeMap<ErrandId, (Ticket, ConnId, Arc<str>)>,
+    /// What is asked on each connection, by the names that workers answer under.
+    names: BTreeMap<(ConnId, Arc<str>), ErrandId>,
+    ended: VecDeque<(ErrandId, Outcome)>,
+}
+
+impl Sockets {
+    fn forget(&mut self, errand: ErrandId) {
+        if let Some((_, conn, name)) = self.tickets.remove(&errand) {
+            self.names.remove(&(conn, name));
+        }
+    }
+}
+
+impl Wires<Asked> for Sockets {
+    fn dial(&mut self, conn: ConnId, worker: WorkerId, address: &str) {
+        debug!(conn = conn.0, worker = worker.0, address, "dialling");
+        self.dialler.dial(conn, address.to_owned());
+    }
+
+    fn send(&mut self, conn: ConnId, errand: ErrandId, asked: &Asked) -> bool {
+        let Some(outbox) = self.outboxes.get(&conn) else { return false };
+        let key = (conn, Arc::clone(&asked.name));
+        let ticket = Ticket::default();
+        if self.names.contains_key(&key) || outbox.send(asked.line.clone(), Some(ticket.clone())).is_err() {
+            return false;
+        }
+        self.names.insert(key, errand);
+        self.tickets.insert(errand, (ticket, conn, Arc::clone(&asked.name)));
+        true
+    }
+
+    fn take_back(&mut self, _conn: ConnId, errand: ErrandId) -> bool {
+        self.tickets.get(&errand).is_some_and(|(ticket, ..)| ticket.take_back())
+    }
+
+    fn withdraw(&mut self, conn: ConnId, errand: ErrandId) {
+        let (Some(outbox), Some((_, _, name))) = (self.outboxes.get(&conn), self.tickets.get(&errand)) else {
+            return;
+        };
+        // A probe or an order is not taken back: its end is passed over. Where the outbox is full nothing is told.
+        if !name.starts_with(OWN) {
+            let _ = outbox.send(lines::abort(name), None);
+        }
+    }
+
+    fn close(&mut self, conn: ConnId) {
+        self.outboxes.remove(&conn);
+    }
+
+    fn ended(&mut self, errand: ErrandId, outcome: Outcome) {
+        self.forget(errand);
+        self.ended.push_back((errand, outcome));
+    }
+}
+
+/// Begins the names of probes and orders; clients' ids are hex digits.
+const OWN: char = 't';
+
+/// What the engine acts through.
+pub(crate) struct Outside {
+    pub clients: BTreeMap<ClientId, Client>,
+    /// Clients that did not read their answers and have been cut off.
+    pub lost: Vec<ClientId>,
+    /// The id under which the next RPC comes.
+    pub coming: Arc<str>,
+    /// What its client has withdrawn: an answer is not owed for it.
+    pub withdrawn: Option<(ClientId, u64)>,
+    /// The ids that clients gave, of all RPCs held.
+    ids: BTreeMap<RpcId, Arc<str>>,
+    held: BTreeSet<Arc<str>>,
+    pool: Pool<Asked>,
+    sockets: Sockets,
+}
+
+impl Outside {
+    pub fn new(pool: Pool<Asked>, dialler: Dialler) -> Outside {
+        let (outboxes, tickets, names, ended) = Default::default();
+        let sockets = Sockets { dialler, outboxes, tickets, names, ended };
+        let (clients, lost, ids, held) = Default::default();
+        Outside { clients, lost, coming: "".into(), withdrawn: None, ids, held, pool, sockets }
+    }
+
+    /// Whether an RPC with this id is held; workers know RPCs by it.
+    pub fn holds(&self, id: &str) -> bool {
+        self.held.contains(id)
+    }
+
+    /// Says a row to a client; one whose outbox is full does not read, and is cut off rather than waited for.
+    pub fn tell(&mut self, id: ClientId, tag: u64, word: &str, fields: &str, body: &[u8]) {
+        let Some(client) = self.clients.get(&id) else { return };
+        let row = resp::row(&[tag.to_string().as_bytes(), word.as_bytes(), fields.as_bytes(), body]);
+        if client.outbox.send(row, None).is_err() {
+            info!(client = id.0, "cut off: it does not read its answers");
+            client.writer.abort();
+            self.clients.remove(&id);
+            self.lost.push(id);
+        }
+    }
+
+    pub fn conn_up(&mut self, now: Time, conn: ConnId, outbox: Outbox<Bytes>) {
+        self.sockets.outboxes.insert(conn, outbox);
+        self.pool.conn_up(now, &mut self.sockets, conn);
+    }
+
+    pub fn conn_failed(&mut self, now: Time, conn: ConnId) {
+        self.pool.conn_failed(now, &mut self.sockets, conn);
+    }
+
+    pub fn conn_broken(&mut self, conn: ConnId) {
+        self.pool.conn_broken(&mut self.sockets, conn);
+        self.sockets.outboxes.remove(&conn);
+    }
+
+    /// What is asked on this connection under this name, if it is still waited for.
+    pub fn asked_as(&self, conn: ConnId, name: &str) -> Option<ErrandId> {
+        self.sockets.names.get(&(conn, Arc::from(name))).copied()
+    }
+
+    pub fn answered(&mut self, now: Time, errand: ErrandId) {
+        self.sockets.forget(errand);
+        self.pool.answered(now, &mut self.sockets, errand);
+    }
+
+    pub fn sweep(&mut self, now: Time) {
+        self.pool.sweep(now, &mut self.sockets);
+    }
+
+    pub fn conns(&self) -> usize {
+        self.pool.conns()
+    }
+}
+
+impl World for Outside {
+    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
+        let name = || Arc::from(format!("{OWN}{}", id.0));
+        let asked = match errand {
+            Errand::CallOut { rpc, method, model, token, left, body, .. } => {
+                let name = Arc::clone(&self.ids[&rpc]);
+                let line = lines::invoke(&name, method, model, token, left, body);
+                Asked { name, line, call_out: true }
+            }
+            Errand::Load { model, copies } => {
+                let name: Arc<str> = name();
+                Asked { line: lines::prewarm(&name, model, copies), name, call_out: false }
+            }
+            Errand::Probe => {
+                let name: Arc<str> = name();
+                Asked { line: lines::gauges(&name), name, call_out: false }
+            }
+        };
+        debug!(errand = id.0, worker = worker.0, call_out = asked.call_out, "asked as {}", asked.name);
+        self.pool.errand(now, &mut self.sockets, worker, id, asked);
+    }
+
+    fn take_back(&mut self, now: Time, id: ErrandId) -> bool {
+        let untouched = self.pool.take_back(now, &mut self.sockets, id);
+        self.sockets.forget(id);
+        untouched
+    }
+
+    fn answer(
+        &mut self, rpc: RpcId, client: ClientId, tag: u64, answer: Answer, why: &str, retry_after: Time,
+        body: Bytes,
+    ) {
+        debug!(rpc = rpc.0, client = client.0, tag, "{answer:?} {why}");
+        if let Some(client) = self.clients.get_mut(&client) {
+            client.open.remove(&tag);
+        }
+        if self.withdrawn == Some((client, tag)) {
+            return;
+        }
+        let word = match answer {
+            Answer::Ok => asked::GOOD,
+            Answer::Denied => asked::REFUSED,
+            Answer::Aborted => asked::BROKEN,
+        };
+        self.tell(client, tag, word, &asked::answer_fields(retry_after), &body);
+    }
+
+    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+        self.sockets.ended.pop_front()
+    }
+
+    fn unload(&mut self, now: Time, worker: WorkerId, model: &str) {
+        self.pool.tell(now, &mut self.sockets, worker, |sockets, conn| {
+            if let Some(outbox) = sockets.outboxes.get(&conn) {
+                let _ = outbox.send(lines::evict(model), None);
+            }
+        });
+    }
+
+    /// The whole list is asked for again and again; there is nothing to ask for beside.
+    fn watch_list(&mut self, _held: Option<(u64, u64)>) {}
+
+    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str) {
+        debug!(worker = worker.0, name, address, "listed");
+        self.pool.worker_at(now, &mut self.sockets, worker, address);
+    }
+
+    fn worker_drains(&mut self, now: Time, worker: WorkerId) {
+        self.pool.send_nothing_more(now, &mut self.sockets, worker);
+    }
+
+    fn worker_gone(&mut self, now: Time, worker: WorkerId) {
+        self.pool.worker_gone(now, &mut self.sockets, worker);
+    }
+
+    fn taken(&mut self, rpc: RpcId) {
+        let id = std::mem::replace(&mut self.coming, "".into());
+        self.held.insert(Arc::clone(&id));
+        self.ids.insert(rpc, id);
+    }
+
+    fn forgotten(&mut self, rpc: RpcId) {
+        if let Some(id) = self.ids.remove(&rpc) {
+            self.held.remove(&id);
+        }
+    }
+
+    fn log(&mut self, rpc: Option<RpcId>, line: &str) {
+        match rpc {
+            Some(rpc) => info!(rpc = rpc.0, "{line}"),
+            None => info!("{line}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-node/src/run.rs
@@ -0,0 +1,414 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use curlewpoint::types::{Copy, Standing, Time};
+use curlewpoint_engine::{ClientId, ConnId, Engine, Figures, Pool, PoolLimits, Refusal};
+use curlewpoint_link::{listen, Bounds, Outbox};
+use curlewpoint_platform::resp::RespError;
+use curlewpoint_platform::told::{self, Told, ToldError};
+use curlewpoint_platform::{asked, dns, lines, Roll};
+use oorandom::Rand64;
+use serde_json::{Map, Value};
+use thiserror::Error;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+use tracing::{debug, info};
+
+use crate::outside::{Client, Outside};
+use crate::workers::Dialler;
+use crate::{clients, directory};
+
+/// What the tasks around connections tell the one that owns the engine.
+pub(crate) enum Note {
+    ClientIn(ClientId, Client),
+    Client(ClientId, Vec<Bytes>),
+    /// It has said nothing for a while.
+    Quiet(ClientId),
+    /// It is gone, or what it sent could not be read.
+    ClientOut(ClientId, Option<RespError>),
+    /// A connection to a worker is up, could not be opened, brought a line, has broken.
+    Up(ConnId, Outbox<Bytes>),
+    Down(ConnId),
+    Worker(ConnId, Map<String, Value>),
+    Broken(ConnId),
+    /// An answer of the directory, to the question with this id.
+    List(Vec<u8>, u16),
+    Stop,
+}
+
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    #[error("what is known of workers: {0}")]
+    Known(#[from] ToldError),
+}
+
+/// Notes that wait for the engine's task; beyond these their senders wait.
+const WAITING: usize = 1024;
+/// Notes taken in a turn, before time is looked at again.
+const TURN: usize = 128;
+const SWEEP: Duration = Duration::from_secs(1);
+/// The longest body, and the longest line of a worker: a body in base64 and its fields.
+const MOST_BODY: usize = 16 * 1024;
+const MOST_LINE: usize = 64 * 1024;
+/// Open requests on a client's connection.
+const MOST_OPEN: usize = 32;
+/// Tags out of their order on a client's connection.
+const MOST_SCATTERED: usize = 256;
+/// Faults of its own after which a client is cut off.
+const MOST_FAULTS: u32 = 8;
+/// A client with nothing open that was seen to say nothing so often in a row, a second apart, is closed.
+const MOST_QUIET: u32 = 5;
+/// After a stop, how long RPCs may still come; and when the platform kills what goes on, less the time for last words.
+const COMING: Duration = Duration::from_millis(1_000);
+const KILLED: (Duration, Duration) = (Duration::from_millis(3_000), Duration::from_millis(700));
+const LAST_WORDS: Duration = Duration::from_millis(200);
+/// The clock starts a day on, so that the start of a worker older than this process lies on it.
+const DAY: Time = Time(864_000_000);
+
+#[derive(Clone, Copy)]
+struct Clock(Instant);
+
+impl Clock {
+    fn now(&self) -> Time {
+        DAY + Time((self.0.elapsed().as_micros() / 100) as u64)
+    }
+
+    fn until(&self, at: Time) -> Duration {
+        Duration::from_micros((at - self.now()).0 * 100)
+    }
+}
+
+/// Tells a scheduler to stop.
+#[derive(Clone)]
+pub struct Stopper(mpsc::Sender<Note>);
+
+impl Stopper {
+    pub async fn stop(&self) {
+        let _ = self.0.send(Note::Stop).await;
+    }
+}
+
+/// A scheduler that serves.
+pub struct Running {
+    pub address: SocketAddr,
+    pub notes: Stopper,
+    /// Where the directory is; another may be told at any time.
+    pub resolver: watch::Sender<SocketAddr>,
+    /// Ends with where every RPC went.
+    pub end: JoinHandle<Figures>,
+}
+
+/// Takes the list for the engine.
+struct ToEngine<'a> {
+    engine: &'a mut Engine<Outside>,
+    now: Time,
+}
+
+impl Roll for ToEngine<'_> {
+    fn begins(&mut self, version: u64, since: Option<u64>) {
+        self.engine.list_begins(0, version, since);
+    }
+
+    fn worker(
+        &mut self, name: &str, address: &str, standing: Standing, started: u64, zone: &str, cell: &str,
+        size: f64,
+    ) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let age = (started > 0).then(|| Time(wall.saturating_sub(started) * 10));
+        self.engine.list_row(self.now, name, address, standing, started, age, zone, cell, size);
+    }
+
+    fn ends(&mut self) {
+        self.engine.list_ends(self.now);
+    }
+}
+
+fn limit(settings: &Map<String, Value>, name: &str, default: u64) -> u64 {
+    settings.get("limits").and_then(|l| l.get(name)).and_then(Value::as_f64).map_or(default, |v| v as u64)
+}
+
+/// The longest time that a client waits, by the settings.
+fn longest(settings: &Map<String, Value>) -> Duration {
+    let methods = settings.get("requestClasses").and_then(Value::as_array).into_iter().flatten();
+    let times = methods.filter_map(|m| m.get("giveUp")?.as_f64());
+    Duration::from_millis(times.fold(0.0, f64::max) as u64)
+}
+
+/// Starts a scheduler. It serves from the moment this returns.
+pub async fn start(told: Told) -> Result<Running, StartError> {
+    let Told { name, listen: at, seed, sockets, memory_mb, resolver, mut settings, known } = told;
+    let listener = listen(&at.to_string()).map_err(|e| StartError::Listen(at, e))?;
+    let address = listener.local_addr().map_err(|e| StartError::Listen(at, e))?;
+    info!(name, %address, seed = %seed, sockets, memory_mb, "serving");
+
+    let (answers_in, answers) = mpsc::channel(WAITING);
+    let (asks_in, asks) = mpsc::channel(WAITING);
+    let bounds = Bounds { frame: MOST_LINE, outbox: (512, 1 << 20), ..Bounds::default() };
+    let dial = Duration::from_millis(limit(&settings, "dialTimeout", 250));
+    let dialler = Dialler { bounds, limit: dial, notes: answers_in.clone() };
+    let limits = PoolLimits {
+        streams: limit(&settings, "streamsPerConn", 32) as usize,
+        conns: (sockets / 64).clamp(2, 16),
+        // Before the worker closes it: what crosses that may have run.
+        idle: Time::from_ms(limit(&settings, "keepalive", 15_000) as f64 * 0.6),
+        back_off: (Time::from_ms(50.0), Time::from_ms(1_000.0)),
+    };
+    // Each RPC held may hold a body: half of the memory is for them.
+    let most_open =
+        limit(&settings, "maxOpen", 100_000).min((memory_mb * 1024 * 1024 / 2 / MOST_BODY) as u64);
+    if let Some(Value::Object(limits)) = settings.get_mut("limits") {
+        limits.insert("maxOpen".to_owned(), most_open.into());
+    }
+    let names = settings.get("loadInfo").and_then(|l| l.get("names")).and_then(Value::as_array);
+    let report: Vec<String> =
+        names.into_iter().flatten().filter_map(Value::as_str).map(str::to_owned).collect();
+    let killed = longest(&settings).min(KILLED.0) + KILLED.1;
+    let clock = Clock(Instant::now());
+    let mut engine =
+        Engine::start(clock.now(), Outside::new(Pool::new(limits, seed), dialler), seed, settings);
+    told::known(&known, &mut ToEngine { engine: &mut engine, now: clock.now() })?;
+
+    let tasks = TaskTracker::new();
+    let of_clients = Bounds { frame: MOST_BODY, ..bounds };
+    let accepting = clients::accept(listener, sockets / 2, of_clients, asks_in.clone(), tasks.clone());
+    let (resolver, at) = watch::channel(resolver);
+    let following = directory::follow(at, answers_in, Rand64::new(seed));
+    let helpers = [tokio::spawn(accepting).abort_handle(), tokio::spawn(following).abort_handle()];
+    let turn = Turn { engine, clock, report, killed, ending: None };
+    let end = tokio::spawn(turn.run(answers, asks, tasks, helpers));
+    Ok(Running { address, notes: Stopper(asks_in), resolver, end })
+}
+
+/// The task that owns the engine.
+struct Turn {
+    engine: Engine<Outside>,
+    clock: Clock,
+    /// What a load report holds, in this order.
+    report: Vec<String>,
+    /// So long after a stop the platform kills what still runs.
+    killed: Duration,
+    /// When a stop was asked for.
+    ending: Option<Instant>,
+}
+
+impl Turn {
+    async fn run(
+        mut self, mut answers: mpsc::Receiver<Note>, mut asks: mpsc::Receiver<Note>, tasks: TaskTracker,
+        helpers: [AbortHandle; 2],
+    ) -> Figures {
+        let (mut notes, mut asked) = (Vec::with_capacity(TURN), Vec::with_capacity(TURN));
+        let mut swept = Instant::now();
+        loop {
+            let wake = self.engine.next_wake().map_or(SWEEP, |at| self.clock.until(at)).min(SWEEP);
+            // Answers before asks: they end what is held, and there are no more of them than were asked for.
+            tokio::select! {
+                biased;
+                _ = answers.recv_many(&mut notes, TURN) => {}
+                _ = asks.recv_many(&mut asked, TURN) => {}
+                () = tokio::time::sleep(wake) => {}
+            }
+            for note in notes.drain(..).chain(asked.drain(..)) {
+                self.note(note);
+            }
+            let now = self.clock.now();
+            self.engine.advance(now);
+            for client in std::mem::take(&mut self.engine.world().lost) {
+                self.engine.client_gone(now, client);
+            }
+            if swept.elapsed() >= SWEEP {
+                swept = Instant::now();
+                self.engine.world().sweep(now);
+            }
+            if self.is_over() {
+                break;
+            }
+        }
+        helpers.iter().for_each(AbortHandle::abort);
+        self.engine.abort_all(self.clock.now());
+        // Dropping the outboxes lets the writers finish and close.
+        self.engine.world().clients.clear();
+        tasks.close();
+        let _ = timeout(LAST_WORDS / 2, tasks.wait()).await;
+        let f = self.engine.figures();
+        let conns = self.engine.world().conns();
+        info!(
+            f.taken,
+            f.ok, f.denied, f.aborted, f.left, f.refused, f.call_outs, conns, f.cut_off, "stopped"
+        );
+        f
+    }
+
+    fn is_over(&mut self) -> bool {
+        let Some(since) = self.ending.map(|at| at.elapsed()) else { return false };
+        since + LAST_WORDS >= self.killed || (since >= COMING && self.engine.open() == 0)
+    }
+
+    fn note(&mut self, note: Note) {
+        let now = self.clock.now();
+        let engine = &mut self.engine;
+        match note {
+            Note::ClientIn(id, client) => drop(engine.world().clients.insert(id, client)),
+            Note::Client(id, words) => {
+                if let Err(why) = self.client(now, id, words) {
+                    self.close_client(now, id, why);
+                }
+            }
+            Note::Quiet(id) => {
+                let Some(client) = engine.world().clients.get_mut(&id) else { return };
+                client.quiet += 1;
+                if client.open.is_empty() && client.quiet >= MOST_QUIET {
+                    engine.world().clients.remove(&id);
+                }
+            }
+            Note::ClientOut(id, Some(why)) => self.close_client(now, id, &why.to_string()),
+            Note::ClientOut(id, None) => {
+                engine.world().clients.remove(&id);
+                engine.client_gone(now, id);
+            }
+            Note::Up(conn, outbox) => {
+                engine.world().conn_up(now, conn, outbox);
+                engine.settle(now);
+            }
+            Note::Down(conn) => {
+                engine.world().conn_failed(now, conn);
+                engine.settle(now);
+            }
+            Note::Worker(conn, row) => {
+                if let Err(why) = self.worker(now, conn, &row) {
+                    info!(conn = conn.0, "connection to a worker closed: {why}");
+                    self.engine.world().conn_broken(conn);
+                    self.engine.settle(now);
+                }
+            }
+            Note::Broken(conn) => {
+                engine.world().conn_broken(conn);
+                engine.settle(now);
+            }
+            Note::List(answer, id) => {
+                if let Err(why) = dns::read(&answer, id, &mut ToEngine { engine, now }) {
+                    debug!("the directory: {why}");
+                }
+            }
+            Note::Stop => {
+                info!(open = self.engine.open(), "stopping");
+                self.ending.get_or_insert_with(Instant::now);
+            }
+        }
+    }
+
+    /// What a client asks; an error is one after which its connection is of no use.
+    fn client(&mut self, now: Time, id: ClientId, words: Vec<Bytes>) -> Result<(), &'static str> {
+        let stopping = self.ending.is_some();
+        let Some(client) = self.engine.world().clients.get_mut(&id) else { return Ok(()) };
+        client.quiet = 0;
+        let word = |no: usize| words.get(no).map_or(&b""[..], |w| &w[..]);
+        let tag = asked::tag(word(1)).ok_or("a tag that is none")?;
+        match word(0) {
+            asked::CALL => {
+                if !client.tags.is_new(tag, MOST_SCATTERED) {
+                    return Err("a tag for the second time");
+                }
+                if client.open.len() >= MOST_OPEN {
+                    self.engine.refused();
+                    self.engine.world().tell(id, tag, asked::ENOUGH, "", b"");
+                    return Ok(());
+                }
+                let body = words.get(4).cloned().unwrap_or_default();
+                if let Err(word) = self.call(now, id, tag, word(2), word(3), body) {
+                    self.turned_down(id, tag, word)?;
+                }
+            }
+            asked::CANCEL => {
+                self.engine.world().withdrawn = Some((id, tag));
+                self.engine.cancelled(now, id, tag);
+                self.engine.world().withdrawn = None;
+            }
+            asked::CHECK => {
+                let said = if stopping { asked::UNFIT } else { asked::FIT };
+                self.engine.world().tell(id, tag, said, "", b"");
+            }
+            _ => return Err("a command that is none"),
+        }
+        Ok(())
+    }
+
+    /// An RPC was not taken. A client whose own fault that is, again and again, is cut off.
+    fn turned_down(&mut self, id: ClientId, tag: u64, word: &str) -> Result<(), &'static str> {
+        let world = self.engine.world();
+        world.tell(id, tag, word, "", b"");
+        if let Some(client) = world.clients.get_mut(&id).filter(|_| word == asked::BROKEN) {
+            client.faults += 1;
+            if client.faults >= MOST_FAULTS {
+                return Err("too many faults");
+            }
+        }
+        Ok(())
+    }
+
+    /// An RPC comes in; where it is not taken, the word to answer with.
+    fn call(
+        &mut self, now: Time, id: ClientId, tag: u64, method: &[u8], fields: &[u8], body: Bytes,
+    ) -> Result<(), &'static str> {
+        let unfit = |what| {
+            debug!(client = id.0, tag, "not taken: {what}");
+            asked::BROKEN
+        };
+        let text = |bytes| std::str::from_utf8(bytes).map_err(|_| unfit("no text"));
+        let (method, fields) = (text(method)?, text(fields)?);
+        let field = |name| asked::field(fields, name);
+        let req = field("req").and_then(asked::hex).ok_or_else(|| unfit("its id"))?;
+        let left = field("timeout").and_then(asked::timeout).ok_or_else(|| unfit("its time"))?;
+        let model = field("subject").and_then(asked::hex).ok_or_else(|| unfit("its function"))?;
+        let info = asked::info(field("info").unwrap_or("")).ok_or_else(|| unfit("its figures"))?;
+        let lanes = info.iter().find(|(name, _)| *name == "lanes").map(|(_, lanes)| *lanes);
+        if lanes.is_some_and(|lanes| lanes < 1.0) {
+            return Err(unfit("its lanes"));
+        }
+        if self.engine.world().holds(req) {
+            return Err(unfit("its id is one that is open"));
+        }
+        let (method, tenant) = (field("kind").unwrap_or(method), field("owner").unwrap_or(""));
+        let world = self.engine.world();
+        world.coming = req.into();
+        world.clients.get_mut(&id).into_iter().for_each(|c| c.open.extend([tag]));
+        let taken = self.engine.rpc(now, (id, tag), method, model, tenant, left, field("opkey"), lanes, body);
+        let Err(why) = taken else { return Ok(()) };
+        let world = self.engine.world();
+        world.clients.get_mut(&id).into_iter().for_each(|c| c.open.retain(|t| *t != tag));
+        match why {
+            Refusal::Full | Refusal::NoTime | Refusal::Stopping => Err(asked::REFUSED),
+            _ => Err(unfit("its method, its token or its function")),
+        }
+    }
+
+    /// Answers what a client has open, and closes its connection.
+    fn close_client(&mut self, now: Time, id: ClientId, why: &str) {
+        debug!(client = id.0, "closed: {why}");
+        let open = self.engine.world().clients.get(&id).map(|c| c.open.clone()).unwrap_or_default();
+        for tag in open {
+            self.engine.cancelled(now, id, tag);
+        }
+        self.engine.world().clients.remove(&id);
+        self.engine.client_gone(now, id);
+    }
+
+    /// What a worker says; what nobody waits for is passed over.
+    fn worker(&mut self, now: Time, conn: ConnId, row: &Map<String, Value>) -> Result<(), lines::LineError> {
+        let outcome = lines::outcome(row)?;
+        let Some(errand) = self.engine.world().asked_as(conn, lines::text(row, "req")?) else {
+            return Ok(());
+        };
+        let body = lines::body(row)?;
+        let is_call_out = self.engine.asked_by(errand).is_some();
+        let copy = if is_call_out { lines::copy(row) } else { Copy::Untold };
+        let (held, copies, report) = (lines::held(row), lines::copies(row), lines::report(row, &self.report));
+        self.engine.world().answered(now, errand);
+        self.engine.errand_ended(now, errand, outcome, copy, held, copies, report, body);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-node/src/workers.rs
@@ -0,0 +1,97 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use curlewpoint_engine::ConnId;
+use curlewpoint_link::{outbox, Bounds};
+use curlewpoint_platform::lines::{LineError, Lines};
+use serde_json::{Map, Value};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_stream::StreamExt;
+use tokio_util::codec::FramedRead;
+use tracing::{debug, info};
+
+use crate::run::Note;
+
+/// Opens connections to workers, each in a task of its own.
+pub(crate) struct Dialler {
+    pub bounds: Bounds,
+    pub limit: Duration,
+    pub notes: mpsc::Sender<Note>,
+}
+
+/// A line that has begun and has not ended for so long, looked at twice, does not end any more.
+const LINE: Duration = Duration::from_millis(300);
+
+impl Dialler {
+    pub fn dial(&self, conn: ConnId, address: String) {
+        let (bounds, limit, notes) = (self.bounds, self.limit, self.notes.clone());
+        tokio::spawn(async move {
+            let dialled = timeout(limit, TcpStream::connect(&address)).await;
+            let why = match dialled {
+                Ok(Ok(stream)) => return converse(conn, stream, bounds, notes).await,
+                Ok(Err(why)) => why.to_string(),
+                Err(_) => "no answer in time".to_owned(),
+            };
+            debug!(conn = conn.0, address, "not connected: {why}");
+            let _ = notes.send(Note::Down(conn)).await;
+        });
+    }
+}
+
+/// The next line; none: the connection has ended, or a line on it that has begun does not end.
+async fn next<R: tokio::io::AsyncRead + Unpin>(
+    reader: &mut FramedRead<R, Lines>,
+) -> Option<Result<Map<String, Value>, LineError>> {
+    let mut begun = false;
+    loop {
+        match timeout(LINE, reader.next()).await {
+            Ok(line) => return line,
+            Err(_) if begun && !reader.read_buffer().is_empty() => return None,
+            Err(_) => begun = !reader.read_buffer().is_empty(),
+        }
+    }
+}
+
+/// Hands on what comes until the connection breaks. What cannot be read ends it: nothing that follows can be trusted
+/// to begin where a line begins.
+async fn converse(conn: ConnId, stream: TcpStream, bounds: Bounds, notes: mpsc::Sender<Note>) {
+    // A delay for the sake of fuller packets would add to every answer.
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    let (outbox, mut writer) = outbox::<Bytes>(write, bounds);
+    let mut reader = FramedRead::new(read, Lines { most: bounds.frame, looked_at: 0 });
+    if notes.send(Note::Up(conn, outbox)).await.is_err() {
+        return;
+    }
+    let mut writing = true;
+    loop {
+        let line = tokio::select! {
+            line = next(&mut reader) => line,
+            // The outbox was dropped, or nothing can be written any more.
+            _ = &mut writer => {
+                writing = false;
+                break;
+            }
+        };
+        match line {
+            Some(Ok(row)) => {
+                if notes.send(Note::Worker(conn, row)).await.is_err() {
+                    break;
+                }
+            }
+            Some(Err(e)) => {
+                info!(conn = conn.0, "connection to a worker closed: {e}");
+                break;
+            }
+            None => break,
+        }
+    }
+    if writing {
+        // The writer has to have stopped before tickets are judged.
+        writer.abort();
+        let _ = writer.await;
+    }
+    let _ = notes.send(Note::Broken(conn)).await;
+}
--- /dev/null
+++ b/crates/curlewpoint-platform/src/asked.rs
@@ -0,0 +1,124 @@
+//! The fields of what clients ask, and the words of the answers.
+
+use curlewpoint::types::Time;
+
+pub const CALL: &[u8] = b"CALL";
+pub const CANCEL: &[u8] = b"CANCEL";
+pub const CHECK: &[u8] = b"CHECK";
+
+pub const GOOD: &str = "good";
+pub const REFUSED: &str = "refused";
+pub const BROKEN: &str = "broken";
+pub const FIT: &str = "fit";
+pub const UNFIT: &str = "unfit";
+/// More is open on this connection than it may carry.
+pub const ENOUGH: &str = "enough";
+
+/// A field of `name=value,name=value`.
+pub fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields.split(',').find_map(|f| f.split_once('=').filter(|(n, _)| *n == name).map(|(_, v)| v))
+}
+
+fn digits(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit())
+}
+
+/// A tag: a decimal number from 1 up.
+pub fn tag(word: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(word).ok().filter(|t| digits(t))?;
+    text.parse().ok().filter(|tag| *tag > 0)
+}
+
+/// An id or a function: 16 hex digits.
+pub fn hex(text: &str) -> Option<&str> {
+    (text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())).then_some(text)
+}
+
+/// A plain number, not negative, of digits and at most one point.
+fn number(text: &str) -> Option<f64> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
+    (digits(whole) && digits(part)).then(|| text.parse().ok())?
+}
+
+/// How long no client waits.
+const MOST_WAIT: f64 = 3_600_000.0;
+
+/// The time that a client has left, in milliseconds on the wire.
+pub fn timeout(text: &str) -> Option<Time> {
+    number(text).filter(|ms| *ms > 0.0 && *ms < MOST_WAIT).map(Time::from_ms)
+}
+
+/// The further figures, as `name:number;name:number`; none: they cannot be read.
+pub fn info(text: &str) -> Option<Vec<(&str, f64)>> {
+    let entries = text.split(';').filter(|e| !e.is_empty());
+    entries.map(|e| e.split_once(':').and_then(|(name, value)| Some((name, number(value)?)))).collect()
+}
+
+/// The fields of an answer: when to come back, where that is told.
+pub fn answer_fields(retry_after: Time) -> String {
+    match retry_after {
+        Time(0) => String::new(),
+        after => format!("holdoff={}", after.0.div_ceil(10)),
+    }
+}
+
+/// The tags used on a connection: each is new there. Those below a mark are known by it, so that a long connection's
+/// tags take no room; more than `most` above it are none that a client counts.
+#[derive(Debug, Default)]
+pub struct Tags {
+    below: u64,
+    above: std::collections::BTreeSet<u64>,
+}
+
+impl Tags {
+    /// False: it was used before, or too many lie scattered to tell.
+    pub fn is_new(&mut self, tag: u64, most: usize) -> bool {
+        let new = tag > self.below && self.above.len() < most && self.above.insert(tag);
+        while self.above.remove(&(self.below + 1)) {
+            self.below += 1;
+        }
+        new
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case("1500", Some(Time(15_000)))]
+    #[test_case("0.25", Some(Time(2)) ; "a part is rounded down")]
+    #[test_case("0", None)]
+    #[test_case("-5", None)]
+    #[test_case("+5", None)]
+    #[test_case("1e3", None)]
+    #[test_case("NaN", None)]
+    #[test_case("inf", None)]
+    #[test_case("99999999999999999999999", None)]
+    #[test_case("", None)]
+    fn only_a_plain_time_is_one(text: &str, want: Option<Time>) {
+        assert_eq!(timeout(text), want);
+    }
+
+    #[test_case("memory_mb:512;lanes:2", Some(vec![("memory_mb", 512.0), ("lanes", 2.0)]))]
+    #[test_case("", Some(vec![]))]
+    #[test_case("lanes:many", None)]
+    #[test_case("lanes", None)]
+    fn figures_are_read_or_refused(text: &str, want: Option<Vec<(&str, f64)>>) {
+        assert_eq!(info(text), want);
+    }
+
+    #[test]
+    fn a_tag_is_new_once_and_counted_ones_take_no_room() {
+        let mut tags = Tags::default();
+        assert!((1..=1000).all(|tag| tags.is_new(tag, 4)) && tags.above.is_empty());
+        assert!(!tags.is_new(7, 4) && tags.is_new(1002, 4) && tags.is_new(1001, 4) && !tags.is_new(1002, 4));
+        assert!((0..4).all(|n| tags.is_new(2000 + n, 4)) && !tags.is_new(3000, 4));
+    }
+
+    #[test]
+    fn a_field_is_found_by_its_whole_name() {
+        let fields = "req=9b1f03aa5c7e2d41,timeout=1500";
+        assert_eq!((field(fields, "timeout"), field(fields, "time")), (Some("1500"), None));
+    }
+}
