Count what breaks at one moment once, and spread call-outs over connections

A probe at each time-out (out for how long, when its connection was last heard, which function) ruled out silent connections (2 of 83) and showed RPCs waiting for loads at workers that had no memory left. The log showed why: each connection closed for one unreadable answer ended 6 to 15 call-outs as resets, evidence 6 x 1.5 = 9.0 made the worker suspect, and all that was believed warm there was forgotten: loads went elsewhere until memory thrashed. At fault: the Reset arm of `call_out_ended`, which judged once a call-out and not once a break; `fresh` in `candidates`, which sent RPCs away from the copy that still stood; and the pool, which put all call-outs to a worker on one connection.

Change: resets at one moment are one piece of evidence; an RPC may return to a worker where only the connection broke; the pool opens another connection beside one that has enough out, up to its cap, and leaves one on which nothing was heard when an errand on it is given up.

--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use curlewpoint::types::{Outcome, Time, WorkerId};
 use oorandom::Rand64;
@@ -24,9 +24,14 @@
 pub struct PoolLimits {
     /// Errands at a time on a connection.
     pub streams: usize,
+    /// From so many on another connection is opened beside it, up to the cap, for those to come.
+    pub spread: usize,
     /// Connections to a worker.
     pub conns: usize,
     pub idle: Time,
+    /// An errand is given up after this time or later, and nothing has been heard on its connection since it was sent: the
+    /// connection takes nothing new.
+    pub deaf: Time,
     /// The first pause after a failed dial; it doubles up to the second.
     pub back_off: (Time, Time),
 }
@@ -42,8 +47,11 @@
 struct Conn {
     worker: WorkerId,
     state: State,
-    out: BTreeSet<ErrandId>,
+    /// What is out on it, and since when.
+    out: BTreeMap<ErrandId, Time>,
     idle_since: Time,
+    /// When it last brought an answer, or came up.
+    heard: Time,
 }
 
 struct Line<P> {
@@ -111,9 +119,9 @@
         }
         for conn in conns {
             let out = self.conns.get(&conn).map(|c| c.out.clone()).unwrap_or_default();
-            for errand in out {
+            for errand in out.into_keys() {
                 if wires.take_back(conn, errand) {
-                    self.answered(now, wires, errand);
+                    self.let_go(now, wires, errand);
                     wires.ended(errand, Outcome::NotSent);
                 }
             }
@@ -165,7 +173,7 @@
         &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, errand: ErrandId, payload: P,
     ) {
         if self.hand_over(now, wires, worker, errand, &payload) {
-            return;
+            return self.spread(now, wires, worker);
         }
         let Some(line) = self.lines.get_mut(&worker).filter(|l| !l.gone) else {
             return wires.ended(errand, Outcome::ConnectFailed);
@@ -179,17 +187,39 @@
                 let none = line.conns.is_empty();
                 return wires.ended(errand, if none { Outcome::ConnectFailed } else { Outcome::Full });
             }
-            self.next += 1;
-            let conn = ConnId(self.next);
-            line.conns.push(conn);
-            let (state, out) = (State::Dialling, BTreeSet::new());
-            self.conns.insert(conn, Conn { worker, state, out, idle_since: now });
-            wires.dial(conn, worker, &line.address);
+            self.dial(now, wires, worker);
+        }
+        if let Some(line) = self.lines.get_mut(&worker) {
+            line.waiting.push_back((errand, payload));
         }
-        line.waiting.push_back((errand, payload));
         self.whereabouts.insert(errand, (worker, None));
     }
 
+    fn dial(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
+        let Some(line) = self.lines.get_mut(&worker) else { return };
+        self.next += 1;
+        let conn = ConnId(self.next);
+        line.conns.push(conn);
+        let (state, out) = (State::Dialling, BTreeMap::new());
+        self.conns.insert(conn, Conn { worker, state, out, idle_since: now, heard: now });
+        wires.dial(conn, worker, &line.address);
+    }
+
+    /// Opens one connection more where each has enough out. Guards against one connection's end, as by an answer that
+    /// cannot be read, that takes all call-outs to a worker with it; what may have run is lost there or runs again.
+    /// Should also hold for one that stands still. Costs handshakes, and descriptors up to the cap.
+    fn spread(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
+        let Some(line) = self.lines.get(&worker).filter(|l| !l.gone && now >= l.not_before) else { return };
+        let busy = |c: &ConnId| match self.conns[c].state {
+            State::Dialling => false,
+            State::Up => self.conns[c].out.len() >= self.limits.spread,
+            State::Leaving => true,
+        };
+        if line.conns.len() < self.limits.conns && line.conns.iter().all(busy) {
+            self.dial(now, wires, worker);
+        }
+    }
+
     /// Gives an errand to the connection with the fewest out that takes it.
     fn hand_over(
         &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, errand: ErrandId, payload: &P,
@@ -201,7 +231,7 @@
         for conn in open {
             if wires.send(conn, errand, payload) {
                 let c = self.conns.get_mut(&conn).expect("it is open");
-                c.out.insert(errand);
+                c.out.insert(errand, now);
                 c.idle_since = now;
                 self.whereabouts.insert(errand, (worker, Some(conn)));
                 return true;
@@ -212,7 +242,7 @@
 
     pub fn conn_up(&mut self, now: Time, wires: &mut impl Wires<P>, conn: ConnId) {
         let Some(c) = self.conns.get_mut(&conn).filter(|c| c.state == State::Dialling) else { return };
-        (c.state, c.idle_since) = (State::Up, now);
+        (c.state, c.idle_since, c.heard) = (State::Up, now, now);
         let worker = c.worker;
         let Some(line) = self.lines.get_mut(&worker) else { return };
         line.failures = 0;
@@ -263,7 +293,7 @@
     pub fn conn_broken(&mut self, wires: &mut impl Wires<P>, conn: ConnId) {
         let Some(c) = self.conns.get(&conn) else { return };
         let (worker, out) = (c.worker, c.out.clone());
-        for errand in out {
+        for errand in out.into_keys() {
             self.whereabouts.remove(&errand);
             let untouched = wires.take_back(conn, errand);
             wires.ended(errand, if untouched { Outcome::NotSent } else { Outcome::Reset });
@@ -290,6 +320,13 @@
 
     /// An errand was answered.
     pub fn answered(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) {
+        if let Some((_, Some(conn))) = self.whereabouts.get(&errand) {
+            self.conns.get_mut(conn).into_iter().for_each(|c| c.heard = now);
+        }
+        self.let_go(now, wires, errand);
+    }
+
+    fn let_go(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) {
         let Some((_, Some(conn))) = self.whereabouts.remove(&errand) else { return };
         if let Some(c) = self.conns.get_mut(&conn) {
             c.out.remove(&errand);
@@ -314,7 +351,16 @@
                 if !untouched {
                     wires.withdraw(conn, errand);
                 }
-                self.answered(now, wires, errand);
+                let deaf = |c: &Conn| {
+                    c.out.get(&errand).is_some_and(|sent| c.heard <= *sent && now - *sent >= self.limits.deaf)
+                };
+                let deaf = self.conns.get(&conn).is_some_and(deaf);
+                self.let_go(now, wires, errand);
+                if deaf {
+                    // Guards against a connection that stays up and brings nothing more: with ever less out on it, it
+                    // would be the first choice. Harms little where the worker itself is slow: another is dialled.
+                    self.leave(wires, conn);
+                }
                 untouched
             }
         }
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -199,8 +199,10 @@
     let ms = |name| Time::from_ms(of(name));
     let limits = PoolLimits {
         streams: of("streams") as usize,
+        spread: of("streams") as usize,
         conns: of("to-worker") as usize,
         idle: ms("idle"),
+        deaf: Time::from_ms(dial.as_secs_f64() * 1_000.0),
         back_off: (ms("back-off"), ms("most-back-off")),
     };
     let run = format!("{name}.{:08x}", oorandom::Rand64::new(seed).rand_u64() as u32);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -262,7 +262,7 @@
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let (function, method, tenant) = (rpc.function, rpc.method, rpc.tenant);
         let Some(out) = rpc.outs.get_mut(no.0).filter(|o| o.open) else { return };
-        (out.open, out.never_ran) = (false, outcome.never_ran());
+        (out.open, out.never_ran, out.broke) = (false, outcome.never_ran(), outcome == Outcome::Reset);
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         let others = held.saturating_sub(out.beside) as f64;
         if overdue == 0 {
@@ -307,9 +307,11 @@
             }
             Outcome::Reset | Outcome::ConnectFailed => {
                 // Guards against a process that died before the list tells; should also hold for a cut link.
-                // One reset alone is no death, as connections may break on a live worker; a failed connection
-                // is taken for one, which may hurt when the worker is at its connection limit.
-                self.judge(now, worker, if outcome == Outcome::Reset { FAILED } else { DEAD });
+                // One broken connection is no death, and all that breaks at one moment was on one;
+                // a failed dial is taken for a death, which may hurt at the worker's connection limit.
+                let again = outcome == Outcome::Reset && std::mem::replace(&mut w.broke, now) == now;
+                let broke = if again { 0.0 } else { FAILED };
+                self.judge(now, worker, if outcome == Outcome::Reset { broke } else { DEAD });
                 if self.workers[&worker].suspect {
                     let w = self.workers.entry(worker).or_default();
                     w.forget_copies();
@@ -506,7 +508,8 @@
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((slots * size).max(1.0));
             let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
-            let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran);
+            // Where only the connection broke the copy still stands: any other worker may have to load one.
+            let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran || o.broke);
             let room = mine < ceiling && takes && fresh && !w.suspect;
             if !room || !self.budget_left(now, w) || !self.harmless(now, rpc, Some(w)) {
                 continue;
@@ -574,8 +577,8 @@
         let tenant = rpc.tenant;
         (w.mine, w.last_sent) = (w.mine + 1, now);
         let belief = w.beliefs.entry(rpc.function).or_default();
-        let (open, never_ran, beside, overdue) = (true, false, belief.mine, 0);
-        rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, warm, beside, overdue });
+        let (open, never_ran, broke, beside, overdue) = (true, false, false, belief.mine, 0);
+        rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, broke, warm, beside, overdue });
         belief.mine += 1;
         if !warm {
             belief.copies = Copies::Loading;
--- a/src/records.rs
+++ b/src/records.rs
@@ -73,6 +73,8 @@
     /// Where in its gap between call-outs my first one to it lies while it is cold, drawn anew at each start.
     pub phase: f64,
     pub last_sent: Time,
+    /// When a call-out to it last broke off.
+    pub broke: Time,
     /// When it last answered anything.
     pub heard: Time,
     pub probed: Time,
@@ -105,6 +107,8 @@
     pub sent: Time,
     pub open: bool,
     pub never_ran: bool,
+    /// Its connection broke; the worker may be well.
+    pub broke: bool,
     /// Sent where a copy was believed warm.
     pub warm: bool,
     /// My RPCs of the function that were there already.
