--- a/crates/curlewpoint-platform/src/dns.rs
+++ b/crates/curlewpoint-platform/src/dns.rs
@@ -5,7 +5,7 @@
 use curlewpoint::types::Standing;
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
-use hickory_proto::{ProtoError, ProtoErrorKind};
+use hickory_proto::ProtoError;
 use thiserror::Error;
 
 use crate::Roll;
@@ -84,12 +84,3 @@
     roll.ends();
     Ok(())
 }
-
-/// Whether an answer is worth waiting on past this one: it answers another question, or cannot be read at all.
-pub fn is_stray(error: &DirectoryError) -> bool {
-    match error {
-        DirectoryError::NotMine => true,
-        DirectoryError::NotRead(e) => !matches!(e.kind(), ProtoErrorKind::Io(_)),
-        _ => false,
-    }
-}
