Try SIGHUP and SIGTERM on a node as a process, which tells where it serves

Need: a file that cannot be read must change nothing, a new one must move the directory, and a stop must end with 0. The node prints the address it serves on, as serve does.

--- a/crates/curlewpoint-cli/src/commands/node.rs
+++ b/crates/curlewpoint-cli/src/commands/node.rs
@@ -46,10 +46,11 @@
         let (Ok(mut term), Ok(mut int), Ok(mut hup)) = (term, int, hup) else {
             return fail(FAILED, "signals cannot be watched");
         };
-        let Running { notes, resolver, end, .. } = match curlewpoint_node::start(told).await {
+        let Running { address, notes, resolver, end } = match curlewpoint_node::start(told).await {
             Ok(running) => running,
             Err(why) => return fail(FAILED, &why.to_string()),
         };
+        println!("serving on {address}");
         tokio::pin!(end);
         loop {
             tokio::select! {
--- a/crates/curlewpoint-cli/tests/processes.rs
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -302,3 +302,28 @@
     let out = call(&f.gateway.address).output().expect("it runs");
     assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
 }
+
+/// Guards against a node that ends, or loses its directory, when its file is replaced; and one that ends badly when told to.
+#[test]
+fn a_node_reads_its_file_anew_and_ends_well() {
+    let file = std::env::temp_dir().join(format!("curlewpoint-node-{}.json", std::process::id()));
+    let told = |resolver: &str| {
+        format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","resolver":"{resolver}","settings":{{}},
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{{"cursor":0,"cmds":[]}}}}"#
+        )
+    };
+    std::fs::write(&file, told("127.0.0.1:9")).unwrap();
+    let mut node = Process::start(&["node", &file.display().to_string()]);
+    std::fs::write(&file, "{ half a fi").unwrap();
+    node.signal("HUP");
+    node.logs("the directory's address stays as it is");
+    std::fs::write(&file, told("127.0.0.1:10")).unwrap();
+    node.signal("HUP");
+    node.logs("the directory is at 127.0.0.1:10");
+    std::net::TcpStream::connect(&node.address).expect("it still serves");
+    node.signal("TERM");
+    node.logs("stopped");
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    let _ = std::fs::remove_file(file);
+}
