Hold back a function, not its worker, where a load is turned away, and try one more

Checked with a probe that logged each call-out, answer and report (not kept): 61,814 of 62,155 `full` answers came from workers that held none of the function, where none answered warm within a second; in 98 of 100 the sender believed nothing there. The workers were not busy: utilisation 0.30 to 0.37 at the median, 0.32 of memory not to be freed, the store at a quarter. So ruled out: overload, memory, the store. Loads took 1.8 s instead of 0.7; the functions answered warm fell from 1,110 to 521 while the homes of each rose from 1.06 to 2.3. To blame: `call_out_ended` and `candidates` in src/brain.rs. A `full` without a copy held the worker back for every function that this scheduler did not itself believe warm there, so that each left the agreed homes, where others keep copies, in its own way; and each RPC knocked at up to five workers and began a load wherever there was room.

Change: the hold is kept with the function's belief; after two workers have turned a load away, an RPC begins none.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,6 +62,8 @@
 const FADING: f64 = 0.001;
 const EJECT_SHARE: f64 = 0.34;
 const COLD_PART: f64 = 1.0;
+/// Workers at which an RPC tries to begin a load.
+const LOADS_TRIED: usize = 2;
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_CAP: f64 = 10.0;
 const STUCK: usize = 3;
@@ -263,6 +265,7 @@
         let (function, method, tenant) = (rpc.function, rpc.method, rpc.tenant);
         let Some(out) = rpc.outs.get_mut(no.0).filter(|o| o.open) else { return };
         (out.open, out.never_ran, out.broke) = (false, outcome.never_ran(), outcome == Outcome::Reset);
+        out.full = outcome == Outcome::Full;
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         let others = held.saturating_sub(out.beside) as f64;
         if overdue == 0 {
@@ -297,8 +300,9 @@
                 self.judge(now, worker, if overdue == 0 { GOOD } else { 0.0 });
             }
             Outcome::Full => {
-                // Turned away where a copy was believed warm the queue is full; elsewhere memory may be.
-                w.no_load_until = now + Time((4 * FULL_HOLD.0) << w.fulls);
+                // Turned away where a copy was believed warm the queue is full; elsewhere room for loads may
+                // lack, which says nothing of other functions: others' copies of them may stand there.
+                belief.no_load_until = now + Time((4 * FULL_HOLD.0) << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
                 if was_warm {
                     w.ceiling = w.mine.max(1) as f64;
@@ -460,9 +464,13 @@
         }
     }
 
-    fn is_warm(&self, now: Time, at: WorkerId, function: FunctionId) -> bool {
+    fn affinity_at(&self, now: Time, at: WorkerId, function: FunctionId) -> f64 {
         let w = &self.workers[&at];
-        Self::affinity(now, self.keep(), w, w.beliefs.get(&function)) >= WARM
+        Self::affinity(now, self.keep(), w, w.beliefs.get(&function))
+    }
+
+    fn is_warm(&self, now: Time, at: WorkerId, function: FunctionId) -> bool {
+        self.affinity_at(now, at, function) >= WARM
     }
 
     /// The workers with room that the rules let an RPC go to, scored; the crowded ones are marked.
@@ -507,7 +515,8 @@
             let here = (others + belief.map_or(0.0, |b| b.mine as f64) + 1.0) * slowness;
             let crowd = CROWD * mean * size + (SLACK_LANES * rpc.lanes).max(1.0);
             let ceiling = w.ceiling.min((slots * size).max(1.0));
-            let takes = w.full_until <= now && (affinity >= LOADING || w.no_load_until <= now);
+            let loads = belief.is_none_or(|b| b.no_load_until <= now);
+            let takes = w.full_until <= now && (affinity >= LOADING || loads);
             // Where only the connection broke the copy still stands: any other worker may have to load one.
             let fresh = rpc.outs.iter().all(|o| o.worker != id || o.never_ran || o.broke);
             let room = mine < ceiling && takes && fresh && !w.suspect;
@@ -577,8 +586,8 @@
         let tenant = rpc.tenant;
         (w.mine, w.last_sent) = (w.mine + 1, now);
         let belief = w.beliefs.entry(rpc.function).or_default();
-        let (open, never_ran, broke, beside, overdue) = (true, false, false, belief.mine, 0);
-        rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, broke, warm, beside, overdue });
+        let (open, never_ran, full, broke, beside, overdue) = (true, false, false, false, belief.mine, 0);
+        rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, full, broke, warm, beside, overdue });
         belief.mine += 1;
         if !warm {
             belief.copies = Copies::Loading;
@@ -680,6 +689,10 @@
 
     /// Tries an RPC's further call-out; true: it has to wait. One beside an open call-out goes only where a
     /// copy is believed warm, and does not wait. What proves that it never ran costs nothing of the budget.
+    /// Turned away by two workers at which it would have begun a load, an RPC begins none elsewhere. Guards
+    /// against schedulers that each scatter a function's loads beyond its homes: these turn away further
+    /// loads, and the fleet stays so. Should hold for any lack of room for loads. May hurt a small fleet
+    /// where a third worker alone has room: the function's next RPCs find it.
     fn further_call_out(&mut self, now: Time, id: RpcId) -> bool {
         let rpc = &self.rpcs[&id];
         let beside = rpc.open() > 0;
@@ -689,8 +702,16 @@
         let possible = if beside { out <= CLOSE * limit } else { self.harmless_to_any(now, rpc) };
         let possible = possible && (rpc.outs.len() as f64) < most;
         let to = if possible && self.retries >= cost { self.pick(now, id) } else { None };
-        let warm = |to: &WorkerId| self.is_warm(now, *to, self.rpcs[&id].function);
-        match to.filter(|to| !beside || warm(to)) {
+        let rpc = &self.rpcs[&id];
+        let refused = rpc.outs.iter().filter(|o| o.full && !o.warm).count() >= LOADS_TRIED;
+        let least = if beside {
+            WARM
+        } else if refused {
+            LOADING
+        } else {
+            0.0
+        };
+        match to.filter(|to| self.affinity_at(now, *to, rpc.function) >= least) {
             Some(to) => {
                 self.retries -= cost;
                 self.send(now, id, to);
@@ -765,7 +786,7 @@
             }
             w.beliefs.retain(|_, b| match b.copies {
                 Copies::Warm(used) => b.mine > 0 || now - used <= keep + keep,
-                copies => b.mine > 0 || copies != Copies::Unknown,
+                copies => b.mine > 0 || copies != Copies::Unknown || b.no_load_until > now,
             });
         }
         self.forget_gone(now);
--- a/src/records.rs
+++ b/src/records.rs
@@ -21,6 +21,8 @@
     /// RPCs of the function that others had there, as answers told at `told`.
     pub others: f64,
     pub told: Time,
+    /// The worker turned the function away where it lacked a copy: no load is begun there until then.
+    pub no_load_until: Time,
 }
 
 impl Belief {
@@ -59,7 +61,6 @@
     pub ceiling: f64,
     /// A 'full' reply holds until then, longer with each in a row.
     pub full_until: Time,
-    pub no_load_until: Time,
     pub fulls: u32,
     pub util: Option<f64>,
     /// The share of its memory that can't be freed, as last reported.
@@ -107,6 +108,8 @@
     pub sent: Time,
     pub open: bool,
     pub never_ran: bool,
+    /// The worker turned it away.
+    pub full: bool,
     /// Its connection broke; the worker may be well.
     pub broke: bool,
     /// Sent where a copy was believed warm.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -282,6 +282,29 @@
     assert!(answers == 1 || s.calls(rpc).len() > 2, "then it is tried again or denied, not forgotten");
 }
 
+/// Guards against loads that turn each other away: 276 schedulers that each held a worker back for all functions, and
+/// knocked at every other one, left the functions' agreed homes and did not come back (`zone+mass`).
+#[test]
+fn a_load_turned_away_moves_no_other_function_and_is_tried_at_one_worker_more() {
+    let mut s = Story::new(6);
+    let home = |s: &mut Story, function| {
+        let rpc = s.rpc(IDEMPOTENT, function);
+        let at = s.calls(rpc)[0];
+        s.srv.rpc_gone(RpcId(rpc));
+        s.end(rpc, 0, Outcome::Cancelled, Copy::Untold);
+        at
+    };
+    let homes: Vec<u64> = (0..40).map(|f| home(&mut s, f)).collect();
+    let rpc = s.rpc(IDEMPOTENT, 0);
+    s.end(rpc, 0, Outcome::Full, Copy::Untold);
+    s.end(rpc, 1, Outcome::Full, Copy::Untold);
+    assert_eq!(s.calls(rpc).len(), 2, "no third load is begun");
+    assert!((1..40).all(|f| home(&mut s, f) == homes[f as usize]), "other functions' copies may stand there");
+    assert_ne!(home(&mut s, 0), homes[0]);
+    s.pass(600);
+    assert_eq!(s.deeds("deny"), [format!("deny {rpc}")], "it never ran, and could not be in time");
+}
+
 #[test]
 fn a_tenant_over_its_share_is_denied_first() {
     let mut told = settings();
