Choose spread and silence in the pool, and open a second connection from four out

Cause: when to open a connection beside another and when one counts as silent were figures in the node's shell; and opening one for every second call-out, harmless at three schedulers, is paid for by three hundred.

Change: both choices and their figures live in the pool, for node and gateway alike. Another connection comes from four out on each (a handshake is paid for in work at the worker), from one for a minute after a connection broke with something out on it, which is what spreading guards against. A connection on which nothing has come since something was sent is passed over as soon as what was sent later on another is answered, and closed when empty; where no other can come it has to do.

--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -24,18 +24,22 @@
 pub struct PoolLimits {
     /// Errands at a time on a connection.
     pub streams: usize,
-    /// From so many on another connection is opened beside it, up to the cap, for those to come.
-    pub spread: usize,
     /// Connections to a worker.
     pub conns: usize,
     pub idle: Time,
-    /// An errand is given up after this time or later, and nothing has been heard on its connection since it was sent: the
-    /// connection takes nothing new.
-    pub deaf: Time,
     /// The first pause after a failed dial; it doubles up to the second.
     pub back_off: (Time, Time),
 }
 
+/// With so many out on each of a worker's connections another is opened beside them: as a rule, and for a while after
+/// a connection broke with something out on it. A handshake costs the worker's time, and three hundred schedulers that
+/// each open one for every second call-out pay for thousands; where answers come spoilt it is worth its price.
+const SPREAD: (usize, usize) = (4, 1);
+const WARY: Time = Time(600_000);
+/// An errand is given up after this time or later, and nothing has been heard on its connection since it was sent: the
+/// connection takes nothing new. Longer than a warm answer takes.
+const DEAF: Time = Time(10_000);
+
 #[derive(Clone, Copy, PartialEq)]
 enum State {
     Dialling,
@@ -52,6 +56,15 @@
     idle_since: Time,
     /// When it last brought an answer, or came up.
     heard: Time,
+    /// Nothing has come on it since something was sent, and what was sent later on another has been answered.
+    passed: bool,
+}
+
+impl Conn {
+    /// Since when it has been waited for without a word.
+    fn silent_since(&self) -> Option<Time> {
+        self.out.values().filter(|sent| **sent >= self.heard).min().copied()
+    }
 }
 
 struct Line<P> {
@@ -75,18 +88,26 @@
     conns: BTreeMap<ConnId, Conn>,
     /// Where each errand is: on a connection, or waiting at its worker.
     whereabouts: BTreeMap<ErrandId, (WorkerId, Option<ConnId>)>,
+    /// Until then connections are expected to break.
+    wary_until: Time,
 }
 
 impl<P> Pool<P> {
     pub fn new(limits: PoolLimits, seed: u128) -> Pool<P> {
         let (lines, conns, whereabouts) = Default::default();
-        Pool { limits, rng: Rand64::new(seed), next: 0, lines, conns, whereabouts }
+        let wary_until = Time(0);
+        Pool { limits, rng: Rand64::new(seed), next: 0, lines, conns, whereabouts, wary_until }
     }
 
     pub fn conns(&self) -> usize {
         self.conns.len()
     }
 
+    /// What is open, and at which worker.
+    pub fn open(&self) -> impl Iterator<Item = (ErrandId, WorkerId)> + '_ {
+        self.whereabouts.iter().map(|(errand, (worker, _))| (*errand, *worker))
+    }
+
     /// A worker's address, as the list tells it. At a new one old connections are left to finish.
     pub fn worker_at(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, address: &str) {
         let line = self.lines.entry(worker).or_insert_with(|| Line {
@@ -172,7 +193,7 @@
     pub fn errand(
         &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, errand: ErrandId, payload: P,
     ) {
-        if self.hand_over(now, wires, worker, errand, &payload) {
+        if self.hand_over(now, wires, worker, errand, &payload, false) {
             return self.spread(now, wires, worker);
         }
         let Some(line) = self.lines.get_mut(&worker).filter(|l| !l.gone) else {
@@ -180,12 +201,13 @@
         };
         let dialling = line.conns.iter().filter(|c| self.conns[*c].state == State::Dialling).count();
         if line.waiting.len() >= dialling * self.limits.streams {
-            if line.conns.len() >= self.limits.conns {
-                return wires.ended(errand, Outcome::Full);
-            }
-            if now < line.not_before {
+            if line.conns.len() >= self.limits.conns || now < line.not_before {
                 let none = line.conns.is_empty();
-                return wires.ended(errand, if none { Outcome::ConnectFailed } else { Outcome::Full });
+                // Where no other can come, one that was passed over has to do.
+                if !self.hand_over(now, wires, worker, errand, &payload, true) {
+                    wires.ended(errand, if none { Outcome::ConnectFailed } else { Outcome::Full });
+                }
+                return;
             }
             self.dial(now, wires, worker);
         }
@@ -201,7 +223,7 @@
         let conn = ConnId(self.next);
         line.conns.push(conn);
         let (state, out) = (State::Dialling, BTreeMap::new());
-        self.conns.insert(conn, Conn { worker, state, out, idle_since: now, heard: now });
+        self.conns.insert(conn, Conn { worker, state, out, idle_since: now, heard: now, passed: false });
         wires.dial(conn, worker, &line.address);
     }
 
@@ -210,9 +232,10 @@
     /// Should also hold for one that stands still. Costs handshakes, and descriptors up to the cap.
     fn spread(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
         let Some(line) = self.lines.get(&worker).filter(|l| !l.gone && now >= l.not_before) else { return };
+        let most = if now < self.wary_until { SPREAD.1 } else { SPREAD.0.min(self.limits.streams) };
         let busy = |c: &ConnId| match self.conns[c].state {
             State::Dialling => false,
-            State::Up => self.conns[c].out.len() >= self.limits.spread,
+            State::Up => self.conns[c].out.len() >= most || self.conns[c].passed,
             State::Leaving => true,
         };
         if line.conns.len() < self.limits.conns && line.conns.iter().all(busy) {
@@ -220,14 +243,16 @@
         }
     }
 
-    /// Gives an errand to the connection with the fewest out that takes it.
+    /// Gives an errand to the connection with the fewest out that takes it; to one that was passed over only if told.
     fn hand_over(
         &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, errand: ErrandId, payload: &P,
+        passed: bool,
     ) -> bool {
         let Some(line) = self.lines.get(&worker) else { return false };
         let room = |c: &Conn| c.state == State::Up && c.out.len() < self.limits.streams;
-        let mut open: Vec<ConnId> = line.conns.iter().copied().filter(|c| room(&self.conns[c])).collect();
-        open.sort_by_key(|c| self.conns[c].out.len());
+        let takes = |c: &Conn| room(c) && (passed || !c.passed);
+        let mut open: Vec<ConnId> = line.conns.iter().copied().filter(|c| takes(&self.conns[c])).collect();
+        open.sort_by_key(|c| (self.conns[c].passed, self.conns[c].out.len()));
         for conn in open {
             if wires.send(conn, errand, payload) {
                 let c = self.conns.get_mut(&conn).expect("it is open");
@@ -248,7 +273,7 @@
         line.failures = 0;
         let mut waiting = std::mem::take(&mut line.waiting);
         while let Some((errand, payload)) = waiting.pop_front() {
-            if !self.hand_over(now, wires, worker, errand, &payload) {
+            if !self.hand_over(now, wires, worker, errand, &payload, false) {
                 waiting.push_front((errand, payload));
                 break;
             }
@@ -290,9 +315,12 @@
     }
 
     /// A connection broke: what was not begun on it provably never ran, the rest may have.
-    pub fn conn_broken(&mut self, wires: &mut impl Wires<P>, conn: ConnId) {
+    pub fn conn_broken(&mut self, now: Time, wires: &mut impl Wires<P>, conn: ConnId) {
         let Some(c) = self.conns.get(&conn) else { return };
         let (worker, out) = (c.worker, c.out.clone());
+        if !out.is_empty() {
+            self.wary_until = now + WARY;
+        }
         for errand in out.into_keys() {
             self.whereabouts.remove(&errand);
             let untouched = wires.take_back(conn, errand);
@@ -320,12 +348,27 @@
 
     /// An errand was answered.
     pub fn answered(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) {
-        if let Some((_, Some(conn))) = self.whereabouts.get(&errand) {
-            self.conns.get_mut(conn).into_iter().for_each(|c| c.heard = now);
+        if let Some((worker, Some(conn))) = self.whereabouts.get(&errand).copied() {
+            self.heard(now, worker, conn, errand);
         }
         self.let_go(now, wires, errand);
     }
 
+    /// An answer came on a connection. Another that has been silent since before its question was sent is passed over
+    /// from here on, until it is heard again. Guards against one that stays up and brings nothing more, without waiting
+    /// for an errand on it to be given up. Should also hold for one behind a slow path. Harms little where all that it
+    /// carries is slow, as a load is: the others take what comes, and it is taken again once it has answered.
+    fn heard(&mut self, now: Time, worker: WorkerId, conn: ConnId, errand: ErrandId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        (c.heard, c.passed) = (now, false);
+        let Some(sent) = c.out.get(&errand).copied() else { return };
+        for other in self.lines.get(&worker).map(|l| l.conns.as_slice()).unwrap_or_default() {
+            if let Some(c) = self.conns.get_mut(other).filter(|_| *other != conn) {
+                c.passed |= c.silent_since().is_some_and(|since| since < sent);
+            }
+        }
+    }
+
     fn let_go(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) {
         let Some((_, Some(conn))) = self.whereabouts.remove(&errand) else { return };
         if let Some(c) = self.conns.get_mut(&conn) {
@@ -352,7 +395,8 @@
                     wires.withdraw(conn, errand);
                 }
                 let deaf = |c: &Conn| {
-                    c.out.get(&errand).is_some_and(|sent| c.heard <= *sent && now - *sent >= self.limits.deaf)
+                    let unheard = |sent: &Time| c.heard <= *sent && now - *sent >= DEAF;
+                    c.passed || c.out.get(&errand).is_some_and(unheard)
                 };
                 let deaf = self.conns.get(&conn).is_some_and(deaf);
                 self.let_go(now, wires, errand);
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -199,10 +199,8 @@
     let ms = |name| Time::from_ms(of(name));
     let limits = PoolLimits {
         streams: of("streams") as usize,
-        spread: of("streams") as usize,
         conns: of("to-worker") as usize,
         idle: ms("idle"),
-        deaf: Time::from_ms(dial.as_secs_f64() * 1_000.0),
         back_off: (ms("back-off"), ms("most-back-off")),
     };
     let run = format!("{name}.{:08x}", oorandom::Rand64::new(seed).rand_u64() as u32);
@@ -386,13 +384,13 @@
                 engine.settle(now);
             }
             Note::Broken(conn) => {
-                engine.world().conn_broken(conn);
+                engine.world().conn_broken(now, conn);
                 engine.settle(now);
             }
             Note::Worker(conn, frame) => {
                 if let Err(e) = self.worker(now, conn, &frame) {
                     info!(conn = conn.0, "connection to a worker closed: {e}");
-                    self.engine.world().conn_broken(conn);
+                    self.engine.world().conn_broken(now, conn);
                     self.engine.settle(now);
                 }
             }
--- a/crates/curlewpoint-node/src/outside.rs
+++ b/crates/curlewpoint-node/src/outside.rs
@@ -144,8 +144,8 @@
         self.pool.conn_failed(now, &mut self.sockets, conn);
     }
 
-    pub fn conn_broken(&mut self, conn: ConnId) {
-        self.pool.conn_broken(&mut self.sockets, conn);
+    pub fn conn_broken(&mut self, now: Time, conn: ConnId) {
+        self.pool.conn_broken(now, &mut self.sockets, conn);
         self.sockets.outboxes.remove(&conn);
     }
 
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -153,11 +153,9 @@
     let dialler = Dialler { bounds, limit: dial, notes: answers_in.clone() };
     let limits = PoolLimits {
         streams: limit(&settings, "streamsPerConn", 32) as usize,
-        spread: 1,
         conns: (sockets / 64).clamp(2, 16),
         // Before the worker closes it: what crosses that may have run.
         idle: Time::from_ms(limit(&settings, "keepalive", 15_000) as f64 * 0.6),
-        deaf: Time::from_ms(1_000.0),
         back_off: (Time::from_ms(50.0), Time::from_ms(1_000.0)),
     };
     // Each RPC held may hold a body: half of the memory is for them.
@@ -283,12 +281,12 @@
             Note::Worker(conn, row) => {
                 if let Err(why) = self.worker(now, conn, &row) {
                     info!(conn = conn.0, "connection to a worker closed: {why}");
-                    self.engine.world().conn_broken(conn);
+                    self.engine.world().conn_broken(now, conn);
                     self.engine.settle(now);
                 }
             }
             Note::Broken(conn) => {
-                engine.world().conn_broken(conn);
+                engine.world().conn_broken(now, conn);
                 engine.settle(now);
             }
             Note::List(answer, id) => {
