Hold beliefs against the sockets, let names of functions fade, read each list once

Change: once a second `node` compares what the module believes out at each worker, what the engine has out and what the pool has open, and says once if they differ; at debug level a line gives the size of each collection. The name of a function is kept while an RPC held asks for it (a client that invents functions filled up to a million names before). An answer of the directory is decoded once, and handed on as the list it was.

Left: how late events of the directory come was not measured.

--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -187,7 +187,9 @@
     /// Ends that are known and not yet told: the module is not called from within its own call.
     ends: VecDeque<End>,
     wheel: Wheel<Wake>,
+    /// The names of functions that RPCs held ask for, and how many do.
     functions: Ids,
+    asked_for: BTreeMap<FunctionId, usize>,
     roster: Roster,
     /// All that were ever served here, by their ids; and which of them are now.
     methods: Vec<Terms>,
@@ -245,8 +247,19 @@
     }
 
     fn forget_if_done(&mut self, rpc: RpcId) {
-        if self.rpcs.get(&rpc).is_some_and(|o| o.answered && o.open.is_empty()) {
-            self.rpcs.remove(&rpc);
+        if self.rpcs.get(&rpc).is_none_or(|o| !o.answered || !o.open.is_empty()) {
+            return;
+        }
+        if let Some(Owed { function, .. }) = self.rpcs.remove(&rpc) {
+            let others = self.asked_for.get_mut(&function).map_or(0, |n| {
+                *n -= 1;
+                *n
+            });
+            // Functions are named in what is sent for an RPC only; a client that invents them fills nothing.
+            if others == 0 {
+                self.asked_for.remove(&function);
+                self.functions.forget(function.0);
+            }
             self.world.forgotten(rpc);
         }
     }
@@ -376,6 +389,7 @@
             ends: VecDeque::new(),
             wheel: Wheel::default(),
             functions: Ids::new(MOST_MODELS),
+            asked_for: BTreeMap::new(),
             roster: Roster::new(MOST_WORKERS),
             methods,
             known,
@@ -421,6 +435,34 @@
         self.module.host().roster.name(worker)
     }
 
+    /// Where what the module believes out differs from what is out here, or that from what the pool has open.
+    pub fn mismatch(&mut self, open: &BTreeMap<ErrandId, WorkerId>) -> Option<String> {
+        let outs = &self.module.host().outs;
+        let out = |id: &ErrandId| outs.get(id).map(|o| o.worker);
+        if let Some(id) = outs.keys().chain(open.keys()).find(|id| out(id) != open.get(id).copied()) {
+            return Some(format!("errand {} is out at {:?}, and open at {:?}", id.0, out(id), open.get(id)));
+        }
+        let mut call_outs: BTreeMap<WorkerId, u64> = BTreeMap::new();
+        for o in outs.values().filter(|o| matches!(o.what, What::CallOut(..))) {
+            *call_outs.entry(o.worker).or_default() += 1;
+        }
+        let believed: BTreeMap<WorkerId, u64> = self.module.believed_out().collect();
+        (believed != call_outs).then(|| format!("believed out {believed:?}, and out {call_outs:?}"))
+    }
+
+    /// How much is kept here and by the module, by kind.
+    pub fn sizes(&mut self) -> Vec<(&'static str, usize)> {
+        let desk = self.module.host();
+        let here = [
+            ("rpcs", desk.rpcs.len()),
+            ("errands", desk.outs.len()),
+            ("wake-ups", desk.wheel.len()),
+            ("function names", desk.functions.len()),
+            ("worker names", desk.roster.len()),
+        ];
+        here.into_iter().chain(self.module.sizes()).collect()
+    }
+
     /// The RPC that a call-out which is out is for, and its method.
     pub fn asked_by(&mut self, errand: ErrandId) -> Option<(RpcId, &str)> {
         let desk = self.module.host();
@@ -522,6 +564,7 @@
         let owed =
             Owed { client, tag, method, tenant, function, token, deadline, body, answered, call_outs, open };
         desk.rpcs.insert(id, owed);
+        *desk.asked_for.entry(function).or_default() += 1;
         desk.tags.insert(from, id);
         desk.figures.taken += 1;
         desk.world.taken(id);
--- a/crates/curlewpoint-engine/src/ids.rs
+++ b/crates/curlewpoint-engine/src/ids.rs
@@ -48,6 +48,14 @@
         self.names.get(&id).map_or("", String::as_str)
     }
 
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
     pub fn forget(&mut self, id: u64) {
         self.names.remove(&id);
     }
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -103,6 +103,12 @@
         self.conns.len()
     }
 
+    /// How much is kept, by kind.
+    pub fn sizes(&self) -> [(&'static str, usize); 3] {
+        let (open, dialled) = (self.whereabouts.len(), self.lines.len());
+        [("connections", self.conns.len()), ("errands open", open), ("workers dialled", dialled)]
+    }
+
     /// What is open, and at which worker.
     pub fn open(&self) -> impl Iterator<Item = (ErrandId, WorkerId)> + '_ {
         self.whereabouts.iter().map(|(errand, (worker, _))| (*errand, *worker))
--- a/crates/curlewpoint-engine/src/roster.rs
+++ b/crates/curlewpoint-engine/src/roster.rs
@@ -56,6 +56,15 @@
         self.names.name(worker.0)
     }
 
+    /// Workers whose names are kept.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
     /// A list begins: a full one, or the changes since version `from`.
     pub fn begins(&mut self, epoch: u64, version: u64, from: Option<u64>) {
         self.staged = Some((epoch, version, from));
--- a/crates/curlewpoint-node/src/directory.rs
+++ b/crates/curlewpoint-node/src/directory.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use curlewpoint::types::Standing;
 use curlewpoint_platform::dns::{self, DirectoryError, MOST_ANSWER};
+use curlewpoint_platform::Roll;
 use oorandom::Rand64;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -16,30 +18,52 @@
 /// After so many questions in a row without a good answer one line says so.
 const SILENT: u32 = 5;
 
-/// Reads a list without taking it.
-struct Glance;
+/// A list that has been read whole, on its way to the engine.
+#[derive(Default)]
+pub(crate) struct List {
+    version: u64,
+    rows: Vec<(String, String, Standing, u64, String, String, f64)>,
+}
+
+impl Roll for List {
+    fn begins(&mut self, version: u64, _: Option<u64>) {
+        self.version = version;
+    }
 
-impl curlewpoint_platform::Roll for Glance {
-    fn begins(&mut self, _: u64, _: Option<u64>) {}
     fn worker(
-        &mut self, _: &str, _: &str, _: curlewpoint::types::Standing, _: u64, _: &str, _: &str, _: f64,
+        &mut self, name: &str, address: &str, standing: Standing, started: u64, zone: &str, cell: &str,
+        size: f64,
     ) {
+        self.rows.push((name.into(), address.into(), standing, started, zone.into(), cell.into(), size));
     }
+
     fn ends(&mut self) {}
 }
 
+impl List {
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub fn call(&self, roll: &mut impl Roll) {
+        roll.begins(self.version, None);
+        for (name, address, standing, started, zone, cell, size) in &self.rows {
+            roll.worker(name, address, *standing, *started, zone, cell, *size);
+        }
+        roll.ends();
+    }
+}
+
 /// Asks once; answers to other questions are passed over.
-async fn ask(socket: &UdpSocket, id: u16) -> Result<Vec<u8>, String> {
+async fn ask(socket: &UdpSocket, id: u16) -> Result<List, String> {
     let query = dns::query(id).map_err(|e| e.to_string())?;
     socket.send(&query).await.map_err(|e| e.to_string())?;
     let mut answer = vec![0; MOST_ANSWER];
     loop {
         let n = socket.recv(&mut answer).await.map_err(|e| e.to_string())?;
-        match dns::read(&answer[..n], id, &mut Glance) {
-            Ok(()) => {
-                answer.truncate(n);
-                return Ok(answer);
-            }
+        let mut list = List::default();
+        match dns::read(&answer[..n], id, &mut list) {
+            Ok(()) => return Ok(list),
             Err(DirectoryError::NotMine) => debug!("an answer to another question"),
             Err(why) => return Err(why.to_string()),
         }
@@ -68,12 +92,12 @@
                 _ = at.changed() => break,
             };
             let pause = match asked {
-                Ok(Ok(answer)) => {
+                Ok(Ok(list)) => {
                     if failures >= SILENT {
                         info!("the directory answers again, after {failures} questions without");
                     }
                     failures = 0;
-                    if notes.send(Note::List(answer, id)).await.is_err() {
+                    if notes.send(Note::List(list)).await.is_err() {
                         return;
                     }
                     PAUSE
--- a/crates/curlewpoint-node/src/outside.rs
+++ b/crates/curlewpoint-node/src/outside.rs
@@ -163,6 +163,23 @@
         self.pool.sweep(now, &mut self.sockets);
     }
 
+    /// What the pool has open, and at which worker.
+    pub fn open(&self) -> BTreeMap<ErrandId, WorkerId> {
+        self.pool.open().collect()
+    }
+
+    /// How much is kept, by kind.
+    pub fn sizes(&self) -> Vec<(&'static str, usize)> {
+        let here = [
+            ("clients", self.clients.len()),
+            ("ids of RPCs", self.ids.len()),
+            ("names at workers", self.sockets.names.len()),
+            ("tickets", self.sockets.tickets.len()),
+            ("outboxes", self.sockets.outboxes.len()),
+        ];
+        here.into_iter().chain(self.pool.sizes()).collect()
+    }
+
     pub fn conns(&self) -> usize {
         self.pool.conns()
     }
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -7,7 +7,7 @@
 use curlewpoint_link::{listen, Bounds, Outbox};
 use curlewpoint_platform::resp::RespError;
 use curlewpoint_platform::told::{self, Told, ToldError};
-use curlewpoint_platform::{asked, dns, lines, Roll};
+use curlewpoint_platform::{asked, lines, Roll};
 use oorandom::Rand64;
 use serde_json::{Map, Value};
 use thiserror::Error;
@@ -15,8 +15,9 @@
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
+use crate::directory::List;
 use crate::outside::{Client, Outside};
 use crate::workers::Dialler;
 use crate::{clients, directory};
@@ -34,8 +35,8 @@
     Down(ConnId),
     Worker(ConnId, Map<String, Value>),
     Broken(ConnId),
-    /// An answer of the directory, to the question with this id.
-    List(Vec<u8>, u16),
+    /// A list that the directory told.
+    List(List),
     Stop,
 }
 
@@ -179,7 +180,7 @@
     let (resolver, at) = watch::channel(resolver);
     let following = directory::follow(at, answers_in, Rand64::new(seed));
     let helpers = [tokio::spawn(accepting).abort_handle(), tokio::spawn(following).abort_handle()];
-    let turn = Turn { engine, clock, report, killed, ending: None };
+    let turn = Turn { engine, clock, report, killed, ending: None, mismatched: false, listed: 0 };
     let end = tokio::spawn(turn.run(answers, asks, tasks, helpers));
     Ok(Running { address, notes: Stopper(asks_in), resolver, end })
 }
@@ -194,6 +195,10 @@
     killed: Duration,
     /// When a stop was asked for.
     ending: Option<Instant>,
+    /// Books were seen to differ, and it was said.
+    mismatched: bool,
+    /// The newest list heard of.
+    listed: u64,
 }
 
 impl Turn {
@@ -223,6 +228,7 @@
             if swept.elapsed() >= SWEEP {
                 swept = Instant::now();
                 self.engine.world().sweep(now);
+                self.look_into_books();
             }
             if self.is_over() {
                 break;
@@ -243,6 +249,19 @@
         f
     }
 
+    /// Holds what the module believes out against what is open on the sockets, and tells how much is kept.
+    fn look_into_books(&mut self) {
+        let open = self.engine.world().open();
+        if let Some(what) = self.engine.mismatch(&open).filter(|_| !self.mismatched) {
+            self.mismatched = true;
+            warn!("books differ, said once: {what}");
+        }
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let world = self.engine.world().sizes();
+            debug!("kept: {:?} {world:?}", self.engine.sizes());
+        }
+    }
+
     fn is_over(&mut self) -> bool {
         let Some(since) = self.ending.map(|at| at.elapsed()) else { return false };
         since + LAST_WORDS >= self.killed || (since >= COMING && self.engine.open() == 0)
@@ -289,10 +308,12 @@
                 engine.world().conn_broken(now, conn);
                 engine.settle(now);
             }
-            Note::List(answer, id) => {
-                if let Err(why) = dns::read(&answer, id, &mut ToEngine { engine, now }) {
-                    debug!("the directory: {why}");
+            Note::List(list) => {
+                if self.listed < list.version() {
+                    self.listed = list.version();
+                    debug!("list {} read", self.listed);
                 }
+                list.call(&mut ToEngine { engine, now });
             }
             Note::Stop => {
                 info!(open = self.engine.open(), "stopping");
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -190,6 +190,19 @@
         &mut self.host
     }
 
+    /// What I believe out at each worker, to be held against what is.
+    pub fn believed_out(&self) -> impl Iterator<Item = (WorkerId, u64)> + '_ {
+        self.workers.iter().map(|(id, w)| (*id, w.mine)).filter(|(_, mine)| *mine > 0)
+    }
+
+    /// How much is kept, by kind.
+    pub fn sizes(&self) -> [(&'static str, usize); 4] {
+        let beliefs = self.workers.values().map(|w| w.beliefs.len()).sum();
+        let moments = self.taken.len() + self.answered.len() + self.orders.len();
+        let lines = self.lines.iter().map(VecDeque::len).sum();
+        [("workers", self.workers.len()), ("beliefs", beliefs), ("moments", moments), ("lines", lines)]
+    }
+
     /// One method more: its id is the next of the settings' list. RPCs of those before it go on as they were.
     pub fn method_added(&mut self, method: Value) {
         let all = self.settings.entry("requestClasses").or_insert_with(|| Value::Array(Vec::new()));
