--- a/src/brain.rs
+++ b/src/brain.rs
@@ -716,10 +716,10 @@
         let possible = possible && (rpc.outs.len() as f64) < most;
         let to = if possible && self.retries >= cost { self.pick(now, id) } else { None };
         let rpc = &self.rpcs[&id];
-        let refused = rpc.outs.iter().filter(|o| o.full && !o.warm).count() >= LOADS_TRIED;
+        let turned_away = rpc.outs.iter().filter(|o| o.full && !o.warm).count() >= LOADS_TRIED;
         let least = if beside {
             WARM
-        } else if refused {
+        } else if turned_away {
             LOADING
         } else {
             0.0
