Break the ring of the gateway's and the node's files, and share clock and turns

Notes have a file of their own now; the clock and the turn stand once, beside the connections that both use. No change of behaviour; the tests are as they were.

--- a/crates/curlewpoint-gateway/src/amqp.rs
+++ b/crates/curlewpoint-gateway/src/amqp.rs
@@ -11,6 +11,7 @@
 use curlewpoint_amqp::{Codec, Host, Login, Session};
 use curlewpoint_engine::{Answer, ClientId, Refusal};
 use curlewpoint_journal::{Journal, Reader};
+use curlewpoint_link::Clock;
 use curlewpoint_trigger::{Delivery, Desk, End, Final, Inbox, Intake, Name, Terms};
 use futures_util::SinkExt;
 use oorandom::Rand64;
@@ -28,8 +29,8 @@
 use tracing::{info, warn};
 
 use crate::http::{Ask, Reply};
+use crate::notes::Note;
 use crate::reload::InForce;
-use crate::run::{Clock, Note};
 
 /// What a broker and its queues are consumed by.
 pub(crate) struct Settings {
--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -10,9 +10,9 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
+use crate::notes::Note;
 use crate::outside::Client;
 use crate::reload::InForce;
-use crate::run::Note;
 
 /// What each client's task knows.
 #[derive(Clone)]
--- a/crates/curlewpoint-gateway/src/http.rs
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -11,6 +11,7 @@
 use curlewpoint::types::Time;
 use curlewpoint_catalogue::{method_in, Effect, Method as Described, Misfit, Release};
 use curlewpoint_engine::{Answer, ClientId, Refusal};
+use curlewpoint_link::Clock;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -23,8 +24,8 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
+use crate::notes::Note;
 use crate::reload::InForce;
-use crate::run::{Clock, Note};
 
 /// An RPC that came over HTTP and fits its descriptions.
 pub(crate) struct Ask {
--- a/crates/curlewpoint-gateway/src/lib.rs
+++ b/crates/curlewpoint-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod codes;
 mod http;
 mod list;
+mod notes;
 mod outside;
 mod reload;
 mod run;
--- a/crates/curlewpoint-gateway/src/list.rs
+++ b/crates/curlewpoint-gateway/src/list.rs
@@ -9,7 +9,7 @@
 use tokio_stream::StreamExt;
 use tracing::info;
 
-use crate::run::Note;
+use crate::notes::Note;
 
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MOST_PAUSE: Duration = Duration::from_secs(2);
--- a/crates/curlewpoint-gateway/src/reload.rs
+++ b/crates/curlewpoint-gateway/src/reload.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tracing::{info, warn};
 
-use crate::run::Note;
+use crate::notes::Note;
 
 /// All that doors need of a catalogue, made before it comes into force so that the engine's task does not wait for it.
 pub(crate) struct Prepared {
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -8,7 +8,7 @@
 use curlewpoint_config::Config;
 use curlewpoint_engine::{ClientId, ConnId, Engine, ErrandId, Figures, Pool, PoolLimits, Refusal};
 use curlewpoint_journal::{Journal, JournalError, Limits as JournalLimits};
-use curlewpoint_link::{Bounds, Outbox};
+use curlewpoint_link::{Bounds, Clock, Turns};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
@@ -18,35 +18,12 @@
 use tracing::{info, warn};
 
 use crate::http::{Ask, Limits, Reply};
-use crate::outside::{Client, Outside};
-use crate::reload::{InForce, Prepared, Reload, ReloadError, Reloader};
+use crate::notes::Note;
+use crate::outside::Outside;
+use crate::reload::{InForce, Prepared, ReloadError, Reloader};
 use crate::workers::Dialler;
 use crate::{amqp, clients, codes, http, list};
 
-/// What the tasks around connections tell the one that owns the engine.
-pub(crate) enum Note {
-    ClientIn(ClientId, Client),
-    /// What a client sent, and the methods in force when it was looked at.
-    Client(ClientId, Release, Frame),
-    /// An RPC whose body does not fit its method, and why.
-    Unfit(ClientId, Frame, String),
-    /// It is gone, or what it sent could not be read.
-    ClientOut(ClientId, Option<WireError>),
-    /// An RPC over HTTP.
-    Ask(ClientId, Ask),
-    /// A connection to a worker is up, could not be opened, brought a frame, has broken.
-    Up(ConnId, Outbox),
-    Down(ConnId),
-    Worker(ConnId, Frame),
-    Broken(ConnId),
-    ListUp(Outbox),
-    List(Frame),
-    ListBroke,
-    Reload(Reload),
-    /// Take nothing more, answer what is open; at a second one, end at once.
-    Stop,
-}
-
 #[derive(Debug, Error)]
 pub enum StartError {
     #[error("cannot listen on {0}: {1}")]
@@ -72,22 +49,6 @@
 const LEAVE: Duration = Duration::from_secs(2);
 /// A call-out's head is longer than the RPC's by less than this, in bytes.
 const HEADROOM: usize = 4096;
-/// The clock starts a day on, so that the start of a worker older than this process lies on it.
-const DAY: Time = Time(864_000_000);
-
-#[derive(Clone, Copy)]
-pub(crate) struct Clock(Instant);
-
-impl Clock {
-    pub fn now(&self) -> Time {
-        DAY + Time((self.0.elapsed().as_micros() / 100) as u64)
-    }
-
-    fn until(&self, at: Time) -> Duration {
-        Duration::from_micros((at - self.now()).0 * 100)
-    }
-}
-
 /// A scheduler that serves.
 pub struct Running {
     pub address: SocketAddr,
@@ -210,7 +171,7 @@
     let first = InForce { release: releases.in_force(), prepared, withdrawn: releases.withdrawn().clone() };
     let (publish, in_force) = watch::channel(Arc::new(first));
     let outside = Outside::new(run, releases, Pool::new(limits, seed), dialler);
-    let clock = Clock(Instant::now());
+    let clock = Clock::start();
     let engine = Engine::start(clock.now(), outside, seed, config.settings());
 
     let tasks = TaskTracker::new();
@@ -287,21 +248,14 @@
 
 impl Turn {
     async fn run(
-        mut self, mut answers: mpsc::Receiver<Note>, mut asks: mpsc::Receiver<Note>, tasks: TaskTracker,
+        mut self, answers: mpsc::Receiver<Note>, asks: mpsc::Receiver<Note>, tasks: TaskTracker,
         stop_limit: Duration,
     ) -> Figures {
-        let (mut notes, mut asked) = (Vec::with_capacity(TURN), Vec::with_capacity(TURN));
+        let mut turns = Turns::new(answers, asks, TURN);
         let mut swept = Instant::now();
         loop {
             let wake = self.engine.next_wake().map_or(SWEEP, |at| self.clock.until(at)).min(SWEEP);
-            // Answers before asks: they end what is held, and there are no more of them than were asked for.
-            tokio::select! {
-                biased;
-                _ = answers.recv_many(&mut notes, TURN) => {}
-                _ = asks.recv_many(&mut asked, TURN) => {}
-                () = tokio::time::sleep(wake) => {}
-            }
-            for note in notes.drain(..).chain(asked.drain(..)) {
+            for note in turns.next(wake).await {
                 self.note(note, stop_limit);
             }
             let now = self.clock.now();
--- a/crates/curlewpoint-gateway/src/workers.rs
+++ b/crates/curlewpoint-gateway/src/workers.rs
@@ -9,7 +9,7 @@
 use tokio_stream::StreamExt;
 use tracing::{debug, info};
 
-use crate::run::Note;
+use crate::notes::Note;
 
 /// Opens connections to workers, each in a task of its own.
 pub(crate) struct Dialler {
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -3,8 +3,12 @@
 //! Whether a call-out may have run hangs on whether one byte of it was handed to the kernel. A [`Ticket`] goes with
 //! each frame for which that matters: whoever waits may take it back until the writer has begun it, and never after.
 
+mod clock;
 mod link;
 mod outbox;
+mod turn;
 
+pub use clock::Clock;
 pub use link::{listen, open, outbox, Bounds, Link, LinkError, Reader};
 pub use outbox::{Outbox, Parcel, SendError, Ticket};
+pub use turn::Turns;
--- /dev/null
+++ b/crates/curlewpoint-link/src/turn.rs
@@ -0,0 +1,32 @@
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+/// What has come for the one task that owns a scheduler, gathered in turns.
+///
+/// Answers before asks: they end what is held, and there are no more of them than were asked for.
+pub struct Turns<N> {
+    answers: mpsc::Receiver<N>,
+    asks: mpsc::Receiver<N>,
+    notes: Vec<N>,
+    asked: Vec<N>,
+    most: usize,
+}
+
+impl<N> Turns<N> {
+    /// Up to `most` notes of each kind are taken in a turn, before time is looked at again.
+    pub fn new(answers: mpsc::Receiver<N>, asks: mpsc::Receiver<N>, most: usize) -> Turns<N> {
+        Turns { answers, asks, notes: Vec::with_capacity(most), asked: Vec::with_capacity(most), most }
+    }
+
+    /// Waits until something has come or the time is up, and hands over what there is.
+    pub async fn next(&mut self, at_most: Duration) -> impl Iterator<Item = N> + '_ {
+        tokio::select! {
+            biased;
+            _ = self.answers.recv_many(&mut self.notes, self.most) => {}
+            _ = self.asks.recv_many(&mut self.asked, self.most) => {}
+            () = tokio::time::sleep(at_most) => {}
+        }
+        self.notes.drain(..).chain(self.asked.drain(..))
+    }
+}
--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -14,8 +14,8 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
+use crate::notes::Note;
 use crate::outside::Client;
-use crate::run::Note;
 
 /// A client that has said nothing for so long is looked at: at its first command, or at half of one, it is cut off.
 const QUIET: Duration = Duration::from_secs(1);
--- a/crates/curlewpoint-node/src/directory.rs
+++ b/crates/curlewpoint-node/src/directory.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info};
 
-use crate::run::Note;
+use crate::notes::Note;
 
 /// Between a good answer and the next question, and how long an answer is waited for.
 const PAUSE: Duration = Duration::from_millis(200);
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -4,8 +4,7 @@
 use bytes::Bytes;
 use curlewpoint::types::{Copy, Standing, Time};
 use curlewpoint_engine::{ClientId, ConnId, Engine, Figures, Pool, PoolLimits, Refusal};
-use curlewpoint_link::{listen, Bounds, Outbox};
-use curlewpoint_platform::resp::RespError;
+use curlewpoint_link::{listen, Bounds, Clock, Turns};
 use curlewpoint_platform::told::{self, Told, ToldError};
 use curlewpoint_platform::{asked, lines, Roll};
 use oorandom::Rand64;
@@ -17,29 +16,11 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
-use crate::directory::List;
-use crate::outside::{Client, Outside};
+use crate::notes::Note;
+use crate::outside::Outside;
 use crate::workers::Dialler;
 use crate::{clients, directory};
 
-/// What the tasks around connections tell the one that owns the engine.
-pub(crate) enum Note {
-    ClientIn(ClientId, Client),
-    Client(ClientId, Vec<Bytes>),
-    /// It has said nothing for a while.
-    Quiet(ClientId),
-    /// It is gone, or what it sent could not be read.
-    ClientOut(ClientId, Option<RespError>),
-    /// A connection to a worker is up, could not be opened, brought a line, has broken.
-    Up(ConnId, Outbox<Bytes>),
-    Down(ConnId),
-    Worker(ConnId, Map<String, Value>),
-    Broken(ConnId),
-    /// A list that the directory told.
-    List(List),
-    Stop,
-}
-
 #[derive(Debug, Error)]
 pub enum StartError {
     #[error("cannot listen on {0}: {1}")]
@@ -68,22 +49,6 @@
 const COMING: Duration = Duration::from_millis(1_000);
 const KILLED: (Duration, Duration) = (Duration::from_millis(3_000), Duration::from_millis(700));
 const LAST_WORDS: Duration = Duration::from_millis(200);
-/// The clock starts a day on, so that the start of a worker older than this process lies on it.
-const DAY: Time = Time(864_000_000);
-
-#[derive(Clone, Copy)]
-struct Clock(Instant);
-
-impl Clock {
-    fn now(&self) -> Time {
-        DAY + Time((self.0.elapsed().as_micros() / 100) as u64)
-    }
-
-    fn until(&self, at: Time) -> Duration {
-        Duration::from_micros((at - self.now()).0 * 100)
-    }
-}
-
 /// Tells a scheduler to stop.
 #[derive(Clone)]
 pub struct Stopper(mpsc::Sender<Note>);
@@ -169,7 +134,7 @@
     let report: Vec<String> =
         names.into_iter().flatten().filter_map(Value::as_str).map(str::to_owned).collect();
     let killed = longest(&settings).min(KILLED.0) + KILLED.1;
-    let clock = Clock(Instant::now());
+    let clock = Clock::start();
     let mut engine =
         Engine::start(clock.now(), Outside::new(Pool::new(limits, seed), dialler), seed, settings);
     told::known(&known, &mut ToEngine { engine: &mut engine, now: clock.now() })?;
@@ -203,21 +168,14 @@
 
 impl Turn {
     async fn run(
-        mut self, mut answers: mpsc::Receiver<Note>, mut asks: mpsc::Receiver<Note>, tasks: TaskTracker,
+        mut self, answers: mpsc::Receiver<Note>, asks: mpsc::Receiver<Note>, tasks: TaskTracker,
         helpers: [AbortHandle; 2],
     ) -> Figures {
-        let (mut notes, mut asked) = (Vec::with_capacity(TURN), Vec::with_capacity(TURN));
+        let mut turns = Turns::new(answers, asks, TURN);
         let mut swept = Instant::now();
         loop {
             let wake = self.engine.next_wake().map_or(SWEEP, |at| self.clock.until(at)).min(SWEEP);
-            // Answers before asks: they end what is held, and there are no more of them than were asked for.
-            tokio::select! {
-                biased;
-                _ = answers.recv_many(&mut notes, TURN) => {}
-                _ = asks.recv_many(&mut asked, TURN) => {}
-                () = tokio::time::sleep(wake) => {}
-            }
-            for note in notes.drain(..).chain(asked.drain(..)) {
+            for note in turns.next(wake).await {
                 self.note(note);
             }
             let now = self.clock.now();
--- a/crates/curlewpoint-node/src/workers.rs
+++ b/crates/curlewpoint-node/src/workers.rs
@@ -12,7 +12,7 @@
 use tokio_util::codec::FramedRead;
 use tracing::{debug, info};
 
-use crate::run::Note;
+use crate::notes::Note;
 
 /// Opens connections to workers, each in a task of its own.
 pub(crate) struct Dialler {
