--- a/crates/curlewpoint-cli/src/commands/check.rs
+++ b/crates/curlewpoint-cli/src/commands/check.rs
@@ -38,6 +38,7 @@
         |all: &[(&str, &str)]| all.iter().map(|w| format!("`{}`", w.0)).collect::<Vec<_>>().join(", ");
     match of {
         Holds::Text => "a text".into(),
+        Holds::Addresses => "one or more addresses".into(),
         Holds::Address => "an address, `127.0.0.1:7000`".into(),
         Holds::Time => "a time: `us`, `ms`, `s`, `min`, `h`".into(),
         Holds::Memory => "memory: `B`, `KiB`, `MiB`, `GiB`".into(),
--- /dev/null
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -0,0 +1,180 @@
+use std::path::PathBuf;
+
+use bytes::Bytes;
+use clap::{Args, Subcommand, ValueEnum};
+use curlewpoint_link::{open, Bounds};
+use curlewpoint_rig::{folder, run, Figures, Plan, Play, Program, PLAYS};
+use curlewpoint_wire::{Frame, Kind};
+use tokio::net::TcpStream;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio_stream::StreamExt;
+
+use super::{block_on, fail, AT_FAULT, DONE, FAILED};
+
+/// Many instances: how a fleet stands, and plays of failures between real processes on loopback.
+#[derive(Args)]
+pub struct Fleet {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Prints how the fleet stands as seen by one instance.
+    Status {
+        /// Where that instance listens for peers.
+        address: String,
+    },
+    /// Starts processes of this program with relays between them, plays faults, and prints figures and the five rules.
+    Play(PlayFleet),
+    /// Names the plays that this program ships.
+    Plays,
+}
+
+/// What a play is held against, on the same seed.
+#[derive(Clone, Copy, Debug, PartialEq, ValueEnum)]
+enum Against {
+    /// As many schedulers that know nothing of each other.
+    Off,
+    /// One scheduler that takes all the traffic.
+    One,
+}
+
+#[derive(Args)]
+struct PlayFleet {
+    /// A play that this program ships, or a file.
+    play: String,
+    #[arg(long, default_value_t = 12)]
+    schedulers: usize,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Play it with this too; may be given again.
+    #[arg(long, value_enum)]
+    against: Vec<Against>,
+    /// Keep configurations and logs in this folder.
+    #[arg(long)]
+    keep: Option<PathBuf>,
+}
+
+async fn status(address: &str) -> Result<Bytes, String> {
+    let stream = TcpStream::connect(address).await.map_err(|e| format!("{address}: {e}"))?;
+    let mut link = open(stream, "status", Bounds::default()).await.map_err(|e| format!("{address}: {e}"))?;
+    let _ = link.outbox.send(Frame::new(Kind::STATUS), None);
+    loop {
+        match link.reader.next().await {
+            Some(Ok(f)) if f.kind == Kind::TOLD => return Ok(f.body),
+            Some(Ok(_)) => {}
+            Some(Err(e)) => return Err(format!("{address}: {e}")),
+            None => return Err(format!("{address} is no instance of a fleet: it said nothing")),
+        }
+    }
+}
+
+async fn interrupted() {
+    if let (Ok(mut int), Ok(mut term)) = (signal(SignalKind::interrupt()), signal(SignalKind::terminate())) {
+        tokio::select! {
+            _ = int.recv() => {}
+            _ = term.recv() => {}
+        }
+    }
+}
+
+impl PlayFleet {
+    fn load(&self) -> Result<Play, String> {
+        if let Some((name, text)) = PLAYS.iter().find(|p| p.0 == self.play) {
+            return Play::parse(name, text).map_err(|f| f.to_string());
+        }
+        let text = std::fs::read_to_string(&self.play).map_err(|e| format!("{}: {e}", self.play))?;
+        Play::parse(&self.play, &text).map_err(|f| format!("nothing was started\n{f}"))
+    }
+
+    fn again(&self) -> String {
+        let against: Vec<String> =
+            self.against.iter().map(|a| format!(" --against {a:?}").to_lowercase()).collect();
+        let (play, n, seed) = (&self.play, self.schedulers, self.seed);
+        format!("curlewpoint fleet play {play} --schedulers {n} --seed {seed}{}", against.concat())
+    }
+
+    async fn play(&self, program: Program, play: Play) -> u8 {
+        let root = self.keep.clone().unwrap_or_else(|| folder("play"));
+        let kinds = std::iter::once(None).chain(self.against.iter().copied().map(Some));
+        let (mut columns, mut good) = (Vec::new(), true);
+        for kind in kinds {
+            let (name, schedulers) = match kind {
+                None => ("on", self.schedulers),
+                Some(Against::Off) => ("off", self.schedulers),
+                Some(Against::One) => ("one", 1),
+            };
+            let plan = Plan {
+                program: program.clone(),
+                play: play.clone(),
+                schedulers,
+                seed: self.seed,
+                peers: kind.is_none(),
+                folder: root.join(name),
+            };
+            let outcome = match run(plan).await {
+                Ok(outcome) => outcome,
+                Err(e) => return fail(FAILED, &format!("{name}: it could not be played: {e}")),
+            };
+            println!("{name}: {schedulers} schedulers");
+            print!("{}", outcome.verdict);
+            outcome.missed.iter().for_each(|m| println!("  missed: {m}"));
+            // Only the parts that are on have to keep what is expected; the rules hold for all.
+            good &= outcome.verdict.kept() && (kind.is_some() || outcome.missed.is_empty());
+            columns.push((name.to_owned(), outcome.figures));
+        }
+        print!("\n{}", Figures::draw(&columns));
+        if self.keep.is_none() {
+            let _ = std::fs::remove_dir_all(&root);
+        }
+        if good {
+            println!("all five rules kept, and all that was expected came");
+            DONE
+        } else {
+            fail(
+                FAILED,
+                &format!("a rule was broken, or something missed; to play it again:\n  {}", self.again()),
+            )
+        }
+    }
+}
+
+impl Fleet {
+    pub fn run(self) -> u8 {
+        match self.what {
+            What::Status { address } => block_on(async {
+                match status(&address).await {
+                    Ok(text) => {
+                        print!("{}", String::from_utf8_lossy(&text));
+                        DONE
+                    }
+                    Err(why) => fail(FAILED, &why),
+                }
+            }),
+            What::Plays => {
+                for (name, text) in PLAYS {
+                    let about: Vec<&str> =
+                        text.lines().map_while(|l| l.strip_prefix('#')).map(str::trim).collect();
+                    println!("{name:10}{}", about.join(" "));
+                }
+                DONE
+            }
+            What::Play(what) => {
+                let program = match std::env::current_exe() {
+                    Ok(path) => Program(path),
+                    Err(e) => return fail(FAILED, &format!("this program is not found: {e}")),
+                };
+                match what.load() {
+                    Ok(play) => block_on(async {
+                        tokio::select! {
+                            code = what.play(program, play) => code,
+                            () = interrupted() => fail(FAILED, "interrupted: what was started has been ended"),
+                        }
+                    }),
+                    Err(why) => fail(AT_FAULT, &why),
+                }
+            }
+        }
+    }
+}
--- a/crates/curlewpoint-cli/src/commands/mod.rs
+++ b/crates/curlewpoint-cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod completions;
 pub mod day;
 pub mod describe;
+pub mod fleet;
 pub mod journal;
 pub mod node;
 pub mod serve;
--- a/crates/curlewpoint-config/src/check.rs
+++ b/crates/curlewpoint-config/src/check.rs
@@ -36,6 +36,11 @@
         units.iter().find_map(|read| read(text).ok()).unwrap_or(0.0)
     }
 
+    /// All words of a directive of an unnamed block; none where it is absent.
+    pub fn all(&self, block: &'static str, name: &'static str) -> &[String] {
+        self.words(block, "", name).unwrap_or(&[])
+    }
+
     /// A span of time of the top or of a block.
     pub fn time(&self, block: &'static str, name: &'static str) -> std::time::Duration {
         std::time::Duration::from_secs_f64(self.number(block, name) / 1000.0)
@@ -212,7 +217,7 @@
             self.fault(line, &line.words[0], format!("{} needs a value", directive.name));
             return;
         }
-        if given.len() > 1 && !matches!(directive.holds, Holds::AnyOf(_)) {
+        if given.len() > 1 && !matches!(directive.holds, Holds::AnyOf(_) | Holds::Addresses) {
             self.fault(line, &given[1], format!("{} takes one value; quote one with spaces", directive.name));
         }
         let words = |all: &[(&str, &str)]| all.iter().map(|(w, _)| *w).collect::<Vec<_>>().join(", ");
@@ -221,7 +226,7 @@
             let read = match directive.holds {
                 Holds::Text if text.is_empty() => Err("this value is empty".to_owned()),
                 Holds::Text => Ok(()),
-                Holds::Address => match text.parse::<std::net::SocketAddr>() {
+                Holds::Address | Holds::Addresses => match text.parse::<std::net::SocketAddr>() {
                     Ok(_) => Ok(()),
                     Err(_) => Err(format!("'{text}' is not an address: write 127.0.0.1:7000")),
                 },
@@ -248,6 +253,29 @@
         }
     }
 
+    /// A fleet needs a name and a place to be met, and its numbers something to count.
+    fn fleet(&mut self, end: &(usize, std::ops::Range<usize>)) {
+        let has = |name| self.config.value("fleet", name).is_some();
+        let (named, listens) = (has("name"), has("listen"));
+        let mut faults = Vec::new();
+        let mut fault = |name: &'static str, what: &str| {
+            let place = self.places.get(&("fleet", String::new(), name)).unwrap_or(end);
+            faults.push(Fault::new(place.0, place.1.clone(), what));
+        };
+        match (named, listens) {
+            (true, false) => fault("name", "fleet: listen is missing"),
+            (false, true) => fault("listen", "fleet: name is missing"),
+            (false, false) if has("peers") => fault("peers", "fleet: name and listen are missing"),
+            _ => {}
+        }
+        for name in ["watchers", "most-instances", "most-links"] {
+            if !(1.0..=1e6).contains(&self.config.number("fleet", name)) {
+                fault(name, &format!("fleet: {name} must be from 1 to 1000000"));
+            }
+        }
+        self.faults.append(&mut faults);
+    }
+
     /// What no single line shows.
     fn across(&mut self, lines: &[Line]) {
         let end = lines.last().map_or((0, 0..0), |l| (l.file, l.span()));
@@ -257,6 +285,7 @@
                 self.faults.push(Fault::new(end.0, end.1.clone(), what));
             }
         }
+        self.fleet(&end);
         if self.config.methods().is_empty() {
             self.faults.push(Fault::new(end.0, end.1, "no method is given"));
         }
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -5,6 +5,8 @@
 pub enum Holds {
     Text,
     Address,
+    /// One or more of them.
+    Addresses,
     Time,
     Memory,
     Number,
@@ -260,6 +262,20 @@
             ),
         ],
     },
+    Block {
+        name: "fleet",
+        named: false,
+        about: "Other instances that serve the same workers. Without `listen` this instance knows nothing of others.",
+        directives: &[
+            d("name", Text, "", "", "What the fleet is called; instances of another are refused."),
+            d("listen", Address, "", "", "Where peers connect."),
+            d("reached-at", Address, "", "", "Where peers reach that from elsewhere; absent: where it listens."),
+            d("peers", Addresses, "", "", "Some instances to begin with, this one among them or not; all others are heard of from them."),
+            d("watchers", Number, "3", "", "Instances that watch the list for all."),
+            d("most-instances", Number, "1000", "", "Instances that are known at a time; four times as many are remembered with those that ended."),
+            d("most-links", Number, "512", "", "Links that peers may open to this instance."),
+        ],
+    },
     Block {
         name: "amqp",
         named: false,
--- a/crates/curlewpoint-config/src/settings.rs
+++ b/crates/curlewpoint-config/src/settings.rs
@@ -11,7 +11,7 @@
         all.iter().find(|(w, _)| *w == word).map_or(Value::Null, |(_, term)| json!(term))
     };
     match directive.holds {
-        Holds::Text | Holds::Address | Holds::Date => json!(first),
+        Holds::Text | Holds::Address | Holds::Addresses | Holds::Date => json!(first),
         Holds::Time => json!(units::milliseconds(first).unwrap_or(0.0)),
         Holds::Memory => json!(units::bytes(first).unwrap_or(0.0)),
         Holds::Number => json!(units::number(first).unwrap_or(0.0)),
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -493,6 +493,11 @@
         Ok(())
     }
 
+    /// So many instances feed these workers from here on.
+    pub fn instances(&mut self, number: u64) {
+        self.module.instances_changed(number);
+    }
+
     /// The moment of the next wake-up, or one before it.
     pub fn next_wake(&mut self) -> Option<Time> {
         self.module.host().wheel.next()
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -241,6 +241,14 @@
         self.watching
     }
 
+    /// Those who are asked to watch the list, as seen from here.
+    pub fn watchers(&self) -> BTreeSet<MemberId> {
+        let fit = |(_, m): &(MemberId, &Member)| !(m.standing.is_suspect() || m.standing.blind);
+        let mut all: Vec<MemberId> = self.table.living().filter(fit).map(|(id, _)| id).collect();
+        all.sort_by_key(|id| rank(SALT_WATCH, *id));
+        all.into_iter().take(self.bounds.watchers).collect()
+    }
+
     /// Links that are up.
     pub fn links(&self) -> usize {
         self.links.values().filter(|l| l.up).count()
@@ -384,6 +392,9 @@
         if fleet != self.fleet {
             return self.refuse(out, link, &format!("this is fleet '{}', not '{fleet}'", self.fleet));
         }
+        if known > self.bounds.members as u64 {
+            return self.refuse(out, link, &format!("it knows {known} members, more than are kept"));
+        }
         if id == self.me {
             // A peer to begin with that is this instance itself.
             self.links.remove(&link);
--- a/crates/curlewpoint-gateway/src/lib.rs
+++ b/crates/curlewpoint-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod list;
 mod notes;
 mod outside;
+mod peers;
 mod reload;
 mod run;
 mod workers;
--- a/crates/curlewpoint-gateway/src/list.rs
+++ b/crates/curlewpoint-gateway/src/list.rs
@@ -4,7 +4,7 @@
 use curlewpoint_wire::WireError;
 use oorandom::Rand64;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 use tokio_stream::StreamExt;
 use tracing::info;
@@ -14,15 +14,19 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MOST_PAUSE: Duration = Duration::from_secs(2);
 
-/// Keeps a connection to the list service. While there is none the list held goes on to be used; dials pause longer
+/// Keeps a connection to the list service while it is wanted. While there is none the list held goes on to be used; dials pause longer
 /// each time, with jitter, so that a service that comes back is not met by the whole fleet in step.
 pub(crate) async fn follow(
     address: String, name: String, bounds: Bounds, dial: Duration, notes: mpsc::Sender<Note>, seed: u128,
+    mut wanted: watch::Receiver<bool>,
 ) {
     let mut rng = Rand64::new(seed);
     let mut pause = FIRST_PAUSE;
     let mut said = false;
     loop {
+        if wanted.wait_for(|on| *on).await.is_err() {
+            return;
+        }
         let dialled = timeout(dial, async {
             let stream = TcpStream::connect(&address).await.map_err(WireError::from)?;
             open(stream, &name, bounds).await
@@ -35,7 +39,11 @@
                     return;
                 }
                 loop {
-                    match link.reader.next().await {
+                    let next = tokio::select! {
+                        next = link.reader.next() => next,
+                        _ = wanted.wait_for(|on| !*on) => break,
+                    };
+                    match next {
                         Some(Ok(frame)) => {
                             if notes.send(Note::List(frame)).await.is_err() {
                                 return;
@@ -51,7 +59,9 @@
                 if notes.send(Note::ListBroke).await.is_err() {
                     return;
                 }
-                info!(address, "list service lost: the list held goes on to be used");
+                if *wanted.borrow() {
+                    info!(address, "list service lost: the list held goes on to be used");
+                }
             }
             failed if !said => {
                 said = true;
@@ -62,6 +72,11 @@
             }
             _ => {}
         }
+        if !*wanted.borrow() {
+            // Whoever wants it again has waited on its own.
+            (pause, said) = (FIRST_PAUSE, false);
+            continue;
+        }
         sleep(pause.mul_f64(0.5 + 0.5 * rng.rand_float())).await;
         pause = (pause * 2).min(MOST_PAUSE);
     }
--- a/crates/curlewpoint-gateway/src/notes.rs
+++ b/crates/curlewpoint-gateway/src/notes.rs
@@ -1,5 +1,6 @@
 use curlewpoint_catalogue::Release;
 use curlewpoint_engine::{ClientId, ConnId};
+use curlewpoint_fleet::LinkId;
 use curlewpoint_link::Outbox;
 use curlewpoint_wire::{Frame, WireError};
 
@@ -26,7 +27,23 @@
     ListUp(Outbox),
     List(Frame),
     ListBroke,
+    /// A link to a peer: one that it opened, one that was opened from here, what came on it, its end.
+    PeerIn(LinkId, Outbox),
+    PeerUp(LinkId, Outbox),
+    Peer(LinkId, Frame),
+    PeerDown(LinkId),
     Reload(Reload),
     /// Take nothing more, answer what is open; at a second one, end at once.
     Stop,
 }
+
+impl Note {
+    /// Whether it tells of peers or of the list: what is heard before anything new is sent after standing still.
+    pub fn is_news(&self) -> bool {
+        use Note::*;
+        matches!(
+            self,
+            PeerIn(..) | PeerUp(..) | Peer(..) | PeerDown(_) | ListUp(_) | List(_) | ListBroke | Stop
+        )
+    }
+}
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use crate::http::{Ask, Limits, Reply};
 use crate::notes::Note;
 use crate::outside::Outside;
+use crate::peers::Mesh;
 use crate::reload::{InForce, Prepared, ReloadError, Reloader};
 use crate::workers::Dialler;
 use crate::{amqp, clients, codes, http, list};
@@ -43,6 +45,8 @@
 /// Notes taken in a turn, before time is looked at again.
 const TURN: usize = 256;
 const SWEEP: Duration = Duration::from_secs(1);
+/// While nothing new may be sent, what is due is not looked at in between.
+const HOLD_LOOK: Duration = Duration::from_millis(20);
 /// At the end, answers get so long to leave.
 const LAST_WRITES: Duration = Duration::from_secs(2);
 /// After a stop, how long clients may take to say that they send nothing more.
@@ -217,9 +221,30 @@
             stopped,
         ));
     }
-    let following = list::follow(config.text("list").to_owned(), name, bounds, dial, answers_in, seed);
+    // Where there are peers, few instances watch the list; else each does.
+    let (watch, wanted) = watch::channel(config.value("fleet", "listen").is_none());
+    let mesh = Mesh::start(config, clock.now(), seed, &answers_in, &tasks, watch.clone());
+    let listen = config.value("fleet", "listen").unwrap_or("").to_owned();
+    let mesh = mesh.map_err(|e| StartError::Listen(listen, e))?.map(|(mesh, accepting)| {
+        helpers.push(accepting);
+        mesh
+    });
+    let at = config.text("list").to_owned();
+    let following = list::follow(at, name, bounds, dial, answers_in, seed, wanted);
     helpers.push(tokio::spawn(following).abort_handle());
-    let turn = Turn { engine, clock, publish, accepting, no_more, ending: None, over: false };
+    let kept = VecDeque::new();
+    let turn = Turn {
+        engine,
+        clock,
+        mesh,
+        kept,
+        _watch: watch,
+        publish,
+        accepting,
+        no_more,
+        ending: None,
+        over: false,
+    };
     let end = tokio::spawn(turn.run(answers, asks, tasks, config.time("", "stop-limit")));
     let started = Arc::new(config.clone());
     Ok(Running { address, http, stop: asks_in, started, end, helpers })
@@ -236,6 +261,12 @@
 struct Turn {
     engine: Engine<Outside>,
     clock: Clock,
+    /// Other instances, where the configuration names a fleet.
+    mesh: Option<Mesh>,
+    /// What came while this instance had not heard yet what passed while it stood still.
+    kept: VecDeque<Note>,
+    /// Without a fleet nobody else holds it, and the list is watched for good.
+    _watch: watch::Sender<bool>,
     /// Tells the doors which methods are in force.
     publish: watch::Sender<Arc<InForce>>,
     accepting: AbortHandle,
@@ -254,8 +285,28 @@
         let mut turns = Turns::new(answers, asks, TURN);
         let mut swept = Instant::now();
         loop {
-            let wake = self.engine.next_wake().map_or(SWEEP, |at| self.clock.until(at)).min(SWEEP);
-            for note in turns.next(wake).await {
+            let mut wake = self.engine.next_wake().map_or(SWEEP, |at| self.clock.until(at)).min(SWEEP);
+            if let Some(mesh) = &self.mesh {
+                // What is held back needs the next news, or the next look at the time.
+                let holds = mesh.holds(self.clock.now());
+                wake = self.clock.until(mesh.next_wake()).min(if holds { HOLD_LOOK.max(wake) } else { wake });
+            }
+            let notes = turns.next(wake).await;
+            let now = self.clock.now();
+            if let Some(mesh) = &mut self.mesh {
+                mesh.advance(now, &mut self.engine);
+            }
+            for note in notes {
+                if note.is_news() || !self.holds() {
+                    self.note(note, stop_limit);
+                } else {
+                    self.kept.push_back(note);
+                }
+            }
+            if self.holds() {
+                continue;
+            }
+            while let Some(note) = self.kept.pop_front() {
                 self.note(note, stop_limit);
             }
             let now = self.clock.now();
@@ -276,6 +327,9 @@
             warn!(open, "ended with RPCs open: they are aborted");
             self.engine.abort_all(self.clock.now());
         }
+        if let Some(mesh) = self.mesh.take() {
+            mesh.leave(self.clock.now(), &mut self.engine);
+        }
         // Dropping the outboxes lets the writers finish and close.
         self.engine.world().clients.clear();
         tasks.close();
@@ -295,8 +349,42 @@
         self.over || now >= limit || (gone && self.engine.open() == 0)
     }
 
+    fn holds(&self) -> bool {
+        self.mesh.as_ref().is_some_and(|mesh| mesh.holds(self.clock.now()))
+    }
+
+    /// A note of a peer or of the list, where there is a fleet; else it is handed back.
+    fn news(&mut self, now: Time, note: Note) -> Option<Note> {
+        let Some(mesh) = &mut self.mesh else { return Some(note) };
+        let engine = &mut self.engine;
+        match note {
+            Note::PeerIn(link, outbox) => mesh.link_in(now, engine, link, outbox),
+            Note::PeerUp(link, outbox) => mesh.link_up(now, engine, link, outbox),
+            Note::PeerDown(link) => mesh.link_down(now, engine, link),
+            Note::Peer(link, frame) => mesh.peer(now, engine, link, &frame),
+            Note::ListUp(outbox) => {
+                engine.world().list = Some(outbox);
+                mesh.service_up(now, engine);
+            }
+            Note::List(frame) => {
+                if let Err(e) = mesh.list(now, engine, None, &frame) {
+                    info!("list service: {e}");
+                    engine.world().list = None;
+                    mesh.service_down(now);
+                }
+            }
+            Note::ListBroke => {
+                engine.world().list = None;
+                mesh.service_down(now);
+            }
+            other => return Some(other),
+        }
+        None
+    }
+
     fn note(&mut self, note: Note, stop_limit: Duration) {
         let now = self.clock.now();
+        let Some(note) = self.news(now, note) else { return };
         let engine = &mut self.engine;
         match note {
             Note::ClientIn(id, client) => {
@@ -363,6 +451,7 @@
                 engine.world().list = None;
                 engine.list_broke();
             }
+            Note::PeerIn(..) | Note::PeerUp(..) | Note::PeerDown(_) | Note::Peer(..) => {}
             Note::Stop if self.ending.is_some() => self.over = true,
             Note::Stop => {
                 info!(open = engine.open(), "stopping: nothing more is taken");
--- a/crates/curlewpoint-lab/src/day.rs
+++ b/crates/curlewpoint-lab/src/day.rs
@@ -137,15 +137,20 @@
 }
 
 /// What the load goes by; the script changes it.
-struct Traffic {
-    times: f64,
-    shares: Vec<f64>,
-    scan: f64,
-    addresses: Vec<SocketAddr>,
-    over: bool,
+pub struct Traffic {
+    /// Of the script's rate.
+    pub times: f64,
+    /// Each scheduler's part of it.
+    pub shares: Vec<f64>,
+    /// The part of the RPCs that ask for a model asked for once.
+    pub scan: f64,
+    /// Where clients find each scheduler.
+    pub addresses: Vec<SocketAddr>,
+    pub over: bool,
 }
 
-type Shared = Arc<Mutex<Traffic>>;
+/// The load's terms, as the script changes them while clients go by them.
+pub type Shared = Arc<Mutex<Traffic>>;
 
 fn traffic(shared: &Shared) -> std::sync::MutexGuard<'_, Traffic> {
     shared.lock().unwrap_or_else(PoisonError::into_inner)
@@ -533,8 +538,8 @@
     t.addresses.push(address);
 }
 
-/// One scheduler's clients: arrivals at random, whatever became of those before (an open loop).
-async fn client(no: usize, by: Entrance, record: Record, shared: Shared, script: Script, config: Config) {
+/// One scheduler's clients, called `front-` and its number: arrivals at random, whatever became of those before (an open loop).
+pub async fn client(no: usize, by: Entrance, record: Record, shared: Shared, script: Script, config: Config) {
     let mut rng = Rand64::new(u128::from(script.seed * 31 + no as u64));
     let mut key = (no as u64 + 1) << 40;
     let mut office: Option<Front> = None;
--- a/crates/curlewpoint-lab/src/lib.rs
+++ b/crates/curlewpoint-lab/src/lib.rs
@@ -12,9 +12,9 @@
 
 pub use check::{judge, Break, Effect, Terms, Verdict, RULES};
 pub use client::{call, Called, Office};
-pub use day::{play, Day, Entrance};
+pub use day::{client, play, Day, Entrance, Shared, Traffic};
 pub use record::{Record, Seen};
 pub use report::{draw, table, Row};
-pub use script::{At, Kind, Script, BAD_DAY, CONFIG, SECOND_DAY};
+pub use script::{At, Complain, Kind, Script, BAD_DAY, CONFIG, SECOND_DAY};
 pub use trigger::{trigger, Ask, Told};
 pub use web::WebOffice;
--- a/crates/curlewpoint-lab/src/report.rs
+++ b/crates/curlewpoint-lab/src/report.rs
@@ -93,19 +93,26 @@
             ms(1.0)
         );
     }
-    let _ = writeln!(out);
-    for (no, rule) in RULES.iter().enumerate() {
-        let broken = verdict.breaks.iter().filter(|b| b.rule == no + 1).count();
-        let kept = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
-        let (judged, nearest) = (verdict.judged[no], verdict.nearest[no] * 100.0);
-        let _ = writeln!(
-            out,
-            "{}. {rule:48} {kept:10} judged {judged:>6} times, nearest {nearest:.0}% of the limit",
-            no + 1
-        );
-    }
-    for b in verdict.breaks.iter().take(20) {
-        let _ = writeln!(out, "  at {:.1} ms, rule {}: {}", Record::since_start(b.at).ms(), b.rule, b.what);
-    }
+    let _ = write!(out, "\n{verdict}");
     out
 }
+
+impl std::fmt::Display for Verdict {
+    /// The five rules, a line each, and what broke them.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (no, rule) in RULES.iter().enumerate() {
+            let broken = self.breaks.iter().filter(|b| b.rule == no + 1).count();
+            let kept = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
+            let (judged, nearest) = (self.judged[no], self.nearest[no] * 100.0);
+            let no = no + 1;
+            writeln!(
+                f,
+                "{no}. {rule:48} {kept:10} judged {judged:>6} times, nearest {nearest:.0}% of the limit"
+            )?;
+        }
+        for b in self.breaks.iter().take(20) {
+            writeln!(f, "  at {:.1} ms, rule {}: {}", Record::since_start(b.at).ms(), b.rule, b.what)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/curlewpoint-lab/src/script.rs
+++ b/crates/curlewpoint-lab/src/script.rs
@@ -59,6 +59,9 @@
     pub every: Time,
 }
 
+/// Is told of a fault: its line, its word, what is wrong.
+pub type Complain<'a> = dyn FnMut(&Line, usize, String) + 'a;
+
 /// A day: the fleet, the load, and what happens.
 #[derive(Clone, Debug)]
 pub struct Script {
@@ -235,39 +238,57 @@
     /// Reads a script; all faults are told at once.
     pub fn parse(name: &str, text: &str) -> Result<Script, Faults> {
         read_lines(name, text, |lines, fault| {
-            let mut s = Script::default();
-            for line in lines {
-                let value = line.words.get(1).map_or("", |w| w.text.as_str());
-                match line.name() {
-                    "at" => s.events.extend(event(line, fault)),
-                    "method" => {
-                        let read = trade(line, fault);
-                        s.methods.insert(value.to_owned(), read);
-                    }
-                    name => match set(&mut s, name, value) {
-                        Ok(true) => {}
-                        Ok(false) => fault(line, 0, format!("no directive '{name}' in a script")),
-                        Err(what) => fault(line, 1, what),
-                    },
+            let mut events = Vec::new();
+            let mut s = Script::of_lines(Script::default(), lines, fault, &mut |line, fault| {
+                let known = line.name() == "at";
+                if known {
+                    events.extend(event(line, fault));
                 }
-            }
-            for (name, least) in [
-                ("workers", s.workers),
-                ("schedulers", s.schedulers),
-                ("cells", s.cells),
-                ("zones", s.zones),
-                ("models", s.models),
-            ] {
-                if let (0, Some(line)) = (least, lines.first()) {
-                    fault(line, 0, format!("{name} must be at least 1"));
+                known
+            });
+            events.sort_by_key(|e| e.at);
+            s.events = events;
+            s
+        })
+    }
+
+    /// Reads the lines of a script that tell the fleet and the load, and what they leave out from another; `other` is asked about those that do not, and says
+    /// whether it knows them.
+    pub fn of_lines(
+        base: Script, lines: &[Line], fault: &mut Complain,
+        other: &mut dyn FnMut(&Line, &mut Complain) -> bool,
+    ) -> Script {
+        let mut s = base;
+        for line in lines {
+            let value = line.words.get(1).map_or("", |w| w.text.as_str());
+            match line.name() {
+                "method" => {
+                    let read = trade(line, fault);
+                    s.methods.insert(value.to_owned(), read);
                 }
+                name => match set(&mut s, name, value) {
+                    Ok(true) => {}
+                    Ok(false) if other(line, fault) => {}
+                    Ok(false) => fault(line, 0, format!("no directive '{name}' in a script")),
+                    Err(what) => fault(line, 1, what),
+                },
             }
-            if let (true, Some(line)) = (s.methods.is_empty(), lines.first()) {
-                fault(line, 0, "a script needs a method".to_owned());
+        }
+        for (name, least) in [
+            ("workers", s.workers),
+            ("schedulers", s.schedulers),
+            ("cells", s.cells),
+            ("zones", s.zones),
+            ("models", s.models),
+        ] {
+            if let (0, Some(line)) = (least, lines.first()) {
+                fault(line, 0, format!("{name} must be at least 1"));
             }
-            s.events.sort_by_key(|e| e.at);
-            s
-        })
+        }
+        if let (true, Some(line)) = (s.methods.is_empty(), lines.first()) {
+            fault(line, 0, "a script needs a method".to_owned());
+        }
+        s
     }
 }
 
--- a/crates/curlewpoint-lab/src/stand/store.rs
+++ b/crates/curlewpoint-lab/src/stand/store.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 use curlewpoint::types::{Outcome, Time};
 use curlewpoint_emulator::{FetchId, StoreModel, StoreSpec};
@@ -22,6 +24,7 @@
 pub struct StoreStand {
     pub address: SocketAddr,
     faults: mpsc::UnboundedSender<Fault>,
+    turned_away: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -36,8 +39,15 @@
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let (faults, given) = mpsc::unbounded_channel();
-        let task = tokio::spawn(run(listener, record.clone(), StoreModel::new(spec), given));
-        Ok(StoreStand { address, faults, task })
+        let turned_away = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&turned_away);
+        let task = tokio::spawn(run(listener, record.clone(), StoreModel::new(spec), given, count));
+        Ok(StoreStand { address, faults, turned_away, task })
+    }
+
+    /// Fetches that were turned away so far.
+    pub fn turned_away(&self) -> u64 {
+        self.turned_away.load(Ordering::Relaxed)
     }
 
     pub fn stop_until(&self, until: Time) {
@@ -51,6 +61,7 @@
 
 async fn run(
     listener: TcpListener, record: Record, mut model: StoreModel, mut faults: mpsc::UnboundedReceiver<Fault>,
+    turned_away: Arc<AtomicU64>,
 ) {
     let (heard, mut hear) = mpsc::unbounded_channel();
     let (_mute, muted) = watch::channel(false);
@@ -79,6 +90,7 @@
                     next += 1;
                     asked.insert(FetchId(next), (id, tag));
                     if !model.fetch(record.now(), FetchId(next), Time(work).ms()) {
+                        turned_away.store(model.turned_away, Ordering::Relaxed);
                         answer(&peers, &mut asked, FetchId(next), Outcome::Full);
                     }
                 }
--- /dev/null
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -0,0 +1,282 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use curlewpoint::types::{Standing, Time};
+use curlewpoint_engine::Answer;
+use curlewpoint_lab::Seen;
+use curlewpoint_wire::Kind;
+
+use crate::relay::{Passed, Taped};
+
+/// A line of the report: what it is, and how it is told.
+type Row = (&'static str, fn(&Figures) -> String);
+
+/// Figures are kept by this much time.
+pub const WINDOW: Time = Time(1_000);
+/// What counts as the start.
+const START: Time = Time(50_000);
+
+/// What passed through the relays in a play, and what clients and workers saw; never what a scheduler says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// At the list service: the most connections in any 100 ms, all of them, whole lists and bytes it sent.
+    pub list_connections: usize,
+    pub list_connections_in_all: usize,
+    pub whole_lists: usize,
+    pub list_bytes: usize,
+    /// In the first 5 s: connections at workers, probes, load orders, call-outs; the busiest worker against the mean.
+    pub worker_connections: usize,
+    pub probes: usize,
+    pub orders: usize,
+    pub call_outs: usize,
+    pub busiest: f64,
+    /// In the first 5 s and in all: asked, ok, denied, aborted, refused, unanswered.
+    pub first: [usize; 6],
+    pub all: [usize; 6],
+    /// When 95 in 100 of what was asked in half a second ended ok for the first time; none: never.
+    pub steady: Option<Time>,
+    /// From the first who was told that a worker drains or is gone, to 99 in 100 of those that lived; none: no such word.
+    pub told: Option<Time>,
+    /// From the end of the last fault to the moment from which all beats told the same; none: they never did.
+    pub alike: Option<Time>,
+    /// Bytes a second on the links of an instance, in the last third of the play.
+    pub gossip: f64,
+    /// Of an instance: the part of a core that it used, and its most memory.
+    pub cost: Option<(f64, f64)>,
+    /// Fetches that the store turned away.
+    pub turned_away: u64,
+}
+
+/// The most of these moments that lie within one window.
+fn most_within(times: &[Time], window: Time) -> usize {
+    let mut first = 0;
+    let mut most = 0;
+    for (last, at) in times.iter().enumerate() {
+        while times[first] + window <= *at {
+            first += 1;
+        }
+        most = most.max(last + 1 - first);
+    }
+    most
+}
+
+fn is_worker(name: &str) -> bool {
+    name.starts_with("w-")
+}
+
+fn is_peer(name: &str) -> bool {
+    name.starts_with("front-")
+}
+
+impl Figures {
+    /// `began`: when the schedulers were started; `over`: when the last fault had ended; `gone`: who was down or stopped,
+    /// from when to when.
+    pub fn of(
+        tape: &[Passed], seen: &[(Time, Seen)], began: Time, over: Time, end: Time, instances: usize,
+        gone: &[(String, Time, Time)],
+    ) -> Figures {
+        let mut f = Figures::default();
+        f.of_tape(tape, began, over, end, instances);
+        f.of_clients(seen, began);
+        f.told = told(seen, instances, gone);
+        f
+    }
+
+    fn of_tape(&mut self, tape: &[Passed], began: Time, over: Time, end: Time, instances: usize) {
+        let (mut dials, mut by_worker) = (Vec::new(), BTreeMap::<&str, usize>::new());
+        let late = end - Time((end - began).0 / 3);
+        let (mut beats, mut last_unlike) = (BTreeMap::<&str, u64>::new(), over);
+        let mut bytes_late = 0;
+        for (at, from, to, what) in tape {
+            let starting = *at < began + START;
+            match what {
+                Taped::Dialled if &**to == "list" => dials.push(*at),
+                Taped::Dialled if is_worker(to) && starting => self.worker_connections += 1,
+                Taped::Frame { bytes, whole, .. } if &**from == "list" => {
+                    self.list_bytes += bytes;
+                    self.whole_lists += usize::from(*whole);
+                }
+                Taped::Frame { kind, .. } if is_worker(to) && starting => match *kind {
+                    Kind::PROBE => self.probes += 1,
+                    Kind::LOAD => self.orders += 1,
+                    Kind::CALL_OUT => {
+                        self.call_outs += 1;
+                        *by_worker.entry(to).or_default() += 1;
+                    }
+                    _ => {}
+                },
+                Taped::Frame { bytes, digest, .. } if is_peer(from) && is_peer(to) => {
+                    if *at >= late {
+                        bytes_late += bytes;
+                    }
+                    if let Some(digest) = digest {
+                        beats.insert(from, *digest);
+                        if *at >= over && beats.values().collect::<BTreeSet<_>>().len() > 1 {
+                            last_unlike = *at;
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.list_connections = most_within(&dials, WINDOW);
+        self.list_connections_in_all = dials.len();
+        let (most, sum) = (by_worker.values().max().copied().unwrap_or(0), self.call_outs);
+        self.busiest = most as f64 * by_worker.len() as f64 / sum.max(1) as f64;
+        // All that speak now say the same; those that ended say nothing more.
+        let alike = beats.values().collect::<BTreeSet<_>>().len() <= 1 && last_unlike + Time(10_000) < end;
+        self.alike = (!beats.is_empty() && alike).then(|| last_unlike - over);
+        self.gossip = 2.0 * bytes_late as f64 / instances as f64 / ((end - late).ms() / 1000.0);
+    }
+
+    fn of_clients(&mut self, seen: &[(Time, Seen)], began: Time) {
+        let mut asked: BTreeMap<u64, Time> = BTreeMap::new();
+        let mut halves: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+        let half = |at: Time| (at - began).0 / 5_000;
+        let mut count = |at: Time, no: usize| {
+            self.all[no] += 1;
+            self.first[no] += usize::from(at < began + START);
+        };
+        for (at, seen) in seen {
+            match seen {
+                Seen::Asked { key, .. } => {
+                    asked.insert(*key, *at);
+                    count(*at, 0);
+                    halves.entry(half(*at)).or_default().0 += 1;
+                }
+                Seen::Final { key, answer } => {
+                    let Some(at) = asked.remove(key) else { continue };
+                    match answer {
+                        Answer::Ok => {
+                            halves.entry(half(at)).or_default().1 += 1;
+                            count(at, 1);
+                        }
+                        Answer::Denied => count(at, 2),
+                        Answer::Aborted => count(at, 3),
+                    }
+                }
+                Seen::Refused { key, .. } => {
+                    if let Some(at) = asked.remove(key) {
+                        count(at, 4);
+                    }
+                }
+                _ => {}
+            }
+        }
+        asked.into_values().for_each(|at| count(at, 5));
+        let steady = halves.iter().find(|(_, (asked, ok))| *ok as f64 >= 0.95 * *asked as f64);
+        self.steady = steady.map(|(half, _)| Time((half + 1) * 5_000));
+    }
+
+    /// The figures of several plays, side by side.
+    pub fn draw(columns: &[(String, Figures)]) -> String {
+        let mut out = String::new();
+        let rows: &[Row] = &[
+            ("list: connections in any 100 ms; in all", |f| {
+                format!("{}; {}", f.list_connections, f.list_connections_in_all)
+            }),
+            ("list: whole lists; kB sent", |f| format!("{}; {}", f.whole_lists, f.list_bytes / 1000)),
+            ("first 5 s: connections at workers", |f| f.worker_connections.to_string()),
+            ("first 5 s: probes; load orders", |f| format!("{}; {}", f.probes, f.orders)),
+            ("first 5 s: call-outs; busiest worker", |f| format!("{}; {:.1} x mean", f.call_outs, f.busiest)),
+            ("first 5 s: ok, denied, aborted of asked", |f| {
+                let [asked, ok, denied, aborted, ..] = f.first;
+                format!("{ok}, {denied}, {aborted} of {asked}")
+            }),
+            ("all: ok, denied, aborted of asked", |f| {
+                let [asked, ok, denied, aborted, ..] = f.all;
+                format!("{ok}, {denied}, {aborted} of {asked}")
+            }),
+            ("95 in 100 ok from", |f| ms(f.steady)),
+            ("a drain told to 99 in 100 after", |f| ms(f.told)),
+            ("beats alike after the last fault", |f| ms(f.alike)),
+            ("gossip of an instance, bytes a second", |f| format!("{:.0}", f.gossip)),
+            ("an instance: part of a core; MB at most", |f| {
+                f.cost.map_or("-".into(), |(core, mb)| format!("{:.2}%; {mb:.1}", core * 100.0))
+            }),
+            ("fetches that the store turned away", |f| f.turned_away.to_string()),
+        ];
+        // Writing to a String cannot fail.
+        let _ = write!(out, "{:42}", "");
+        for (name, _) in columns {
+            let _ = write!(out, "{name:>24}");
+        }
+        for (name, cell) in rows {
+            let _ = write!(out, "\n{name:42}");
+            for (_, f) in columns {
+                let _ = write!(out, "{:>24}", cell(f));
+            }
+        }
+        out + "\n"
+    }
+}
+
+fn ms(time: Option<Time>) -> String {
+    time.map_or("-".into(), |t| format!("{:.0} ms", t.ms()))
+}
+
+/// How long the word that a worker drains or is gone took from the first scheduler to 99 in 100 of those that lived, the
+/// worst of all such words.
+fn told(seen: &[(Time, Seen)], instances: usize, gone: &[(String, Time, Time)]) -> Option<Time> {
+    const WAIT: Time = Time(30_000);
+    let mut words: Vec<(Time, &str, BTreeMap<&str, Time>)> = Vec::new();
+    for (at, seen) in seen {
+        let Seen::Told { scheduler, worker, standing } = seen else { continue };
+        if *standing == Standing::Ready {
+            continue;
+        }
+        let word = words.iter_mut().rev().find(|(first, of, _)| of == worker && *at < *first + WAIT);
+        match word {
+            Some((_, _, all)) => drop(all.entry(scheduler).or_insert(*at)),
+            None => words.push((*at, worker, BTreeMap::from([(scheduler.as_str(), *at)]))),
+        }
+    }
+    let late = words.into_iter().map(|(first, _, all)| {
+        let lived = |name: &String| {
+            !gone.iter().any(|(n, from, to)| n == name && *from <= first + WAIT && first <= *to)
+        };
+        let names = (0..instances).map(|no| format!("front-{no}")).filter(lived);
+        let mut after: Vec<Time> =
+            names.map(|n| all.get(n.as_str()).map_or(WAIT, |at| *at - first)).collect();
+        after.sort();
+        // 99 in 100, rounded up to whole instances.
+        let at = (after.len() * 99).div_ceil(100).max(1) - 1;
+        after.get(at).copied().unwrap_or_default()
+    });
+    late.max()
+}
+
+/// An instance's mean costs.
+pub fn cost(all: &[(Duration, u64)], lived: Duration) -> Option<(f64, f64)> {
+    let used: f64 = all.iter().map(|c| c.0.as_secs_f64()).sum();
+    let memory = all.iter().map(|c| c.1).max()? as f64 / 1024.0;
+    Some((used / all.len() as f64 / lived.as_secs_f64(), memory))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_most_in_a_window_is_found_wherever_it_lies() {
+        let at = |ms: &[u64]| ms.iter().map(|m| Time(m * 10)).collect::<Vec<_>>();
+        assert_eq!(most_within(&at(&[]), WINDOW), 0);
+        assert_eq!(most_within(&at(&[0, 90, 99, 100, 150]), WINDOW), 4);
+        assert_eq!(most_within(&at(&[0, 100, 200]), WINDOW), 1);
+    }
+
+    #[test]
+    fn a_word_that_one_in_a_hundred_missed_is_told_and_one_that_two_missed_is_not() {
+        let word = |no: usize| Seen::Told {
+            scheduler: format!("front-{no}"),
+            worker: "w-001".into(),
+            standing: Standing::Draining,
+        };
+        let all = |n: usize| (0..n).map(|no| (Time(1_000 + 10 * no as u64), word(no))).collect::<Vec<_>>();
+        assert_eq!(told(&all(99), 100, &[]), Some(Time(980)));
+        assert_eq!(told(&all(98), 100, &[]), Some(Time(30_000)));
+        assert_eq!(told(&all(98), 100, &[("front-99".into(), Time(0), Time(9_000))]), Some(Time(30_000)));
+        assert_eq!(told(&[], 100, &[]), None);
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-rig/src/play.rs
@@ -0,0 +1,210 @@
+use curlewpoint::types::Time;
+use curlewpoint_config::{milliseconds, read_lines, share, Faults, Line};
+use curlewpoint_lab::{Complain, Script};
+
+macro_rules! plays {
+    ($($name:literal)*) => {
+        /// The plays that the program ships, by name.
+        pub const PLAYS: &[(&str, &str)] = &[$(($name, include_str!(concat!("../plays/", $name, ".play")))),*];
+    };
+}
+
+plays! { "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" }
+
+const BASE: &str = include_str!("../plays/base.part");
+/// What schedulers run with.
+pub const CONFIG: &str = include_str!("../plays/fleet.conf");
+
+macro_rules! words {
+    ($of:ident $about:literal $($name:ident $text:literal $what:literal)*) => {
+        #[doc = $about]
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum $of { $(#[doc = $what] $name),* }
+
+        impl $of {
+            pub const ALL: &'static [(&'static str, $of, &'static str)] = &[$(($text, $of::$name, $what)),*];
+
+            fn read(word: &str) -> Result<$of, String> {
+                let all: Vec<&str> = $of::ALL.iter().map(|a| a.0).collect();
+                let found = $of::ALL.iter().find(|a| a.0 == word).map(|a| a.1);
+                found.ok_or_else(|| format!("'{word}' is none of {}", all.join(", ")))
+            }
+        }
+    };
+}
+
+words! { Action "What a play can do."
+    Cut "cut" "bytes between the parties lie until the time is over; new connections say nothing"
+    Delay "delay" "bytes between the parties come `every` late"
+    Slow "slow" "bytes between the parties come `size` a second"
+    Reset "reset" "connections between the parties end at once"
+    Kill "kill" "SIGKILL; started again after the time"
+    Stop "stop" "SIGSTOP, and SIGCONT after the time"
+    Term "term" "SIGTERM and started again, `size` of all at a time, `every` so long"
+    Again "again" "a second run under the same name; the first is killed after the time"
+    Forge "forge" "a made-up peer sends what no peer should"
+    Drain "drain" "workers are told to drain"
+    Die "die" "workers die; started cold after the time"
+    Restart "restart" "workers die and start cold after the time"
+    ListDown "list-down" "the list service is away, and comes back as a new run of itself"
+}
+
+words! { Who "Who it is done to, or with whom."
+    Schedulers "schedulers" "a part of the schedulers, drawn"
+    Others "others" "the schedulers that were not drawn last"
+    Watchers "watchers" "those that are connected to the list service"
+    Workers "workers" "a part of the workers, drawn"
+    List "list" "the list service"
+}
+
+words! { Limit "What a play holds its figures against, beside the five rules."
+    ListConnections "list-connections" "connections at the list service in any 100 ms"
+    WholeLists "whole-lists" "whole lists that the list service sent"
+    Told "told" "the time from the first who was told that a worker drains to 99 in 100, in ms"
+    Alike "alike" "from the last fault's end until all beats tell the same of the fleet, in ms"
+}
+
+/// One thing that happens, at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct At {
+    pub at: Time,
+    pub action: Action,
+    pub who: Who,
+    pub part: f64,
+    pub from: Option<Who>,
+    pub len: Time,
+    pub size: f64,
+    pub every: Time,
+    /// Only what goes to the first party is touched.
+    pub one_way: bool,
+}
+
+/// A fleet, its load, what happens to it, and what is expected of it.
+#[derive(Clone, Debug)]
+pub struct Play {
+    pub script: Script,
+    /// Workers have just started.
+    pub cold: bool,
+    /// Connections that the list service takes in a second; none: all.
+    pub list_takes: Option<f64>,
+    pub events: Vec<At>,
+    pub expects: Vec<(Limit, f64)>,
+}
+
+fn time(text: &str) -> Result<Time, String> {
+    milliseconds(text).map(Time::from_ms)
+}
+
+fn number(text: &str) -> Result<f64, String> {
+    text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0).ok_or(format!("'{text}' is not a number"))
+}
+
+fn event(line: &Line) -> Result<At, (usize, String)> {
+    let word = |no: usize| line.words.get(no).map_or("", |w| w.text.as_str());
+    let at = time(word(1)).map_err(|e| (1, e))?;
+    let action = Action::read(word(2)).map_err(|e| (2, e))?;
+    let alone = action == Action::ListDown;
+    let who = if alone { Who::List } else { Who::read(word(3)).map_err(|e| (3, e))? };
+    let (len, every) = (Time(0), Time(10_000));
+    let mut e = At { at, action, who, part: 1.0, from: None, len, size: 1.0, every, one_way: false };
+    let mut no = if alone { 3 } else { 4 };
+    while no < line.words.len() {
+        let value = word(no + 1);
+        let read = match word(no) {
+            "part" => share(value).map(|x| e.part = x),
+            "from" => Who::read(value).map(|x| e.from = Some(x)),
+            "for" => time(value).map(|x| e.len = x),
+            "size" => share(value).or_else(|_| number(value)).map(|x| e.size = x),
+            "every" => time(value).map(|x| e.every = x),
+            "one-way" => {
+                e.one_way = true;
+                no += 1;
+                continue;
+            }
+            other => return Err((no, format!("'{other}' is none of part, from, for, size, every, one-way"))),
+        };
+        read.map_err(|what| ((no + 1).min(line.words.len() - 1), what))?;
+        no += 2;
+    }
+    let between = [Action::Cut, Action::Delay, Action::Slow, Action::Reset].contains(&action);
+    if between != e.from.is_some() {
+        let what = if between { "it needs `from` and a party" } else { "it takes no `from`" };
+        return Err((2, what.to_owned()));
+    }
+    Ok(e)
+}
+
+fn expect(line: &Line) -> Result<(Limit, f64), (usize, String)> {
+    let word = |no: usize| line.words.get(no).map_or("", |w| w.text.as_str());
+    let limit = Limit::read(word(1)).map_err(|e| (1, e))?;
+    let value = milliseconds(word(2)).or_else(|_| number(word(2))).map_err(|e| (2, e))?;
+    Ok((limit, value))
+}
+
+impl Play {
+    /// Reads a play; what it does not say of the fleet and the load is that of all plays. All faults are told at once.
+    pub fn parse(name: &str, text: &str) -> Result<Play, Faults> {
+        let base = read_lines("base.part", BASE, |lines, fault| {
+            Script::of_lines(Script::default(), lines, fault, &mut |_, _| false)
+        })?;
+        read_lines(name, text, |lines, fault| {
+            let (mut cold, mut list_takes) = (false, None);
+            let (mut events, mut expects) = (Vec::new(), Vec::new());
+            let script = Script::of_lines(base, lines, fault, &mut |line: &Line, fault: &mut Complain| {
+                let value = line.words.get(1).map_or("", |w| w.text.as_str());
+                let read = match line.name() {
+                    "at" => event(line).map(|e| events.push(e)),
+                    "expect" => expect(line).map(|e| expects.push(e)),
+                    "cold" => match value {
+                        "yes" | "no" => {
+                            cold = value == "yes";
+                            Ok(())
+                        }
+                        _ => Err((1, format!("'{value}' is neither yes nor no"))),
+                    },
+                    "list-takes" => number(value).map(|n| list_takes = Some(n)).map_err(|e| (1, e)),
+                    _ => return false,
+                };
+                if let Err((word, what)) = read {
+                    fault(line, word, what);
+                }
+                true
+            });
+            events.sort_by_key(|e: &At| e.at);
+            Play { script, cold, list_takes, events, expects }
+        })
+    }
+
+    /// One of those that the program ships.
+    pub fn shipped(name: &str) -> Option<Play> {
+        let (name, text) = PLAYS.iter().find(|p| p.0 == name)?;
+        Play::parse(name, text).ok()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test]
+    fn all_shipped_plays_are_read() {
+        for (name, text) in PLAYS {
+            let play = Play::parse(name, text).unwrap_or_else(|f| panic!("{f}"));
+            assert!(!play.events.is_empty() && !play.expects.is_empty(), "{name}");
+            assert!(play.events.iter().all(|e| e.at + e.len < play.script.length), "{name}");
+        }
+    }
+
+    #[test_case("at 5s cut schedulers", "it needs `from` and a party" ; "a cut from nobody")]
+    #[test_case("at 5s kill schedulers from list", "it takes no `from`" ; "a kill from somebody")]
+    #[test_case("at 5s kil schedulers", "'kil' is none of cut" ; "an unknown action")]
+    #[test_case("at 5s kill schedulrs", "'schedulrs' is none of schedulers" ; "an unknown party")]
+    #[test_case("expect tolld 5ms", "'tolld' is none of list-connections" ; "an unknown limit")]
+    #[test_case("cold maybe", "neither yes nor no" ; "nonsense")]
+    #[test_case("lenth 5s", "no directive 'lenth'" ; "an unknown directive")]
+    fn faults_are_told(line: &str, want: &str) {
+        let told = Play::parse("x.play", line).unwrap_err();
+        assert!(told.drawn.contains(want), "{told}");
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -0,0 +1,592 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use curlewpoint::types::{Standing, Time};
+use curlewpoint_config::Config;
+use curlewpoint_emulator::{Row, StoreSpec, WorkerSpec};
+use curlewpoint_lab::stand::{ListStand, StoreStand, Trade, WorkerStand};
+use curlewpoint_lab::{client, judge, Entrance, Record, Seen, Shared as Load, Terms, Traffic, Verdict};
+use oorandom::Rand64;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+use tokio::time::sleep_until;
+
+use crate::figures::{cost, Figures};
+use crate::forge::forge;
+use crate::play::{Action, At, Limit, Play, Who, CONFIG};
+use crate::process::{Process, Program};
+use crate::relay::{Effect, Relay, Rules, Shared, Taped};
+
+/// One play of a script.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub program: Program,
+    pub play: Play,
+    pub schedulers: usize,
+    pub seed: u64,
+    /// Whether the schedulers know of each other.
+    pub peers: bool,
+    /// Where configurations and logs go.
+    pub folder: PathBuf,
+}
+
+/// What came of it.
+pub struct Outcome {
+    pub figures: Figures,
+    pub verdict: Verdict,
+    /// What was expected and did not come, a line each.
+    pub missed: Vec<String>,
+}
+
+const FLEET: &str = "play";
+/// Peers to begin with.
+const PEERS: usize = 3;
+/// How long a stop may take at the end of a play.
+const STOP: Duration = Duration::from_secs(12);
+/// A scheduler that was killed or stopped is not asked for what it owed until so long after it is back.
+const BACK: Time = Time(20_000);
+
+/// One scheduler of the play.
+struct Instance {
+    name: String,
+    config: PathBuf,
+    log: PathBuf,
+    process: Option<Process>,
+    /// Its relay for peers.
+    relay: Relay,
+}
+
+enum Deed {
+    Begin(At),
+    Lift(u64),
+    Continue(Vec<usize>),
+    Start(usize),
+    Term(Vec<usize>, usize, Time),
+    KillOld(Box<Process>, String),
+    Worker(usize),
+    Tell(usize, Standing),
+}
+
+struct Stage {
+    plan: Plan,
+    shared: Shared,
+    rng: Rand64,
+    list: ListStand,
+    list_relay: Relay,
+    store: StoreStand,
+    workers: Vec<WorkerStand>,
+    worker_relays: Vec<Relay>,
+    starts: Vec<u64>,
+    drained: BTreeSet<usize>,
+    instances: Vec<Instance>,
+    /// The schedulers that were drawn last.
+    drawn: BTreeSet<usize>,
+    load: Load,
+    agenda: BTreeMap<(Time, u64), Deed>,
+    next: u64,
+    /// Processes that are being started, or ended and started anew.
+    starting: JoinSet<(usize, std::io::Result<Process>)>,
+    gone: Vec<(String, Time, Time)>,
+    over: Time,
+    forging: JoinSet<()>,
+    more_relays: Vec<Relay>,
+}
+
+/// Ports that nobody listens on, below those that the system hands out by itself.
+fn free_ports(n: usize, seed: u64) -> std::io::Result<Vec<u16>> {
+    let mut rng = Rand64::new(u128::from(seed) << 32 | u128::from(std::process::id()));
+    let mut found = BTreeSet::new();
+    for _ in 0..n * 100 {
+        let port = 10_000 + rng.rand_range(0..22_000) as u16;
+        if !found.contains(&port) && TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            found.insert(port);
+        }
+        if found.len() == n {
+            let mut all: Vec<u16> = found.into_iter().collect();
+            all.sort_by_cached_key(|_| rng.rand_u64());
+            return Ok(all);
+        }
+    }
+    Err(std::io::Error::other("too few ports are free"))
+}
+
+fn traffic(load: &Load) -> MutexGuard<'_, Traffic> {
+    load.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Plays a script with real processes. Dropping the future ends all that it started.
+pub async fn run(plan: Plan) -> std::io::Result<Outcome> {
+    let mut stage = Stage::set(plan).await?;
+    let began = stage.shared.record.now();
+    let clients = stage.begin().await?;
+    let up = stage.shared.record.now();
+    stage.over = up;
+    for event in stage.plan.play.events.clone() {
+        let over = event.at + event.len;
+        stage.over = stage.over.max(up + over);
+        stage.plan(event.at, Deed::Begin(event));
+    }
+    let length = stage.plan.play.script.length;
+    stage.go(up, length).await?;
+    stage.finish(began, clients).await
+}
+
+impl Stage {
+    async fn set(plan: Plan) -> std::io::Result<Stage> {
+        std::fs::create_dir_all(&plan.folder)?;
+        let record = Record::default();
+        let shared = Shared::new(Rules::default(), record.clone());
+        let s = &plan.play.script;
+        let any = "127.0.0.1:0";
+        let spec = StoreSpec { lines: s.store_lines, thrash: s.store_thrash, most: s.store_most };
+        let store = StoreStand::start(any, &record, spec).await?;
+        let list = ListStand::start(any, &record, s.list_late).await?;
+        let list_relay = Relay::start("list", Some(list.address), plan.play.list_takes, &shared).await?;
+        let config = parsed(&text(&plan, 0, any, any, &list_relay.address.to_string(), None))?;
+        let of = |name| config.number("workers", name);
+        let spec = WorkerSpec {
+            cores: s.cores,
+            speed: 1.0,
+            slots: s.slots,
+            queue: s.queue,
+            memory_mb: s.memory_mb,
+            loads_at_once: s.loads_at_once,
+            keep: Time::from_ms(of("keep-alive")),
+            cold_from: of("start-capacity"),
+            cold_for: Time::from_ms(of("warm-within")),
+            fall_multiple: of("fall-multiple"),
+            fall: Time::from_ms(of("fall-window")),
+            adds_copies: true,
+            answers_miss: false,
+        };
+        let trades: BTreeMap<String, Trade> = s.methods.iter().map(|(m, (_, t))| (m.clone(), *t)).collect();
+        let trades = Arc::new(trades);
+        let (mut workers, mut worker_relays) = (Vec::new(), Vec::new());
+        for no in 0..s.workers {
+            let (name, seed) = (format!("w-{no:03}"), plan.seed * 1000 + no as u64);
+            let trades = Arc::clone(&trades);
+            let worker = WorkerStand::start(any, &name, &record, spec, trades, store.address, seed).await?;
+            if plan.play.cold {
+                worker.die();
+                worker.begin(true);
+            }
+            worker_relays.push(Relay::start(&name, Some(worker.address), None, &shared).await?);
+            workers.push(worker);
+        }
+        let n = plan.schedulers;
+        let ports = free_ports(2 * n, plan.seed)?;
+        let mut instances = Vec::new();
+        for no in 0..n {
+            let name = format!("front-{no}");
+            let at = SocketAddr::from(([127, 0, 0, 1], ports[n + no]));
+            let relay = Relay::start(&name, Some(at), None, &shared).await?;
+            let config = plan.folder.join(format!("{name}.conf"));
+            let log = plan.folder.join(format!("{name}.log"));
+            instances.push(Instance { name, config, log, process: None, relay });
+        }
+        let at = |port: u16| format!("127.0.0.1:{port}");
+        let peers = peers(&instances);
+        for (no, i) in instances.iter().enumerate() {
+            let fleet = (at(ports[n + no]), i.relay.address.to_string(), peers.clone());
+            let list = list_relay.address.to_string();
+            let fleet = plan.peers.then_some(fleet);
+            std::fs::write(&i.config, text(&plan, no, &at(ports[no]), &i.name, &list, fleet))?;
+        }
+        let load = Traffic {
+            times: 1.0,
+            shares: vec![1.0 / n as f64; n],
+            scan: 0.0,
+            addresses: (0..n).map(|no| SocketAddr::from(([127, 0, 0, 1], ports[no]))).collect(),
+            over: false,
+        };
+        let stage = Stage {
+            rng: Rand64::new(u128::from(plan.seed)),
+            starts: vec![1; workers.len()],
+            shared,
+            list,
+            list_relay,
+            store,
+            workers,
+            worker_relays,
+            drained: BTreeSet::new(),
+            instances,
+            drawn: BTreeSet::new(),
+            load: Arc::new(Mutex::new(load)),
+            agenda: BTreeMap::new(),
+            next: 0,
+            starting: JoinSet::new(),
+            gone: Vec::new(),
+            over: Time(0),
+            forging: JoinSet::new(),
+            more_relays: Vec::new(),
+            plan,
+        };
+        for no in 0..stage.workers.len() {
+            let since = stage.plan.play.cold.then(|| stage.shared.record.now());
+            stage.tell(no, Standing::Ready, since);
+        }
+        Ok(stage)
+    }
+
+    fn tell(&self, no: usize, standing: Standing, since: Option<Time>) {
+        let s = &self.plan.play.script;
+        let cell = no * s.cells / s.workers;
+        let (zone, cell) = (format!("zone-{}", cell % s.zones), format!("cell-{cell}"));
+        let (address, start) = (self.worker_relays[no].address.to_string(), self.starts[no]);
+        self.list.set(&self.workers[no].name, Row { address, standing, start, since, zone, cell, size: 1.0 });
+    }
+
+    /// Starts all schedulers at once, with their clients, and waits until they are up.
+    async fn begin(&mut self) -> std::io::Result<JoinSet<()>> {
+        let mut clients = JoinSet::new();
+        let config = parsed(&std::fs::read_to_string(&self.instances[0].config)?)?;
+        for no in 0..self.instances.len() {
+            let (record, load) = (self.shared.record.clone(), Arc::clone(&self.load));
+            let mut script = self.plan.play.script.clone();
+            script.seed = self.plan.seed;
+            clients.spawn(client(no, Entrance::Native, record, load, script, config.clone()));
+            self.start(no);
+        }
+        while let Some(started) = self.starting.join_next().await {
+            self.started(started)?;
+        }
+        Ok(clients)
+    }
+
+    fn start(&mut self, no: usize) {
+        let (program, i) = (self.plan.program.clone(), &self.instances[no]);
+        let (config, log) = (i.config.clone(), i.log.clone());
+        self.starting.spawn(async move { (no, program.serve(&config, &log).await) });
+    }
+
+    fn started(
+        &mut self, started: Result<(usize, std::io::Result<Process>), tokio::task::JoinError>,
+    ) -> std::io::Result<()> {
+        let (no, process) = started.map_err(std::io::Error::other)?;
+        let at = process.map_err(|e| std::io::Error::other(format!("{}: {e}", self.instances[no].name)))?;
+        traffic(&self.load).addresses[no] = at.address;
+        self.instances[no].process = Some(at);
+        Ok(())
+    }
+
+    fn plan(&mut self, at: Time, deed: Deed) {
+        self.next += 1;
+        self.agenda.insert((at, self.next), deed);
+    }
+
+    async fn go(&mut self, up: Time, length: Time) -> std::io::Result<()> {
+        loop {
+            let next = self.agenda.first_key_value().map_or(length, |(&(at, _), _)| at);
+            let until = self.shared.record.instant(up + next.min(length));
+            tokio::select! {
+                Some(started) = self.starting.join_next() => self.started(started)?,
+                () = sleep_until(until.into()) => match self.agenda.pop_first() {
+                    Some(((at, _), deed)) if at < length => self.act(at, deed).await?,
+                    _ => return Ok(()),
+                },
+            }
+        }
+    }
+
+    /// So many of these, drawn.
+    fn draw(&mut self, mut all: Vec<usize>, part: f64) -> Vec<usize> {
+        for i in (1..all.len()).rev() {
+            all.swap(i, self.rng.rand_range(0..i as u64 + 1) as usize);
+        }
+        let n = (all.len() as f64 * part).round() as usize;
+        all.truncate(n.clamp(1.min(all.len()), all.len()));
+        all
+    }
+
+    /// The schedulers meant.
+    fn schedulers(&mut self, who: Who, part: f64) -> Vec<usize> {
+        let all: Vec<usize> = (0..self.instances.len()).collect();
+        match who {
+            Who::Others => all.into_iter().filter(|no| !self.drawn.contains(no)).collect(),
+            Who::Watchers => self.watchers(),
+            _ => {
+                let drawn = self.draw(all, part);
+                self.drawn = drawn.iter().copied().collect();
+                drawn
+            }
+        }
+    }
+
+    /// Those that are connected to the list service, as its relay has seen.
+    fn watchers(&self) -> Vec<usize> {
+        let mut open: BTreeMap<Arc<str>, i64> = BTreeMap::new();
+        for (_, from, to, what) in self.shared.tape.all() {
+            if &*to == "list" {
+                match what {
+                    Taped::Dialled => *open.entry(from).or_default() += 1,
+                    Taped::Ended => *open.entry(from).or_default() -= 1,
+                    Taped::Frame { .. } => {}
+                }
+            }
+        }
+        let watches = |i: &Instance| open.get(i.name.as_str()).is_some_and(|n| *n > 0);
+        (0..self.instances.len()).filter(|no| watches(&self.instances[*no])).collect()
+    }
+
+    fn names(&mut self, who: Who, part: f64) -> BTreeSet<String> {
+        match who {
+            Who::List => BTreeSet::from(["list".to_owned()]),
+            Who::Workers => {
+                let all = (0..self.workers.len()).collect();
+                self.draw(all, part).into_iter().map(|no| self.workers[no].name.clone()).collect()
+            }
+            who => self.schedulers(who, part).into_iter().map(|no| self.instances[no].name.clone()).collect(),
+        }
+    }
+
+    fn held(&mut self, no: usize, until: Time) {
+        let now = self.shared.record.now();
+        let who = self.instances[no].name.clone();
+        self.gone.push((who.clone(), now, until + BACK));
+        self.shared.record.add(Seen::Held { who, until: until + BACK });
+    }
+
+    async fn act(&mut self, at: Time, deed: Deed) -> std::io::Result<()> {
+        match deed {
+            Deed::Begin(event) => self.happens(at, event).await?,
+            Deed::Lift(rule) => self.shared.rules.lift(rule),
+            Deed::Continue(all) => all.iter().for_each(|no| self.signal(*no, Signal::CONT)),
+            Deed::Start(no) => self.start(no),
+            Deed::Term(mut left, step, every) => {
+                for no in left.drain(..step.min(left.len())) {
+                    self.term(no);
+                }
+                if !left.is_empty() {
+                    self.plan(at + every, Deed::Term(left, step, every));
+                }
+            }
+            Deed::KillOld(process, who) => {
+                process.signal(Signal::KILL);
+                let until = self.shared.record.now() + BACK;
+                self.shared.record.add(Seen::Held { who, until });
+            }
+            Deed::Worker(no) => {
+                self.workers[no].begin(true);
+                self.starts[no] += 1;
+                self.tell(no, Standing::Ready, Some(self.shared.record.now()));
+            }
+            Deed::Tell(no, standing) => self.list.standing(&self.workers[no].name, standing),
+        }
+        Ok(())
+    }
+
+    fn signal(&self, no: usize, signal: Signal) {
+        if let Some(process) = &self.instances[no].process {
+            process.signal(signal);
+        }
+    }
+
+    /// Ended in order, and started anew.
+    fn term(&mut self, no: usize) {
+        let Some(mut process) = self.instances[no].process.take() else { return };
+        self.held(no, self.shared.record.now());
+        let (program, i) = (self.plan.program.clone(), &self.instances[no]);
+        let (config, log) = (i.config.clone(), i.log.clone());
+        self.starting.spawn(async move {
+            process.signal(Signal::TERM);
+            process.ended(STOP).await;
+            (no, program.serve(&config, &log).await)
+        });
+    }
+
+    async fn happens(&mut self, at: Time, e: At) -> std::io::Result<()> {
+        let now = self.shared.record.now();
+        let end = at + e.len;
+        self.shared.record.add(Seen::Scripted { what: format!("{e:?}") });
+        match e.action {
+            Action::Cut | Action::Delay | Action::Slow => {
+                let effect = match e.action {
+                    Action::Cut => Effect::Cut,
+                    Action::Delay => Effect::Delay(Duration::from_micros(e.every.0 * 100)),
+                    _ => Effect::Slow(e.size),
+                };
+                let first = self.names(e.who, e.part);
+                let second = self.names(e.from.unwrap_or(Who::List), 1.0);
+                self.next += 2;
+                let (to_first, to_second) = (self.next, self.next - 1);
+                self.shared.rules.set(to_first, second.clone(), first.clone(), effect);
+                self.plan(end, Deed::Lift(to_first));
+                if !e.one_way {
+                    self.shared.rules.set(to_second, first, second, effect);
+                    self.plan(end, Deed::Lift(to_second));
+                }
+            }
+            Action::Reset => {
+                let first = self.names(e.who, e.part);
+                let second = self.names(e.from.unwrap_or(Who::List), 1.0);
+                self.shared.rules.reset(&first, &second);
+            }
+            Action::Kill => {
+                for no in self.schedulers(e.who, e.part) {
+                    let Some(process) = self.instances[no].process.take() else { continue };
+                    self.held(no, now + e.len);
+                    process.signal(Signal::KILL);
+                    self.plan(end, Deed::Start(no));
+                }
+            }
+            Action::Stop => {
+                let all = self.schedulers(e.who, e.part);
+                for no in &all {
+                    self.held(*no, now + e.len);
+                    self.signal(*no, Signal::STOP);
+                }
+                self.plan(end, Deed::Continue(all));
+            }
+            Action::Term => {
+                let all = self.schedulers(e.who, e.part);
+                let step = ((self.instances.len() as f64 * e.size).round() as usize).max(1);
+                self.over = self.over.max(now + Time(e.every.0 * all.len().div_ceil(step) as u64));
+                self.plan(at, Deed::Term(all, step, e.every));
+            }
+            Action::Again => {
+                for no in self.schedulers(e.who, e.part) {
+                    self.again(no, end).await?;
+                }
+            }
+            Action::Forge => {
+                for no in self.schedulers(e.who, e.part) {
+                    let at = self.instances[no].relay.address;
+                    self.forging.spawn(forge(at, FLEET));
+                }
+            }
+            Action::Drain | Action::Die | Action::Restart => {
+                let left = (0..self.workers.len()).filter(|no| !self.drained.contains(no)).collect();
+                for no in self.draw(left, e.part) {
+                    self.drained.insert(no);
+                    if e.action == Action::Drain {
+                        self.list.standing(&self.workers[no].name, Standing::Draining);
+                        continue;
+                    }
+                    self.workers[no].die();
+                    self.plan(at + Time(10_000), Deed::Tell(no, Standing::Gone));
+                    self.plan(end.max(at + Time(10_001)), Deed::Worker(no));
+                }
+            }
+            Action::ListDown => self.list.down_until(now + e.len),
+        }
+        Ok(())
+    }
+
+    /// A second run under one name, elsewhere; the first goes on, and is killed later.
+    async fn again(&mut self, no: usize, end: Time) -> std::io::Result<()> {
+        let Some(old) = self.instances[no].process.take() else { return Ok(()) };
+        let ports = free_ports(2, self.plan.seed + 1_000 + no as u64)?;
+        let at = |port: u16| format!("127.0.0.1:{port}");
+        let name = self.instances[no].name.clone();
+        let target = SocketAddr::from(([127, 0, 0, 1], ports[1]));
+        let relay = Relay::start(&name, Some(target), None, &self.shared).await?;
+        let fleet = (at(ports[1]), relay.address.to_string(), peers(&self.instances));
+        let list = self.list_relay.address.to_string();
+        let config = self.plan.folder.join(format!("{name}-again.conf"));
+        let fleet = self.plan.peers.then_some(fleet);
+        std::fs::write(&config, text(&self.plan, no, &at(ports[0]), &name, &list, fleet))?;
+        self.instances[no].config = config;
+        self.more_relays.push(relay);
+        self.held(no, self.shared.record.now());
+        self.start(no);
+        self.plan(end, Deed::KillOld(Box::new(old), name));
+        Ok(())
+    }
+
+    /// No more is asked; what is open has its time, and then the schedulers end in order.
+    async fn finish(mut self, began: Time, mut clients: JoinSet<()>) -> std::io::Result<Outcome> {
+        let end = self.shared.record.now();
+        traffic(&self.load).over = true;
+        while let Some(started) = self.starting.join_next().await {
+            self.started(started)?;
+        }
+        let (mut costs, mut ends) = (Vec::new(), JoinSet::new());
+        for i in &mut self.instances {
+            let Some(mut process) = i.process.take() else { continue };
+            costs.extend(process.costs());
+            let name = i.name.clone();
+            ends.spawn(async move {
+                process.signal(Signal::TERM);
+                (name, process.ended(STOP).await)
+            });
+        }
+        let mut missed = Vec::new();
+        while let Some(ended) = ends.join_next().await {
+            match ended {
+                Ok((name, Some((code, last)))) if code != 0 => {
+                    missed.push(format!("{name} ended with {code}: {last}"))
+                }
+                Ok((name, None)) => missed.push(format!("{name} did not end within {STOP:?} of a SIGTERM")),
+                _ => {}
+            }
+        }
+        while clients.join_next().await.is_some() {}
+        let s = &self.plan.play.script;
+        let mut terms = Terms::of(&parsed(&std::fs::read_to_string(&self.instances[0].config)?)?);
+        for (no, w) in self.workers.iter().enumerate() {
+            let cell = no * s.cells / s.workers;
+            terms.groups.insert(w.name.clone(), (format!("cell-{cell}"), format!("zone-{}", cell % s.zones)));
+            terms.capacity.insert(w.name.clone(), s.cores);
+        }
+        terms.work = s.methods.iter().map(|(m, (_, t))| (m.clone(), t.work_ms)).collect();
+        let (seen, tape) = (self.shared.record.all(), self.shared.tape.all());
+        let verdict = judge(&terms, &seen);
+        let n = self.instances.len();
+        let mut figures = Figures::of(&tape, &seen, began, self.over, end, n, &self.gone);
+        let lived = Duration::from_micros((end - began).0 * 100);
+        figures.cost = cost(&costs, lived);
+        figures.turned_away = self.store.turned_away();
+        for (limit, most) in &self.plan.play.expects {
+            missed.extend(miss(*limit, *most, &figures, self.plan.peers));
+        }
+        Ok(Outcome { figures, verdict, missed })
+    }
+}
+
+/// What a figure is above what is expected; without peers nobody beats, and each watches the list for itself.
+fn miss(limit: Limit, most: f64, f: &Figures, peers: bool) -> Option<String> {
+    let ms = |t: Option<Time>| t.map_or(f64::MAX, Time::ms);
+    let was = match limit {
+        Limit::ListConnections => f.list_connections as f64,
+        Limit::WholeLists => f.whole_lists as f64,
+        Limit::Told => ms(f.told),
+        Limit::Alike => ms(f.alike),
+    };
+    let name = Limit::ALL.iter().find(|l| l.1 == limit).map_or("", |l| l.0);
+    let was_told = if was == f64::MAX { "never".to_owned() } else { format!("{was:.0}") };
+    (peers && was > most).then(|| format!("{name}: {was_told}, at most {most:.0} expected"))
+}
+
+fn peers(instances: &[Instance]) -> String {
+    let n = instances.len();
+    let some: BTreeSet<usize> = (0..PEERS).map(|k| k * n / PEERS).collect();
+    some.iter().map(|no| instances[*no].relay.address.to_string()).collect::<Vec<_>>().join(" ")
+}
+
+/// A scheduler's configuration; `fleet`: where it listens for peers, where they reach it, some peers.
+fn text(
+    plan: &Plan, no: usize, listen: &str, name: &str, list: &str, fleet: Option<(String, String, String)>,
+) -> String {
+    let (n, seed) = (plan.schedulers, plan.seed * 10_000 + no as u64);
+    let mut out = format!("name {name}\nlisten {listen}\nlist {list}\ninstances {n}\nseed {seed}\n{CONFIG}");
+    if let Some((listen, reached, peers)) = fleet {
+        let _ = write!(
+            out,
+            "fleet {{\n  name {FLEET}\n  listen {listen}\n  reached-at {reached}\n  peers {peers}\n}}\n"
+        );
+    }
+    out
+}
+
+fn parsed(text: &str) -> std::io::Result<Config> {
+    curlewpoint_config::parse("fleet.conf", text).map_err(|f| std::io::Error::other(f.to_string()))
+}
+
+/// A folder of its own for a play, under the system's for what is temporary.
+pub fn folder(name: &str) -> PathBuf {
+    Path::new(&std::env::temp_dir()).join(format!("curlewpoint-fleet-{name}-{}", std::process::id()))
+}
--- a/crates/curlewpoint-wire/src/frame.rs
+++ b/crates/curlewpoint-wire/src/frame.rs
@@ -38,6 +38,15 @@
     /// Worker to model store, and the answer.
     pub const FETCH: Kind = Kind(64);
     pub const FETCHED: Kind = Kind(65);
+    /// Between instances of a fleet: who speaks, and how many it knows; first on every link.
+    pub const JOIN: Kind = Kind(80);
+    /// What is believed of one member.
+    pub const MEMBER: Kind = Kind(81);
+    /// A sign of life, with what is held.
+    pub const BEAT: Kind = Kind(82);
+    /// Whoever asks how the fleet stands, and the answer, a text.
+    pub const STATUS: Kind = Kind(83);
+    pub const TOLD: Kind = Kind(84);
 }
 
 /// What a field holds. Numbers are never reused.
@@ -85,6 +94,23 @@
     pub const BYTES: Field = Field(29);
     /// Between stand-ins: how long it takes at full pace, in tenths of a millisecond.
     pub const WORK: Field = Field(30);
+    pub const FLEET: Field = Field(31);
+    /// One run of an instance's process.
+    pub const RUN: Field = Field(32);
+    pub const INCARNATION: Field = Field(33);
+    /// Bits: 1 it has left, 2 it is given up, 4 it does not see the list service.
+    pub const STATE: Field = Field(34);
+    /// The rings on which it is not heard, a bit each.
+    pub const DOUBTS: Field = Field(35);
+    /// Of all records of members; the same where they are.
+    pub const DIGEST: Field = Field(36);
+    /// The tag of the last beat that came on this link.
+    pub const ECHO: Field = Field(37);
+    /// Whether the sender is sure of the number of instances, or knows one that is: 1.
+    pub const SURE: Field = Field(38);
+    /// Whether a beat is wanted at once: 1.
+    pub const WANTED: Field = Field(39);
+    pub const KNOWN: Field = Field(40);
 }
 
 #[derive(Debug, Error, PartialEq)]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -209,6 +209,11 @@
         all.as_array_mut().into_iter().for_each(|all| all.push(method.clone()));
     }
 
+    /// So many schedulers feed these workers from here on, as far as this one knows.
+    pub fn instances_changed(&mut self, number: u64) {
+        self.settings.insert("instances".to_owned(), number.into());
+    }
+
     pub fn worker_listed(
         &mut self, now: Time, id: WorkerId, standing: Standing, since: Time, zone: ZoneId, cell: CellId,
         size: f64,
