--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -173,14 +173,14 @@
 const SERVICE: u64 = u64::MAX;
 
 impl Fleet {
-    /// `address` is where peers reach this instance, `peers` some of them to begin with, `told` the number of instances
-    /// in the file.
+    /// `run` is another for each start of the process, also where the seed is the same; `address` is where peers reach
+    /// this instance, `peers` some of them to begin with, `told` the number of instances in the file.
     pub fn start(
-        now: Time, fleet: &str, name: &str, address: &str, peers: Vec<String>, told: u64, bounds: Bounds,
-        seed: u128,
+        now: Time, fleet: &str, (name, run): (&str, Run), address: &str, peers: Vec<String>, told: u64,
+        bounds: Bounds, seed: u128,
     ) -> Fleet {
         let mut rng = Rand64::new(seed);
-        let me = MemberId { instance: InstanceId::of(name), run: Run(rng.rand_u64()) };
+        let me = MemberId { instance: InstanceId::of(name), run };
         let mut table = Table::new(bounds.members);
         let _ = table.merge(now, me, name, address, Standing::default());
         let peers: Vec<String> = peers.into_iter().filter(|p| p != address).collect();
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use curlewpoint::types::Time;
 use curlewpoint_config::Config;
@@ -146,6 +146,13 @@
     }
 }
 
+/// A number that no other start of a process has, whatever seed it was given: two runs under one name are two.
+fn this_run() -> Run {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos());
+    let mixed = since ^ u128::from(std::process::id()) << 64;
+    Run(oorandom::Rand64::new(mixed).rand_u64())
+}
+
 fn state(s: Standing) -> u64 {
     u64::from(s.left) | u64::from(s.dead) << 1 | u64::from(s.blind) << 2
 }
@@ -299,7 +306,7 @@
         };
         let (fleet, name) = (config.value("fleet", "name").unwrap_or(""), config.text("name"));
         let (peers, told) = (config.all("fleet", "peers").to_vec(), config.number("", "instances") as u64);
-        let fleet = Fleet::start(now, fleet, name, address, peers, told, limits, seed);
+        let fleet = Fleet::start(now, fleet, (name, this_run()), address, peers, told, limits, seed);
         info!(address = at, run = format!("{:016x}", fleet.me().run.0), "fleet: peers may come");
         let bounds = Bounds {
             frame: MOST_FRAME,
--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -14,6 +14,8 @@
 
 /// Figures are kept by this much time.
 pub const WINDOW: Time = Time(1_000);
+/// One that lives beats at least so often.
+const SPEAKS: Time = Time(10_000);
 /// What counts as the start.
 const START: Time = Time(50_000);
 
@@ -86,9 +88,9 @@
     fn of_tape(&mut self, tape: &[Passed], began: Time, over: Time, end: Time, instances: usize) {
         let (mut dials, mut by_worker) = (Vec::new(), BTreeMap::<&str, usize>::new());
         let late = end - Time((end - began).0 / 3);
-        let (mut beats, mut last_unlike) = (BTreeMap::<&str, u64>::new(), over);
+        let (mut beats, mut last_unlike) = (BTreeMap::<&str, (Time, u64)>::new(), over);
         let mut bytes_late = 0;
-        for (at, from, to, what) in tape {
+        for (at, from, to, what) in tape.iter().filter(|t| t.0 < end) {
             let starting = *at < began + START;
             match what {
                 Taped::Dialled if &**to == "list" => dials.push(*at),
@@ -111,8 +113,8 @@
                         bytes_late += bytes;
                     }
                     if let Some(digest) = digest {
-                        beats.insert(from, *digest);
-                        if *at >= over && beats.values().collect::<BTreeSet<_>>().len() > 1 {
+                        beats.insert(from, (*at, *digest));
+                        if *at >= over && !alike(&beats, *at) {
                             last_unlike = *at;
                         }
                     }
@@ -124,9 +126,8 @@
         self.list_connections_in_all = dials.len();
         let (most, sum) = (by_worker.values().max().copied().unwrap_or(0), self.call_outs);
         self.busiest = most as f64 * by_worker.len() as f64 / sum.max(1) as f64;
-        // All that speak now say the same; those that ended say nothing more.
-        let alike = beats.values().collect::<BTreeSet<_>>().len() <= 1 && last_unlike + Time(10_000) < end;
-        self.alike = (!beats.is_empty() && alike).then(|| last_unlike - over);
+        let settled = alike(&beats, end) && last_unlike + SPEAKS < end;
+        self.alike = (!beats.is_empty() && settled).then(|| last_unlike - over);
         self.gossip = 2.0 * bytes_late as f64 / instances as f64 / ((end - late).ms() / 1000.0);
     }
 
@@ -212,6 +213,13 @@
     }
 }
 
+/// Whether all who have spoken of late say the same.
+fn alike(beats: &BTreeMap<&str, (Time, u64)>, now: Time) -> bool {
+    let late: BTreeSet<u64> =
+        beats.values().filter(|(at, _)| *at + SPEAKS >= now).map(|(_, digest)| *digest).collect();
+    late.len() <= 1
+}
+
 fn ms(time: Option<Time>) -> String {
     time.map_or("-".into(), |t| format!("{:.0} ms", t.ms()))
 }
@@ -220,25 +228,31 @@
 /// worst of all such words.
 fn told(seen: &[(Time, Seen)], instances: usize, gone: &[(String, Time, Time)]) -> Option<Time> {
     const WAIT: Time = Time(30_000);
-    let mut words: Vec<(Time, &str, BTreeMap<&str, Time>)> = Vec::new();
+    let mut words: Vec<(Time, BTreeMap<&str, Time>)> = Vec::new();
+    // The word that holds of a worker now; one that is ready again has another.
+    let mut said: BTreeMap<&str, usize> = BTreeMap::new();
     for (at, seen) in seen {
         let Seen::Told { scheduler, worker, standing } = seen else { continue };
         if *standing == Standing::Ready {
+            said.remove(worker.as_str());
             continue;
         }
-        let word = words.iter_mut().rev().find(|(first, of, _)| of == worker && *at < *first + WAIT);
-        match word {
-            Some((_, _, all)) => drop(all.entry(scheduler).or_insert(*at)),
-            None => words.push((*at, worker, BTreeMap::from([(scheduler.as_str(), *at)]))),
+        let no = said.get(worker.as_str()).copied();
+        match no.and_then(|no: usize| words.get_mut(no)) {
+            Some((_, all)) => drop(all.entry(scheduler).or_insert(*at)),
+            None => {
+                said.insert(worker, words.len());
+                words.push((*at, BTreeMap::from([(scheduler.as_str(), *at)])));
+            }
         }
     }
-    let late = words.into_iter().map(|(first, _, all)| {
+    let late = words.into_iter().map(|(first, all)| {
         let lived = |name: &String| {
             !gone.iter().any(|(n, from, to)| n == name && *from <= first + WAIT && first <= *to)
         };
         let names = (0..instances).map(|no| format!("front-{no}")).filter(lived);
         let mut after: Vec<Time> =
-            names.map(|n| all.get(n.as_str()).map_or(WAIT, |at| *at - first)).collect();
+            names.map(|n| all.get(n.as_str()).map_or(WAIT, |at| (*at - first).min(WAIT))).collect();
         after.sort();
         // 99 in 100, rounded up to whole instances.
         let at = (after.len() * 99).div_ceil(100).max(1) - 1;
--- a/crates/curlewpoint-rig/src/relay.rs
+++ b/crates/curlewpoint-rig/src/relay.rs
@@ -327,7 +327,8 @@
                 let digest = frame.get_int(Field::DIGEST).ok().filter(|_| frame.kind == Kind::BEAT);
                 let taped = Taped::Frame { kind: frame.kind, bytes, whole, digest };
                 shared.tape.add(shared.record.now(), from, to, taped);
-                if &**from != "list" {
+                // What a made-up peer tells is no word of a drain.
+                if from.starts_with("front-") {
                     shared.lists.pass(&shared.record, to, &mut passing, &frame);
                 }
             }
