--- a/crates/curlewpoint-rig/src/play.rs
+++ b/crates/curlewpoint-rig/src/play.rs
@@ -9,7 +9,7 @@
     };
 }
 
-plays! { "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" }
+plays! { "start" "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" }
 
 const BASE: &str = include_str!("../plays/base.part");
 /// What schedulers run with.
