Keep list and addresses of a fleet on disk for a start that finds nobody

Need: an instance that starts while list service and peers are away had no list at all. What it held is written beside all else into a file that takes the old one's place; refused whole when damaged (every bit and every length tried in a test), of another fleet, too old or from a clock set back. Used after 2 s without any list; whatever is told replaces it. Tests: a process killed and started again with nobody there tells its two workers; damaged, none.

--- a/crates/curlewpoint-cli/tests/fleet.rs
+++ b/crates/curlewpoint-cli/tests/fleet.rs
@@ -84,11 +84,15 @@
         Folder(folder)
     }
 
-    fn gateway(&self, name: &str, fleet: &str, peers: &str) -> Gateway {
+    fn gateway(&self, name: &str, fleet: &str, more: &str) -> Gateway {
+        self.gateway_at(name, fleet, more, "127.0.0.1:9")
+    }
+
+    fn gateway_at(&self, name: &str, fleet: &str, more: &str, list: &str) -> Gateway {
         let config = self.0.join(format!("{name}.conf"));
         let text = format!(
-            "name {name}\nlisten 127.0.0.1:0\nlist 127.0.0.1:9\ninstances 2\nmethod m {{\n  effect idempotent\n  \
-             soft-deadline 1s\n  deadline 2s\n}}\nfleet {{\n  name {fleet}\n  listen 127.0.0.1:0\n{peers}}}\n"
+            "name {name}\nlisten 127.0.0.1:0\nlist {list}\ninstances 2\nmethod m {{\n  effect idempotent\n  \
+             soft-deadline 1s\n  deadline 2s\n}}\nfleet {{\n  name {fleet}\n  listen 127.0.0.1:0\n{more}}}\n"
         );
         std::fs::write(&config, text).expect("written");
         let mut child = program()
@@ -148,6 +152,43 @@
     assert!(told.starts_with("front-1") && told.contains("1 live, 2 known, reckons with 2"), "{told}");
 }
 
+/// One that is killed and starts again while neither list service nor peers are there serves on what it had left on disk.
+#[test]
+fn a_start_with_nobody_there_goes_by_its_snapshot() {
+    let folder = Folder::new("fleet-snapshot");
+    let mut list = program()
+        .args(["list", "127.0.0.1:0", "--worker", "w-0=127.0.0.1:9", "--worker", "w-1=127.0.0.1:9"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut line = String::new();
+    BufReader::new(list.stdout.take().expect("piped")).read_line(&mut line).expect("text");
+    let at = line.trim().rsplit(' ').next().expect("an address").to_owned();
+    let text = "  snapshot front-1.snapshot\n";
+    let before = folder.gateway_at("front-1", "records", text, &at);
+    until_told(&before.peers, ": 2 workers");
+    let snapshot = folder.0.join("front-1.snapshot");
+    // Each look is an answer of the process, which writes within some seconds.
+    for _ in 0..20_000 {
+        if snapshot.exists() {
+            break;
+        }
+        status(&before.peers);
+    }
+    drop(before);
+    let _ = (list.kill(), list.wait());
+    let after = folder.gateway_at("front-1", "records", text, &at);
+    until_told(&after.peers, ": 2 workers");
+    // Damaged, it is not used, and the start goes on without.
+    drop(after);
+    let mut bytes = std::fs::read(&snapshot).expect("it is there");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    std::fs::write(&snapshot, bytes).expect("written");
+    let damaged = folder.gateway_at("front-1", "records", text, &at);
+    assert!(until_told(&damaged.peers, "1 live").contains("list 0.0: 0 workers"));
+}
+
 #[test]
 fn status_of_what_is_no_instance_says_so() {
     let (code, told) = status("127.0.0.1:9");
--- a/crates/curlewpoint-fleet/src/book.rs
+++ b/crates/curlewpoint-fleet/src/book.rs
@@ -23,6 +23,8 @@
     /// The list service, at first hand.
     Service,
     Peer(InstanceId),
+    /// This instance's own memory of an earlier run, which never pushes anything aside.
+    Disk,
 }
 
 /// What came of a list that was read to its end.
@@ -133,7 +135,7 @@
         if over {
             return Taken::Stray;
         }
-        if self.held.is_some_and(|held| (epoch, version) <= held) {
+        if self.held.is_some_and(|held| by == Source::Disk || (epoch, version) <= held) {
             return Taken::Old;
         }
         if !self.is_vouched(epoch, version, by) {
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -138,7 +138,9 @@
     me: MemberId,
     bounds: Bounds,
     rng: Rand64,
+    /// Those in the file, and after them those remembered from an earlier run.
     peers: Vec<String>,
+    told_peers: usize,
     table: Table,
     number: Number,
     book: Book,
@@ -167,10 +169,17 @@
     woke: Option<Time>,
     left: bool,
     refusals: u64,
+    /// From when on a list of the snapshot is used, if there is one and nobody has told another.
+    remembered_at: Option<Time>,
 }
 
-/// The list service's connection, as the book knows it.
+/// The list service's connection, as the book knows it, and the disk.
 const SERVICE: u64 = u64::MAX;
+const DISK: u64 = u64::MAX - 1;
+/// Addresses remembered from an earlier run that are tried beside the peers to begin with.
+const REMEMBERED: usize = 16;
+/// So long after its start an instance that has heard no list from anybody uses that of its snapshot.
+const REMEMBER_AFTER: Time = Time(20_000);
 
 impl Fleet {
     /// `run` is another for each start of the process, also where the seed is the same; `address` is where peers reach
@@ -206,6 +215,7 @@
             reached: (Time(0), 0.0),
             introduced: 0,
             watch_from: (None, if peers.is_empty() { now } else { alone }),
+            told_peers: peers.len(),
             peers,
             watching: false,
             unasked_since: None,
@@ -218,6 +228,7 @@
             woke: None,
             left: false,
             refusals: 0,
+            remembered_at: None,
         }
     }
 
@@ -287,6 +298,45 @@
         self.ticked + TICK
     }
 
+    // What an earlier run of this instance has left on disk.
+
+    /// Somebody lived there.
+    pub fn remember(&mut self, address: &str) {
+        if self.peers.len() < REMEMBERED
+            && address != self.address
+            && !self.peers.iter().any(|p| p == address)
+        {
+            self.peers.push(address.to_owned());
+        }
+    }
+
+    /// The list that was held begins.
+    pub fn remember_list(&mut self, now: Time, epoch: u64, version: u64) {
+        self.book.begins(DISK, epoch, version, None);
+        self.remembered_at = Some(now + REMEMBER_AFTER);
+    }
+
+    pub fn remember_row(&mut self, name: &str, entry: Entry) {
+        self.book.row(DISK, name, entry);
+    }
+
+    /// Guards against a start while neither list service nor peers can be reached: what was held before is better than
+    /// nothing. Harms where workers were replaced meanwhile: call-outs to them fail to connect, which proves that they
+    /// never ran. A drain that was not heard of cannot be known; the first list that anybody tells replaces it.
+    fn use_remembered(&mut self, now: Time, out: &mut impl Outside) {
+        if self.remembered_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.remembered_at = None;
+        if self.book.ends(DISK, Source::Disk) == Taken::New(None) {
+            out.log(&format!(
+                "fleet: nobody told a list: that of the snapshot is used, {} workers",
+                self.book.len()
+            ));
+            self.hand_over(out, None, None);
+        }
+    }
+
     // Links.
 
     /// A link that was opened from here is up.
@@ -647,12 +697,7 @@
         match taken {
             Taken::New(from) => {
                 let version = self.book.held().expect("just taken");
-                let rows = self.book.since(from.and(before));
-                out.take_begins(version, from);
-                for (name, entry) in rows {
-                    out.take_row(name, entry);
-                }
-                out.take_ends();
+                self.hand_over(out, from, before);
                 let behind = |l: &Link| l.peer.is_some() && l.held.is_none_or(|h| h < version);
                 let to: Vec<LinkId> = self
                     .links
@@ -683,6 +728,16 @@
         }
     }
 
+    /// Hands the list that was just taken to the scheduler: the changes since `before`, or the whole.
+    fn hand_over(&self, out: &mut impl Outside, from: Option<u64>, before: Option<(u64, u64)>) {
+        let Some(version) = self.book.held() else { return };
+        out.take_begins(version, from);
+        for (name, entry) in self.book.since(from.and(before)) {
+            out.take_row(name, entry);
+        }
+        out.take_ends();
+    }
+
     // The list service.
 
     fn service_answered(&mut self, now: Time, out: &mut impl Outside) {
@@ -810,6 +865,7 @@
         if self.woke.is_some_and(|at| now - at >= HOLD) {
             self.awake(out, "nobody told anything in time");
         }
+        self.use_remembered(now, out);
         self.give_up_links(now, out);
         self.settle_rings(now, out);
         self.retry(now, out);
@@ -840,7 +896,7 @@
         // A peer to begin with of whom nobody knows may be behind a cut, with a fleet of its own.
         let known = |p: &String| self.table.iter().any(|(_, m)| m.address == *p);
         let alike = self.links.values().any(|l| l.digest == Some(self.table.digest()))
-            && (self.number.is_sure() || self.peers.iter().all(known));
+            && (self.number.is_sure() || self.peers.iter().take(self.told_peers).all(known));
         let among_sure = self.among_sure(now);
         if let Some(number) = self.number.look(now, &self.table, alike, among_sure) {
             out.log(&format!(
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -222,3 +222,37 @@
     node.fleet.joined(now, &mut out, link, "other", me, "x", "a9", Default::default(), 1);
     assert_eq!(out.refused, ["this is fleet 'f', not 'other'"]);
 }
+
+#[test]
+fn what_is_remembered_is_used_when_nobody_tells_a_list_and_gives_way_to_what_is_told() {
+    let mut net = Net::new(41, 2);
+    net.service_up = false;
+    net.version = (3, 7);
+    let id = net.start(0, &[1]);
+    let now = net.now;
+    let node = net.nodes.get_mut(&id).expect("it lives");
+    node.fleet.remember_list(now, 9, 9);
+    node.fleet.remember("a5");
+    net.run(1_900);
+    assert_eq!(net.nodes[&id].acts.list, None);
+    net.run(300);
+    assert_eq!(net.nodes[&id].acts.list, Some((9, 9)));
+    // Somebody lives where somebody lived, and knows no newer list: that of the snapshot is the newest there is.
+    net.start(5, &[]);
+    net.run(6_000);
+    assert_eq!((net.counts(), net.lists()), (BTreeSet::from([2]), BTreeSet::from([Some((9, 9))])));
+    net.service_up = true;
+    net.version = (10, 1);
+    net.run(8_000);
+    assert_eq!(net.lists(), BTreeSet::from([Some((10, 1))]));
+}
+
+#[test]
+fn a_list_that_was_told_is_never_pushed_aside_by_a_remembered_one() {
+    let mut net = Net::new(43, 2);
+    let id = net.start(0, &[]);
+    let now = net.now;
+    net.nodes.get_mut(&id).expect("it lives").fleet.remember_list(now, 9, 9);
+    net.run(5_000);
+    assert_eq!(net.nodes[&id].acts.list, Some((1, 1)));
+}
--- a/crates/curlewpoint-gateway/src/lib.rs
+++ b/crates/curlewpoint-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod reload;
 mod run;
+mod snapshot;
 mod workers;
 
 pub use codes::{answer_code, answer_of, copy_code, outcome_code, refusal_name, standing_code};
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
+use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use curlewpoint::types::Time;
 use curlewpoint_config::Config;
@@ -16,7 +17,7 @@
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Semaphore};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::timeout;
 use tokio_stream::StreamExt;
 use tokio_util::task::TaskTracker;
@@ -25,6 +26,7 @@
 use crate::codes;
 use crate::notes::Note;
 use crate::outside::Outside;
+use crate::snapshot;
 
 /// Frames between peers are short: a list goes a row a frame.
 const MOST_FRAME: usize = 64 << 10;
@@ -55,8 +57,21 @@
 pub(crate) struct Mesh {
     fleet: Fleet,
     peers: Peers,
+    kept: Option<Kept>,
 }
 
+/// The snapshot on disk.
+struct Kept {
+    path: PathBuf,
+    fleet: String,
+    /// What was written last, and when.
+    written: (Option<(u64, u64)>, u64, Instant),
+    writing: Option<JoinHandle<()>>,
+}
+
+/// A snapshot is written no more often than this.
+const KEEP: Duration = Duration::from_secs(2);
+
 impl Door {
     async fn dial(self, link: LinkId, address: String) {
         let dialled = timeout(self.limit, async {
@@ -189,6 +204,31 @@
     }
 }
 
+/// One worker of a list, as it goes to peers and to disk.
+pub(crate) fn entry_frame(now: Time, name: &str, e: &Entry) -> Frame {
+    let f = Frame::new(Kind::CHANGE).text(Field::WORKER, name).text(Field::ADDRESS, &e.address);
+    let f = f.int(Field::STANDING, codes::standing_code(e.standing)).int(Field::START, e.start);
+    let f = f.text(Field::ZONE, &e.zone).text(Field::CELL, &e.cell).float(Field::SIZE, e.size);
+    match e.since {
+        Some(since) => f.int(Field::AGE, (now - since).0),
+        None => f,
+    }
+}
+
+pub(crate) fn read_entry(now: Time, f: &Frame) -> Result<(&str, Entry), WireError> {
+    let text = |field| f.maybe_text(field).map(|t| t.unwrap_or("").to_owned());
+    let entry = Entry {
+        address: text(Field::ADDRESS)?,
+        standing: codes::standing(f)?,
+        start: f.maybe_int(Field::START)?.unwrap_or(0),
+        since: f.maybe_int(Field::AGE)?.map(|age| now - Time(age)),
+        zone: text(Field::ZONE)?,
+        cell: text(Field::CELL)?,
+        size: f.maybe_float(Field::SIZE)?.unwrap_or(1.0),
+    };
+    Ok((f.get_text(Field::WORKER)?, entry))
+}
+
 impl Others for Hands<'_> {
     fn dial(&mut self, link: LinkId, address: &str) {
         let door = self.peers.door.clone();
@@ -239,11 +279,7 @@
     }
 
     fn list_row(&mut self, link: LinkId, name: &str, e: &Entry) {
-        let f = Frame::new(Kind::CHANGE).text(Field::WORKER, name).text(Field::ADDRESS, &e.address);
-        let f = f.int(Field::STANDING, codes::standing_code(e.standing)).int(Field::START, e.start);
-        let f = f.text(Field::ZONE, &e.zone).text(Field::CELL, &e.cell).float(Field::SIZE, e.size);
-        let age = e.since.map(|since| (self.now - since).0);
-        self.send(link, age.map_or(f.clone(), |age| f.int(Field::AGE, age)));
+        self.send(link, entry_frame(self.now, name, e));
     }
 
     fn list_ends(&mut self, link: LinkId) {
@@ -306,7 +342,16 @@
         };
         let (fleet, name) = (config.value("fleet", "name").unwrap_or(""), config.text("name"));
         let (peers, told) = (config.all("fleet", "peers").to_vec(), config.number("", "instances") as u64);
-        let fleet = Fleet::start(now, fleet, (name, this_run()), address, peers, told, limits, seed);
+        let fleet_name = fleet.to_owned();
+        let mut fleet = Fleet::start(now, fleet, (name, this_run()), address, peers, told, limits, seed);
+        let kept = config.value("fleet", "snapshot").map(|file| {
+            let path = config.path(file);
+            match snapshot::read(&path, &fleet_name, config.time("fleet", "snapshot-age"), now, &mut fleet) {
+                Ok(age) => info!("fleet: a snapshot {age:?} old is at hand"),
+                Err(why) => info!("fleet: no snapshot is used: {}: {why}", path.display()),
+            }
+            Kept { path, fleet: fleet_name, written: (None, 0, Instant::now()), writing: None }
+        });
         info!(address = at, run = format!("{:016x}", fleet.me().run.0), "fleet: peers may come");
         let bounds = Bounds {
             frame: MOST_FRAME,
@@ -324,7 +369,7 @@
         let accepting = tokio::spawn(door.clone().accept(listener, limits.links)).abort_handle();
         let (outboxes, dials) = Default::default();
         let peers = Peers { door, outboxes, dials, watch };
-        Ok(Some((Mesh { fleet, peers }, accepting)))
+        Ok(Some((Mesh { fleet, peers, kept }, accepting)))
     }
 
     pub fn next_wake(&self) -> Time {
@@ -431,17 +476,8 @@
                 self.fleet.list_begins(on, epoch, version, f.maybe_int(Field::FROM)?);
             }
             Kind::CHANGE => {
-                let text = |field| f.maybe_text(field).map(|t| t.unwrap_or("").to_owned());
-                let entry = Entry {
-                    address: text(Field::ADDRESS)?,
-                    standing: codes::standing(f)?,
-                    start: f.maybe_int(Field::START)?.unwrap_or(0),
-                    since: f.maybe_int(Field::AGE)?.map(|age| now - Time(age)),
-                    zone: text(Field::ZONE)?,
-                    cell: text(Field::CELL)?,
-                    size: f.maybe_float(Field::SIZE)?.unwrap_or(1.0),
-                };
-                self.fleet.list_row(on, f.get_text(Field::WORKER)?, entry);
+                let (name, entry) = read_entry(now, f)?;
+                self.fleet.list_row(on, name, entry);
             }
             Kind::LIST_END => self.call(now, engine, |fleet, hands| fleet.list_ends(now, hands, on)),
             _ => {}
@@ -457,6 +493,25 @@
         self.fleet.service_down(now);
     }
 
+    /// Writes a snapshot where there is something new, beside all else and one at a time.
+    pub fn keep(&mut self, now: Time) {
+        let Some(kept) = &mut self.kept else { return };
+        let (held, digest) = (self.fleet.book().held(), self.fleet.table().digest());
+        let (was_held, was_digest, at) = kept.written;
+        let busy = kept.writing.as_ref().is_some_and(|w| !w.is_finished());
+        if busy || at.elapsed() < KEEP || (held, digest) == (was_held, was_digest) {
+            return;
+        }
+        let Some(bytes) = snapshot::draw(&kept.fleet, &self.fleet, now) else { return };
+        kept.written = (held, digest, Instant::now());
+        let path = kept.path.clone();
+        kept.writing = Some(tokio::task::spawn_blocking(move || {
+            if let Err(why) = snapshot::write(&path, &bytes) {
+                warn!("fleet: the snapshot cannot be written: {}: {why}", path.display());
+            }
+        }));
+    }
+
     /// Says goodbye; what is written leaves with the last of the tasks.
     pub fn leave(mut self, now: Time, engine: &mut Engine<Outside>) {
         self.call(now, engine, |fleet, hands| fleet.leave(now, hands));
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -317,6 +317,9 @@
             if swept.elapsed() >= SWEEP {
                 swept = Instant::now();
                 self.engine.world().sweep(now);
+                if let Some(mesh) = &mut self.mesh {
+                    mesh.keep(now);
+                }
             }
             if self.is_over() {
                 break;
--- /dev/null
+++ b/crates/curlewpoint-gateway/src/snapshot.rs
@@ -0,0 +1,176 @@
+//! What an instance leaves on disk for its next start: the list it held, and where others lived. Frames of the wire, with
+//! a line before them and a checksum behind.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::{BufMut, BytesMut};
+use curlewpoint::types::Time;
+use curlewpoint_fleet::{Entry, Fleet};
+use curlewpoint_wire::{Codec, Field, Frame, Kind, WireError};
+use thiserror::Error;
+use tokio_util::codec::{Decoder, Encoder};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::peers::{entry_frame, read_entry};
+
+const FIRST_LINE: &[u8] = b"curlewpoint snapshot 1\n";
+const SUM: usize = 8;
+/// A longer file is none of ours.
+const MOST: u64 = 64 << 20;
+const CODEC: Codec = Codec { most: 1 << 20 };
+
+#[derive(Debug, Error)]
+pub enum SnapshotError {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("it is of another version, or no snapshot")]
+    Version,
+    #[error("it is damaged")]
+    Damaged,
+    #[error("it is of fleet '{0}'")]
+    OtherFleet(String),
+    #[error("it is {0:?} old")]
+    TooOld(Duration),
+    #[error("{0}")]
+    Wire(#[from] WireError),
+}
+
+fn wall() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs())
+}
+
+/// What is to be written now; none: no list is held yet.
+pub fn draw(fleet_name: &str, fleet: &Fleet, now: Time) -> Option<BytesMut> {
+    let (epoch, version) = fleet.book().held()?;
+    let mut out = BytesMut::from(FIRST_LINE);
+    let mut put = |frame: Frame| CODEC.clone().encode(frame, &mut out).ok();
+    let head = Frame::new(Kind::SNAPSHOT).text(Field::FLEET, fleet_name).int(Field::WALL, wall());
+    put(head.int(Field::EPOCH, epoch).int(Field::LIST_VERSION, version))?;
+    for (name, entry) in fleet.book().since(None) {
+        put(entry_frame(now, name, entry))?;
+    }
+    for (_, member) in fleet.table().living() {
+        put(Frame::new(Kind::MEMBER).text(Field::ADDRESS, &member.address))?;
+    }
+    let sum = xxh3_64(&out);
+    out.put_u64(sum);
+    Some(out)
+}
+
+/// Writes it beside the old one and puts it in its place, so that a crash leaves one of the two.
+pub fn write(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let beside = PathBuf::from(format!("{}.new", path.display()));
+    std::fs::write(&beside, bytes)?;
+    std::fs::File::open(&beside)?.sync_all()?;
+    std::fs::rename(&beside, path)
+}
+
+/// Reads a snapshot and lets the fleet remember it; how old it is. What is damaged, of another fleet or too old is refused
+/// before anything of it is taken.
+pub fn read(
+    path: &Path, fleet_name: &str, most_age: Duration, now: Time, fleet: &mut Fleet,
+) -> Result<Duration, SnapshotError> {
+    if std::fs::metadata(path)?.len() > MOST {
+        return Err(SnapshotError::Version);
+    }
+    let bytes = std::fs::read(path)?;
+    let body = bytes.strip_prefix(FIRST_LINE).ok_or(SnapshotError::Version)?;
+    let (whole, sum) = bytes.split_at(bytes.len().saturating_sub(SUM));
+    if body.len() < SUM || sum != xxh3_64(whole).to_be_bytes() {
+        return Err(SnapshotError::Damaged);
+    }
+    let mut left = BytesMut::from(&body[..body.len() - SUM]);
+    let mut next = || CODEC.clone().decode(&mut left);
+    let head = next()?.filter(|f| f.kind == Kind::SNAPSHOT).ok_or(SnapshotError::Damaged)?;
+    let of = head.get_text(Field::FLEET)?;
+    if of != fleet_name {
+        return Err(SnapshotError::OtherFleet(of.to_owned()));
+    }
+    // A wall clock that was set back makes it of no known age: it is taken for too old.
+    let age = wall().checked_sub(head.get_int(Field::WALL)?).map_or(Duration::MAX, Duration::from_secs);
+    if age > most_age {
+        return Err(SnapshotError::TooOld(age));
+    }
+    fleet.remember_list(now, head.get_int(Field::EPOCH)?, head.get_int(Field::LIST_VERSION)?);
+    while let Some(frame) = next()? {
+        match frame.kind {
+            Kind::CHANGE => {
+                let (name, entry) = read_entry(now, &frame)?;
+                // It has grown older while it lay.
+                let since = entry.since.map(|since| since - Time(age.as_millis() as u64 * 10));
+                fleet.remember_row(name, Entry { since, ..entry });
+            }
+            Kind::MEMBER => fleet.remember(frame.get_text(Field::ADDRESS)?),
+            _ => {}
+        }
+    }
+    Ok(age)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use curlewpoint::types::Standing;
+    use curlewpoint_fleet::{Bounds, Run};
+
+    const NOW: Time = Time(864_000_000);
+
+    fn fleet() -> Fleet {
+        let bounds = Bounds { members: 10, links: 10, workers: 10, watchers: 3 };
+        Fleet::start(NOW, "f", ("n", Run(1)), "a", vec!["b".into()], 1, bounds, 1)
+    }
+
+    fn drawn() -> BytesMut {
+        let mut out = BytesMut::from(FIRST_LINE);
+        let head = Frame::new(Kind::SNAPSHOT).text(Field::FLEET, "f").int(Field::WALL, wall() - 60);
+        let head = head.int(Field::EPOCH, 3).int(Field::LIST_VERSION, 9);
+        let (zone, cell) = Default::default();
+        let since = Some(NOW - Time(50_000));
+        let row = Entry {
+            address: "w".into(),
+            standing: Standing::Draining,
+            start: 7,
+            since,
+            zone,
+            cell,
+            size: 1.0,
+        };
+        for frame in [head, entry_frame(NOW, "w-1", &row), Frame::new(Kind::MEMBER).text(Field::ADDRESS, "c")]
+        {
+            CODEC.clone().encode(frame, &mut out).unwrap();
+        }
+        let sum = xxh3_64(&out);
+        out.put_u64(sum);
+        out
+    }
+
+    fn file(name: &str, bytes: &[u8]) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("curlewpoint-snapshot-{name}-{}", std::process::id()));
+        write(&path, bytes).unwrap();
+        path
+    }
+
+    #[test]
+    fn what_was_left_is_remembered_and_nothing_of_what_is_damaged() {
+        let whole = drawn();
+        let path = file("whole", &whole);
+        let most = Duration::from_secs(600);
+        assert_eq!(read(&path, "f", most, NOW, &mut fleet()).unwrap().as_secs() / 10, 6);
+        assert!(
+            matches!(read(&path, "g", most, NOW, &mut fleet()), Err(SnapshotError::OtherFleet(f)) if f == "f")
+        );
+        let young = Duration::from_secs(30);
+        assert!(matches!(read(&path, "f", young, NOW, &mut fleet()), Err(SnapshotError::TooOld(_))));
+        for at in 0..whole.len() {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1;
+            write(&path, &bytes).unwrap();
+            assert!(read(&path, "f", most, NOW, &mut fleet()).is_err(), "a bit at {at}");
+            write(&path, &whole[..at]).unwrap();
+            assert!(read(&path, "f", most, NOW, &mut fleet()).is_err(), "cut at {at}");
+        }
+        std::fs::remove_file(&path).unwrap();
+        assert!(matches!(read(&path, "f", most, NOW, &mut fleet()), Err(SnapshotError::Io(_))));
+    }
+}
--- a/crates/curlewpoint-wire/src/frame.rs
+++ b/crates/curlewpoint-wire/src/frame.rs
@@ -47,6 +47,8 @@
     /// Whoever asks how the fleet stands, and the answer, a text.
     pub const STATUS: Kind = Kind(83);
     pub const TOLD: Kind = Kind(84);
+    /// On disk only: a snapshot begins.
+    pub const SNAPSHOT: Kind = Kind(96);
 }
 
 /// What a field holds. Numbers are never reused.
@@ -111,6 +113,8 @@
     /// Whether a beat is wanted at once: 1.
     pub const WANTED: Field = Field(39);
     pub const KNOWN: Field = Field(40);
+    /// On disk only: seconds since 1970.
+    pub const WALL: Field = Field(41);
 }
 
 #[derive(Debug, Error, PartialEq)]
