Let the few who would watch ask at once, and tell of many joins in one line

Everyone waited 0.15 to 0.3 s after its first link; and each of 200 logged 200 joins while 40,000 records were read.

--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -60,6 +60,8 @@
 
 /// Between two looks at what has passed; records wait for each other so long before they are handed on.
 const TICK: Time = Time(1_000);
+/// While no list is held there is nothing to do but to get one.
+const HASTE: Time = Time(200);
 /// Between two beats on a link; a link that brings nothing for the second time is given up and dialled anew.
 const BEAT: Time = Time(3_000);
 const SILENT: Time = Time(12_000);
@@ -83,6 +85,10 @@
 /// One that has begun watches the list no sooner than this after its first link, as it may know few as yet; one without
 /// any link after the second. Each is drawn between the time and twice the time.
 const WATCH_AFTER: (Time, Time) = (Time(1_500), Time(7_000));
+/// How much longer one without any link waits while not all peers to begin with have been tried.
+const SLOW: Time = Time(20_000);
+/// Where the number in the file is true, so many times the watchers that are wanted go without waiting.
+const AT_ONCE: f64 = 2.0;
 /// One that is no longer asked to watch goes on for so long.
 const WATCH_ON: Time = Time(10_000);
 /// The list service has not answered for so long: this instance is blind.
@@ -169,6 +175,8 @@
     woke: Option<Time>,
     left: bool,
     refusals: u64,
+    /// Members heard of since the last look, by what became of them: how many, and the first.
+    heard_of: BTreeMap<&'static str, (usize, String)>,
     /// From when on a list of the snapshot is used, if there is one and nobody has told another.
     remembered_at: Option<Time>,
 }
@@ -228,6 +236,7 @@
             woke: None,
             left: false,
             refusals: 0,
+            heard_of: BTreeMap::new(),
             remembered_at: None,
         }
     }
@@ -295,7 +304,15 @@
 
     /// When the clock is wanted next.
     pub fn next_wake(&self) -> Time {
-        self.ticked + TICK
+        self.ticked + self.tick()
+    }
+
+    fn tick(&self) -> Time {
+        if self.book.held().is_none() {
+            HASTE
+        } else {
+            TICK
+        }
     }
 
     // What an earlier run of this instance has left on disk.
@@ -473,7 +490,11 @@
             }
         }
         if self.watch_from.0.is_none() {
-            self.watch_from.0 = Some(now + stretch(&mut self.rng, WATCH_AFTER.0));
+            // Among as many as the file tells, those few would come first: they need not know the others for that.
+            let place = rank(SALT_WATCH, self.me) as f64 / u64::MAX as f64;
+            let few = AT_ONCE * self.bounds.watchers as f64 / self.number.told() as f64;
+            let wait = if place < few { Time(0) } else { stretch(&mut self.rng, WATCH_AFTER.0) };
+            self.watch_from.0 = Some(now + wait);
         }
         self.number.linked(now);
         self.flush(now, out, link);
@@ -511,18 +532,26 @@
         }
         let before = self.table.get(id).map(|m| m.standing);
         match self.table.merge(now, id, name, address, standing) {
-            Ok(false) => {}
+            Ok(false) => {
+                // Who tells it needs not be told it.
+                if let Some(l) = from.and_then(|link| self.links.get_mut(&link)) {
+                    if before == Some(standing) {
+                        l.untold.remove(&id);
+                    }
+                }
+            }
             Ok(true) => {
                 self.changed = now;
                 let after = self.table.get(id).map(|m| m.standing).unwrap_or_default();
-                match before {
-                    None if after.lives() => {
-                        out.log(&format!("fleet: {name} joins, {} known", self.table.len()))
-                    }
-                    Some(b) if b.lives() && after.left => out.log(&format!("fleet: {name} leaves")),
-                    Some(b) if b.lives() && after.dead => out.log(&format!("fleet: {name} is given up")),
-                    Some(b) if b.dead && after.lives() => out.log(&format!("fleet: {name} is back")),
-                    _ => {}
+                let told = match before {
+                    None if after.lives() => Some("joins"),
+                    Some(b) if b.lives() && after.left => Some("leaves"),
+                    Some(b) if b.lives() && after.dead => Some("is given up"),
+                    Some(b) if b.dead && after.lives() => Some("is back"),
+                    _ => None,
+                };
+                if let Some(what) = told {
+                    self.heard_of.entry(what).or_insert((0, name.to_owned())).0 += 1;
                 }
                 self.spread(now, out, from, id);
             }
@@ -540,6 +569,15 @@
         true
     }
 
+    /// One line for all that was heard of one kind since the last look, however many start or die together.
+    fn tell_of_members(&mut self, out: &mut impl Outside) {
+        for (what, (n, first)) in std::mem::take(&mut self.heard_of) {
+            let others = if n > 1 { format!(" and {} others", n - 1) } else { String::new() };
+            let (live, known) = (self.table.living().count(), self.table.len());
+            out.log(&format!("fleet: {first}{others}: {what}, {live} live of {known} known"));
+        }
+    }
+
     /// What others believe of this instance; where it is wrong it speaks for itself.
     fn of_me(&mut self, now: Time, out: &mut impl Outside, said: Standing) {
         let mine = self.table.get(self.me).map(|m| m.standing).unwrap_or_default();
@@ -790,8 +828,9 @@
     fn is_asked_to_watch(&self, now: Time) -> bool {
         let (linked, alone) = self.watch_from;
         if self.links.values().all(|l| l.peer.is_none()) {
-            // No peers: as today.
-            return now >= linked.unwrap_or(alone).max(alone);
+            // No peers: as without a fleet. While some are still being tried it waits longer: they may be slow.
+            let wait = if self.to_introduce() && linked.is_none() { SLOW } else { Time(0) };
+            return now >= linked.unwrap_or(alone).max(alone + wait);
         }
         if linked.is_none_or(|at| now < at) {
             return false;
@@ -855,7 +894,7 @@
 
     /// Time has passed.
     pub fn advance(&mut self, now: Time, out: &mut impl Outside) {
-        if now - self.ticked < TICK || self.left {
+        if now - self.ticked < self.tick() || self.left {
             return;
         }
         if now - self.ticked >= STALL {
@@ -893,6 +932,7 @@
             }
         }
         self.settle_watch(now, out);
+        self.tell_of_members(out);
         // A peer to begin with of whom nobody knows may be behind a cut, with a fleet of its own.
         let known = |p: &String| self.table.iter().any(|(_, m)| m.address == *p);
         let alike = self.links.values().any(|l| l.digest == Some(self.table.digest()))
--- a/crates/curlewpoint-fleet/src/number.rs
+++ b/crates/curlewpoint-fleet/src/number.rs
@@ -47,6 +47,11 @@
         self.acted
     }
 
+    /// The number in the file.
+    pub fn told(&self) -> u64 {
+        self.told.max(1)
+    }
+
     pub fn is_sure(&self) -> bool {
         self.sure
     }
--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -36,6 +36,8 @@
     /// In the first 5 s and in all: asked, ok, denied, aborted, refused, unanswered.
     pub first: [usize; 6],
     pub all: [usize; 6],
+    /// When half and 99 in 100 of the instances had been told a first list.
+    pub listed: [Option<Time>; 2],
     /// When 95 in 100 of what was asked in half a second ended ok for the first time; none: never.
     pub steady: Option<Time>,
     /// From the first who was told that a worker drains or is gone, to 99 in 100 of those that lived; none: no such word.
@@ -82,6 +84,7 @@
         f.of_tape(tape, began, over, end, instances);
         f.of_clients(seen, began);
         f.told = told(seen, instances, gone);
+        f.listed = listed(seen, instances, began);
         f
     }
 
@@ -178,6 +181,7 @@
                 format!("{}; {}", f.list_connections, f.list_connections_in_all)
             }),
             ("list: whole lists; kB sent", |f| format!("{}; {}", f.whole_lists, f.list_bytes / 1000)),
+            ("a first list at half; at 99 in 100", |f| format!("{}; {}", ms(f.listed[0]), ms(f.listed[1]))),
             ("first 5 s: connections at workers", |f| f.worker_connections.to_string()),
             ("first 5 s: probes; load orders", |f| format!("{}; {}", f.probes, f.orders)),
             ("first 5 s: call-outs; busiest worker", |f| format!("{}; {:.1} x mean", f.call_outs, f.busiest)),
@@ -224,6 +228,19 @@
     time.map_or("-".into(), |t| format!("{:.0} ms", t.ms()))
 }
 
+/// When half and 99 in 100 had been told a first list, from the beginning on.
+fn listed(seen: &[(Time, Seen)], instances: usize, began: Time) -> [Option<Time>; 2] {
+    let mut first: BTreeMap<&str, Time> = BTreeMap::new();
+    for (at, seen) in seen {
+        if let Seen::Told { scheduler, .. } = seen {
+            first.entry(scheduler).or_insert(*at);
+        }
+    }
+    let mut all: Vec<Time> = first.into_values().collect();
+    all.sort();
+    [50, 99].map(|part| Some(*all.get((instances * part).div_ceil(100).max(1) - 1)? - began))
+}
+
 /// How long the word that a worker drains or is gone took from the first scheduler to 99 in 100 of those that lived, the
 /// worst of all such words.
 fn told(seen: &[(Time, Seen)], instances: usize, gone: &[(String, Time, Time)]) -> Option<Time> {
