Flood records one way round the rings, and wait to watch the longer the more start

Cause, 300 processes in 'start': 45 of 50 that watched asked 0.2 to 0.35 s after the first link, when the mean instance knew a third of the others; and each record came to each instance some eight times, so that the machine was busy with them and the dial to the list service took up to 0.9 s.

--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -77,6 +77,8 @@
 const BACK_OFF: (Time, Time) = (Time(2_500), Time(20_000));
 /// A link that was opened to meet somebody, and that no ring needs, is kept for so long.
 const MET: Time = Time(20_000);
+/// What one more instance adds to the first of these, where many start together on one machine.
+const KNOWN_AFTER: Time = Time(30);
 /// Peers to begin with that are met or missed before this instance believes that nobody is sure of the number.
 const INTRODUCED: usize = 3;
 /// Between two tries to meet one that was given up, who may be behind a cut; and where there is none, one of the peers
@@ -493,7 +495,9 @@
             // Among as many as the file tells, those few would come first: they need not know the others for that.
             let place = rank(SALT_WATCH, self.me) as f64 / u64::MAX as f64;
             let few = AT_ONCE * self.bounds.watchers as f64 / self.number.told() as f64;
-            let wait = if place < few { Time(0) } else { stretch(&mut self.rng, WATCH_AFTER.0) };
+            // The more start at once, the longer it takes until all know all.
+            let most = WATCH_AFTER.0 + Time(KNOWN_AFTER.0 * self.number.told());
+            let wait = if place < few { Time(0) } else { stretch(&mut self.rng, most) };
             self.watch_from.0 = Some(now + wait);
         }
         self.number.linked(now);
@@ -613,7 +617,8 @@
         let to: Vec<LinkId> = self.links.iter().filter(|(l, _)| Some(**l) != from).map(|(l, _)| *l).collect();
         for link in to {
             let l = self.links.get_mut(&link).expect("just listed");
-            if l.peer.is_some() {
+            // Round the rings, each in one direction: over both, everyone would be told everything eight times.
+            if l.peer.is_some() && !matches!(l.purpose, Purpose::Theirs) {
                 l.untold.insert(id);
                 if now - l.told_at >= TICK {
                     self.flush(now, out, link);
