Keep a fleet's verdicts to each instance, and hold nothing back past its answer's time

Each instance flooded its own verdict on each of 140 that were killed though all come to the same one by the same doubts, and doubts went on beyond those that make a suspect; one that noticed a pause of 0.8 s held all back for up to 0.5 s, answers too. Lists go one way round the rings, as records do. The rig waits for the end of a process before it starts it anew: its port was taken.

--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -56,6 +56,9 @@
     pub workers: usize,
     /// Instances that watch the list.
     pub watchers: usize,
+    /// After standing still nothing new is sent until a peer or the list service has told of the list, for this time at
+    /// most. No longer than an answer may be late: what is given up on is not held back.
+    pub hold: Time,
 }
 
 /// Between two looks at what has passed; records wait for each other so long before they are handed on.
@@ -69,8 +72,6 @@
 const SUSPICION: Time = Time(15_000);
 /// More time than this between two ticks: this instance stood still, and judges nobody by that.
 const STALL: Time = Time(8_000);
-/// After a stall nothing new is sent until a peer or the list service has told of the list, for this time at most.
-const HOLD: Time = Time(5_000);
 /// Records differ between two that have heard nothing new for so long: they are told each other's whole.
 const SETTLED: Time = Time(5_000);
 /// The pause after a failed dial, which doubles up to the second.
@@ -299,9 +300,9 @@
     /// This instance stood still and has not heard yet what has passed meanwhile: nothing new may be sent.
     ///
     /// Guards against one that was stopped and goes on with the workers of an old list. Harms for the time of one
-    /// question and answer, half a second at most, after a pause that is none of its own.
+    /// question and answer, after a pause that is none of its own.
     pub fn holds(&self, now: Time) -> bool {
-        self.woke.is_some_and(|at| now - at < HOLD)
+        self.woke.is_some_and(|at| now - at < self.bounds.hold)
     }
 
     /// When the clock is wanted next.
@@ -741,7 +742,9 @@
             Taken::New(from) => {
                 let version = self.book.held().expect("just taken");
                 self.hand_over(out, from, before);
-                let behind = |l: &Link| l.peer.is_some() && l.held.is_none_or(|h| h < version);
+                // As records: one way round the rings. Whoever is left behind by a cut asks at the next beat.
+                let theirs = |l: &Link| matches!(l.purpose, Purpose::Theirs);
+                let behind = |l: &Link| l.peer.is_some() && !theirs(l) && l.held.is_none_or(|h| h < version);
                 let to: Vec<LinkId> = self
                     .links
                     .iter()
@@ -906,7 +909,7 @@
             self.stood_still(now, out);
         }
         self.ticked = now;
-        if self.woke.is_some_and(|at| now - at >= HOLD) {
+        if self.woke.is_some_and(|at| now - at >= self.bounds.hold) {
             self.awake(out, "nobody told anything in time");
         }
         self.use_remembered(now, out);
@@ -914,7 +917,7 @@
         self.settle_rings(now, out);
         self.retry(now, out);
         self.doubt(now, out);
-        self.judge(now, out);
+        self.judge(now);
         self.table.sweep(now);
         let all: Vec<LinkId> =
             self.links.iter().filter(|(_, l)| l.peer.is_some()).map(|(id, _)| *id).collect();
@@ -1081,7 +1084,9 @@
             }
         }
         for (id, bits) in doubts {
-            let Some(m) = self.table.get(id).filter(|m| m.standing.doubts & bits != bits).cloned() else {
+            // A suspect needs no more doubt; each change of a record goes to everybody.
+            let new = |m: &&Member| m.standing.doubts & bits != bits && !m.standing.is_suspect();
+            let Some(m) = self.table.get(id).filter(new).cloned() else {
                 continue;
             };
             let standing = Standing { doubts: m.standing.doubts | bits, ..m.standing };
@@ -1090,7 +1095,7 @@
     }
 
     /// Gives up those whom enough others have doubted for long enough.
-    fn judge(&mut self, now: Time, out: &mut impl Outside) {
+    fn judge(&mut self, now: Time) {
         let suspect: Vec<MemberId> = self
             .table
             .living()
@@ -1103,8 +1108,13 @@
             if now - since < SUSPICION {
                 continue;
             }
+            // All come to the same verdict by the same doubts: nobody has to be told of it.
             if let Some(m) = self.table.get(id).cloned() {
-                self.learn(now, out, None, id, &m.name, &m.address, Standing { dead: true, ..m.standing });
+                let standing = Standing { dead: true, ..m.standing };
+                if self.table.merge(now, id, &m.name, &m.address, standing) == Ok(true) {
+                    self.changed = now;
+                    self.heard_of.entry("is given up").or_insert((0, m.name)).0 += 1;
+                }
             }
         }
     }
--- a/crates/curlewpoint-fleet/tests/common/mod.rs
+++ b/crates/curlewpoint-fleet/tests/common/mod.rs
@@ -151,7 +151,7 @@
             blind: BTreeSet::new(),
             service_up: true,
             version: (1, 1),
-            bounds: Bounds { members: 4096, links: 512, workers: 100, watchers: 3 },
+            bounds: Bounds { members: 4096, links: 512, workers: 100, watchers: 3, hold: Time(750) },
             told,
             service_dials: Vec::new(),
             worst_sum: 0.0,
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -339,6 +339,8 @@
             links: of("most-links"),
             workers: 100_000,
             watchers: of("watchers"),
+            // The module answers what is given up on a slack before its client's time is up: half of that is spared.
+            hold: Time::from_ms(config.number("rpcs", "answer-slack") / 2.0),
         };
         let (fleet, name) = (config.value("fleet", "name").unwrap_or(""), config.text("name"));
         let (peers, told) = (config.all("fleet", "peers").to_vec(), config.number("", "instances") as u64);
--- a/crates/curlewpoint-gateway/src/snapshot.rs
+++ b/crates/curlewpoint-gateway/src/snapshot.rs
@@ -117,7 +117,7 @@
     const NOW: Time = Time(864_000_000);
 
     fn fleet() -> Fleet {
-        let bounds = Bounds { members: 10, links: 10, workers: 10, watchers: 3 };
+        let bounds = Bounds { members: 10, links: 10, workers: 10, watchers: 3, hold: Time(750) };
         Fleet::start(NOW, "f", ("n", Run(1)), "a", vec!["b".into()], 1, bounds, 1)
     }
 
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -90,6 +90,8 @@
     next: u64,
     /// Processes that are being started, or ended and started anew.
     starting: JoinSet<(usize, std::io::Result<Process>)>,
+    /// Killed, and to be started anew.
+    dying: BTreeMap<usize, Process>,
     gone: Vec<(String, Time, Time)>,
     over: Time,
     forging: JoinSet<()>,
@@ -219,6 +221,7 @@
             agenda: BTreeMap::new(),
             next: 0,
             starting: JoinSet::new(),
+            dying: BTreeMap::new(),
             gone: Vec::new(),
             over: Time(0),
             forging: JoinSet::new(),
@@ -260,7 +263,14 @@
     fn start(&mut self, no: usize) {
         let (program, i) = (self.plan.program.clone(), &self.instances[no]);
         let (config, log) = (i.config.clone(), i.log.clone());
-        self.starting.spawn(async move { (no, program.serve(&config, &log).await) });
+        let before = self.dying.remove(&no);
+        self.starting.spawn(async move {
+            // Its sockets close with it, and not a moment sooner.
+            if let Some(mut before) = before {
+                before.ended(STOP).await;
+            }
+            (no, program.serve(&config, &log).await)
+        });
     }
 
     fn started(
@@ -430,6 +440,7 @@
                     let Some(process) = self.instances[no].process.take() else { continue };
                     self.held(no, now + e.len);
                     process.signal(Signal::KILL);
+                    self.dying.insert(no, process);
                     self.plan(end, Deed::Start(no));
                 }
             }
