Ask the list service where one peer alone vouches, and count no answer that lay in a socket

Found by reading the change once more as a stranger, each with a story that was seen to matter: - with one peer (two instances, one watcher) a service that began anew was never taken: nobody else could vouch. After one second of a lone word an instance asks the service itself. A bound without a way out before. - a watcher that stood still took an answer to a question of before, lying in its socket, for the newest state, and went on at once. It dials anew, and only an answer with nothing new in it counts, from when it was asked for; the connection wanted has a number, so off and on again is never missed.

--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -22,7 +22,8 @@
     /// First on every link: who speaks, and how many members it knows.
     fn join(&mut self, link: LinkId, fleet: &str, me: MemberId, member: &Member, known: u64);
     fn member(&mut self, link: LinkId, id: MemberId, member: &Member);
-    /// `tags`: this beat's own, and the last that came on this link; `age`: how long ago the list held was known to be the newest.
+    /// `tags`: this beat's own, and the last that came on this link; `age`: how long ago the list held was known
+    /// to be the newest.
     fn beat(
         &mut self, link: LinkId, tags: (u64, u64), digest: u64, held: Option<(u64, u64)>, age: Option<Time>,
         sure: bool, answer: bool,
@@ -33,7 +34,7 @@
     fn list_begins(&mut self, link: LinkId, version: (u64, u64), from: Option<u64>);
     fn list_row(&mut self, link: LinkId, name: &str, entry: &Entry);
     fn list_ends(&mut self, link: LinkId);
-    /// Whether this instance is to be connected to the list service.
+    /// Whether this instance is to be connected to the list service; off and on again: by another connection.
     fn watch(&mut self, on: bool);
     fn ask_service(&mut self, held: Option<(u64, u64)>);
     /// A newer list for the scheduler.
@@ -48,19 +49,21 @@
 /// What a fleet may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Records of members, those that ended included.
-    pub members: usize,
+    /// Instances that live at a time.
+    pub instances: usize,
     /// Links opened by peers.
     pub links: usize,
-    /// Rows of a list.
-    pub workers: usize,
     /// Instances that watch the list.
     pub watchers: usize,
-    /// After standing still nothing new is sent until a peer or the list service has told of the list, for this time at
-    /// most. No longer than an answer may be late: what is given up on is not held back.
-    pub hold: Time,
+    /// How long before its client's time is up the scheduler answers what it gives up on.
+    pub slack: Time,
 }
 
+/// Records of members that are kept, those that ended included, for each instance that may live.
+const RECORDS: usize = 4;
+/// Rows of a list that are taken.
+const WORKERS: usize = 100_000;
+
 /// Between two looks at what has passed; records wait for each other so long before they are handed on.
 const TICK: Time = Time(1_000);
 /// While no list is held there is nothing to do but to get one.
@@ -80,6 +83,8 @@
 const MET: Time = Time(20_000);
 /// What one more instance adds to the first of these, where many start together on one machine.
 const KNOWN_AFTER: Time = Time(30);
+/// One that has only one peer's word for a list far on asks the list service itself after this.
+const OWN_LOOK: Time = Time(10_000);
 /// Peers to begin with that are met or missed before this instance believes that nobody is sure of the number.
 const INTRODUCED: usize = 3;
 /// Between two tries to meet one that was given up, who may be behind a cut; and where there is none, one of the peers
@@ -182,6 +187,8 @@
     heard_of: BTreeMap<&'static str, (usize, String)>,
     /// From when on a list of the snapshot is used, if there is one and nobody has told another.
     remembered_at: Option<Time>,
+    /// Since when one peer alone speaks of a list far on.
+    unvouched: Option<Time>,
 }
 
 /// The list service's connection, as the book knows it, and the disk.
@@ -201,7 +208,7 @@
     ) -> Fleet {
         let mut rng = Rand64::new(seed);
         let me = MemberId { instance: InstanceId::of(name), run };
-        let mut table = Table::new(bounds.members);
+        let mut table = Table::new(bounds.instances * RECORDS);
         let _ = table.merge(now, me, name, address, Standing::default());
         let peers: Vec<String> = peers.into_iter().filter(|p| p != address).collect();
         let alone = now + stretch(&mut rng, WATCH_AFTER.1);
@@ -215,7 +222,7 @@
             rng,
             table,
             number,
-            book: Book::new(bounds.workers),
+            book: Book::new(WORKERS),
             links: BTreeMap::new(),
             next_link: 0,
             next_tag: 0,
@@ -241,6 +248,7 @@
             refusals: 0,
             heard_of: BTreeMap::new(),
             remembered_at: None,
+            unvouched: None,
         }
     }
 
@@ -266,9 +274,16 @@
 
     /// Those who are asked to watch the list, as seen from here.
     pub fn watchers(&self) -> BTreeSet<MemberId> {
-        let fit = |(_, m): &(MemberId, &Member)| !(m.standing.is_suspect() || m.standing.blind);
-        let mut all: Vec<MemberId> = self.table.living().filter(fit).map(|(id, _)| id).collect();
-        all.sort_by_key(|id| rank(SALT_WATCH, *id));
+        self.first(true)
+    }
+
+    /// Those who come first in an order that all reckon alike, among those who live and are not suspect; `seeing`: and
+    /// reach the list service.
+    fn first(&self, seeing: bool) -> BTreeSet<MemberId> {
+        let unfit = |s: Standing| s.is_suspect() || (seeing && s.blind);
+        let fit = self.table.living().filter(|(_, m)| !unfit(m.standing)).map(|(id, _)| id);
+        let mut all: Vec<MemberId> = fit.collect();
+        all.sort_by_cached_key(|id| rank(SALT_WATCH, *id));
         all.into_iter().take(self.bounds.watchers).collect()
     }
 
@@ -302,7 +317,13 @@
     /// Guards against one that was stopped and goes on with the workers of an old list. Harms for the time of one
     /// question and answer, after a pause that is none of its own.
     pub fn holds(&self, now: Time) -> bool {
-        self.woke.is_some_and(|at| now - at < self.bounds.hold)
+        self.woke.is_some_and(|at| now - at < self.hold())
+    }
+
+    /// After standing still nothing new is sent until a peer or the list service has told of the list, for this time at
+    /// most: half of the slack is left for the way of answers that are due meanwhile.
+    fn hold(&self) -> Time {
+        Time(self.bounds.slack.0 / 2)
     }
 
     /// When the clock is wanted next.
@@ -423,8 +444,17 @@
         out.dial(link, &address);
     }
 
+    /// Whom to meet first: those in the file, where it names any; what is remembered may be long gone.
+    fn introducers(&self) -> &[String] {
+        if self.told_peers > 0 {
+            &self.peers[..self.told_peers]
+        } else {
+            &self.peers
+        }
+    }
+
     fn to_introduce(&self) -> bool {
-        self.introduced < self.peers.len().min(INTRODUCED)
+        self.introduced < self.introducers().len().min(INTRODUCED)
     }
 
     /// Where somebody may be whom this instance does not know as living: those given up, and peers to begin with.
@@ -441,8 +471,9 @@
     fn someone(&mut self) -> Option<String> {
         if self.to_introduce() {
             // One after the other, from a place of one's own.
-            let no = (self.me.run.0 as usize).wrapping_add(self.introduced) % self.peers.len();
-            return Some(self.peers[no].clone());
+            let all = self.introducers();
+            let no = (self.me.run.0 as usize).wrapping_add(self.introduced) % all.len();
+            return Some(all[no].clone());
         }
         let mut all = self.unmet();
         if all.is_empty() {
@@ -462,7 +493,7 @@
         if fleet != self.fleet {
             return self.refuse(out, link, &format!("this is fleet '{}', not '{fleet}'", self.fleet));
         }
-        if known > self.bounds.members as u64 {
+        if known > (self.bounds.instances * RECORDS) as u64 {
             return self.refuse(out, link, &format!("it knows {known} members, more than are kept"));
         }
         if id == self.me {
@@ -736,7 +767,7 @@
         let before = self.book.held();
         let taken = self.book.ends(on_book, by);
         if on.is_none() {
-            self.service_answered(now, out);
+            self.service_told(now, out, taken);
         }
         match taken {
             Taken::New(from) => {
@@ -767,6 +798,7 @@
                 None => out.ask_service(None),
             },
             Taken::Unvouched => {
+                self.unvouched.get_or_insert(now);
                 self.refusals += 1;
                 out.log("fleet: one peer alone speaks of a list far on; it is not taken on its word");
             }
@@ -786,12 +818,24 @@
 
     // The list service.
 
-    fn service_answered(&mut self, now: Time, out: &mut impl Outside) {
-        let asked = self.asked_service.take().unwrap_or(now);
+    /// The list service has told a list. What it says when asked has no mark that tells it from what it says on its own,
+    /// but only an answer can hold nothing new: that one counts, from the moment at which it was asked for. Guards against
+    /// taking what has lain in a socket for what holds now.
+    fn service_told(&mut self, now: Time, out: &mut impl Outside, taken: Taken) {
         self.answered_service = now;
-        self.fresh_at = self.fresh_at.max(Some(asked));
-        if self.woke.is_some_and(|woke| asked >= woke) {
-            self.awake(out, "the list service has answered");
+        // Whatever a peer said, this is the truth.
+        self.unvouched = None;
+        match (taken, self.asked_service) {
+            (Taken::Old, Some(asked)) => {
+                self.asked_service = None;
+                self.fresh_at = self.fresh_at.max(Some(asked));
+                if self.woke.is_some_and(|woke| asked >= woke) {
+                    self.awake(out, "the list service has answered");
+                }
+            }
+            // It may have been the answer: once more, that one with nothing new comes.
+            (Taken::New(_), Some(_)) => out.ask_service(self.book.held()),
+            _ => {}
         }
         self.see(now, out, true);
     }
@@ -831,8 +875,8 @@
         (self.service, self.asked_service, self.service_tried) = (None, None, now);
     }
 
-    /// Whether this instance is one of the few that watch the list: those who come first in an order that all reckon
-    /// alike, among those who live, are not suspect and reach the service.
+    /// Whether this instance is one of the few that watch the list, or has to look for itself: it has no peers, or one
+    /// peer's word alone for a list far on.
     fn is_asked_to_watch(&self, now: Time) -> bool {
         let (linked, alone) = self.watch_from;
         if self.links.values().all(|l| l.peer.is_none()) {
@@ -843,20 +887,9 @@
         if linked.is_none_or(|at| now < at) {
             return false;
         }
-        let mine = rank(SALT_WATCH, self.me);
-        let first = |seeing: bool| {
-            let before = self.table.living().filter(|(id, m)| {
-                let s = m.standing;
-                !(s.is_suspect() || seeing && s.blind) && rank(SALT_WATCH, *id) < mine
-            });
-            before.take(self.bounds.watchers).count() < self.bounds.watchers
-        };
         let blind = self.table.get(self.me).is_some_and(|m| m.standing.blind);
-        if blind {
-            first(false) && now >= self.try_again
-        } else {
-            first(true)
-        }
+        let doubts = self.unvouched.is_some_and(|at| now - at >= OWN_LOOK);
+        (doubts || self.first(!blind).contains(&self.me)) && (!blind || now >= self.try_again)
     }
 
     fn settle_watch(&mut self, now: Time, out: &mut impl Outside) {
@@ -909,7 +942,7 @@
             self.stood_still(now, out);
         }
         self.ticked = now;
-        if self.woke.is_some_and(|at| now - at >= self.bounds.hold) {
+        if self.woke.is_some_and(|at| now - at >= self.hold()) {
             self.awake(out, "nobody told anything in time");
         }
         self.use_remembered(now, out);
@@ -971,16 +1004,19 @@
         let span = now - self.ticked;
         out.log(&format!("fleet: stood still for {:.0} ms", span.ms()));
         self.suspects.clear();
-        (self.fresh_at, self.asked_service) = (None, None);
+        self.fresh_at = None;
         let peers = self.links.values().any(|l| l.peer.is_some());
-        self.woke = (peers || self.service.is_some()).then_some(now);
+        self.woke = (peers || self.watching).then_some(now);
         self.links.values_mut().for_each(|l| (l.heard, l.answered) = (now, false));
         let all: Vec<LinkId> = self.links.keys().copied().collect();
         for link in all {
             self.beat(now, out, link, true);
         }
-        if self.service.is_some() {
-            self.ask_service(now, out);
+        if self.watching {
+            // An answer to a question of before may lie in the connection; on a new one it cannot.
+            self.service_down(now);
+            out.watch(false);
+            out.watch(true);
         }
     }
 
@@ -991,21 +1027,28 @@
         let over: Vec<(LinkId, bool)> =
             self.links.iter().filter(|(_, l)| silent(l) || met(l)).map(|(id, l)| (*id, silent(l))).collect();
         for (link, silent) in over {
-            out.close(link);
+            let joined = self.links.values().filter(|l| l.peer.is_some()).count();
             if silent {
+                out.close(link);
                 self.link_down(now, out, link);
-            } else if self.links.values().filter(|l| l.peer.is_some()).count() > 1 {
+            } else if joined > 1 {
+                out.close(link);
+                self.book.broke(link.0);
                 self.links.remove(&link);
             }
         }
     }
 
+    /// Members that live and are not known to be out of reach from here.
+    fn heard_from(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.table.living().map(|(id, _)| id).filter(|id| !self.unheard.contains_key(id))
+    }
+
     /// Links to those whom this instance looks after, and to nobody else.
     fn settle_rings(&mut self, now: Time, out: &mut impl Outside) {
         let mut wanted = BTreeSet::new();
         for ring in 0..RINGS {
-            let heard = self.table.living().map(|(id, _)| id).filter(|id| !self.unheard.contains_key(id));
-            wanted.extend(observed(ring, self.me, heard));
+            wanted.extend(observed(ring, self.me, self.heard_from()));
         }
         let mut linked = BTreeSet::new();
         let mut over = Vec::new();
@@ -1077,8 +1120,7 @@
         let mut doubts: BTreeMap<MemberId, u8> = BTreeMap::new();
         for ring in 0..RINGS {
             let place = |id: MemberId| rank(u64::from(ring), id).wrapping_sub(rank(u64::from(ring), self.me));
-            let heard = self.table.living().map(|(id, _)| id).filter(|id| !self.unheard.contains_key(id));
-            let next = observed(ring, self.me, heard).map_or(u64::MAX, place);
+            let next = observed(ring, self.me, self.heard_from()).map_or(u64::MAX, place);
             for id in self.unheard.keys().filter(|id| place(**id) < next) {
                 *doubts.entry(*id).or_default() |= 1 << ring;
             }
--- a/crates/curlewpoint-fleet/tests/common/mod.rs
+++ b/crates/curlewpoint-fleet/tests/common/mod.rs
@@ -103,6 +103,8 @@
     links: BTreeMap<LinkId, (u64, LinkId)>,
     serial: u64,
     watching: bool,
+    /// Its connections to the list service, counted: what came on an earlier one is gone with it.
+    connection: u64,
     /// When the service may tell it something again: answers keep their order.
     told: Option<(u64, u64)>,
 }
@@ -112,7 +114,7 @@
     Up(u64, LinkId, String),
     Say(u64, LinkId, Say),
     Down(u64, LinkId),
-    Service(u64, bool),
+    Service(u64, u64, bool),
 }
 
 /// The made-up network.
@@ -151,7 +153,7 @@
             blind: BTreeSet::new(),
             service_up: true,
             version: (1, 1),
-            bounds: Bounds { members: 4096, links: 512, workers: 100, watchers: 3, hold: Time(750) },
+            bounds: Bounds { instances: 1024, links: 512, watchers: 3, slack: Time(1_500) },
             told,
             service_dials: Vec::new(),
             worst_sum: 0.0,
@@ -184,7 +186,17 @@
             seed,
         );
         let (acts, paused_until, links) = (Acts::default(), Time(0), BTreeMap::new());
-        let node = Node { fleet, acts, name, paused_until, links, serial: 0, watching: false, told: None };
+        let node = Node {
+            fleet,
+            acts,
+            name,
+            paused_until,
+            links,
+            serial: 0,
+            watching: false,
+            connection: 0,
+            told: None,
+        };
         self.nodes.insert(id, node);
         self.addresses.insert(format!("a{name}"), id);
         self.plan(Time(1), What::Tick(id));
@@ -257,14 +269,17 @@
                     }
                     let node = self.nodes.get_mut(&id).expect("it acts");
                     (node.watching, node.told) = (on, None);
+                    node.connection += 1;
+                    let connection = node.connection;
                     if on {
-                        self.plan(Time(20), What::Service(id, true));
+                        self.plan(Time(20), What::Service(id, connection, true));
                     }
                 }
                 Act::AskService(held) => {
                     let node = self.nodes.get_mut(&id).expect("it acts");
                     node.told = held;
-                    self.plan(Time(20), What::Service(id, false));
+                    let connection = node.connection;
+                    self.plan(Time(20), What::Service(id, connection, false));
                 }
             }
         }
@@ -273,15 +288,20 @@
     /// The service's change of the list, told to all that watch.
     pub fn change(&mut self) {
         self.version.1 += 1;
-        let watching: Vec<u64> = self.nodes.iter().filter(|(_, n)| n.watching).map(|(id, _)| *id).collect();
-        for id in watching {
-            self.plan(Time(20), What::Service(id, false));
+        let watching: Vec<(u64, u64)> =
+            self.nodes.iter().filter(|(_, n)| n.watching).map(|(id, n)| (*id, n.connection)).collect();
+        for (id, connection) in watching {
+            self.plan(Time(20), What::Service(id, connection, false));
         }
     }
 
-    fn service(&mut self, id: u64, up: bool) {
+    fn service(&mut self, id: u64, connection: u64, up: bool) {
         let Some(node) = self.nodes.get(&id) else { return };
-        if !node.watching || !self.service_up || self.blind.contains(&node.name) {
+        if node.connection != connection
+            || !node.watching
+            || !self.service_up
+            || self.blind.contains(&node.name)
+        {
             return;
         }
         if up {
@@ -324,7 +344,7 @@
             | What::Up(id, ..)
             | What::Say(id, ..)
             | What::Down(id, _)
-            | What::Service(id, _) => *id,
+            | What::Service(id, ..) => *id,
         };
         let Some(node) = self.nodes.get(&id) else { return };
         if node.paused_until > self.now {
@@ -351,7 +371,7 @@
                 }
                 self.call(id, |f, now, out| f.link_down(now, out, link));
             }
-            What::Service(id, up) => self.service(id, up),
+            What::Service(id, connection, up) => self.service(id, connection, up),
         }
     }
 
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -127,10 +127,17 @@
     net.run(4_999);
     let others = |net: &Net| net.nodes[&ids[5]].fleet.table().living().count();
     assert_eq!(others(&net), 11);
-    // It wakes: from its first step on it holds, until it has heard.
-    net.run(120);
-    let held = net.nodes[&ids[4]].acts.list;
-    assert!(net.nodes[&ids[4]].fleet.holds(net.now) || held == Some((1, 2)), "{held:?}");
+    // It wakes with the old list: from its first step on it holds, until it has heard, and no longer than it may.
+    let mut held = 0;
+    for _ in 0..200 {
+        net.run(1);
+        let node = &net.nodes[&ids[4]];
+        if node.fleet.holds(net.now) {
+            assert_eq!(node.acts.list, Some((1, 1)), "it has heard, and holds on");
+            held += 1;
+        }
+    }
+    assert!((1..=75).contains(&held), "held for {held} ms");
     net.run(5_000);
     assert_eq!(net.lists(), BTreeSet::from([Some((1, 2))]));
     assert_eq!(net.counts(), BTreeSet::from([12]));
@@ -174,7 +181,7 @@
 #[test]
 fn a_million_members_are_refused_in_one_line() {
     let mut net = Net::new(29, 3);
-    net.bounds.members = 64;
+    net.bounds.instances = 16;
     let id = net.start(9, &[]);
     net.run(500);
     let now = net.now;
@@ -256,3 +263,33 @@
     net.run(5_000);
     assert_eq!(net.nodes[&id].acts.list, Some((1, 1)));
 }
+
+/// Where one peer alone can tell, nobody vouches for a service that began anew: it has to be asked itself.
+#[test]
+fn one_with_a_single_peer_looks_for_itself_when_the_service_began_anew() {
+    let mut net = Net::new(47, 2);
+    net.bounds.watchers = 1;
+    net.start(0, &[0, 1]);
+    net.start(1, &[0, 1]);
+    net.run(6_000);
+    assert_eq!(net.watchers(), 1);
+    net.version = (2, 1);
+    net.run(8_000);
+    assert_eq!(net.lists(), BTreeSet::from([Some((2, 1))]));
+    assert_eq!(net.watchers(), 1, "and it leaves the watching to the other again");
+}
+
+/// What is remembered is tried after those in the file: three that are long gone do not make an instance the first.
+#[test]
+fn remembered_addresses_do_not_stand_for_the_peers_in_the_file() {
+    for seed in 0..20 {
+        let (mut net, _) = fleet(seed, 4, 20);
+        net.run(6_000);
+        let late = net.start(9, &[0, 1, 2]);
+        let node = net.nodes.get_mut(&late).expect("it lives");
+        (0..12).for_each(|no| node.fleet.remember(&format!("gone-{no}")));
+        net.run(14_000);
+        assert!(net.worst_sum <= 1.0 + 1e-6, "seed {seed}: {}", net.worst_sum);
+        assert_eq!(net.acted(), BTreeSet::from([5]), "seed {seed}");
+    }
+}
--- a/crates/curlewpoint-gateway/src/list.rs
+++ b/crates/curlewpoint-gateway/src/list.rs
@@ -14,19 +14,17 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MOST_PAUSE: Duration = Duration::from_secs(2);
 
-/// Keeps a connection to the list service while it is wanted. While there is none the list held goes on to be used; dials pause longer
+/// Keeps a connection to the list service while one is wanted, and another for each number that is. While there is none the list held goes on to be used; dials pause longer
 /// each time, with jitter, so that a service that comes back is not met by the whole fleet in step.
 pub(crate) async fn follow(
     address: String, name: String, bounds: Bounds, dial: Duration, notes: mpsc::Sender<Note>, seed: u128,
-    mut wanted: watch::Receiver<bool>,
+    mut wanted: watch::Receiver<Option<u64>>,
 ) {
     let mut rng = Rand64::new(seed);
     let mut pause = FIRST_PAUSE;
     let mut said = false;
     loop {
-        if wanted.wait_for(|on| *on).await.is_err() {
-            return;
-        }
+        let Ok(number) = wanted.wait_for(Option::is_some).await.map(|w| *w) else { return };
         let dialled = timeout(dial, async {
             let stream = TcpStream::connect(&address).await.map_err(WireError::from)?;
             open(stream, &name, bounds).await
@@ -41,7 +39,7 @@
                 loop {
                     let next = tokio::select! {
                         next = link.reader.next() => next,
-                        _ = wanted.wait_for(|on| !*on) => break,
+                        _ = wanted.wait_for(|w| *w != number) => break,
                     };
                     match next {
                         Some(Ok(frame)) => {
@@ -59,7 +57,7 @@
                 if notes.send(Note::ListBroke).await.is_err() {
                     return;
                 }
-                if *wanted.borrow() {
+                if *wanted.borrow() == number {
                     info!(address, "list service lost: the list held goes on to be used");
                 }
             }
@@ -72,7 +70,7 @@
             }
             _ => {}
         }
-        if !*wanted.borrow() {
+        if *wanted.borrow() != number {
             // Whoever wants it again has waited on its own.
             (pause, said) = (FIRST_PAUSE, false);
             continue;
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 };
 use curlewpoint_link::{open, Bounds, Link, LinkError, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
+use futures_util::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::{AbortHandle, JoinHandle};
@@ -50,7 +51,9 @@
     door: Door,
     outboxes: BTreeMap<LinkId, Outbox>,
     dials: BTreeMap<LinkId, AbortHandle>,
-    watch: watch::Sender<bool>,
+    /// The number of the connection to the list service that is wanted.
+    watch: watch::Sender<Option<u64>>,
+    watched: u64,
 }
 
 /// One instance among others: what it decides by, and its sockets.
@@ -66,7 +69,9 @@
     fleet: String,
     /// What was written last, and when.
     written: (Option<(u64, u64)>, u64, Instant),
-    writing: Option<JoinHandle<()>>,
+    /// Ends with whether it could be written.
+    writing: Option<JoinHandle<bool>>,
+    failed: bool,
 }
 
 /// A snapshot is written no more often than this.
@@ -287,7 +292,8 @@
     }
 
     fn watch(&mut self, on: bool) {
-        self.peers.watch.send_replace(on);
+        self.peers.watched += 1;
+        self.peers.watch.send_replace(on.then_some(self.peers.watched));
         if !on {
             self.engine.world().list = None;
         }
@@ -327,7 +333,7 @@
     /// `watch`.
     pub fn start(
         config: &Config, now: Time, seed: u128, notes: &mpsc::Sender<Note>, tasks: &TaskTracker,
-        watch: watch::Sender<bool>,
+        watch: watch::Sender<Option<u64>>,
     ) -> std::io::Result<Option<(Mesh, AbortHandle)>> {
         let Some(listen) = config.value("fleet", "listen") else { return Ok(None) };
         let listener = curlewpoint_link::listen(listen)?;
@@ -335,12 +341,10 @@
         let address = config.value("fleet", "reached-at").unwrap_or(&at);
         let of = |name| config.number("fleet", name) as usize;
         let limits = FleetBounds {
-            members: of("most-instances") * 4,
+            instances: of("most-instances"),
             links: of("most-links"),
-            workers: 100_000,
             watchers: of("watchers"),
-            // The module answers what is given up on a slack before its client's time is up: half of that is spared.
-            hold: Time::from_ms(config.number("rpcs", "answer-slack") / 2.0),
+            slack: Time::from_ms(config.number("rpcs", "answer-slack")),
         };
         let (fleet, name) = (config.value("fleet", "name").unwrap_or(""), config.text("name"));
         let (peers, told) = (config.all("fleet", "peers").to_vec(), config.number("", "instances") as u64);
@@ -352,7 +356,7 @@
                 Ok(age) => info!("fleet: a snapshot {age:?} old is at hand"),
                 Err(why) => info!("fleet: no snapshot is used: {}: {why}", path.display()),
             }
-            Kept { path, fleet: fleet_name, written: (None, 0, Instant::now()), writing: None }
+            Kept { path, fleet: fleet_name, written: (None, 0, Instant::now()), writing: None, failed: false }
         });
         info!(address = at, run = format!("{:016x}", fleet.me().run.0), "fleet: peers may come");
         let bounds = Bounds {
@@ -370,7 +374,7 @@
         };
         let accepting = tokio::spawn(door.clone().accept(listener, limits.links)).abort_handle();
         let (outboxes, dials) = Default::default();
-        let peers = Peers { door, outboxes, dials, watch };
+        let peers = Peers { door, outboxes, dials, watch, watched: 0 };
         Ok(Some((Mesh { fleet, peers, kept }, accepting)))
     }
 
@@ -499,18 +503,35 @@
     pub fn keep(&mut self, now: Time) {
         let Some(kept) = &mut self.kept else { return };
         let (held, digest) = (self.fleet.book().held(), self.fleet.table().digest());
+        if kept.writing.as_ref().is_some_and(|w| !w.is_finished()) {
+            return;
+        }
+        // It has ended, so this does not wait.
+        let ended = kept.writing.take().and_then(|w| w.now_or_never()).map(|w| w.unwrap_or(false));
+        if let Some(good) = ended {
+            if good == kept.failed {
+                info!(
+                    "fleet: the snapshot {} be written: {}",
+                    if good { "can" } else { "cannot" },
+                    kept.path.display()
+                );
+            }
+            kept.failed = !good;
+            if !good {
+                // It is tried again, though nothing new may come.
+                kept.written.0 = None;
+            }
+        }
         let (was_held, was_digest, at) = kept.written;
-        let busy = kept.writing.as_ref().is_some_and(|w| !w.is_finished());
-        if busy || at.elapsed() < KEEP || (held, digest) == (was_held, was_digest) {
+        if at.elapsed() < KEEP || (held, digest) == (was_held, was_digest) {
             return;
         }
         let Some(bytes) = snapshot::draw(&kept.fleet, &self.fleet, now) else { return };
         kept.written = (held, digest, Instant::now());
         let path = kept.path.clone();
         kept.writing = Some(tokio::task::spawn_blocking(move || {
-            if let Err(why) = snapshot::write(&path, &bytes) {
-                warn!("fleet: the snapshot cannot be written: {}: {why}", path.display());
-            }
+            let written = snapshot::write(&path, &bytes);
+            written.inspect_err(|why| debug!("the snapshot: {why}")).is_ok()
         }));
     }
 
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -222,7 +222,8 @@
         ));
     }
     // Where there are peers, few instances watch the list; else each does.
-    let (watch, wanted) = watch::channel(config.value("fleet", "listen").is_none());
+    let alone = config.value("fleet", "listen").is_none();
+    let (watch, wanted) = watch::channel(alone.then_some(0));
     // Peers' notes come with the asks: answers are taken first, and a flood of records among them would let RPCs lie.
     let mesh = Mesh::start(config, clock.now(), seed, &asks_in, &tasks, watch.clone());
     let listen = config.value("fleet", "listen").unwrap_or("").to_owned();
@@ -267,7 +268,7 @@
     /// What came while this instance had not heard yet what passed while it stood still.
     kept: VecDeque<Note>,
     /// Without a fleet nobody else holds it, and the list is watched for good.
-    _watch: watch::Sender<bool>,
+    _watch: watch::Sender<Option<u64>>,
     /// Tells the doors which methods are in force.
     publish: watch::Sender<Arc<InForce>>,
     accepting: AbortHandle,
--- a/crates/curlewpoint-gateway/src/snapshot.rs
+++ b/crates/curlewpoint-gateway/src/snapshot.rs
@@ -92,19 +92,24 @@
     if age > most_age {
         return Err(SnapshotError::TooOld(age));
     }
-    fleet.remember_list(now, head.get_int(Field::EPOCH)?, head.get_int(Field::LIST_VERSION)?);
+    let (epoch, version) = (head.get_int(Field::EPOCH)?, head.get_int(Field::LIST_VERSION)?);
+    let (mut rows, mut addresses) = (Vec::new(), Vec::new());
     while let Some(frame) = next()? {
         match frame.kind {
             Kind::CHANGE => {
                 let (name, entry) = read_entry(now, &frame)?;
                 // It has grown older while it lay.
                 let since = entry.since.map(|since| since - Time(age.as_millis() as u64 * 10));
-                fleet.remember_row(name, Entry { since, ..entry });
+                rows.push((name.to_owned(), Entry { since, ..entry }));
             }
-            Kind::MEMBER => fleet.remember(frame.get_text(Field::ADDRESS)?),
+            Kind::MEMBER => addresses.push(frame.get_text(Field::ADDRESS)?.to_owned()),
             _ => {}
         }
     }
+    // Only now, that all of it has been read.
+    fleet.remember_list(now, epoch, version);
+    rows.into_iter().for_each(|(name, entry)| fleet.remember_row(&name, entry));
+    addresses.iter().for_each(|address| fleet.remember(address));
     Ok(age)
 }
 
@@ -117,7 +122,7 @@
     const NOW: Time = Time(864_000_000);
 
     fn fleet() -> Fleet {
-        let bounds = Bounds { members: 10, links: 10, workers: 10, watchers: 3, hold: Time(750) };
+        let bounds = Bounds { instances: 10, links: 10, watchers: 3, slack: Time(1_500) };
         Fleet::start(NOW, "f", ("n", Run(1)), "a", vec!["b".into()], 1, bounds, 1)
     }
 
