--- a/crates/curlewpoint-cli/src/commands/stand.rs
+++ b/crates/curlewpoint-cli/src/commands/stand.rs
@@ -1,7 +1,5 @@
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 
 use clap::Args;
 use curlewpoint::types::{Standing, Time};
@@ -66,9 +64,9 @@
             adds_copies: true,
             answers_miss: false,
         };
-        let trades: BTreeMap<_, _> = s.methods.iter().map(|(m, (_, t))| (m.clone(), *t)).collect();
+        let trades = s.trades();
         block_on(async {
-            let (record, trades) = (Record::default(), Arc::new(trades));
+            let record = Record::default();
             match WorkerStand::start(&self.listen, &self.name, &record, spec, trades, self.store, self.seed)
                 .await
             {
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -284,7 +284,8 @@
 fn remembered_addresses_do_not_stand_for_the_peers_in_the_file() {
     for seed in 0..20 {
         let (mut net, _) = fleet(seed, 4, 20);
-        net.run(6_000);
+        // By then they act on four, and leave no room for one that takes a share unasked.
+        net.run(16_000);
         let late = net.start(9, &[0, 1, 2]);
         let node = net.nodes.get_mut(&late).expect("it lives");
         (0..12).for_each(|no| node.fleet.remember(&format!("gone-{no}")));
--- a/crates/curlewpoint-lab/src/day.rs
+++ b/crates/curlewpoint-lab/src/day.rs
@@ -5,7 +5,7 @@
 
 use curlewpoint::types::{Standing, Time};
 use curlewpoint_config::{milliseconds, Config};
-use curlewpoint_emulator::{Row, StoreSpec, WorkerSpec};
+use curlewpoint_emulator::{Row, StoreSpec};
 use curlewpoint_engine::Figures;
 use oorandom::Rand64;
 use tokio::sync::{mpsc, oneshot};
@@ -17,7 +17,7 @@
 use crate::record::{Record, Seen};
 use crate::report::draw;
 use crate::script::{At, Kind, Script};
-use crate::stand::{ListStand, StoreStand, Trade, WorkerStand};
+use crate::stand::{ListStand, StoreStand, WorkerStand};
 use crate::web::WebOffice;
 
 /// A day that has been played.
@@ -219,25 +219,8 @@
         let any = "127.0.0.1:0";
         let store = StoreStand::start(any, &record, spec).await?;
         let list = ListStand::start(any, &record, Time(0)).await?;
-        let of = |name| config.number("workers", name);
-        let spec = WorkerSpec {
-            cores: script.cores,
-            speed: 1.0,
-            slots: script.slots,
-            queue: script.queue,
-            memory_mb: script.memory_mb,
-            loads_at_once: script.loads_at_once,
-            keep: Time::from_ms(of("keep-alive")),
-            cold_from: of("start-capacity"),
-            cold_for: Time::from_ms(of("warm-within")),
-            fall_multiple: of("fall-multiple"),
-            fall: Time::from_ms(of("fall-window")),
-            adds_copies: true,
-            answers_miss: config.value("workers", "absent") == Some("miss"),
-        };
-        let trades: BTreeMap<String, Trade> =
-            script.methods.iter().map(|(m, (_, t))| (m.clone(), *t)).collect();
-        let trades = Arc::new(trades);
+        let spec = script.worker_spec(config);
+        let trades = script.trades();
         let mut workers = Vec::new();
         for no in 0..script.workers {
             let (name, seed) = (format!("w-{no:03}"), script.seed * 1000 + no as u64);
--- a/crates/curlewpoint-lab/src/script.rs
+++ b/crates/curlewpoint-lab/src/script.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use curlewpoint::types::Time;
-use curlewpoint_config::{bytes, milliseconds, read_lines, share, Faults, Line};
+use curlewpoint_config::{bytes, milliseconds, read_lines, share, Config, Faults, Line};
+use curlewpoint_emulator::WorkerSpec;
 
 use crate::stand::Trade;
 
@@ -235,6 +237,31 @@
 }
 
 impl Script {
+    /// What a worker of this script is, where schedulers run with this configuration.
+    pub fn worker_spec(&self, config: &Config) -> WorkerSpec {
+        let of = |name| config.number("workers", name);
+        WorkerSpec {
+            cores: self.cores,
+            speed: 1.0,
+            slots: self.slots,
+            queue: self.queue,
+            memory_mb: self.memory_mb,
+            loads_at_once: self.loads_at_once,
+            keep: Time::from_ms(of("keep-alive")),
+            cold_from: of("start-capacity"),
+            cold_for: Time::from_ms(of("warm-within")),
+            fall_multiple: of("fall-multiple"),
+            fall: Time::from_ms(of("fall-window")),
+            adds_copies: true,
+            answers_miss: config.value("workers", "absent") == Some("miss"),
+        }
+    }
+
+    /// What each method costs a worker.
+    pub fn trades(&self) -> Arc<BTreeMap<String, Trade>> {
+        Arc::new(self.methods.iter().map(|(m, (_, t))| (m.clone(), *t)).collect())
+    }
+
     /// Reads a script; all faults are told at once.
     pub fn parse(name: &str, text: &str) -> Result<Script, Faults> {
         read_lines(name, text, |lines, fault| {
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -7,8 +7,8 @@
 
 use curlewpoint::types::{Standing, Time};
 use curlewpoint_config::Config;
-use curlewpoint_emulator::{Row, StoreSpec, WorkerSpec};
-use curlewpoint_lab::stand::{ListStand, StoreStand, Trade, WorkerStand};
+use curlewpoint_emulator::{Row, StoreSpec};
+use curlewpoint_lab::stand::{ListStand, StoreStand, WorkerStand};
 use curlewpoint_lab::{client, judge, Entrance, Record, Seen, Shared as Load, Terms, Traffic, Verdict};
 use oorandom::Rand64;
 use rustix::process::Signal;
@@ -149,24 +149,8 @@
         let list = ListStand::start(any, &record, s.list_late).await?;
         let list_relay = Relay::start("list", Some(list.address), plan.play.list_takes, &shared).await?;
         let config = parsed(&text(&plan, 0, any, any, &list_relay.address.to_string(), None))?;
-        let of = |name| config.number("workers", name);
-        let spec = WorkerSpec {
-            cores: s.cores,
-            speed: 1.0,
-            slots: s.slots,
-            queue: s.queue,
-            memory_mb: s.memory_mb,
-            loads_at_once: s.loads_at_once,
-            keep: Time::from_ms(of("keep-alive")),
-            cold_from: of("start-capacity"),
-            cold_for: Time::from_ms(of("warm-within")),
-            fall_multiple: of("fall-multiple"),
-            fall: Time::from_ms(of("fall-window")),
-            adds_copies: true,
-            answers_miss: false,
-        };
-        let trades: BTreeMap<String, Trade> = s.methods.iter().map(|(m, (_, t))| (m.clone(), *t)).collect();
-        let trades = Arc::new(trades);
+        let spec = s.worker_spec(&config);
+        let trades = s.trades();
         let (mut workers, mut worker_relays) = (Vec::new(), Vec::new());
         for no in 0..s.workers {
             let (name, seed) = (format!("w-{no:03}"), plan.seed * 1000 + no as u64);
--- /dev/null
+++ b/crates/curlewpoint-rig/tests/relay.rs
@@ -0,0 +1,157 @@
+//! What a relay does to bytes, seen from both of its ends.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use curlewpoint::types::Time;
+use curlewpoint_lab::Record;
+use curlewpoint_link::{listen, open, Bounds, Link};
+use curlewpoint_rig::{Effect, Relay, Rules, Shared, Taped};
+use curlewpoint_wire::{Field, Frame, Kind};
+use tokio::net::TcpStream;
+use tokio_stream::StreamExt;
+
+/// Two parties with a relay before the second, joined.
+struct Pair {
+    near: Link,
+    far: Link,
+    _relay: Relay,
+}
+
+async fn pair(shared: &Shared, near: &str, far: &str) -> Pair {
+    let listener = listen("127.0.0.1:0").unwrap();
+    let relay = Relay::start(far, Some(listener.local_addr().unwrap()), None, shared).await.unwrap();
+    let stream = TcpStream::connect(relay.address).await.unwrap();
+    let accepted = async { open(listener.accept().await.unwrap().0, far, Bounds::default()).await.unwrap() };
+    let (near, far) = tokio::join!(open(stream, near, Bounds::default()), accepted);
+    Pair { near: near.unwrap(), far, _relay: relay }
+}
+
+fn names(all: &[&str]) -> BTreeSet<String> {
+    all.iter().map(|n| (*n).to_owned()).collect()
+}
+
+fn say(link: &Link, tag: u64) {
+    link.outbox.send(Frame::new(Kind::PROBE).int(Field::TAG, tag), None).unwrap();
+}
+
+async fn hears(link: &mut Link) -> Option<u64> {
+    link.reader.next().await?.ok()?.get_int(Field::TAG).ok()
+}
+
+fn shared() -> (Rules, Shared) {
+    let rules = Rules::default();
+    (rules.clone(), Shared::new(rules, Record::default()))
+}
+
+/// One way is cut: what goes that way lies until the cut is over, and comes in its order; the other way goes on.
+#[tokio::test]
+async fn a_cut_one_way_holds_that_way_alone_and_loses_nothing() {
+    let (rules, shared) = shared();
+    let mut p = pair(&shared, "a", "b").await;
+    rules.set(1, names(&["a"]), names(&["b"]), Effect::Cut);
+    say(&p.near, 1);
+    say(&p.far, 2);
+    assert_eq!(hears(&mut p.near).await, Some(2));
+    say(&p.near, 3);
+    rules.lift(1);
+    assert_eq!((hears(&mut p.far).await, hears(&mut p.far).await), (Some(1), Some(3)));
+    let passed = |from: &str| {
+        let frames = shared.tape.all();
+        frames
+            .iter()
+            .filter(|t| &*t.1 == from && matches!(t.3, Taped::Frame { kind: Kind::PROBE, .. }))
+            .count()
+    };
+    assert_eq!((passed("a"), passed("b")), (2, 1));
+}
+
+/// While one pair is cut another is not, and what is cut has not passed by then.
+#[tokio::test]
+async fn a_cut_touches_nobody_else() {
+    let (rules, shared) = shared();
+    let mut cut = pair(&shared, "a", "b").await;
+    let mut other = pair(&shared, "c", "b").await;
+    rules.set(1, names(&["a"]), names(&["b"]), Effect::Cut);
+    say(&cut.near, 1);
+    for tag in 0..50 {
+        say(&other.near, tag);
+        assert_eq!(hears(&mut other.far).await, Some(tag));
+    }
+    let probes = shared
+        .tape
+        .all()
+        .iter()
+        .filter(|t| &*t.1 == "a" && matches!(t.3, Taped::Frame { kind: Kind::PROBE, .. }))
+        .count();
+    assert_eq!(probes, 0);
+    rules.lift(1);
+    assert_eq!(hears(&mut cut.far).await, Some(1));
+}
+
+#[tokio::test]
+async fn what_is_delayed_comes_no_sooner() {
+    let (rules, shared) = shared();
+    let mut p = pair(&shared, "a", "b").await;
+    rules.set(1, names(&["a"]), names(&["b"]), Effect::Delay(Duration::from_millis(80)));
+    let began = Instant::now();
+    say(&p.near, 1);
+    assert_eq!(hears(&mut p.far).await, Some(1));
+    assert!(began.elapsed() >= Duration::from_millis(80));
+}
+
+#[tokio::test]
+async fn what_is_slowed_takes_its_time() {
+    let (rules, shared) = shared();
+    let mut p = pair(&shared, "a", "b").await;
+    rules.set(1, names(&["a"]), names(&["b"]), Effect::Slow(10_000.0));
+    let began = Instant::now();
+    p.near.outbox.send(Frame::new(Kind::PROBE).int(Field::TAG, 1).body(vec![0; 1_000]), None).unwrap();
+    assert_eq!(hears(&mut p.far).await, Some(1));
+    assert!(began.elapsed() >= Duration::from_millis(100));
+}
+
+#[tokio::test]
+async fn a_reset_ends_the_connections_of_those_two_and_of_no_others() {
+    let (rules, shared) = shared();
+    let mut p = pair(&shared, "a", "b").await;
+    let mut other = pair(&shared, "c", "b").await;
+    rules.reset(&names(&["a"]), &names(&["b"]));
+    assert_eq!((hears(&mut p.near).await, hears(&mut p.far).await), (None, None));
+    say(&other.near, 5);
+    assert_eq!(hears(&mut other.far).await, Some(5));
+}
+
+/// One side may close while the other still speaks.
+#[tokio::test]
+async fn a_connection_may_be_closed_by_halves() {
+    let (_, shared) = shared();
+    let mut p = pair(&shared, "a", "b").await;
+    drop(p.near.outbox);
+    assert_eq!(hears(&mut p.far).await, None);
+    say(&p.far, 7);
+    assert_eq!(p.near.reader.next().await.unwrap().unwrap().get_int(Field::TAG), Ok(7));
+}
+
+/// A party that takes few connections a second lets the others wait their turn.
+#[tokio::test]
+async fn connections_wait_their_turn() {
+    let (_, shared) = shared();
+    let listener = listen("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let relay = Relay::start("list", Some(at), Some(20.0), &shared).await.unwrap();
+    tokio::spawn(async move {
+        let mut open_links = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            open_links.push(open(stream, "list", Bounds::default()).await);
+        }
+    });
+    let began = Instant::now();
+    for _ in 0..4 {
+        let stream = TcpStream::connect(relay.address).await.unwrap();
+        open(stream, "front-0", Bounds::default()).await.unwrap();
+    }
+    assert!(began.elapsed() >= Duration::from_millis(150), "{:?}", began.elapsed());
+    let dials = shared.tape.all().iter().filter(|t| t.3 == Taped::Dialled && t.0 > Time(0)).count();
+    assert_eq!(dials, 4);
+}
