--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -36,6 +36,8 @@
 enum Against {
     /// As many schedulers that know nothing of each other.
     Off,
+    /// As many that know who lives and share the list, and tell each other nothing of functions at workers.
+    Mute,
     /// One scheduler that takes all the traffic.
     One,
 }
@@ -103,6 +105,7 @@
             let (name, schedulers) = match kind {
                 None => ("on", self.schedulers),
                 Some(Against::Off) => ("off", self.schedulers),
+                Some(Against::Mute) => ("mute", self.schedulers),
                 Some(Against::One) => ("one", 1),
             };
             let plan = Plan {
@@ -110,7 +113,8 @@
                 play: play.clone(),
                 schedulers,
                 seed: self.seed,
-                peers: kind.is_none(),
+                peers: matches!(kind, None | Some(Against::Mute)),
+                hints: kind.is_none(),
                 folder: root.join(name),
             };
             let outcome = match run(plan).await {
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -77,6 +77,8 @@
     /// It drains: what has not been begun is not sent to it any more.
     fn worker_drains(&mut self, now: Time, worker: WorkerId);
     fn worker_gone(&mut self, now: Time, worker: WorkerId);
+    /// The module has seen this of a function at a worker; others may be told.
+    fn seen(&mut self, _worker: WorkerId, _function: FunctionId, _hint: Hint, _held: u64) {}
     /// An RPC has been taken: what it needs until it is forgotten is to be kept.
     fn taken(&mut self, rpc: RpcId);
     /// It has its answer and no call-out of it is open: nothing comes for it any more.
@@ -337,6 +339,10 @@
         self.world.watch_list(self.roster.held());
     }
 
+    fn seen(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64) {
+        self.world.seen(worker, function, hint, held);
+    }
+
     fn log(&mut self, line: &str) {
         self.world.log(None, line);
     }
@@ -498,6 +504,13 @@
         self.module.instances_changed(number);
     }
 
+    /// Another scheduler saw this of a function at a worker so long ago.
+    pub fn hinted(
+        &mut self, now: Time, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time,
+    ) {
+        self.module.hinted(now, worker, function, hint, held, age);
+    }
+
     /// The moment of the next wake-up, or one before it.
     pub fn next_wake(&mut self) -> Option<Time> {
         self.module.host().wheel.next()
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -1,9 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use curlewpoint::types::Time;
+use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
 use oorandom::Rand64;
 
 use crate::book::{Book, Entry, Source, Taken};
+use crate::hints::{Hints, Seen, Untold};
 use crate::members::{InstanceId, Member, MemberId, Refused, Run, Standing, Table};
 use crate::number::Number;
 use crate::rings::{observed, rank, RINGS, SALT_WATCH};
@@ -41,6 +42,10 @@
     fn take_begins(&mut self, version: (u64, u64), from: Option<u64>);
     fn take_row(&mut self, name: &str, entry: &Entry);
     fn take_ends(&mut self);
+    /// Tells a peer what some instances have seen of functions at workers.
+    fn hints(&mut self, link: LinkId, seen: &[Seen]);
+    /// For the scheduler: another one has seen this.
+    fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time);
     /// So many instances are to be reckoned with from here on.
     fn instances(&mut self, number: u64);
     fn log(&mut self, line: &str);
@@ -57,8 +62,14 @@
     pub watchers: usize,
     /// How long before its client's time is up the scheduler answers what it gives up on.
     pub slack: Time,
+    /// How long what an instance has seen of a function at a worker counts for anything; nought: none is told or taken.
+    pub hints: Time,
 }
 
+/// Rings round which hints go: a hint that is lost costs little, and all of them would tell everyone four times.
+const HINT_RINGS: u8 = 2;
+/// What is kept of functions at workers, at most.
+const HINTS: usize = 65_536;
 /// Records of members that are kept, those that ended included, for each instance that may live.
 const RECORDS: usize = 4;
 /// Rows of a list that are taken.
@@ -134,6 +145,8 @@
     /// Records that it is to be told.
     untold: BTreeSet<MemberId>,
     told_at: Time,
+    hints: Untold,
+    hinted_at: Time,
     synced: Time,
 }
 
@@ -158,6 +171,9 @@
     table: Table,
     number: Number,
     book: Book,
+    hints: Hints,
+    /// Those whom this instance tells hints.
+    hinted: BTreeSet<MemberId>,
     links: BTreeMap<LinkId, Link>,
     next_link: u64,
     next_tag: u64,
@@ -223,6 +239,8 @@
             table,
             number,
             book: Book::new(WORKERS),
+            hints: Hints::new(now, bounds.hints, HINTS),
+            hinted: BTreeSet::new(),
             links: BTreeMap::new(),
             next_link: 0,
             next_tag: 0,
@@ -264,6 +282,10 @@
         &self.book
     }
 
+    pub fn hints(&self) -> &Hints {
+        &self.hints
+    }
+
     pub fn number(&self) -> &Number {
         &self.number
     }
@@ -512,6 +534,7 @@
         l.untold.insert(id);
         if known * 2 <= self.table.len() as u64 {
             l.untold.extend(self.table.spoken_of().map(|(id, _)| id));
+            self.hints.whole().into_iter().for_each(|seen| l.hints.push(seen));
         }
         self.unheard.remove(&id);
         if looked_for.is_some_and(|m| m != id) {
@@ -534,6 +557,7 @@
         }
         self.number.linked(now);
         self.flush(now, out, link);
+        self.flush_hints(now, out, link);
         self.beat(now, out, link, true);
         self.settle_rings(now, out);
         if self.to_introduce() {
@@ -669,6 +693,51 @@
         }
     }
 
+    // What is seen of functions at workers. It travels as records do, round fewer rings.
+
+    /// The scheduler here has seen something; others are told where it is news.
+    pub fn saw(
+        &mut self, now: Time, out: &mut impl Outside, worker: WorkerId, function: FunctionId, hint: Hint,
+        held: u64,
+    ) {
+        if let Some(seen) = self.hints.saw(now, self.me.run, worker, function, hint, held) {
+            self.spread_hints(now, out, None, &[seen]);
+        }
+    }
+
+    /// A peer tells what some instances have seen.
+    pub fn hinted(&mut self, now: Time, out: &mut impl Outside, link: LinkId, all: Vec<Seen>) {
+        if self.links.get(&link).is_none_or(|l| l.peer.is_none()) {
+            return;
+        }
+        self.heard(now, link);
+        let new: Vec<Seen> =
+            all.into_iter().filter(|s| s.run != self.me.run && self.hints.told(now, *s)).collect();
+        for s in &new {
+            out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
+        }
+        self.spread_hints(now, out, Some(link), &new);
+    }
+
+    fn spread_hints(&mut self, now: Time, out: &mut impl Outside, from: Option<LinkId>, new: &[Seen]) {
+        let wanted = |l: &Link| matches!(l.purpose, Purpose::Ring(m) if self.hinted.contains(&m));
+        let on = |(id, l): &(&LinkId, &Link)| Some(**id) != from && l.peer.is_some() && wanted(l);
+        let to: Vec<LinkId> = self.links.iter().filter(on).map(|(id, _)| *id).collect();
+        for link in to {
+            let l = self.links.get_mut(&link).expect("just listed");
+            new.iter().for_each(|seen| l.hints.push(*seen));
+            if now - l.hinted_at >= TICK {
+                self.flush_hints(now, out, link);
+            }
+        }
+    }
+
+    fn flush_hints(&mut self, now: Time, out: &mut impl Outside, link: LinkId) {
+        let Some(l) = self.links.get_mut(&link).filter(|l| !l.hints.is_empty()) else { return };
+        l.hinted_at = now;
+        out.hints(link, &l.hints.take());
+    }
+
     fn refuse(&mut self, out: &mut impl Outside, link: LinkId, why: &str) {
         self.refusals += 1;
         out.log(&format!("fleet: a peer is refused: {why}"));
@@ -952,6 +1021,7 @@
         self.doubt(now, out);
         self.judge(now);
         self.table.sweep(now);
+        self.hints.sweep(now);
         let all: Vec<LinkId> =
             self.links.iter().filter(|(_, l)| l.peer.is_some()).map(|(id, _)| *id).collect();
         for link in all {
@@ -968,6 +1038,7 @@
             if !l.untold.is_empty() {
                 self.flush(now, out, link);
             }
+            self.flush_hints(now, out, link);
             if due {
                 self.beat(now, out, link, false);
             }
@@ -1049,6 +1120,9 @@
         let mut wanted = BTreeSet::new();
         for ring in 0..RINGS {
             wanted.extend(observed(ring, self.me, self.heard_from()));
+            if ring + 1 == HINT_RINGS {
+                self.hinted.clone_from(&wanted);
+            }
         }
         let mut linked = BTreeSet::new();
         let mut over = Vec::new();
@@ -1191,6 +1265,8 @@
         asked_list: Time(0),
         untold: BTreeSet::new(),
         told_at: Time(0),
+        hints: Untold::default(),
+        hinted_at: Time(0),
         synced: Time(0),
     }
 }
--- /dev/null
+++ b/crates/curlewpoint-fleet/src/hints.rs
@@ -0,0 +1,158 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
+
+use crate::members::Run;
+
+/// What some instance has seen of a function at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub worker: WorkerId,
+    pub function: FunctionId,
+    pub hint: Hint,
+    /// RPCs of the function that were there.
+    pub held: u64,
+    /// When it was seen, on the clock here; the time on links is not counted in, some milliseconds each.
+    pub at: Time,
+    /// Who saw it, and its number for it: one run counts up.
+    pub run: Run,
+    pub no: u64,
+}
+
+/// The same again is told no sooner than this; what has changed, but for a copy that has come up, no sooner than the
+/// second: where many are turned away each in turn would tell of a load and of its end.
+const AGAIN: Time = Time(20_000);
+const MOVED: Time = Time(5_000);
+/// So many of one's own are told in a second, and so many at once.
+const RATE: f64 = 100.0;
+const BURST: f64 = 200.0;
+
+/// The newest that was seen of each function at each worker, by anybody.
+///
+/// The later sight holds, whoever tells it and however often: any order, grouping and repeats end alike. What has come
+/// from a run before is known by its number, for the ages of two copies of one row differ by what their ways took.
+pub struct Hints {
+    keep: Time,
+    most: usize,
+    all: BTreeMap<(WorkerId, FunctionId), Seen>,
+    /// The last number that came from each run, and when.
+    heard: BTreeMap<Run, (u64, Time)>,
+    next: u64,
+    may: (f64, Time),
+    swept: Time,
+}
+
+impl Hints {
+    /// What is older than `keep` is forgotten; nought: nothing is taken or told. `most`: rows that are kept.
+    pub fn new(now: Time, keep: Time, most: usize) -> Hints {
+        let (all, heard) = Default::default();
+        Hints { keep, most, all, heard, next: 0, may: (BURST, now), swept: now }
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    pub fn get(&self, worker: WorkerId, function: FunctionId) -> Option<&Seen> {
+        self.all.get(&(worker, function))
+    }
+
+    /// What a newcomer is told, each run's in its order: nothing that it hears later from that run is taken for old.
+    pub fn whole(&self) -> Vec<Seen> {
+        let mut all: Vec<Seen> = self.all.values().copied().collect();
+        all.sort_by_key(|s| (s.run, s.no));
+        all
+    }
+
+    /// This instance has seen something; the row, if others are to be told.
+    pub fn saw(
+        &mut self, now: Time, run: Run, worker: WorkerId, function: FunctionId, hint: Hint, held: u64,
+    ) -> Option<Seen> {
+        let known = self.all.get(&(worker, function));
+        // That nothing is there is news only to those who think that something is.
+        let news = known.map_or(hint != Hint::Gone, |k| {
+            let (age, far) = (now - k.at, held.abs_diff(k.held) >= 2 + k.held / 2);
+            let differs = k.hint != hint && (hint == Hint::Warm || age >= MOVED);
+            differs || age >= AGAIN || (far && age >= MOVED)
+        });
+        let (left, since) = self.may;
+        self.may = ((left + RATE * (now - since).ms() / 1000.0).min(BURST), now);
+        if !news || self.keep == Time(0) || self.may.0 < 1.0 {
+            return None;
+        }
+        self.may.0 -= 1.0;
+        self.next += 1;
+        let seen = Seen { worker, function, hint, held, at: now, run, no: self.next };
+        self.put(seen).then_some(seen)
+    }
+
+    /// A peer tells what somebody has seen; whether it is new here, and to be handed on.
+    pub fn told(&mut self, now: Time, seen: Seen) -> bool {
+        if self.keep == Time(0) || now - seen.at >= self.keep {
+            return false;
+        }
+        if self.heard.len() >= self.most && !self.heard.contains_key(&seen.run) {
+            return false;
+        }
+        let last = self.heard.entry(seen.run).or_insert((0, now));
+        if seen.no <= last.0 {
+            return false;
+        }
+        *last = (seen.no, now);
+        self.put(seen)
+    }
+
+    fn put(&mut self, seen: Seen) -> bool {
+        let key = (seen.worker, seen.function);
+        let stamp = |s: &Seen| (s.at, s.run, s.no);
+        let newer = self.all.get(&key).is_none_or(|k| stamp(k) < stamp(&seen));
+        let fits = self.all.len() < self.most || self.all.contains_key(&key);
+        if newer && fits {
+            self.all.insert(key, seen);
+        }
+        newer && fits
+    }
+
+    /// Forgets what is too old to count for anything.
+    pub fn sweep(&mut self, now: Time) {
+        if now - self.swept < MOVED {
+            return;
+        }
+        self.swept = now;
+        let keep = self.keep;
+        self.all.retain(|_, s| now - s.at < keep);
+        // A row of a run lives no longer than this on any way, so an old number cannot come back.
+        self.heard.retain(|_, (_, at)| now - *at < Time(4 * keep.0));
+    }
+}
+
+/// Rows that wait to be told on a link, in their order; beyond the bound the oldest is lost.
+#[derive(Default)]
+pub struct Untold(VecDeque<Seen>);
+
+/// Rows that wait on a link at most, and that leave at a time.
+const WAITING: usize = 8192;
+pub const AT_A_TIME: usize = 512;
+
+impl Untold {
+    pub fn push(&mut self, seen: Seen) {
+        if self.0.len() >= WAITING {
+            self.0.pop_front();
+        }
+        self.0.push_back(seen);
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The next that leave.
+    pub fn take(&mut self) -> Vec<Seen> {
+        let n = self.0.len().min(AT_A_TIME);
+        self.0.drain(..n).collect()
+    }
+}
--- a/crates/curlewpoint-fleet/src/lib.rs
+++ b/crates/curlewpoint-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //!   and the repeats.
 //! - [`observed`]: who looks after whom, on a few rings that every instance reckons alike.
 //! - [`Number`]: how many instances to act on while nobody knows for sure.
+//! - [`Hints`]: what any instance has seen of functions at workers; bounded, never waited for, soon forgotten.
 //! - [`Book`]: the newest list of workers, as it goes from peer to peer.
 //!
 //! What a peer says is never above one's own evidence, and an instance without peers does what it did before there were
@@ -12,12 +13,14 @@
 
 mod book;
 mod fleet;
+mod hints;
 mod members;
 mod number;
 mod rings;
 
 pub use book::{Book, Entry, Source, Taken};
 pub use fleet::{Bounds, Fleet, LinkId, Outside};
+pub use hints::{Hints, Seen};
 pub use members::{InstanceId, Member, MemberId, Refused, Run, Standing, Table};
 pub use number::Number;
 pub use rings::{observed, rank, RINGS, SALT_WATCH};
--- a/crates/curlewpoint-fleet/tests/common/mod.rs
+++ b/crates/curlewpoint-fleet/tests/common/mod.rs
@@ -5,8 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use curlewpoint::types::{Standing as Ready, Time};
-use curlewpoint_fleet::{Bounds, Entry, Fleet, LinkId, Member, MemberId, Outside, Run, Standing};
+use curlewpoint::types::{FunctionId, Hint, Standing as Ready, Time, WorkerId};
+use curlewpoint_fleet::{Bounds, Entry, Fleet, LinkId, Member, MemberId, Outside, Run, Seen, Standing};
 use oorandom::Rand64;
 
 type Say = Box<dyn FnOnce(&mut Fleet, Time, &mut Acts, LinkId)>;
@@ -27,6 +27,9 @@
     pub instances: Option<u64>,
     pub list: Option<(u64, u64)>,
     pub refused: Vec<String>,
+    /// What its scheduler was told that others have seen, and how many rows came and went for it.
+    pub hints: Vec<(WorkerId, FunctionId, Hint, u64)>,
+    pub rows: usize,
 }
 
 impl Acts {
@@ -87,6 +90,19 @@
     }
     fn take_row(&mut self, _: &str, _: &Entry) {}
     fn take_ends(&mut self) {}
+    fn hints(&mut self, link: LinkId, seen: &[Seen]) {
+        self.rows += seen.len();
+        // Ages travel, and the time on the way is not counted: each hop makes a sight look younger.
+        let sent = seen.to_vec();
+        let way = Time(2 + link.0 % 30);
+        self.say(link, move |f, now, out, l| {
+            let all = sent.into_iter().map(|s| Seen { at: (s.at + way).min(now), ..s }).collect();
+            f.hinted(now, out, l, all);
+        });
+    }
+    fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, _: Time) {
+        self.hints.push((worker, function, hint, held));
+    }
     fn instances(&mut self, number: u64) {
         self.instances = Some(number);
     }
@@ -153,7 +169,13 @@
             blind: BTreeSet::new(),
             service_up: true,
             version: (1, 1),
-            bounds: Bounds { instances: 1024, links: 512, watchers: 3, slack: Time(1_500) },
+            bounds: Bounds {
+                instances: 1024,
+                links: 512,
+                watchers: 3,
+                slack: Time(1_500),
+                hints: Time(80_000),
+            },
             told,
             service_dials: Vec::new(),
             worst_sum: 0.0,
@@ -285,6 +307,11 @@
         }
     }
 
+    /// An instance's scheduler sees something of a function at a worker.
+    pub fn saw(&mut self, id: u64, worker: WorkerId, function: FunctionId, hint: Hint) {
+        self.call(id, |f, now, out| f.saw(now, out, worker, function, hint, 0));
+    }
+
     /// The service's change of the list, told to all that watch.
     pub fn change(&mut self) {
         self.version.1 += 1;
--- a/crates/curlewpoint-fleet/tests/properties.rs
+++ b/crates/curlewpoint-fleet/tests/properties.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeSet;
 
 use common::Net;
-use curlewpoint::types::{Standing as Ready, Time};
-use curlewpoint_fleet::{Book, Entry, InstanceId, Source, Standing};
+use curlewpoint::types::{FunctionId, Hint, Standing as Ready, Time, WorkerId};
+use curlewpoint_fleet::{Book, Entry, Hints, InstanceId, Run, Seen, Source, Standing};
 use proptest::prelude::*;
 
 fn standing() -> impl Strategy<Value = Standing> {
@@ -57,6 +57,54 @@
     }
 }
 
+fn sight() -> impl Strategy<Value = Seen> {
+    let hint = prop_oneof![Just(Hint::Gone), Just(Hint::Full), Just(Hint::Loading), Just(Hint::Warm)];
+    (0u64..3, 0u64..3, hint, 0u64..4, 0u64..9, 0u64..4).prop_map(|(worker, function, hint, held, at, run)| {
+        Seen {
+            worker: WorkerId(worker),
+            function: FunctionId(function),
+            hint,
+            held,
+            at: Time(1_000 + at),
+            run: Run(run),
+            no: 0,
+        }
+    })
+}
+
+proptest! {
+    /// Each run's sights come in its order on every way and later ones are no older; runs interleave, and rows repeat.
+    #[test]
+    fn sights_end_alike_whatever_way_they_came(all in proptest::collection::vec(sight(), 1..40), picks in proptest::collection::vec(0usize..4, 200), repeats in proptest::collection::vec(any::<bool>(), 200)) {
+        let mut queues: Vec<Vec<Seen>> = (0..4).map(|r| {
+            let mut of: Vec<Seen> = all.iter().filter(|s| s.run == Run(r)).copied().collect();
+            of.sort_by_key(|s| s.at);
+            of.iter_mut().enumerate().for_each(|(no, s)| s.no = no as u64 + 1);
+            of
+        }).collect();
+        let (now, keep) = (Time(2_000), Time(80_000));
+        let mut plain = Hints::new(now, keep, 100);
+        for s in queues.iter().flatten() {
+            plain.told(now, *s);
+        }
+        let mut mixed = Hints::new(now, keep, 100);
+        queues.iter_mut().for_each(|q| q.reverse());
+        let mut came: Vec<Seen> = Vec::new();
+        for (pick, again) in picks.into_iter().zip(repeats) {
+            let Some(s) = queues[pick].pop() else { continue };
+            mixed.told(now, s);
+            came.push(s);
+            if again {
+                prop_assert!(!mixed.told(now, came[came.len() / 2]), "known by its number");
+            }
+        }
+        for s in queues.into_iter().flat_map(|q| q.into_iter().rev()) {
+            mixed.told(now, s);
+        }
+        prop_assert_eq!(mixed.whole(), plain.whole());
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Start(usize),
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use common::Net;
+use curlewpoint::types::{FunctionId, Hint, WorkerId};
 use curlewpoint_fleet::{InstanceId, LinkId, MemberId, Run};
 use test_case::test_case;
 
@@ -294,3 +295,74 @@
         assert_eq!(net.acted(), BTreeSet::from([5]), "seed {seed}");
     }
 }
+
+const W: WorkerId = WorkerId(1);
+const F: FunctionId = FunctionId(9);
+
+/// How many were told so, each once.
+fn know(net: &Net, hint: Hint) -> usize {
+    let told = |n: &&common::Node| n.acts.hints.iter().filter(|h| **h == (W, F, hint, 0)).count() == 1;
+    net.nodes.values().filter(told).count()
+}
+
+#[test]
+fn what_one_sees_reaches_all_once_and_the_same_again_stays_where_it_is() {
+    let (mut net, ids) = fleet(5, 60, 60);
+    net.run(6_000);
+    net.saw(ids[4], W, F, Hint::Loading);
+    net.run(400);
+    assert_eq!(know(&net, Hint::Loading), 59, "all but the one who saw it");
+    net.saw(ids[9], W, F, Hint::Warm);
+    net.run(400);
+    assert_eq!(know(&net, Hint::Warm), 59);
+    let rows = |net: &Net| net.nodes.values().map(|n| n.acts.rows).sum::<usize>();
+    let before = rows(&net);
+    assert!(before <= 2 * 2 * 60, "{before} rows for two sights: two for each instance and sight at most");
+    ids.iter().for_each(|id| net.saw(*id, W, F, Hint::Warm));
+    net.run(400);
+    assert_eq!(rows(&net), before, "all know it");
+}
+
+#[test]
+fn one_that_starts_is_told_what_the_others_know() {
+    let (mut net, ids) = fleet(6, 20, 21);
+    net.run(6_000);
+    net.saw(ids[4], W, F, Hint::Warm);
+    net.run(3_000);
+    let new = net.start(20, &[0, 1, 2]);
+    net.run(300);
+    assert_eq!(net.nodes[&new].acts.hints, [(W, F, Hint::Warm, 0)]);
+    // It is forgotten in its time, and nobody is told it any more.
+    net.run(8_000);
+    assert!(net.nodes.values().all(|n| n.fleet.hints().is_empty()));
+    let late = net.start(21, &[0, 1, 2]);
+    net.run(300);
+    assert_eq!(net.nodes[&late].acts.hints, []);
+}
+
+#[test]
+fn a_cut_keeps_hints_apart_and_new_ones_pass_once_it_is_over() {
+    let (mut net, ids) = fleet(8, 20, 20);
+    net.run(6_000);
+    let (left, right): (Vec<usize>, Vec<usize>) = ((0..10).collect(), (10..20).collect());
+    net.cut_apart(&left, &right);
+    net.run(3_000);
+    net.saw(ids[4], W, F, Hint::Loading);
+    net.run(1_000);
+    assert_eq!(know(&net, Hint::Loading), 9);
+    net.cut.clear();
+    net.run(10_000);
+    net.saw(ids[14], W, F, Hint::Warm);
+    net.run(1_000);
+    assert_eq!(know(&net, Hint::Warm), 19);
+}
+
+#[test]
+fn one_that_sees_too_much_tells_so_much_and_no_more() {
+    let (mut net, ids) = fleet(9, 3, 3);
+    net.run(6_000);
+    (0..10_000).for_each(|f| net.saw(ids[0], W, FunctionId(f), Hint::Warm));
+    net.run(1_000);
+    let told = net.nodes[&ids[1]].acts.hints.len();
+    assert!((100..=400).contains(&told), "{told}");
+}
--- a/crates/curlewpoint-gateway/src/codes.rs
+++ b/crates/curlewpoint-gateway/src/codes.rs
@@ -1,6 +1,6 @@
 //! The numbers that stand for outcomes, answers and the like in the protocol's fields.
 
-use curlewpoint::types::{Copy, Outcome, Standing};
+use curlewpoint::types::{Copy, Hint, Outcome, Standing};
 use curlewpoint_engine::{Answer, Refusal};
 use curlewpoint_wire::{Field, Frame, WireError};
 
@@ -19,6 +19,7 @@
 const OUTCOMES: [Outcome; 4] = [Outcome::Ok, Outcome::Error, Outcome::Full, Outcome::Miss];
 const COPIES: [Copy; 5] = [Copy::Untold, Copy::Warm, Copy::BeganLoad, Copy::WaitedForLoad, Copy::LoadFailed];
 const STANDINGS: [Standing; 3] = [Standing::Ready, Standing::Draining, Standing::Gone];
+const HINTS: [Hint; 4] = [Hint::Gone, Hint::Full, Hint::Loading, Hint::Warm];
 const ANSWERS: [Answer; 3] = [Answer::Ok, Answer::Denied, Answer::Aborted];
 
 pub fn outcome_code(of: Outcome) -> u64 {
@@ -49,6 +50,15 @@
     read(frame, Field::STANDING, &STANDINGS, "a standing")
 }
 
+pub(crate) fn hint_code(of: Hint) -> u64 {
+    code(&HINTS, of)
+}
+
+/// What a row of hints tells; a later version may tell more, which is passed over.
+pub(crate) fn hint(code: u64) -> Option<Hint> {
+    HINTS.get(code as usize).copied()
+}
+
 pub fn answer_code(of: Answer) -> u64 {
     code(&ANSWERS, of)
 }
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
-use curlewpoint::types::{Outcome, RpcId, Time, WorkerId};
+use curlewpoint::types::{FunctionId, Hint, Outcome, RpcId, Time, WorkerId};
 use curlewpoint_catalogue::{Catalogue, Release, Releases};
 use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
 use curlewpoint_link::{Outbox, Ticket};
@@ -78,6 +78,8 @@
     pub lost: Vec<ClientId>,
     pub list: Option<Outbox>,
     pub releases: Releases,
+    /// What the module has seen since the last look, for peers.
+    pub seen: Vec<(WorkerId, FunctionId, Hint, u64)>,
     /// Which methods each RPC was taken under.
     under: BTreeMap<RpcId, Release>,
     pool: Pool<Frame>,
@@ -95,6 +97,7 @@
             lost: Vec::new(),
             list: None,
             releases,
+            seen: Vec::new(),
             under: BTreeMap::new(),
             pool,
             sockets,
@@ -252,6 +255,10 @@
         self.pool.worker_gone(now, &mut self.sockets, worker);
     }
 
+    fn seen(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64) {
+        self.seen.push((worker, function, hint, held));
+    }
+
     fn taken(&mut self, rpc: RpcId) {
         let release = self.releases.taken();
         self.under.insert(rpc, release);
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use curlewpoint::types::Time;
+use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
 use curlewpoint_config::Config;
 use curlewpoint_engine::Engine;
 use curlewpoint_fleet::{
-    Bounds as FleetBounds, Entry, Fleet, InstanceId, LinkId, Member, MemberId, Outside as Others, Run,
+    Bounds as FleetBounds, Entry, Fleet, InstanceId, LinkId, Member, MemberId, Outside as Others, Run, Seen,
     Standing,
 };
 use curlewpoint_link::{open, Bounds, Link, LinkError, Outbox};
@@ -31,6 +31,9 @@
 
 /// Frames between peers are short: a list goes a row a frame.
 const MOST_FRAME: usize = 64 << 10;
+/// Numbers that a row of hints takes, and rows that a frame holds with room to spare.
+const HINT: usize = 7;
+const HINTS_A_FRAME: usize = 512;
 /// Links opened by peers count from here, those opened from here from one.
 const THEIRS: u64 = 1 << 63;
 /// Beside links: whoever asks how the fleet stands.
@@ -234,6 +237,19 @@
     Ok((f.get_text(Field::WORKER)?, entry))
 }
 
+/// What others have seen of functions at workers; what cannot be known here yet is passed over.
+fn read_hints(now: Time, f: &Frame) -> Result<Vec<Seen>, WireError> {
+    let rows = f.get_ints(Field::ROWS)?;
+    if rows.len() % HINT != 0 {
+        return Err(WireError::NotA(f.kind.0, Field::ROWS.0, "rows of hints"));
+    }
+    let row = |r: &[u64]| {
+        let (worker, function, at) = (WorkerId(r[0]), FunctionId(r[1]), now - Time(r[4]));
+        Some(Seen { worker, function, hint: codes::hint(r[2])?, held: r[3], at, run: Run(r[5]), no: r[6] })
+    };
+    Ok(rows.chunks_exact(HINT).filter_map(row).collect())
+}
+
 impl Others for Hands<'_> {
     fn dial(&mut self, link: LinkId, address: &str) {
         let door = self.peers.door.clone();
@@ -319,6 +335,22 @@
         self.engine.list_ends(self.now);
     }
 
+    fn hints(&mut self, link: LinkId, seen: &[Seen]) {
+        let now = self.now;
+        let row = |s: &Seen| {
+            let age = (now - s.at).0;
+            [s.worker.0, s.function.0, codes::hint_code(s.hint), s.held, age, s.run.0, s.no]
+        };
+        for some in seen.chunks(HINTS_A_FRAME) {
+            let rows: Vec<u64> = some.iter().flat_map(row).collect();
+            self.send(link, Frame::new(Kind::HINTS).ints(Field::ROWS, &rows));
+        }
+    }
+
+    fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time) {
+        self.engine.hinted(self.now, worker, function, hint, held, age);
+    }
+
     fn instances(&mut self, number: u64) {
         self.engine.instances(number);
     }
@@ -340,11 +372,13 @@
         let at = listener.local_addr()?.to_string();
         let address = config.value("fleet", "reached-at").unwrap_or(&at);
         let of = |name| config.number("fleet", name) as usize;
+        let hints = config.value("fleet", "hints").is_some_and(|h| h == "yes");
         let limits = FleetBounds {
             instances: of("most-instances"),
             links: of("most-links"),
             watchers: of("watchers"),
             slack: Time::from_ms(config.number("rpcs", "answer-slack")),
+            hints: Time::from_ms(if hints { config.number("workers", "keep-alive") } else { 0.0 }),
         };
         let (fleet, name) = (config.value("fleet", "name").unwrap_or(""), config.text("name"));
         let (peers, told) = (config.all("fleet", "peers").to_vec(), config.number("", "instances") as u64);
@@ -462,6 +496,10 @@
                 self.call(now, engine, |me, hands| me.list_asked(now, hands, link, held));
             }
             Kind::LIST | Kind::CHANGE | Kind::LIST_END => self.list(now, engine, Some(link), f)?,
+            Kind::HINTS => {
+                let all = read_hints(now, f)?;
+                self.call(now, engine, |me, hands| me.hinted(now, hands, link, all));
+            }
             Kind::FAULT => info!("fleet: a peer says: {}", f.get_text(Field::WHY).unwrap_or("nothing")),
             Kind::STATUS => {
                 let told = Frame::new(Kind::TOLD).body(self.status(now).into_bytes());
@@ -491,6 +529,15 @@
         Ok(())
     }
 
+    /// The module has seen something of functions at workers.
+    pub fn saw(
+        &mut self, now: Time, engine: &mut Engine<Outside>, seen: Vec<(WorkerId, FunctionId, Hint, u64)>,
+    ) {
+        for (worker, function, hint, held) in seen {
+            self.call(now, engine, |me, hands| me.saw(now, hands, worker, function, hint, held));
+        }
+    }
+
     pub fn service_up(&mut self, now: Time, engine: &mut Engine<Outside>) {
         self.call(now, engine, |fleet, hands| fleet.service_up(now, hands));
     }
@@ -561,6 +608,7 @@
         );
         let (epoch, version) = fleet.book().held().unwrap_or_default();
         let age = fleet.age(now).map_or("of unknown age".to_owned(), |a| format!("{:.0} ms old", a.ms()));
+        let _ = writeln!(out, "{} hints of functions at workers", fleet.hints().len());
         let watching = if fleet.is_watching() { "watched from here" } else { "heard from peers" };
         let _ = writeln!(out, "list {epoch}.{version}: {} workers, {age}, {watching}", fleet.book().len());
         let watchers = fleet.watchers();
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -313,6 +313,10 @@
             }
             let now = self.clock.now();
             self.engine.advance(now);
+            let seen = std::mem::take(&mut self.engine.world().seen);
+            if let Some(mesh) = &mut self.mesh {
+                mesh.saw(now, &mut self.engine, seen);
+            }
             for client in std::mem::take(&mut self.engine.world().lost) {
                 self.engine.client_gone(now, client);
             }
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -30,6 +30,8 @@
     pub seed: u64,
     /// Whether the schedulers know of each other.
     pub peers: bool,
+    /// Whether those that do tell each other what they see of functions at workers.
+    pub hints: bool,
     /// Where configurations and logs go.
     pub folder: PathBuf,
 }
@@ -571,7 +573,8 @@
     if let Some((listen, reached, peers)) = fleet {
         let _ = write!(
             out,
-            "fleet {{\n  name {FLEET}\n  listen {listen}\n  reached-at {reached}\n  peers {peers}\n}}\n"
+            "fleet {{\n  name {FLEET}\n  listen {listen}\n  reached-at {reached}\n  peers {peers}\n  hints {}\n}}\n",
+            if plan.hints { "yes" } else { "no" }
         );
     }
     out
--- a/crates/curlewpoint-wire/src/frame.rs
+++ b/crates/curlewpoint-wire/src/frame.rs
@@ -47,6 +47,8 @@
     /// Whoever asks how the fleet stands, and the answer, a text.
     pub const STATUS: Kind = Kind(83);
     pub const TOLD: Kind = Kind(84);
+    /// Between instances: what some have seen of functions at workers.
+    pub const HINTS: Kind = Kind(85);
     /// On disk only: a snapshot begins.
     pub const SNAPSHOT: Kind = Kind(96);
 }
@@ -115,6 +117,8 @@
     pub const KNOWN: Field = Field(40);
     /// On disk only: seconds since 1970.
     pub const WALL: Field = Field(41);
+    /// Whole numbers, some to a row.
+    pub const ROWS: Field = Field(42);
 }
 
 #[derive(Debug, Error, PartialEq)]
@@ -205,6 +209,15 @@
         })
     }
 
+    pub fn ints(self, field: Field, values: &[u64]) -> Frame {
+        self.put(field, |e| {
+            let _ = e.array(values.len() as u64);
+            for v in values {
+                let _ = e.u64(*v);
+            }
+        })
+    }
+
     pub fn body(mut self, body: impl Into<Bytes>) -> Frame {
         self.body = body.into();
         self
@@ -262,6 +275,19 @@
         Ok(all)
     }
 
+    /// A row of whole numbers; an absent one is empty.
+    pub fn get_ints(&self, field: Field) -> Result<Vec<u64>, WireError> {
+        let bad = || WireError::NotA(self.kind.0, field.0, "a row of whole numbers");
+        let Some(mut d) = self.find(field) else { return Ok(Vec::new()) };
+        let Ok(Some(n)) = d.array() else { return Err(bad()) };
+        // Each number takes a byte at least, so a count that lies cannot make us reserve much.
+        let mut all = Vec::with_capacity((n as usize).min(self.head.len()));
+        for _ in 0..n {
+            all.push(d.u64().map_err(|_| bad())?);
+        }
+        Ok(all)
+    }
+
     /// Whether the field is there, whatever it holds.
     pub fn has(&self, field: Field) -> bool {
         self.find(field).is_some_and(|d| !matches!(d.datatype(), Ok(Type::Null)))
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,12 @@
 const USUAL_SHARE: f64 = 0.03;
 const WARM: f64 = 0.8;
 const LOADING: f64 = 0.5;
+/// What other schedulers tell counts for less than what I have seen: a warm copy, and a load under way.
+const HINTED_WARM: f64 = 0.6;
+const HINTED_LOADING: f64 = 0.45;
+const HINTED_FULL: Time = Time(10_000);
+/// An image may be left on the disk.
+const IMAGE: f64 = 0.4;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
 const CEILING_LANES: f64 = 4.0;
 const FULL_HOLD: Time = Time(500);
@@ -283,7 +289,7 @@
         let (function, method, tenant) = (rpc.function, rpc.method, rpc.tenant);
         let Some(out) = rpc.outs.get_mut(no.0).filter(|o| o.open) else { return };
         (out.open, out.never_ran, out.broke) = (false, outcome.never_ran(), outcome == Outcome::Reset);
-        out.full = outcome == Outcome::Full;
+        out.full = outcome == Outcome::Full || copy == Copy::LoadFailed;
         let (worker, sent, was_warm, overdue) = (out.worker, out.sent, out.warm, out.overdue);
         let others = held.saturating_sub(out.beside) as f64;
         if overdue == 0 {
@@ -305,7 +311,8 @@
         }
         match outcome {
             Outcome::Ok if w.since <= sent => {
-                belief.copies = Copies::Warm(now);
+                (belief.copies, belief.seen) = (Copies::Warm(now), now);
+                self.host.seen(worker, function, Hint::Warm, held);
                 w.ceiling = (w.ceiling + 1.0).min(slots);
                 w.fulls = 0;
                 self.answered.push_back(now);
@@ -322,9 +329,13 @@
                 // lack, which says nothing of other functions: others' copies of them may stand there.
                 belief.no_load_until = now + Time((4 * FULL_HOLD.0) << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
-                if was_warm {
-                    w.ceiling = w.mine.max(1) as f64;
+                let hinted = matches!(belief.hint, Some((Hint::Warm, _)));
+                if was_warm || hinted {
+                    w.ceiling = if was_warm { w.mine.max(1) as f64 } else { w.ceiling };
                     w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
+                } else {
+                    (belief.seen, belief.hint) = (now, None);
+                    self.host.seen(worker, function, Hint::Full, held);
                 }
             }
             Outcome::Reset | Outcome::ConnectFailed => {
@@ -340,9 +351,13 @@
                     w.cold_since = w.cold_since.max(Some(now));
                 }
             }
-            Outcome::Miss | Outcome::Error if copy == Copy::LoadFailed => belief.copies = Copies::Unknown,
+            Outcome::Miss | Outcome::Error if copy == Copy::LoadFailed => {
+                (belief.copies, belief.seen, belief.hint) = (Copies::Unknown, now, None);
+                self.host.seen(worker, function, Hint::Gone, 0);
+            }
             Outcome::Miss => {
-                belief.copies = Copies::Unknown;
+                (belief.copies, belief.seen, belief.hint) = (Copies::Unknown, now, None);
+                self.host.seen(worker, function, Hint::Gone, 0);
                 self.order(now, worker, function);
             }
             Outcome::Error => self.judge(now, worker, FAILED),
@@ -365,9 +380,11 @@
         let Some(w) = self.workers.get_mut(&worker) else { return };
         let belief = w.beliefs.entry(function).or_default();
         if outcome == Outcome::Ok && copies > 0 {
-            belief.copies = Copies::Warm(now);
+            (belief.copies, belief.seen) = (Copies::Warm(now), now);
+            self.host.seen(worker, function, Hint::Warm, belief.mine);
         } else if belief.copies == Copies::Loading && belief.mine == 0 {
-            belief.copies = Copies::Unknown;
+            (belief.copies, belief.seen, belief.hint) = (Copies::Unknown, now, None);
+            self.host.seen(worker, function, Hint::Gone, 0);
         }
         self.serve(now);
     }
@@ -471,15 +488,21 @@
 
     fn affinity(now: Time, keep: Time, w: &Worker, belief: Option<&Belief>) -> f64 {
         let stands = |b: &&Belief| matches!(b.copies, Copies::Warm(used) if now - used <= keep);
-        match belief.map_or(Copies::Unknown, |b| b.copies) {
+        let hinted = match belief.and_then(|b| b.hint).filter(|(_, at)| now - *at <= keep) {
+            Some((Hint::Warm, _)) => HINTED_WARM,
+            Some((Hint::Loading, _)) => HINTED_LOADING,
+            _ => 0.0,
+        };
+        let own = match belief.map_or(Copies::Unknown, |b| b.copies) {
             Copies::Warm(_) if belief.is_some_and(|b| b.mine > 0) => 1.0,
             Copies::Warm(used) if now - used <= RECENT.min(keep) => 1.0,
             Copies::Warm(used) if now - used <= keep => WARM,
             Copies::Loading => LOADING,
-            Copies::Warm(_) => 0.4,
+            Copies::Warm(_) => IMAGE,
             Copies::Unknown if w.beliefs.values().filter(stands).take(4).count() < 4 => 0.3,
             Copies::Unknown => 0.0,
-        }
+        };
+        own.max(hinted)
     }
 
     fn affinity_at(&self, now: Time, at: WorkerId, function: FunctionId) -> f64 {
@@ -487,10 +510,6 @@
         Self::affinity(now, self.keep(), w, w.beliefs.get(&function))
     }
 
-    fn is_warm(&self, now: Time, at: WorkerId, function: FunctionId) -> bool {
-        self.affinity_at(now, at, function) >= WARM
-    }
-
     /// The workers with room that the rules let an RPC go to, scored; the crowded ones are marked.
     fn candidates(&self, now: Time, rpc: &Rpc) -> Vec<Candidate> {
         let keep = self.keep();
@@ -517,7 +536,7 @@
             if w.paced > Time(0) {
                 (paced, fastness) = (paced + 1.0, fastness + 1.0 / slowness.max(0.1));
             }
-            homes += if affinity >= LOADING { 1.0 } else { 0.0 };
+            homes += if affinity >= HINTED_LOADING { 1.0 } else { 0.0 };
             ready.push((id, w, belief, affinity, slowness));
         }
         let mean = mine / f64::max(count, 1.0);
@@ -565,7 +584,7 @@
         let mut alike = all.iter().map(|c| c.copies).fold(start, f64::max);
         let mut home = 0.0;
         for c in &mut all {
-            let new = if c.affinity < WARM { home - MEMORY_WEIGHT * c.memory } else { 0.0 };
+            let new = if c.affinity < HINTED_WARM { home - MEMORY_WEIGHT * c.memory } else { 0.0 };
             c.score += new + 1e-9 * self.rng.rand_float();
             if !c.crowded {
                 alike -= 1.0;
@@ -573,7 +592,7 @@
             }
         }
         let best = all.iter().filter(|c| !c.crowded).max_by(|a, b| a.score.total_cmp(&b.score));
-        if let Some(best) = best.filter(|b| b.affinity >= WARM) {
+        if let Some(best) = best.filter(|b| b.affinity >= HINTED_WARM) {
             return Some(best.id);
         }
         // Every pick left would start a load. A crowded worker believed warm that has room takes the RPC, and
@@ -581,8 +600,8 @@
         let least = |fits: &dyn Fn(&Candidate) -> bool| {
             all.iter().filter(|c| fits(c)).min_by(|a, b| a.depth.total_cmp(&b.depth)).map(|c| c.id)
         };
-        let loading = least(&|c| c.affinity == LOADING);
-        if let Some(to) = least(&|c| c.affinity >= WARM) {
+        let loading = least(&|c| (HINTED_LOADING..=LOADING).contains(&c.affinity));
+        if let Some(to) = least(&|c| c.affinity >= HINTED_WARM) {
             if let (None, Some(best)) = (loading, best) {
                 self.order(now, best.id, function);
             }
@@ -596,7 +615,8 @@
     }
 
     fn send(&mut self, now: Time, id: RpcId, to: WorkerId) {
-        let warm = self.is_warm(now, to, self.rpcs[&id].function);
+        let affinity = self.affinity_at(now, to, self.rpcs[&id].function);
+        let (warm, loads) = (affinity >= WARM, affinity < HINTED_WARM);
         let pull = self.part("loadInfo", "how").is_some_and(|how| how == "pull");
         let probes = pull && self.allowed("limits", "probes");
         let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
@@ -607,8 +627,9 @@
         let (open, never_ran, full, broke, beside, overdue) = (true, false, false, false, belief.mine, 0);
         rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, full, broke, warm, beside, overdue });
         belief.mine += 1;
-        if !warm {
-            belief.copies = Copies::Loading;
+        let function = rpc.function;
+        if loads && std::mem::replace(&mut belief.copies, Copies::Loading) != Copies::Loading {
+            self.host.seen(to, function, Hint::Loading, belief.mine);
         }
         self.host.call_out(id, to, Time(0));
         // Probes follow the RPCs taken, to the workers chosen: their number does not grow with the fleet.
@@ -645,6 +666,28 @@
         }
     }
 
+    /// Another scheduler saw this of a function at a worker so long ago. It counts for less than what I have
+    /// seen myself, and for nothing once I have seen more, past keep-alive, or if the worker started since.
+    /// Guards against a fleet in which each scheduler finds every copy anew. May hurt where it is wrong: an
+    /// RPC begins a load there, as it would have elsewhere.
+    pub fn hinted(
+        &mut self, now: Time, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time,
+    ) {
+        let at = now - age;
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        let belief = w.beliefs.entry(function).or_default();
+        let told = belief.hint.map_or(Time(0), |h| h.1).max(w.cold_since.unwrap_or_default());
+        if at <= told.max(belief.seen) {
+            return;
+        }
+        belief.hint = Some((hint, at));
+        if hint == Hint::Full {
+            belief.no_load_until = belief.no_load_until.max(at + HINTED_FULL);
+        } else if hint == Hint::Warm {
+            belief.tell(now, held.saturating_sub(belief.mine) as f64, FADES, step(now - belief.told));
+        }
+    }
+
     /// A load report came, with an answer or alone.
     pub fn report_read(&mut self, now: Time, worker: WorkerId, report: &[f64]) {
         let names = self.part("loadInfo", "names").and_then(Value::as_array);
@@ -698,7 +741,7 @@
         let to = if waits == Some(false) { self.pick(now, id) } else { None };
         match to {
             None if waits.is_none() || self.hopeless(now, id) => self.give_up(now, id),
-            Some(to) if self.loads_rationed(to, id) => self.give_up(now, id),
+            Some(to) if self.loads_rationed(now, to, id) => self.give_up(now, id),
             Some(to) => self.send(now, id, to),
             None => return true,
         }
@@ -707,7 +750,8 @@
 
     /// Tries an RPC's further call-out; true: it has to wait. One beside an open call-out goes only where a
     /// copy is believed warm, and does not wait. What proves that it never ran costs nothing of the budget.
-    /// Turned away by two workers at which it would have begun a load, an RPC begins none elsewhere. Guards
+    /// Turned away by two workers at which it would have begun a load, or failed by two loads, an RPC begins
+    /// none elsewhere: a store that turns fetches away does so whoever asks. Guards
     /// against schedulers that each scatter a function's loads beyond its homes: these turn away further
     /// loads, and the fleet stays so. Should hold for any lack of room for loads. May hurt a small fleet
     /// where a third worker alone has room: the function's next RPCs find it.
@@ -723,7 +767,7 @@
         let rpc = &self.rpcs[&id];
         let turned_away = rpc.outs.iter().filter(|o| o.full && !o.warm).count() >= LOADS_TRIED;
         let least = if beside {
-            WARM
+            HINTED_WARM
         } else if turned_away {
             LOADING
         } else {
@@ -796,7 +840,8 @@
         self.rate = n.saturating_sub(1) as f64 / over.max(LEAST_RATE_OVER).ms();
         self.best_rate = self.rate.max(self.best_rate * FADE);
         self.most_ready = (self.ready().count() as f64).max(self.most_ready * FADE);
-        let keep = self.span("familyInfo", "keepAlive");
+        let keep = self.keep();
+        let told = |b: &Belief| b.hint.is_some_and(|(_, at)| now - at <= keep);
         for w in self.workers.values_mut() {
             if w.suspect && w.mine == 0 {
                 w.evidence = (w.evidence - FADING * TICK.ms()).max(0.0);
@@ -804,7 +849,7 @@
             }
             w.beliefs.retain(|_, b| match b.copies {
                 Copies::Warm(used) => b.mine > 0 || now - used <= keep + keep,
-                copies => b.mine > 0 || copies != Copies::Unknown || b.no_load_until > now,
+                copies => b.mine > 0 || copies != Copies::Unknown || b.no_load_until > now || told(b),
             });
         }
         self.forget_gone(now);
@@ -839,6 +884,7 @@
         };
         w.beliefs.entry(function).or_default().copies = Copies::Loading;
         self.orders.push_back(now);
+        self.host.seen(at, function, Hint::Loading, 0);
         self.host.load(at, function, 1);
     }
 
@@ -882,11 +928,11 @@
     }
 
     /// Whether there are loads enough near the bound: they push out wanted copies and take memory and cores.
-    fn loads_rationed(&self, to: WorkerId, id: RpcId) -> bool {
+    fn loads_rationed(&self, now: Time, to: WorkerId, id: RpcId) -> bool {
         let (limit, out, _) = self.load(self.rpcs[&id].tenant);
         let loading = |w: &Worker| w.beliefs.values().filter(|b| b.copies == Copies::Loading).count();
         out > CLOSE * limit
-            && self.workers[&to].copies(self.rpcs[&id].function) == Copies::Unknown
+            && self.affinity_at(now, to, self.rpcs[&id].function) < IMAGE
             && self.workers.values().map(loading).sum::<usize>() * 8 >= self.workers.len()
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,6 +1,6 @@
 //! What the decision module can do in the world: whoever runs it implements this.
 
-use crate::types::{CallOutNo, FunctionId, RpcId, Time, WakeId, WorkerId};
+use crate::types::{CallOutNo, FunctionId, Hint, RpcId, Time, WakeId, WorkerId};
 
 pub trait Host {
     /// Sends the RPC to a worker, to be answered within `limit`. Call-outs of an RPC count from 0.
@@ -21,6 +21,9 @@
     fn wake(&mut self, delay: Time, id: WakeId);
     /// Asks for changes of the list of workers from now on, where they have to be asked for.
     fn watch_list(&mut self);
+    /// What I have seen just now of a function at a worker, and how many RPCs of it were there; other schedulers may be
+    /// told. Where schedulers share nothing it goes nowhere.
+    fn seen(&mut self, _worker: WorkerId, _function: FunctionId, _hint: Hint, _held: u64) {}
     /// Adds a line to the operators' log.
     fn log(&mut self, line: &str);
 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -23,6 +23,10 @@
     pub told: Time,
     /// The worker turned the function away where it lacked a copy: no load is begun there until then.
     pub no_load_until: Time,
+    /// When I last saw myself whether a copy stands there.
+    pub seen: Time,
+    /// What another scheduler has seen since, and when.
+    pub hint: Option<(Hint, Time)>,
 }
 
 impl Belief {
@@ -82,10 +86,6 @@
 }
 
 impl Worker {
-    pub fn copies(&self, function: FunctionId) -> Copies {
-        self.beliefs.get(&function).map_or(Copies::Unknown, |b| b.copies)
-    }
-
     pub fn slowness_now(&self, now: Time, half: f64) -> f64 {
         let told = if self.paced == Time(0) { 1.0 } else { self.slowness };
         faded(told, 1.0, now - self.paced, half)
@@ -99,7 +99,7 @@
 
     /// A death, a restart or a broken connection: nothing that was believed of its copies holds.
     pub fn forget_copies(&mut self) {
-        self.beliefs.values_mut().for_each(|b| b.copies = Copies::Unknown);
+        self.beliefs.values_mut().for_each(|b| (b.copies, b.hint) = (Copies::Unknown, None));
     }
 }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -76,6 +76,19 @@
     Gone,
 }
 
+/// What schedulers that know of each other tell of a function at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Hint {
+    /// A copy is not there, or a load of it failed.
+    Gone,
+    /// It was turned away where it lacked a copy.
+    Full,
+    /// A load is under way.
+    Loading,
+    /// A copy gave an answer.
+    Warm,
+}
+
 /// How a call-out, a probe or a load order ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -46,6 +46,9 @@
     fn watch_list(&mut self) {
         self.did("watch".into());
     }
+    fn seen(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, _held: u64) {
+        self.did(format!("seen {} {} {hint:?}", worker.0, function.0));
+    }
     fn log(&mut self, line: &str) {
         self.did(format!("log {line}"));
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -434,3 +434,119 @@
     let two = [s.rpc(IDEMPOTENT, 9), s.rpc(IDEMPOTENT, 9)];
     assert_eq!(two.iter().map(|r| s.calls(*r).len()).sum::<usize>(), called_out);
 }
+
+/// The worker that an RPC for function 9 goes to where nobody told anything, of four, and another one.
+fn home_and_other() -> (u64, u64) {
+    let mut s = Story::new(4);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    let home = s.calls(rpc)[0];
+    (home, home % 4 + 1)
+}
+
+fn hinted(s: &mut Story, worker: u64, hint: Hint, age_ms: u64) {
+    s.srv.hinted(s.now(), WorkerId(worker), FunctionId(9), hint, 0, Time(age_ms * 10));
+}
+
+#[test_case(Hint::Warm, 0, true ; "a warm copy")]
+#[test_case(Hint::Loading, 100, true ; "a load under way")]
+#[test_case(Hint::Warm, 8_100, false ; "a copy past keep-alive")]
+#[test_case(Hint::Gone, 0, false ; "a copy that is gone")]
+fn goes_where_others_have_a_copy(hint: Hint, age_ms: u64, goes: bool) {
+    let (home, other) = home_and_other();
+    let mut s = Story::new(4);
+    hinted(&mut s, other, hint, age_ms);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.calls(rpc), [if goes { other } else { home }]);
+}
+
+#[test]
+fn what_others_told_lapses_by_itself() {
+    let (home, other) = home_and_other();
+    let mut s = Story::new(4);
+    hinted(&mut s, other, Hint::Warm, 0);
+    s.pass(8_100);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.calls(rpc), [home]);
+}
+
+#[test]
+fn own_evidence_stands_above_what_others_tell() {
+    let (home, other) = home_and_other();
+    let mut s = Story::new(4);
+    assert_eq!(s.served(9), home);
+    hinted(&mut s, other, Hint::Warm, 0);
+    assert_eq!(s.served(9), home, "my own warm copy first");
+    let mut s = Story::new(4);
+    hinted(&mut s, other, Hint::Warm, 0);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    s.ms += 50;
+    s.end(rpc, 0, Outcome::Miss, Copy::LoadFailed);
+    hinted(&mut s, other, Hint::Warm, 60);
+    let next = s.rpc(IDEMPOTENT, 9);
+    assert_ne!(s.calls(next), [other], "I was there after whoever told that");
+}
+
+#[test]
+fn a_hint_moves_no_rpc_to_a_worker_that_the_rules_forbid() {
+    let (_, other) = home_and_other();
+    let mut s = Story::new(4);
+    hinted(&mut s, other, Hint::Warm, 0);
+    s.list(other, Standing::Draining, 0);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_ne!(s.calls(rpc), [other], "it drains");
+    // It starts anew, empty and cold: what was told before is void, and what is told now spends no more of its budget.
+    let start = s.ms;
+    s.list(other, Standing::Ready, start);
+    hinted(&mut s, other, Hint::Warm, 10);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_ne!(s.calls(rpc), [other], "its process has ended since");
+    s.ms += 100;
+    let sent: Vec<u64> = (0..8)
+        .map(|_| {
+            hinted(&mut s, other, Hint::Warm, 0);
+            s.rpc(IDEMPOTENT, 9)
+        })
+        .collect();
+    let there = sent.iter().filter(|&&r| s.calls(r) == [other]).count();
+    assert!(there <= 1, "{there} of eight at once to a worker that is cold");
+}
+
+#[test]
+fn a_load_that_others_were_refused_is_begun_elsewhere() {
+    let (home, _) = home_and_other();
+    let mut s = Story::new(4);
+    hinted(&mut s, home, Hint::Full, 0);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_ne!(s.calls(rpc), [home]);
+    let mut s = Story::new(4);
+    hinted(&mut s, home, Hint::Full, 1_100);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.calls(rpc), [home], "a moment later it may have room again");
+}
+
+#[test]
+fn what_was_seen_is_told_once_it_is_known() {
+    let mut s = Story::new(4);
+    let first = s.rpc(IDEMPOTENT, 9);
+    let at = s.calls(first)[0];
+    s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.deeds("seen"), [format!("seen {at} 9 Loading")], "the second one queues behind it");
+    s.held = 3;
+    s.end(first, 0, Outcome::Ok, Copy::BeganLoad);
+    assert_eq!(s.deeds("seen").last(), Some(&format!("seen {at} 9 Warm")));
+}
+
+#[test]
+fn an_rpc_that_two_loads_failed_waits_for_a_copy_and_does_not_try_all_workers() {
+    let mut s = Story::new(6);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    s.end(rpc, 0, Outcome::Miss, Copy::LoadFailed);
+    s.end(rpc, 1, Outcome::Miss, Copy::LoadFailed);
+    assert_eq!(s.calls(rpc).len(), 2, "the store turns fetches away, whichever worker asks");
+    assert!(s.deeds("deny").is_empty());
+    let other = s.rpc(IDEMPOTENT, 9);
+    let at = s.calls(other)[0];
+    s.ms += 100;
+    s.end(other, 0, Outcome::Ok, Copy::BeganLoad);
+    assert_eq!(s.calls(rpc)[2..], [at]);
+}
