--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use clap::{Args, Subcommand, ValueEnum};
 use curlewpoint_link::{open, Bounds};
-use curlewpoint_rig::{folder, run, Figures, Plan, Play, Program, PLAYS};
+use curlewpoint_rig::{folder, run, Bound, Figures, Plan, Play, Program, PLAYS};
 use curlewpoint_wire::{Frame, Kind};
 use tokio::net::TcpStream;
 use tokio::signal::unix::{signal, SignalKind};
@@ -129,6 +129,12 @@
             columns.push((name.to_owned(), outcome.figures));
         }
         print!("\n{}", Figures::draw(&columns));
+        let bound = Bound::of(&play.script);
+        let steady = bound.steady.map_or("never".to_owned(), |t| format!("from {:.0} ms", t.ms()));
+        println!(
+            "store and workers alone, all known ahead: 95 in 100 ok {steady}, after {} loads; {:.0} come before and find no copy free",
+            bound.loads, bound.unmet
+        );
         if self.keep.is_none() {
             let _ = std::fs::remove_dir_all(&root);
         }
--- a/crates/curlewpoint-lab/src/stand/store.rs
+++ b/crates/curlewpoint-lab/src/stand/store.rs
@@ -25,6 +25,7 @@
     pub address: SocketAddr,
     faults: mpsc::UnboundedSender<Fault>,
     turned_away: Arc<AtomicU64>,
+    asked: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -40,9 +41,10 @@
         let address = listener.local_addr()?;
         let (faults, given) = mpsc::unbounded_channel();
         let turned_away = Arc::new(AtomicU64::new(0));
-        let count = Arc::clone(&turned_away);
-        let task = tokio::spawn(run(listener, record.clone(), StoreModel::new(spec), given, count));
-        Ok(StoreStand { address, faults, turned_away, task })
+        let asked = Arc::new(AtomicU64::new(0));
+        let counts = (Arc::clone(&turned_away), Arc::clone(&asked));
+        let task = tokio::spawn(run(listener, record.clone(), StoreModel::new(spec), given, counts));
+        Ok(StoreStand { address, faults, turned_away, asked, task })
     }
 
     /// Fetches that were turned away so far.
@@ -50,6 +52,11 @@
         self.turned_away.load(Ordering::Relaxed)
     }
 
+    /// Fetches that were asked for so far.
+    pub fn asked(&self) -> u64 {
+        self.asked.load(Ordering::Relaxed)
+    }
+
     pub fn stop_until(&self, until: Time) {
         let _ = self.faults.send(Fault::Stop(until));
     }
@@ -61,7 +68,7 @@
 
 async fn run(
     listener: TcpListener, record: Record, mut model: StoreModel, mut faults: mpsc::UnboundedReceiver<Fault>,
-    turned_away: Arc<AtomicU64>,
+    (turned_away, all): (Arc<AtomicU64>, Arc<AtomicU64>),
 ) {
     let (heard, mut hear) = mpsc::unbounded_channel();
     let (_mute, muted) = watch::channel(false);
@@ -89,6 +96,7 @@
                     let (Ok(tag), Ok(work)) = (f.get_int(Field::TAG), f.get_int(Field::WORK)) else { continue };
                     next += 1;
                     asked.insert(FetchId(next), (id, tag));
+                    all.fetch_add(1, Ordering::Relaxed);
                     if !model.fetch(record.now(), FetchId(next), Time(work).ms()) {
                         turned_away.store(model.turned_away, Ordering::Relaxed);
                         answer(&peers, &mut asked, FetchId(next), Outcome::Full);
--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -48,7 +48,8 @@
     pub gossip: f64,
     /// Of an instance: the part of a core that it used, and its most memory.
     pub cost: Option<(f64, f64)>,
-    /// Fetches that the store turned away.
+    /// Fetches that the store was asked for, and that it turned away.
+    pub fetches: u64,
     pub turned_away: u64,
 }
 
@@ -200,7 +201,7 @@
             ("an instance: part of a core; MB at most", |f| {
                 f.cost.map_or("-".into(), |(core, mb)| format!("{:.2}%; {mb:.1}", core * 100.0))
             }),
-            ("fetches that the store turned away", |f| f.turned_away.to_string()),
+            ("fetches asked of the store; turned away", |f| format!("{}; {}", f.fetches, f.turned_away)),
         ];
         // Writing to a String cannot fail.
         let _ = write!(out, "{:42}", "");
--- a/crates/curlewpoint-rig/src/lib.rs
+++ b/crates/curlewpoint-rig/src/lib.rs
@@ -4,6 +4,7 @@
 //! A [`Play`] tells the fleet, the load and the faults; one seed gives the same faults again. What is judged is what
 //! passed through the relays and at the far ends of them, which are the rig's own; no scheduler is asked about itself.
 
+mod bound;
 mod figures;
 mod forge;
 mod play;
@@ -11,6 +12,7 @@
 mod relay;
 mod run;
 
+pub use bound::Bound;
 pub use figures::{Figures, WINDOW};
 pub use play::{Action, At, Limit, Play, Who, PLAYS};
 pub use process::{Process, Program};
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -536,7 +536,7 @@
         let mut figures = Figures::of(&tape, &seen, began, self.over, end, n, &self.gone);
         let lived = Duration::from_micros((end - began).0 * 100);
         figures.cost = cost(&costs, lived);
-        figures.turned_away = self.store.turned_away();
+        (figures.turned_away, figures.fetches) = (self.store.turned_away(), self.store.asked());
         for (limit, most) in &self.plan.play.expects {
             missed.extend(miss(*limit, *most, &figures, self.plan.peers));
         }
