Let an instance that keeps out of hints hand them on, and show them between processes

Cause: with three instances, one with `hints no` stood between the other two on both rings, and the process test of what one sees and another is told never ended. It hands on now, tells and takes none. Tests: a story with a cut, and processes with a worker, a store and a list; one of them starts anew.

--- a/crates/curlewpoint-cli/tests/fleet.rs
+++ b/crates/curlewpoint-cli/tests/fleet.rs
@@ -61,6 +61,7 @@
 struct Gateway {
     child: Child,
     peers: String,
+    clients: String,
 }
 
 impl Drop for Gateway {
@@ -93,16 +94,18 @@
         let config = self.0.join(format!("{name}.conf"));
         let text = format!(
             "name {name}\nlisten 127.0.0.1:0\nlist {list}\ninstances 2\nmethod m {{\n  effect idempotent\n  \
-             soft-deadline 1s\n  deadline 2s\n}}\nfleet {{\n  name {fleet}\n  listen 127.0.0.1:0\n{more}}}\n"
+             soft-deadline 1s\n  deadline 2s\n}}\nworkers {{\n  keep-alive 10min\n}}\nfleet {{\n  name {fleet}\n  \
+             listen 127.0.0.1:0\n{more}}}\n"
         );
         std::fs::write(&config, text).expect("written");
         let mut child = program()
             .arg("serve")
             .arg(&config)
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
             .expect("it starts");
+        let clients = first_address(&mut child);
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         while !line.contains("peers may come") {
@@ -113,10 +116,60 @@
         let peers = at.trim_matches('"').to_owned();
         // What it logs further has to be read, or it would wait.
         std::thread::spawn(move || std::io::copy(&mut log.by_ref(), &mut std::io::sink()));
-        Gateway { child, peers }
+        Gateway { child, peers, clients }
     }
 }
 
+/// The address at the end of the first line that a process prints.
+fn first_address(child: &mut Child) -> String {
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().expect("piped")).read_line(&mut line).expect("text");
+    line.trim().rsplit(' ').next().expect("an address").to_owned()
+}
+
+/// A stand-in that is killed with its test.
+struct Stand(Child, String);
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
+
+fn stand(args: &[&str]) -> Stand {
+    let mut child = program().args(args).stdout(Stdio::piped()).spawn().expect("it starts");
+    let address = first_address(&mut child);
+    Stand(child, address)
+}
+
+/// What one instance has seen of a copy the others know, over one that keeps out of it and when they start anew as well.
+#[test]
+fn what_one_sees_at_a_worker_the_others_are_told() {
+    let folder = Folder::new("fleet-hints");
+    let store = stand(&["store", "127.0.0.1:0"]);
+    let script = folder.0.join("x.day");
+    std::fs::write(&script, "method m {\n  work 1ms\n  load 20ms\n}\n").expect("written");
+    let script = script.display().to_string();
+    let worker = stand(&["worker", "127.0.0.1:0", "--store", &store.1, "--script", &script]);
+    let list = stand(&["list", "127.0.0.1:0", "--worker", &format!("w-0={}", worker.1)]);
+    let one = folder.gateway_at("front-1", "records", "", &list.1);
+    let peers = format!("  peers {}\n", one.peers);
+    let two = folder.gateway_at("front-2", "records", &peers, &list.1);
+    let out_of_it = folder.gateway_at("front-3", "records", &format!("{peers}  hints no\n"), &list.1);
+    for at in [&one, &two, &out_of_it] {
+        until_told(&at.peers, "3 live");
+        until_told(&at.peers, ": 1 workers");
+    }
+    assert!(status(&two.peers).1.contains("\n0 hints"), "nobody has asked for anything");
+    let call =
+        program().args(["call", &one.clients, "m", "births", "--left", "2s"]).output().expect("it runs");
+    assert_eq!(call.status.code(), Some(0), "{}", String::from_utf8_lossy(&call.stderr));
+    until_told(&two.peers, "\n1 hints");
+    drop(two);
+    let again = folder.gateway_at("front-2", "records", &peers, &list.1);
+    until_told(&again.peers, "\n1 hints");
+}
+
 fn status(at: &str) -> (Option<i32>, String) {
     let out = program().args(["fleet", "status", at]).output().expect("it runs");
     (
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -273,7 +273,7 @@
             d("peers", Addresses, "", "", "Some instances to begin with, this one among them or not; all others are heard of from them."),
             d("snapshot", Text, "", "", "A file that keeps list and addresses of instances for the next start; absent: there is none. Found from the configuration's folder."),
             d("snapshot-age", Time, "10min", "", "An older snapshot is not used."),
-            d("hints", YesNo, "yes", "", "Whether instances tell each other what they see of functions at workers: copies, loads under way, refusals."),
+            d("hints", YesNo, "yes", "", "Whether this instance tells peers what it sees of functions at workers (copies, loads under way, refusals) and takes what they tell."),
             d("watchers", Number, "3", "", "Instances that watch the list for all."),
             d("most-instances", Number, "1000", "", "Instances that are known at a time; four times as many are remembered with those that ended."),
             d("most-links", Number, "512", "", "Links that peers may open to this instance."),
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -62,8 +62,11 @@
     pub watchers: usize,
     /// How long before its client's time is up the scheduler answers what it gives up on.
     pub slack: Time,
-    /// How long what an instance has seen of a function at a worker counts for anything; nought: none is told or taken.
+    /// How long what an instance has seen of a function at a worker counts for anything.
     pub hints: Time,
+    /// Whether this instance tells what it sees and takes what others saw; it hands that on all the same, as it stands on
+    /// the rings like any other.
+    pub hinted: bool,
 }
 
 /// Rings round which hints go: a hint that is lost costs little, and all of them would tell everyone four times.
@@ -700,6 +703,9 @@
         &mut self, now: Time, out: &mut impl Outside, worker: WorkerId, function: FunctionId, hint: Hint,
         held: u64,
     ) {
+        if !self.bounds.hinted {
+            return;
+        }
         if let Some(seen) = self.hints.saw(now, self.me.run, worker, function, hint, held) {
             self.spread_hints(now, out, None, &[seen]);
         }
@@ -713,7 +719,7 @@
         self.heard(now, link);
         let new: Vec<Seen> =
             all.into_iter().filter(|s| s.run != self.me.run && self.hints.told(now, *s)).collect();
-        for s in &new {
+        for s in new.iter().filter(|_| self.bounds.hinted) {
             out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
         }
         self.spread_hints(now, out, Some(link), &new);
--- a/crates/curlewpoint-fleet/src/hints.rs
+++ b/crates/curlewpoint-fleet/src/hints.rs
@@ -43,7 +43,7 @@
 }
 
 impl Hints {
-    /// What is older than `keep` is forgotten; nought: nothing is taken or told. `most`: rows that are kept.
+    /// What is older than `keep` is forgotten; `most`: rows that are kept.
     pub fn new(now: Time, keep: Time, most: usize) -> Hints {
         let (all, heard) = Default::default();
         Hints { keep, most, all, heard, next: 0, may: (BURST, now), swept: now }
@@ -81,7 +81,7 @@
         });
         let (left, since) = self.may;
         self.may = ((left + RATE * (now - since).ms() / 1000.0).min(BURST), now);
-        if !news || self.keep == Time(0) || self.may.0 < 1.0 {
+        if !news || self.may.0 < 1.0 {
             return None;
         }
         self.may.0 -= 1.0;
@@ -92,7 +92,7 @@
 
     /// A peer tells what somebody has seen; whether it is new here, and to be handed on.
     pub fn told(&mut self, now: Time, seen: Seen) -> bool {
-        if self.keep == Time(0) || now - seen.at >= self.keep {
+        if now - seen.at >= self.keep {
             return false;
         }
         if self.heard.len() >= self.most && !self.heard.contains_key(&seen.run) {
--- a/crates/curlewpoint-fleet/tests/common/mod.rs
+++ b/crates/curlewpoint-fleet/tests/common/mod.rs
@@ -175,6 +175,7 @@
                 watchers: 3,
                 slack: Time(1_500),
                 hints: Time(80_000),
+                hinted: true,
             },
             told,
             service_dials: Vec::new(),
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -357,6 +357,25 @@
     assert_eq!(know(&net, Hint::Warm), 19);
 }
 
+#[test]
+fn one_that_keeps_out_of_it_hands_hints_on_and_takes_and_tells_none() {
+    let mut net = Net::new(4, 3);
+    let one = net.start(0, &[0, 1, 2]);
+    net.bounds.hinted = false;
+    let out_of_it = net.start(1, &[0, 1, 2]);
+    net.bounds.hinted = true;
+    let two = net.start(2, &[0, 1, 2]);
+    net.run(6_000);
+    // Whichever way the rings go, one of these two comes to the other by the third alone.
+    net.cut_apart(&[0], &[2]);
+    net.run(3_000);
+    net.saw(one, W, F, Hint::Warm);
+    net.saw(out_of_it, WorkerId(2), F, Hint::Warm);
+    net.run(1_000);
+    assert_eq!(net.nodes[&two].acts.hints, [(W, F, Hint::Warm, 0)]);
+    assert_eq!(net.nodes[&out_of_it].acts.hints, []);
+}
+
 #[test]
 fn one_that_sees_too_much_tells_so_much_and_no_more() {
     let (mut net, ids) = fleet(9, 3, 3);
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -372,13 +372,13 @@
         let at = listener.local_addr()?.to_string();
         let address = config.value("fleet", "reached-at").unwrap_or(&at);
         let of = |name| config.number("fleet", name) as usize;
-        let hints = config.value("fleet", "hints").is_some_and(|h| h == "yes");
         let limits = FleetBounds {
             instances: of("most-instances"),
             links: of("most-links"),
             watchers: of("watchers"),
             slack: Time::from_ms(config.number("rpcs", "answer-slack")),
-            hints: Time::from_ms(if hints { config.number("workers", "keep-alive") } else { 0.0 }),
+            hints: Time::from_ms(config.number("workers", "keep-alive")),
+            hinted: config.value("fleet", "hints").is_some_and(|h| h == "yes"),
         };
         let (fleet, name) = (config.value("fleet", "name").unwrap_or(""), config.text("name"));
         let (peers, told) = (config.all("fleet", "peers").to_vec(), config.number("", "instances") as u64);
--- a/crates/curlewpoint-gateway/src/snapshot.rs
+++ b/crates/curlewpoint-gateway/src/snapshot.rs
@@ -122,8 +122,14 @@
     const NOW: Time = Time(864_000_000);
 
     fn fleet() -> Fleet {
-        let bounds =
-            Bounds { instances: 10, links: 10, watchers: 3, slack: Time(1_500), hints: Time(80_000) };
+        let bounds = Bounds {
+            instances: 10,
+            links: 10,
+            watchers: 3,
+            slack: Time(1_500),
+            hints: Time(80_000),
+            hinted: true,
+        };
         Fleet::start(NOW, "f", ("n", Run(1)), "a", vec!["b".into()], 1, bounds, 1)
     }
 
