--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -559,6 +559,10 @@
             self.watch_from.0 = Some(now + wait);
         }
         self.number.linked(now);
+        if known <= 1 {
+            // One that has just started can serve by the list; records of members, hundreds of them, come behind it.
+            self.tell_list(out, link, None);
+        }
         self.flush(now, out, link);
         self.flush_hints(now, out, link);
         self.beat(now, out, link, true);
