Reckon whom to look after only when records have changed, and whom to meet only when it is due

Cause, by a profile of 200 instances: each tick of each reckoned eight times over all members who is next on the rings, sorted all for the watchers, and put all addresses in order to find nobody to meet. Tried and not kept: records round half of the rings late and only where digests differ: no faster.

--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -175,7 +175,10 @@
     number: Number,
     book: Book,
     hints: Hints,
-    /// Those whom this instance tells hints.
+    /// Those whom this instance looks after, and the records and the silent ones by which they were found.
+    wanted: BTreeSet<MemberId>,
+    wanted_by: (u64, Vec<MemberId>),
+    /// Those of them whom it tells hints.
     hinted: BTreeSet<MemberId>,
     links: BTreeMap<LinkId, Link>,
     next_link: u64,
@@ -243,6 +246,8 @@
             number,
             book: Book::new(WORKERS),
             hints: Hints::new(now, bounds.hints, HINTS),
+            wanted: BTreeSet::new(),
+            wanted_by: (0, Vec::new()),
             hinted: BTreeSet::new(),
             links: BTreeMap::new(),
             next_link: 0,
@@ -307,9 +312,14 @@
     fn first(&self, seeing: bool) -> BTreeSet<MemberId> {
         let unfit = |s: Standing| s.is_suspect() || (seeing && s.blind);
         let fit = self.table.living().filter(|(_, m)| !unfit(m.standing)).map(|(id, _)| id);
-        let mut all: Vec<MemberId> = fit.collect();
-        all.sort_by_cached_key(|id| rank(SALT_WATCH, *id));
-        all.into_iter().take(self.bounds.watchers).collect()
+        let mut first = BTreeSet::new();
+        for id in fit {
+            first.insert((rank(SALT_WATCH, id), id));
+            if first.len() > self.bounds.watchers {
+                first.pop_last();
+            }
+        }
+        first.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Links that are up.
@@ -1127,13 +1137,18 @@
 
     /// Links to those whom this instance looks after, and to nobody else.
     fn settle_rings(&mut self, now: Time, out: &mut impl Outside) {
-        let mut wanted = BTreeSet::new();
-        for ring in 0..RINGS {
-            wanted.extend(observed(ring, self.me, self.heard_from()));
-            if ring + 1 == HINT_RINGS {
-                self.hinted.clone_from(&wanted);
+        let by = (self.table.digest(), self.unheard.keys().copied().collect());
+        if by != self.wanted_by {
+            let mut wanted = BTreeSet::new();
+            for ring in 0..RINGS {
+                wanted.extend(observed(ring, self.me, self.heard_from()));
+                if ring + 1 == HINT_RINGS {
+                    self.hinted.clone_from(&wanted);
+                }
             }
+            (self.wanted, self.wanted_by) = (wanted, by);
         }
+        let wanted = &self.wanted;
         let mut linked = BTreeSet::new();
         let mut over = Vec::new();
         for (id, l) in &mut self.links {
@@ -1185,14 +1200,17 @@
         if self.links.values().any(|l| matches!(l.purpose, Purpose::Meet) && l.peer.is_none()) {
             return;
         }
+        let (reached, chance) = self.reached;
         let alone = self.links.values().all(|l| l.peer.is_none());
+        if !alone && !self.to_introduce() && now - reached < REACH_OUT.0 {
+            return;
+        }
         let pause = match (alone, self.unmet().is_empty()) {
             _ if self.to_introduce() => Time(0),
             (true, _) => BACK_OFF.0,
             (false, false) => REACH_OUT.0,
             (false, true) => REACH_OUT.1,
         };
-        let (reached, chance) = self.reached;
         if now - reached >= Time((pause.0 as f64 * (1.0 + chance)) as u64) {
             self.reached = (now, self.rng.rand_float());
             self.dial(now, out, Purpose::Meet);
@@ -1201,6 +1219,9 @@
 
     /// Says of whom it hears nothing, on the rings on which it would be the one to hear.
     fn doubt(&mut self, now: Time, out: &mut impl Outside) {
+        if self.unheard.is_empty() {
+            return;
+        }
         let mut doubts: BTreeMap<MemberId, u8> = BTreeMap::new();
         for ring in 0..RINGS {
             let place = |id: MemberId| rank(u64::from(ring), id).wrapping_sub(rank(u64::from(ring), self.me));
