Ask a list service that began anew by few: forget the doubt once two peers vouch, look one by one

Seen: herd with 200 opened 92 and 109 connections to the list service within 100 ms (16 expected), 251 in all. Cause, from the logs: 398 lines "one peer alone speaks of a list far on" and then as many watchers. list_ends set the doubt and nothing but the service's own answer took it away, so all looked for themselves a second later at once, those for whom two peers had vouched meanwhile as well. Change: a list that is taken ends the doubt about it, and each waits a second and up to 20 ms for each instance.

--- a/crates/curlewpoint-fleet/src/book.rs
+++ b/crates/curlewpoint-fleet/src/book.rs
@@ -37,7 +37,7 @@
     /// It changes a version that is not held: more is wanted.
     Gap,
     /// A peer speaks of an epoch or a version far on: not taken until another says so too, or the list service.
-    Unvouched,
+    Unvouched(u64, u64),
     /// No list had begun, or it was more than is taken.
     Stray,
 }
@@ -139,7 +139,7 @@
             return Taken::Old;
         }
         if !self.is_vouched(epoch, version, by) {
-            return Taken::Unvouched;
+            return Taken::Unvouched(epoch, version);
         }
         if from.is_some_and(|from| self.held != Some((epoch, from))) {
             return Taken::Gap;
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -97,8 +97,11 @@
 const MET: Time = Time(20_000);
 /// What one more instance adds to the first of these, where many start together on one machine.
 const KNOWN_AFTER: Time = Time(30);
-/// One that has only one peer's word for a list far on asks the list service itself after this.
+/// One that has only one peer's word for a list far on asks the list service itself after this, and up to so much later
+/// for each instance: where the service began anew the few who watch it are next to few, all others are in this place
+/// together, and once some have looked two of them are next to everybody.
 const OWN_LOOK: Time = Time(10_000);
+const LOOK_EACH: Time = Time(200);
 /// Peers to begin with that are met or missed before this instance believes that nobody is sure of the number.
 const INTRODUCED: usize = 3;
 /// Between two tries to meet one that was given up, who may be behind a cut; and where there is none, one of the peers
@@ -209,8 +212,8 @@
     heard_of: BTreeMap<&'static str, (usize, String)>,
     /// From when on a list of the snapshot is used, if there is one and nobody has told another.
     remembered_at: Option<Time>,
-    /// Since when one peer alone speaks of a list far on.
-    unvouched: Option<Time>,
+    /// One peer alone speaks of a list far on: when this instance looks for itself, and the list.
+    look_at: Option<(Time, (u64, u64))>,
 }
 
 /// The list service's connection, as the book knows it, and the disk.
@@ -274,7 +277,7 @@
             refusals: 0,
             heard_of: BTreeMap::new(),
             remembered_at: None,
-            unvouched: None,
+            look_at: None,
         }
     }
 
@@ -861,6 +864,8 @@
         match taken {
             Taken::New(from) => {
                 let version = self.book.held().expect("just taken");
+                // Another peer has vouched for it meanwhile.
+                self.look_at = self.look_at.filter(|(_, of)| *of > version);
                 self.hand_over(out, from, before);
                 // As records: one way round the rings. Whoever is left behind by a cut asks at the next beat.
                 let theirs = |l: &Link| matches!(l.purpose, Purpose::Theirs);
@@ -886,8 +891,11 @@
                 Some(link) => out.ask_list(link, None),
                 None => out.ask_service(None),
             },
-            Taken::Unvouched => {
-                self.unvouched.get_or_insert(now);
+            Taken::Unvouched(epoch, version) => {
+                let most = LOOK_EACH.0 as f64 * self.table.living().count() as f64;
+                let wait = OWN_LOOK + Time((most * self.rng.rand_float()) as u64);
+                let (_, of) = self.look_at.get_or_insert((now + wait, (epoch, version)));
+                *of = (*of).max((epoch, version));
                 self.refusals += 1;
                 out.log("fleet: one peer alone speaks of a list far on; it is not taken on its word");
             }
@@ -913,7 +921,7 @@
     fn service_told(&mut self, now: Time, out: &mut impl Outside, taken: Taken) {
         self.answered_service = now;
         // Whatever a peer said, this is the truth.
-        self.unvouched = None;
+        self.look_at = None;
         match (taken, self.asked_service) {
             (Taken::Old, Some(asked)) => {
                 self.asked_service = None;
@@ -977,7 +985,7 @@
             return false;
         }
         let blind = self.table.get(self.me).is_some_and(|m| m.standing.blind);
-        let doubts = self.unvouched.is_some_and(|at| now - at >= OWN_LOOK);
+        let doubts = self.look_at.is_some_and(|(at, _)| now >= at);
         (doubts || self.first(!blind).contains(&self.me)) && (!blind || now >= self.try_again)
     }
 
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use common::Net;
-use curlewpoint::types::{FunctionId, Hint, WorkerId};
+use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
 use curlewpoint_fleet::{InstanceId, LinkId, MemberId, Run};
 use test_case::test_case;
 
@@ -385,3 +385,20 @@
     let told = net.nodes[&ids[1]].acts.hints.len();
     assert!((100..=400).contains(&told), "{told}");
 }
+
+/// Nearly all are told by one peer alone at first, as few watch. Guards against all of them asking the service at once,
+/// and against those who ask though two peers have vouched for the list meanwhile (`herd` with 200: 109 in 100 ms).
+#[test]
+fn a_service_that_began_anew_is_asked_by_few() {
+    let (mut net, _) = fleet(11, 150, 150);
+    net.run(8_000);
+    net.service_dials.clear();
+    net.version = (2, 1);
+    net.change();
+    net.run(8_000);
+    assert_eq!(net.lists(), BTreeSet::from([Some((2, 2))]));
+    let dials = &net.service_dials;
+    let within = |at: &Time| dials.iter().filter(|d| at <= *d && **d < *at + Time(1_000)).count();
+    let most = dials.iter().map(within).max().unwrap_or(0);
+    assert!(most <= 16 && dials.len() <= 60, "{most} in 100 ms, {} in all", dials.len());
+}
