Hold no RPC for a load that others told of, and let a hint that lapsed hold nothing back

Seen on a read of the change: (1) where workers answer a miss, an RPC was held for a load that a peer had told of; if that peer died it waited for its soft deadline, against the claim that nothing waits for a hint. (3) A peer could tell of any number of RPCs, and the belief faded for minutes; own beliefs past keep-alive took a fresh hint with them. Change: held for own loads only; the hint has to stand when the call-out left; 256 RPCs at most. Without hints the module decides as before: none of these lines acts then.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,7 +32,10 @@
 /// What other schedulers tell counts for less than what I have seen: a warm copy, and a load under way.
 const HINTED_WARM: f64 = 0.6;
 const HINTED_LOADING: f64 = 0.45;
+/// How long a refusal told by others holds loads back, and the most RPCs that their word counts for: what is
+/// wrong has faded within half a minute.
 const HINTED_FULL: Time = Time(10_000);
+const HINTED_HELD: u64 = 256;
 /// An image may be left on the disk.
 const IMAGE: f64 = 0.4;
 /// The slot guess, in copies' worth of lanes: what takes loads of seconds runs many at a time.
@@ -296,7 +299,7 @@
             self.weigh(tenant, was_warm, -1.0);
         }
         self.report_read(now, worker, report);
-        let slots = self.slots();
+        let (slots, keep) = (self.slots(), self.keep());
         let w = self.workers.entry(worker).or_default();
         w.mine = w.mine.saturating_sub(1);
         let spoke = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
@@ -329,7 +332,7 @@
                 // lack, which says nothing of other functions: others' copies of them may stand there.
                 belief.no_load_until = now + Time((4 * FULL_HOLD.0) << w.fulls);
                 w.fulls = (w.fulls + 1).min(4);
-                let hinted = matches!(belief.hint, Some((Hint::Warm, _)));
+                let hinted = belief.hint.is_some_and(|(h, at)| h == Hint::Warm && sent - at <= keep);
                 if was_warm || hinted {
                     w.ceiling = if was_warm { w.mine.max(1) as f64 } else { w.ceiling };
                     w.full_until = now + Time(FULL_HOLD.0 << w.fulls);
@@ -608,8 +611,10 @@
             return Some(to);
         }
         if loading.is_some() {
+            // Held for a load of my own only: whoever told of another may be gone before it tells of its end.
+            let own = all.iter().any(|c| c.affinity == LOADING);
             let held = self.part("familyInfo", "whenAbsent").is_some_and(|told| told == "miss");
-            return loading.filter(|_| !held);
+            return loading.filter(|_| !(held && own));
         }
         best.map(|b| b.id).or_else(|| least(&|_| true))
     }
@@ -684,7 +689,8 @@
         if hint == Hint::Full {
             belief.no_load_until = belief.no_load_until.max(at + HINTED_FULL);
         } else if hint == Hint::Warm {
-            belief.tell(now, held.saturating_sub(belief.mine) as f64, FADES, step(now - belief.told));
+            let others = held.min(HINTED_HELD).saturating_sub(belief.mine) as f64;
+            belief.tell(now, others, FADES, step(now - belief.told));
         }
     }
 
@@ -847,9 +853,12 @@
                 w.evidence = (w.evidence - FADING * TICK.ms()).max(0.0);
                 w.suspect = w.evidence > CLEARED_AT;
             }
-            w.beliefs.retain(|_, b| match b.copies {
-                Copies::Warm(used) => b.mine > 0 || now - used <= keep + keep,
-                copies => b.mine > 0 || copies != Copies::Unknown || b.no_load_until > now || told(b),
+            w.beliefs.retain(|_, b| {
+                let stands = match b.copies {
+                    Copies::Warm(used) => now - used <= keep + keep,
+                    copies => copies != Copies::Unknown || b.no_load_until > now,
+                };
+                b.mine > 0 || stands || told(b)
             });
         }
         self.forget_gone(now);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -550,3 +550,53 @@
     s.end(other, 0, Outcome::Ok, Copy::BeganLoad);
     assert_eq!(s.calls(rpc)[2..], [at]);
 }
+
+#[test]
+fn no_rpc_is_held_for_a_load_that_others_told_of() {
+    let mut told = settings();
+    told["familyInfo"]["whenAbsent"] = json!("miss");
+    let (_, other) = home_and_other();
+    let mut s = Story::with(told, 4);
+    hinted(&mut s, other, Hint::Loading, 0);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.calls(rpc), [other], "whoever ordered it may be gone");
+    s.end(rpc, 0, Outcome::Miss, Copy::Untold);
+    assert_eq!(
+        s.deeds("load"),
+        [format!("load {other} 9")],
+        "my own order joins that load, and I am told its end"
+    );
+}
+
+/// A copy that others told of long ago is none: its 'full' holds back no other function, and is told.
+#[test_case(0, false ; "told just now, the queue is full")]
+#[test_case(8_100, true ; "lapsed, a load was turned away")]
+fn a_full_goes_by_what_was_believed(age_ms: u64, tells: bool) {
+    let (home, _) = home_and_other();
+    let mut s = Story::new(4);
+    hinted(&mut s, home, Hint::Warm, age_ms);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.calls(rpc), [home]);
+    s.end(rpc, 0, Outcome::Full, Copy::Untold);
+    assert_eq!(s.deeds(&format!("seen {home} 9 Full")).len(), usize::from(tells));
+}
+
+#[test]
+fn what_others_invent_of_a_queue_fades() {
+    let (_, other) = home_and_other();
+    let mut s = Story::new(4);
+    s.srv.hinted(s.now(), WorkerId(other), FunctionId(9), Hint::Warm, u64::MAX, Time(0));
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    let orders = s.deeds("load");
+    assert_eq!(orders.len(), 1, "a crowded copy gets help");
+    let at: u64 = orders[0].split(' ').nth(1).and_then(|w| w.parse().ok()).expect("a worker");
+    s.srv.load_ended(s.now(), WorkerId(at), FunctionId(9), Outcome::Full, 0);
+    s.ms += 50;
+    s.end(rpc, 0, Outcome::Ok, Copy::Warm);
+    for _ in 0..20 {
+        s.pass(2_000);
+        s.srv.hinted(s.now(), WorkerId(other), FunctionId(9), Hint::Warm, 0, Time(0));
+    }
+    let next = s.rpc(IDEMPOTENT, 9);
+    assert_eq!((s.calls(next), s.deeds("load").len()), (vec![other], 1));
+}
