--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -42,7 +42,7 @@
     fn take_begins(&mut self, version: (u64, u64), from: Option<u64>);
     fn take_row(&mut self, name: &str, entry: &Entry);
     fn take_ends(&mut self);
-    /// Tells a peer what some instances have seen of functions at workers.
+    /// Tells a peer what some instances have seen of functions at workers, some hundreds of rows at most.
     fn hints(&mut self, link: LinkId, seen: &[Seen]);
     /// For the scheduler: another one has seen this.
     fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time);
--- a/crates/curlewpoint-fleet/src/hints.rs
+++ b/crates/curlewpoint-fleet/src/hints.rs
@@ -57,10 +57,6 @@
         self.all.is_empty()
     }
 
-    pub fn get(&self, worker: WorkerId, function: FunctionId) -> Option<&Seen> {
-        self.all.get(&(worker, function))
-    }
-
     /// What a newcomer is told, each run's in its order: nothing that it hears later from that run is taken for old.
     pub fn whole(&self) -> Vec<Seen> {
         let mut all: Vec<Seen> = self.all.values().copied().collect();
@@ -134,9 +130,9 @@
 #[derive(Default)]
 pub struct Untold(VecDeque<Seen>);
 
-/// Rows that wait on a link at most, and that leave at a time.
+/// Rows that wait on a link at most, and that leave at a time: one frame, 32 kB at most.
 const WAITING: usize = 8192;
-pub const AT_A_TIME: usize = 512;
+const AT_A_TIME: usize = 512;
 
 impl Untold {
     pub fn push(&mut self, seen: Seen) {
--- a/crates/curlewpoint-fleet/tests/common/mod.rs
+++ b/crates/curlewpoint-fleet/tests/common/mod.rs
@@ -29,6 +29,8 @@
     pub refused: Vec<String>,
     /// What its scheduler was told that others have seen, and how many rows came and went for it.
     pub hints: Vec<(WorkerId, FunctionId, Hint, u64)>,
+    /// Members it knew when it got its first list, itself among them.
+    pub known: usize,
     pub rows: usize,
 }
 
@@ -260,6 +262,9 @@
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else { return };
         what(&mut node.fleet, now, &mut node.acts);
+        if node.acts.list.is_some() && node.acts.known == 0 {
+            node.acts.known = node.fleet.table().len();
+        }
         let name = node.name;
         for act in std::mem::take(&mut node.acts.acts) {
             match act {
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -402,3 +402,14 @@
     let most = dials.iter().map(within).max().unwrap_or(0);
     assert!(most <= 16 && dials.len() <= 60, "{most} in 100 ms, {} in all", dials.len());
 }
+
+/// Its list does not lie behind the records of all members, nor wait for a question.
+#[test]
+fn one_that_starts_among_many_has_its_list_before_it_knows_them() {
+    let (mut net, _) = fleet(12, 100, 101);
+    net.run(6_000);
+    let new = net.start(100, &[0, 1, 2]);
+    net.run(1_000);
+    let acts = &net.nodes[&new].acts;
+    assert_eq!((acts.list, acts.known), (Some((1, 1)), 2), "it knew itself and the first it met");
+}
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -31,9 +31,8 @@
 
 /// Frames between peers are short: a list goes a row a frame.
 const MOST_FRAME: usize = 64 << 10;
-/// Numbers that a row of hints takes, and rows that a frame holds with room to spare.
+/// Numbers that a row of hints takes.
 const HINT: usize = 7;
-const HINTS_A_FRAME: usize = 512;
 /// Links opened by peers count from here, those opened from here from one.
 const THEIRS: u64 = 1 << 63;
 /// Beside links: whoever asks how the fleet stands.
@@ -341,10 +340,8 @@
             let age = (now - s.at).0;
             [s.worker.0, s.function.0, codes::hint_code(s.hint), s.held, age, s.run.0, s.no]
         };
-        for some in seen.chunks(HINTS_A_FRAME) {
-            let rows: Vec<u64> = some.iter().flat_map(row).collect();
-            self.send(link, Frame::new(Kind::HINTS).ints(Field::ROWS, &rows));
-        }
+        let rows: Vec<u64> = seen.iter().flat_map(row).collect();
+        self.send(link, Frame::new(Kind::HINTS).ints(Field::ROWS, &rows));
     }
 
     fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time) {
