Begin a frame only as the kernel takes a byte of it, and take asks in each turn

Seen by reading: the writer marked up to 64 KB of frames as begun when it gathered them, and then waited up to 10 s for a peer that takes nothing (outbox.rs, write_all: t.step(QUEUED, BEGUN) before to.write_buf). An attempt in that batch could not be taken back any more, so it went out whenever the peer read again: after its client had gone, or after the worker's drain. And Turns::next took asks only in a turn without answers (turn.rs, one branch of a biased select): a worker that floods lines held back cancels, departures and a stop. Change: frames stay queued while the kernel takes nothing; begun are those of which it took a byte. Each turn takes asks. Outbox tests moved to a file of their own, none changed.

--- a/crates/curlewpoint-link/src/outbox.rs
+++ b/crates/curlewpoint-link/src/outbox.rs
@@ -1,10 +1,13 @@
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io::ErrorKind;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use curlewpoint_wire::{Codec, Frame, HEAD_BYTES};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
@@ -13,6 +16,8 @@
 const QUEUED: u8 = 0;
 const BEGUN: u8 = 1;
 const TAKEN_BACK: u8 = 2;
+/// Taken back while it was being handed to the kernel: nobody waits for it, and it may have been begun.
+const UNWANTED: u8 = 3;
 
 /// Follows one frame: queued, begun (a byte of it may have been handed to the kernel) or taken back.
 #[derive(Clone, Debug, Default)]
@@ -25,7 +30,18 @@
 
     /// True: not one byte was, or ever will be, handed to the kernel.
     pub fn take_back(&self) -> bool {
-        self.step(QUEUED, TAKEN_BACK) || self.0.load(Ordering::Acquire) == TAKEN_BACK
+        let back = self.step(QUEUED, TAKEN_BACK) || self.0.load(Ordering::Acquire) == TAKEN_BACK;
+        if !back {
+            self.step(BEGUN, UNWANTED);
+        }
+        back
+    }
+
+    /// Not a byte of it was taken after all: it is queued again, or dropped where nobody waits for it any more.
+    fn unbegin(&self) {
+        if !self.step(BEGUN, QUEUED) {
+            self.step(UNWANTED, TAKEN_BACK);
+        }
     }
 }
 
@@ -33,7 +49,7 @@
 pub trait Parcel: Send + 'static {
     fn size(&self) -> usize;
     fn front(&self, dst: &mut BytesMut);
-    fn body(self) -> Bytes;
+    fn body(&self) -> Bytes;
 }
 
 impl Parcel for Frame {
@@ -45,8 +61,8 @@
         Codec::front(self, dst);
     }
 
-    fn body(self) -> Bytes {
-        self.body
+    fn body(&self) -> Bytes {
+        self.body.clone()
     }
 }
 
@@ -58,8 +74,8 @@
 
     fn front(&self, _dst: &mut BytesMut) {}
 
-    fn body(self) -> Bytes {
-        self
+    fn body(&self) -> Bytes {
+        self.clone()
     }
 }
 
@@ -115,130 +131,116 @@
     bytes: Arc<AtomicUsize>,
 }
 
-/// Frames are gathered up to this size before they are written; a larger body is written from where it lies.
+/// Frames are gathered up to this size for one write; a larger body is written from where it lies.
 const BATCH: usize = 64 * 1024;
 const LARGE: usize = 16 * 1024;
 
-/// Writes until the outbox is dropped or the connection breaks. After an error the tickets of frames that had no
-/// byte written are queued again, so that whoever asks next can take them back.
-pub(crate) async fn write_all<P: Parcel>(
-    mut inside: Inside<P>, mut to: impl AsyncWrite + Unpin, limit: Duration,
-) -> std::io::Result<()> {
-    let mut parts: VecDeque<Bytes> = VecDeque::new();
-    while let Some(first) = inside.taken.recv().await {
-        let (mut small, mut begun, mut length, mut freed) = (BytesMut::new(), Vec::new(), 0, 0);
-        let mut next = Some(first);
-        while let Some(Item { frame, ticket }) = next {
-            let size = frame.size();
-            freed += size;
-            if ticket.as_ref().is_none_or(|t| t.step(QUEUED, BEGUN)) {
-                begun.extend(ticket.map(|t| (length, t)));
-                length += size;
-                frame.front(&mut small);
-                let body = frame.body();
-                if body.len() < LARGE {
-                    small.extend_from_slice(&body);
-                } else {
-                    parts.push_back(small.split().freeze());
-                    parts.push_back(body);
-                }
+/// What the writer has taken out of its outbox.
+struct Taken<P> {
+    /// Not begun: each may still be taken back, however long the peer takes nothing.
+    queued: VecDeque<Item<P>>,
+    /// What is left of the one frame that was begun and not finished, and what its outbox counts it for.
+    rest: VecDeque<Bytes>,
+    rest_size: usize,
+}
+
+impl<P: Parcel> Taken<P> {
+    fn is_empty(&self) -> bool {
+        self.queued.is_empty() && self.rest.is_empty()
+    }
+
+    /// Hands bytes to the kernel once. A frame counts as begun only while the kernel is asked to take it, and where a
+    /// byte of it was taken; what it took nothing of is queued again. Guards against frames that were gathered for a peer
+    /// that takes nothing: they would go out long after whoever sent them had gone, or after a worker's drain.
+    fn poll_write(
+        &mut self, inside: &mut Inside<P>, to: Pin<&mut impl AsyncWrite>, cx: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let freed = |size| inside.bytes.fetch_sub(size, Ordering::AcqRel);
+        if let Some(part) = self.rest.front_mut() {
+            let n = ready!(to.poll_write(cx, part))?;
+            part.advance(n);
+            if part.is_empty() {
+                self.rest.pop_front();
             }
-            next = if length < BATCH { inside.taken.try_recv().ok() } else { None };
-        }
-        parts.push_back(small.freeze());
-        let mut written = 0;
-        while let Some(mut part) = parts.pop_front() {
-            while !part.is_empty() {
-                match timeout(limit, to.write_buf(&mut part)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))
-                {
-                    Ok(n) if n > 0 => written += n,
-                    ended => {
-                        for (_, ticket) in begun.iter().filter(|(start, _)| *start >= written) {
-                            ticket.step(BEGUN, QUEUED);
-                        }
-                        inside.taken.close();
-                        return Err(ended.err().unwrap_or_else(|| ErrorKind::WriteZero.into()));
-                    }
-                }
+            if self.rest.is_empty() {
+                freed(std::mem::take(&mut self.rest_size));
             }
+            return Poll::Ready(if n > 0 { Ok(()) } else { Err(ErrorKind::WriteZero.into()) });
         }
-        inside.bytes.fetch_sub(freed, Ordering::AcqRel);
-    }
-    to.shutdown().await
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use curlewpoint_wire::{Field, Kind};
-    use std::io;
-    use std::pin::Pin;
-    use std::task::{Context, Poll};
-
-    const LIMIT: Duration = Duration::from_secs(5);
-
-    /// Takes so many bytes and then breaks.
-    struct Breaks(usize, Vec<u8>);
-
-    impl AsyncWrite for Breaks {
-        fn poll_write(mut self: Pin<&mut Self>, _: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-            let n = buf.len().min(self.0 - self.1.len()).min(7);
-            if n == 0 {
-                return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        let (mut small, mut starts, mut large) = (BytesMut::new(), Vec::new(), None);
+        while small.len() < BATCH && large.is_none() {
+            if self.queued.len() == starts.len() {
+                let Ok(more) = inside.taken.try_recv() else { break };
+                self.queued.push_back(more);
+            }
+            let Item { frame, ticket } = &self.queued[starts.len()];
+            if ticket.as_ref().is_some_and(|t| !t.step(QUEUED, BEGUN)) {
+                freed(frame.size());
+                self.queued.remove(starts.len());
+                continue;
+            }
+            starts.push(small.len());
+            frame.front(&mut small);
+            let body = frame.body();
+            if body.len() < LARGE {
+                small.extend_from_slice(&body);
+            } else {
+                large = Some(body);
             }
-            self.1.extend_from_slice(&buf[..n]);
-            Poll::Ready(Ok(n))
         }
-        fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-            Poll::Ready(Ok(()))
+        if starts.is_empty() {
+            return Poll::Ready(Ok(()));
         }
-        fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-            Poll::Ready(Ok(()))
+        // A large body without a front, as of bytes that are already as they are to be written, goes by itself.
+        let alone = if small.is_empty() { large.take() } else { None };
+        let small = alone.unwrap_or_else(|| small.freeze());
+        let asked = to.poll_write(cx, &small);
+        let n = match &asked {
+            Poll::Ready(Ok(n)) => *n,
+            _ => 0,
+        };
+        for (start, item) in starts.iter().zip(&self.queued) {
+            if *start >= n {
+                item.ticket.iter().for_each(Ticket::unbegin);
+            }
         }
-    }
-
-    fn frame() -> Frame {
-        Frame::new(Kind::CALL_OUT).int(Field::TAG, 7).body(vec![1; 20])
-    }
-
-    /// Guards against calling out anew for what may have run: wherever a connection breaks, exactly the frames
-    /// with no byte written can be taken back.
-    #[tokio::test]
-    async fn wherever_it_breaks_only_untouched_frames_can_be_taken_back() {
-        let size = HEAD_BYTES + frame().head().len() + 20;
-        for broken_at in 0..=3 * size {
-            let (outbox, inside) = Outbox::new(8, 1 << 20);
-            let tickets: Vec<Ticket> = (0..3).map(|_| Ticket::default()).collect();
-            tickets.iter().for_each(|t| outbox.send(frame(), Some(t.clone())).unwrap());
-            drop(outbox);
-            let whole = write_all(inside, Breaks(broken_at, Vec::new()), LIMIT).await.is_ok();
-            assert_eq!(whole, broken_at == 3 * size);
-            for (no, ticket) in tickets.iter().enumerate() {
-                assert_eq!(ticket.take_back(), broken_at <= no * size, "frame {no}, broken at {broken_at}");
+        for (no, _) in starts.iter().enumerate().take_while(|(_, start)| **start < n) {
+            let size = self.queued.pop_front().map_or(0, |item| item.frame.size());
+            let end = starts.get(no + 1).copied().unwrap_or(small.len());
+            let body = large.take_if(|_| no + 1 == starts.len());
+            self.rest.extend((n < end).then(|| small.slice(n..end)).into_iter().chain(body));
+            if self.rest.is_empty() {
+                freed(size);
+            } else {
+                self.rest_size = size;
             }
         }
+        match ready!(asked) {
+            Ok(0) => Poll::Ready(Err(ErrorKind::WriteZero.into())),
+            Ok(_) => Poll::Ready(Ok(())),
+            Err(e) => Poll::Ready(Err(e)),
+        }
     }
+}
 
-    #[tokio::test]
-    async fn what_was_taken_back_is_never_written() {
-        let (outbox, inside) = Outbox::new(8, 1 << 20);
-        let ticket = Ticket::default();
-        outbox.send(frame(), Some(ticket.clone())).unwrap();
-        assert!(ticket.take_back());
-        drop(outbox);
-        let mut to = Vec::new();
-        write_all(inside, &mut to, LIMIT).await.unwrap();
-        assert!(to.is_empty());
-    }
-
-    #[test]
-    fn an_outbox_is_bounded_in_frames_and_in_bytes() {
-        let (outbox, _inside) = Outbox::new(2, 1 << 20);
-        let sent: Vec<_> = (0..3).map(|_| outbox.send(frame(), None)).collect();
-        assert_eq!(sent, [Ok(()), Ok(()), Err(SendError::Full)]);
-        let (outbox, _inside) = Outbox::new(9, 100);
-        let large = || Frame::new(Kind::CALL_OUT).body(vec![1; 500]);
-        assert_eq!(outbox.send(large(), None), Ok(()), "alone it is taken whatever its size");
-        assert_eq!(outbox.send(large(), None), Err(SendError::Full));
+/// Writes until the outbox is dropped or the connection breaks. After that the tickets of frames that had no byte
+/// written can be taken back.
+pub(crate) async fn write_all<P: Parcel>(
+    mut inside: Inside<P>, mut to: impl AsyncWrite + Unpin, limit: Duration,
+) -> std::io::Result<()> {
+    let mut taken = Taken { queued: VecDeque::new(), rest: VecDeque::new(), rest_size: 0 };
+    loop {
+        if taken.is_empty() {
+            let Some(first) = inside.taken.recv().await else { return to.shutdown().await };
+            taken.queued.push_back(first);
+        }
+        let write = poll_fn(|cx| taken.poll_write(&mut inside, Pin::new(&mut to), cx));
+        if let Err(why) = timeout(limit, write).await.unwrap_or(Err(ErrorKind::TimedOut.into())) {
+            inside.taken.close();
+            return Err(why);
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/curlewpoint-link/src/turn.rs
+++ b/crates/curlewpoint-link/src/turn.rs
@@ -19,7 +19,8 @@
         Turns { answers, asks, notes: Vec::with_capacity(most), asked: Vec::with_capacity(most), most }
     }
 
-    /// Waits until something has come or the time is up, and hands over what there is.
+    /// Waits until something has come or the time is up, and hands over what there is. Asks are taken in each turn:
+    /// answers that never end, as from a worker that floods, hold back no client's word and no stop.
     pub async fn next(&mut self, at_most: Duration) -> impl Iterator<Item = N> + '_ {
         tokio::select! {
             biased;
@@ -27,6 +28,10 @@
             _ = self.asks.recv_many(&mut self.asked, self.most) => {}
             () = tokio::time::sleep(at_most) => {}
         }
+        while self.asked.len() < self.most {
+            let Ok(ask) = self.asks.try_recv() else { break };
+            self.asked.push(ask);
+        }
         self.notes.drain(..).chain(self.asked.drain(..))
     }
 }
--- /dev/null
+++ b/crates/curlewpoint-link/tests/turns.rs
@@ -0,0 +1,20 @@
+//! The turns of the one task that owns a scheduler.
+
+use std::time::Duration;
+
+use curlewpoint_link::Turns;
+use tokio::sync::mpsc;
+
+/// Guards against answers that come without end, which would hold back what clients ask, cancel and leave, and a stop.
+#[tokio::test]
+async fn a_flood_of_answers_holds_back_no_ask() {
+    let (answers_in, answers) = mpsc::channel(8);
+    let (asks_in, asks) = mpsc::channel(8);
+    let mut turns = Turns::new(answers, asks, 2);
+    asks_in.send("stop").await.unwrap();
+    for _ in 0..4 {
+        answers_in.send("answer").await.unwrap();
+    }
+    let first: Vec<_> = turns.next(Duration::ZERO).await.collect();
+    assert_eq!(first, ["answer", "answer", "stop"]);
+}
