--- a/crates/curlewpoint-cli/src/commands/node.rs
+++ b/crates/curlewpoint-cli/src/commands/node.rs
@@ -1,4 +1,6 @@
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use clap::Args;
 use curlewpoint_node::Running;
@@ -26,40 +28,72 @@
     told::read(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// A file that cannot be read at a SIGHUP may be half written: so often, and after so long, it is read again.
+const AGAIN: (u32, Duration) = (20, Duration::from_millis(100));
+
+/// The directory's address by the file as it is, or as it is a little later.
+async fn resolver(path: &Path) -> Result<SocketAddr, String> {
+    let mut tried = 0;
+    loop {
+        match read(path) {
+            Err(_) if tried < AGAIN.0 => tried += 1,
+            told => return told.map(|told| told.resolver),
+        }
+        tokio::time::sleep(AGAIN.1).await;
+    }
+}
+
 impl Node {
     pub fn run(self) -> u8 {
-        let told = match read(&self.told) {
-            Ok(told) => told,
-            Err(why) => return fail(AT_FAULT, &format!("nothing was started: {why}")),
-        };
-        crate::logging::start(&self.log_level, false);
         // One core: more threads would only wake each other.
         match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-            Ok(runtime) => runtime.block_on(self.serve(told)),
+            Ok(runtime) => runtime.block_on(self.serve()),
             Err(e) => fail(FAILED, &format!("no runtime: {e}")),
         }
     }
 
-    async fn serve(self, told: told::Told) -> u8 {
+    async fn serve(self) -> u8 {
+        // Before anything else: a signal that comes before the start is over is not lost, and ends nothing unasked.
         let [term, int, hup] =
             [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
         let (Ok(mut term), Ok(mut int), Ok(mut hup)) = (term, int, hup) else {
             return fail(FAILED, "signals cannot be watched");
         };
-        let Running { address, notes, resolver, end } = match curlewpoint_node::start(told).await {
+        let told = match read(&self.told) {
+            Ok(told) => told,
+            Err(why) => return fail(AT_FAULT, &format!("nothing was started: {why}")),
+        };
+        crate::logging::start(&self.log_level, false);
+        let Running { address, notes, resolver: moves, end } = match curlewpoint_node::start(told).await {
             Ok(running) => running,
             Err(why) => return fail(FAILED, &why.to_string()),
         };
         println!("serving on {address}");
-        tokio::pin!(end);
+        let stop = || {
+            tokio::spawn({
+                let notes = notes.clone();
+                async move { notes.stop().await }
+            })
+        };
+        // The file is read for the newest SIGHUP alone; a stop and an end wait for nothing.
+        let (mut moving, reading) = (false, resolver(&self.told));
+        tokio::pin!(end, reading);
         loop {
             tokio::select! {
-                _ = term.recv() => notes.stop().await,
-                _ = int.recv() => notes.stop().await,
-                _ = hup.recv() => match read(&self.told) {
-                    Ok(told) => drop(resolver.send(told.resolver)),
-                    Err(why) => warn!("the directory's address stays as it is: {why}"),
-                },
+                biased;
+                _ = term.recv() => drop(stop()),
+                _ = int.recv() => drop(stop()),
+                _ = hup.recv() => {
+                    moving = true;
+                    reading.set(resolver(&self.told));
+                }
+                told = &mut reading, if moving => {
+                    moving = false;
+                    match told {
+                        Ok(told) => drop(moves.send(told)),
+                        Err(why) => warn!("the directory's address stays as it is: {why}"),
+                    }
+                }
                 ended = &mut end => return if ended.is_ok() { DONE } else { FAILED },
             }
         }
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -73,7 +73,8 @@
     fn unload(&mut self, now: Time, worker: WorkerId, model: &str);
     /// The list is wanted from the version held on; none: the whole.
     fn watch_list(&mut self, held: Option<(u64, u64)>);
-    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str);
+    /// Where a worker is reached; `since` tells one start of its process from another.
+    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str, since: Time);
     /// It drains: what has not been begun is not sent to it any more.
     fn worker_drains(&mut self, now: Time, worker: WorkerId);
     fn worker_gone(&mut self, now: Time, worker: WorkerId);
@@ -733,9 +734,9 @@
         let (read, named) = desk.roster.ends(|id, name, address, standing, since, zone, cell, size| {
             match standing {
                 Standing::Gone => desk.world.worker_gone(now, id),
-                Standing::Ready => desk.world.worker_at(now, id, name, address),
+                Standing::Ready => desk.world.worker_at(now, id, name, address, since),
                 Standing::Draining => {
-                    desk.world.worker_at(now, id, name, address);
+                    desk.world.worker_at(now, id, name, address, since);
                     desk.world.worker_drains(now, id);
                 }
             }
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -26,6 +26,8 @@
     pub streams: usize,
     /// Connections to a worker.
     pub conns: usize,
+    /// Connections to all workers together: the descriptors that are theirs.
+    pub all: usize,
     pub idle: Time,
     /// The first pause after a failed dial; it doubles up to the second.
     pub back_off: (Time, Time),
@@ -69,11 +71,15 @@
 
 struct Line<P> {
     address: String,
+    /// Which start of the worker its connections are to.
+    start: Time,
     conns: Vec<ConnId>,
     /// What waits for a connection that is being dialled.
     waiting: VecDeque<(ErrandId, P)>,
     failures: u32,
     not_before: Time,
+    /// The last dial failed for want of something on this side.
+    ours: bool,
     gone: bool,
 }
 
@@ -114,20 +120,25 @@
         self.whereabouts.iter().map(|(errand, (worker, _))| (*errand, *worker))
     }
 
-    /// A worker's address, as the list tells it. At a new one old connections are left to finish.
-    pub fn worker_at(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, address: &str) {
+    /// A worker's address and start, as the list tells them. At a new address, and to a process that has ended, old
+    /// connections are left to finish: what is sent on one to a machine that vanished is never answered.
+    pub fn worker_at(
+        &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, address: &str, start: Time,
+    ) {
         let line = self.lines.entry(worker).or_insert_with(|| Line {
             address: String::new(),
+            start,
             conns: Vec::new(),
             waiting: VecDeque::new(),
             failures: 0,
             not_before: now,
+            ours: false,
             gone: false,
         });
         line.gone = false;
-        if line.address != address {
-            line.address = address.to_owned();
-            (line.failures, line.not_before) = (0, now);
+        if line.address != address || line.start != start {
+            (line.address, line.start) = (address.to_owned(), start);
+            (line.failures, line.not_before, line.ours) = (0, now, false);
             for conn in line.conns.clone() {
                 self.leave(wires, conn);
             }
@@ -207,11 +218,12 @@
         };
         let dialling = line.conns.iter().filter(|c| self.conns[*c].state == State::Dialling).count();
         if line.waiting.len() >= dialling * self.limits.streams {
-            if line.conns.len() >= self.limits.conns || now < line.not_before {
-                let none = line.conns.is_empty();
+            let held = line.conns.len() >= self.limits.conns || now < line.not_before;
+            let unreached = line.conns.is_empty() && !line.ours && now < line.not_before;
+            if held || !self.make_room(wires) {
                 // Where no other can come, one that was passed over has to do.
                 if !self.hand_over(now, wires, worker, errand, &payload, true) {
-                    wires.ended(errand, if none { Outcome::ConnectFailed } else { Outcome::Full });
+                    wires.ended(errand, if unreached { Outcome::ConnectFailed } else { Outcome::Full });
                 }
                 return;
             }
@@ -223,6 +235,18 @@
         self.whereabouts.insert(errand, (worker, None));
     }
 
+    /// Whether one connection more fits; where all are taken, the one that has lain idle longest goes. Guards the
+    /// descriptors against a fleet of many workers; should hold for any that grows. Costs a handshake where it is wrong.
+    fn make_room(&mut self, wires: &mut impl Wires<P>) -> bool {
+        if self.conns.len() < self.limits.all {
+            return true;
+        }
+        let idle = self.conns.iter().filter(|(_, c)| c.state == State::Up && c.out.is_empty());
+        let Some((&longest, _)) = idle.min_by_key(|(_, c)| c.idle_since) else { return false };
+        self.leave(wires, longest);
+        true
+    }
+
     fn dial(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
         let Some(line) = self.lines.get_mut(&worker) else { return };
         self.next += 1;
@@ -244,7 +268,8 @@
             State::Up => self.conns[c].out.len() >= most || self.conns[c].passed,
             State::Leaving => true,
         };
-        if line.conns.len() < self.limits.conns && line.conns.iter().all(busy) {
+        let room = line.conns.len() < self.limits.conns && self.conns.len() < self.limits.all;
+        if room && line.conns.iter().all(busy) {
             self.dial(now, wires, worker);
         }
     }
@@ -276,7 +301,7 @@
         (c.state, c.idle_since, c.heard) = (State::Up, now, now);
         let worker = c.worker;
         let Some(line) = self.lines.get_mut(&worker) else { return };
-        line.failures = 0;
+        (line.failures, line.ours) = (0, false);
         let mut waiting = std::mem::take(&mut line.waiting);
         while let Some((errand, payload)) = waiting.pop_front() {
             if !self.hand_over(now, wires, worker, errand, &payload, false) {
@@ -293,18 +318,20 @@
     }
 
     /// A dial failed or timed out. Later ones pause, longer each time, so that a dead worker is not hammered by all
-    /// schedulers in step.
-    pub fn conn_failed(&mut self, now: Time, wires: &mut impl Wires<P>, conn: ConnId) {
+    /// schedulers in step. `ours`: it failed for want of something on this side, as of descriptors, and says nothing of
+    /// the worker.
+    pub fn conn_failed(&mut self, now: Time, wires: &mut impl Wires<P>, conn: ConnId, ours: bool) {
         let Some(c) = self.conns.get(&conn) else { return };
         let worker = c.worker;
         if let Some(line) = self.lines.get_mut(&worker) {
             let (first, most) = self.limits.back_off;
             let pause = Time(first.0 << line.failures.min(20)).min(most).ms();
             line.failures += 1;
+            line.ours = ours;
             line.not_before = now + Time::from_ms(pause * (0.5 + 0.5 * self.rng.rand_float()));
         }
         self.drop_conn(conn, worker);
-        self.settle_waiting(wires, worker, Outcome::ConnectFailed);
+        self.settle_waiting(wires, worker, if ours { Outcome::Full } else { Outcome::ConnectFailed });
     }
 
     /// Ends what waits while nothing is being dialled any more.
--- a/crates/curlewpoint-gateway/src/notes.rs
+++ b/crates/curlewpoint-gateway/src/notes.rs
@@ -21,7 +21,8 @@
     Ask(ClientId, Ask),
     /// A connection to a worker is up, could not be opened, brought a frame, has broken.
     Up(ConnId, Outbox),
-    Down(ConnId),
+    /// Whether it was for want of something on this side.
+    Down(ConnId, bool),
     Worker(ConnId, Frame),
     Broken(ConnId),
     ListUp(Outbox),
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -124,8 +124,8 @@
         self.pool.conn_up(now, &mut self.sockets, conn);
     }
 
-    pub fn conn_failed(&mut self, now: Time, conn: ConnId) {
-        self.pool.conn_failed(now, &mut self.sockets, conn);
+    pub fn conn_failed(&mut self, now: Time, conn: ConnId, ours: bool) {
+        self.pool.conn_failed(now, &mut self.sockets, conn, ours);
     }
 
     pub fn conn_broken(&mut self, now: Time, conn: ConnId) {
@@ -242,9 +242,9 @@
         }
     }
 
-    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str) {
+    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str, since: Time) {
         debug!(worker = worker.0, name, address, "listed");
-        self.pool.worker_at(now, &mut self.sockets, worker, address);
+        self.pool.worker_at(now, &mut self.sockets, worker, address, since);
     }
 
     fn worker_drains(&mut self, now: Time, worker: WorkerId) {
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -165,6 +165,8 @@
     let limits = PoolLimits {
         streams: of("streams") as usize,
         conns: of("to-worker") as usize,
+        // The configuration states no bound on all of them together.
+        all: usize::MAX,
         idle: ms("idle"),
         back_off: (ms("back-off"), ms("most-back-off")),
     };
@@ -430,8 +432,8 @@
                 engine.world().conn_up(now, conn, outbox);
                 engine.settle(now);
             }
-            Note::Down(conn) => {
-                engine.world().conn_failed(now, conn);
+            Note::Down(conn, ours) => {
+                engine.world().conn_failed(now, conn, ours);
                 engine.settle(now);
             }
             Note::Broken(conn) => {
--- a/crates/curlewpoint-gateway/src/workers.rs
+++ b/crates/curlewpoint-gateway/src/workers.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use curlewpoint_engine::ConnId;
-use curlewpoint_link::{open, Bounds, Link, LinkError};
+use curlewpoint_link::{is_ours, open, Bounds, Link, LinkError};
 use curlewpoint_wire::WireError;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -24,16 +24,17 @@
         let (name, bounds, limit, notes) = (self.name.clone(), self.bounds, self.limit, self.notes.clone());
         tokio::spawn(async move {
             let dialled = timeout(limit, async {
-                let stream = TcpStream::connect(&address).await.map_err(WireError::from)?;
-                open(stream, &name, bounds).await
+                let dialled = TcpStream::connect(&address).await;
+                let stream = dialled.map_err(|e| (is_ours(&e), LinkError::from(WireError::from(e))))?;
+                open(stream, &name, bounds).await.map_err(|why| (false, why))
             });
-            let why = match dialled.await {
+            let (ours, why) = match dialled.await {
                 Ok(Ok(link)) => return converse(conn, link, notes).await,
-                Ok(Err(why)) => why,
-                Err(_) => LinkError::NoHello(limit),
+                Ok(Err(told)) => told,
+                Err(_) => (false, LinkError::NoHello(limit)),
             };
             debug!(conn = conn.0, address, "not connected: {why}");
-            let _ = notes.send(Note::Down(conn)).await;
+            let _ = notes.send(Note::Down(conn, ours)).await;
         });
     }
 }
--- /dev/null
+++ b/crates/curlewpoint-link/src/ending.rs
@@ -0,0 +1,30 @@
+use std::io::Error;
+use std::time::Duration;
+
+use rustix::io::Errno;
+use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::time::timeout;
+
+/// Reads to the end what a peer still sends after our side was shut down, up to a time and so many bytes. A socket that
+/// is closed with unread bytes in it is reset, which destroys what was written before and not yet read over there.
+/// Harms little where the peer never closes: the descriptor is held for the time given.
+pub async fn linger(from: &mut (impl AsyncRead + Unpin), at_most: Duration, most_bytes: usize) {
+    let mut sink = [0; 4096];
+    let mut left = most_bytes;
+    let _ = timeout(at_most, async {
+        while let Ok(n) = from.read(&mut sink).await {
+            if n == 0 || n >= left {
+                return;
+            }
+            left -= n;
+        }
+    })
+    .await;
+}
+
+/// Whether a connection could not be made for want of something on this side, as of descriptors or ports: it says
+/// nothing of the peer.
+pub fn is_ours(why: &Error) -> bool {
+    let ours = [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM];
+    why.raw_os_error().is_some_and(|no| ours.iter().any(|e| e.raw_os_error() == no))
+}
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -4,11 +4,13 @@
 //! each frame for which that matters: whoever waits may take it back until the writer has begun it, and never after.
 
 mod clock;
+mod ending;
 mod link;
 mod outbox;
 mod turn;
 
 pub use clock::Clock;
+pub use ending::{is_ours, linger};
 pub use link::{listen, open, outbox, Bounds, Link, LinkError, Reader};
 pub use outbox::{Outbox, Parcel, SendError, Ticket};
 pub use turn::Turns;
--- a/crates/curlewpoint-link/src/turn.rs
+++ b/crates/curlewpoint-link/src/turn.rs
@@ -14,13 +14,15 @@
 }
 
 impl<N> Turns<N> {
-    /// Up to `most` notes of each kind are taken in a turn, before time is looked at again.
+    /// Up to `most` asks are taken in a turn, before time is looked at again, and all answers that there are: as many as
+    /// their channel holds.
     pub fn new(answers: mpsc::Receiver<N>, asks: mpsc::Receiver<N>, most: usize) -> Turns<N> {
         Turns { answers, asks, notes: Vec::with_capacity(most), asked: Vec::with_capacity(most), most }
     }
 
-    /// Waits until something has come or the time is up, and hands over what there is. Asks are taken in each turn:
-    /// answers that never end, as from a worker that floods, hold back no client's word and no stop.
+    /// Waits until something has come or the time is up, and hands over what there is, answers first. Asks are taken in
+    /// each turn: answers that never end, as from a worker that floods, hold back no client's word and no stop. What was
+    /// sent as an answer before an ask is handed over before it.
     pub async fn next(&mut self, at_most: Duration) -> impl Iterator<Item = N> + '_ {
         tokio::select! {
             biased;
@@ -32,6 +34,11 @@
             let Ok(ask) = self.asks.try_recv() else { break };
             self.asked.push(ask);
         }
+        // Counted after the asks were taken, so that all that went ahead of them is there.
+        for _ in 0..self.answers.len() {
+            let Ok(answer) = self.answers.try_recv() else { break };
+            self.notes.push(answer);
+        }
         self.notes.drain(..).chain(self.asked.drain(..))
     }
 }
--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -1,28 +1,81 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use curlewpoint::types::Time;
 use curlewpoint_engine::ClientId;
-use curlewpoint_link::{outbox, Bounds};
+use curlewpoint_link::{linger, outbox, Bounds, Clock};
+use curlewpoint_platform::asked::CANCEL;
 use curlewpoint_platform::resp::{Commands, RespError};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::yield_now;
+use tokio::time::{timeout, timeout_at, Instant};
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
 use crate::notes::Note;
 use crate::outside::Client;
 
 /// A client that has said nothing for so long is looked at: at its first command, or at half of one, it is cut off.
 const QUIET: Duration = Duration::from_secs(1);
+/// Commands, and their bytes, read from one client ahead of what the engine has taken: with them its going is seen
+/// behind all that a client may have open.
+const AHEAD: (usize, usize) = (64, 32 * 1024);
+/// What is still read, and for how long, from a client that was answered and shut off.
+const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
+/// Where a connection could not be accepted, so long until the next try.
+const AGAIN: Duration = Duration::from_millis(20);
+
+/// What is going on with a client, for those who may close its connection.
+#[derive(Default)]
+pub(crate) struct Presence {
+    /// Commands read, and commands that the engine has dealt with.
+    read: AtomicU64,
+    done: AtomicU64,
+    /// RPCs that it is owed an answer for.
+    open: AtomicU64,
+    /// When it last asked or was answered something.
+    active: AtomicU64,
+    leave: Notify,
+}
+
+impl Presence {
+    fn reads(&self) {
+        self.read.fetch_add(1, Relaxed);
+    }
+
+    /// The engine has dealt with one command.
+    pub fn dealt_with(&self, open: usize) {
+        self.done.fetch_add(1, Relaxed);
+        self.owed(open);
+    }
+
+    pub fn owed(&self, open: usize) {
+        self.open.store(open as u64, Relaxed);
+    }
+
+    pub fn answered(&self, now: Time, open: usize) {
+        self.active.store(now.0, Relaxed);
+        self.owed(open);
+    }
+
+    /// Nothing that it has asked is on the way, and nothing is owed to it.
+    pub fn is_idle(&self) -> bool {
+        self.open.load(Relaxed) == 0 && self.read.load(Relaxed) == self.done.load(Relaxed)
+    }
+}
 
 enum Seen {
-    Spoke(ClientId),
     Closed(ClientId),
+    /// Asked to leave, it turned out to have spoken.
+    Stays,
 }
 
 /// A client's place among those that may be connected, given back when its task ends in whatever way.
@@ -34,112 +87,297 @@
     }
 }
 
-/// Takes clients' connections, up to a number at a time. Where all places are taken, the one who has sat there longest
-/// and said nothing makes room. Guards against crowds that connect and are silent; should also hold for clients that
-/// died without a word. Harms a client that connects in advance, while the doors are full.
-pub(crate) async fn accept(
-    listener: TcpListener, most: usize, bounds: Bounds, notes: mpsc::Sender<Note>, tasks: TaskTracker,
-) {
+/// What the tasks of clients share.
+#[derive(Clone)]
+pub(crate) struct Desk {
+    pub bounds: Bounds,
+    pub clock: Clock,
+    /// What ends something, and what begins something.
+    pub endings: mpsc::Sender<Note>,
+    pub asks: mpsc::Sender<Note>,
+    /// Cancelled where this scheduler ends: what has come is read, and then all is closed.
+    pub closing: CancellationToken,
+    pub tasks: TaskTracker,
+}
+
+/// The connections of clients that are up.
+struct Doors {
+    desk: Desk,
+    most: usize,
+    next: u64,
+    seats: BTreeMap<ClientId, Arc<Presence>>,
+    saw: mpsc::UnboundedSender<Seen>,
+    /// Somebody was asked to leave and has not yet said whether it does.
+    asked: bool,
+    /// None could be let in, and it was said.
+    full: bool,
+}
+
+impl Doors {
+    fn let_in(&mut self, stream: TcpStream) {
+        self.next += 1;
+        let (id, presence) = (ClientId(self.next), Arc::<Presence>::default());
+        presence.active.store(self.desk.clock.now().0, Relaxed);
+        self.seats.insert(id, Arc::clone(&presence));
+        let place = Place(id, self.saw.clone());
+        self.desk.tasks.spawn(client(id, stream, self.desk.clone(), presence, place));
+    }
+
+    /// Asks the client that has been idle longest to leave; false: none is idle. Guards against crowds that connect and
+    /// then say nothing, or ask once and stay; should also hold for clients that died without a word. Harms a client that
+    /// connects in advance while the doors are full: it has to connect again.
+    fn make_room(&mut self) -> bool {
+        let idle = self.seats.values().filter(|p| p.is_idle());
+        let Some(longest) = idle.min_by_key(|p| p.active.load(Relaxed)) else { return false };
+        longest.active.store(u64::MAX, Relaxed);
+        longest.leave.notify_one();
+        self.asked = true;
+        true
+    }
+
+    fn saw(&mut self, what: Seen) {
+        self.asked = false;
+        if let Seen::Closed(id) = what {
+            self.seats.remove(&id);
+        }
+    }
+
+    fn say_once(&mut self, full: bool, why: &str) {
+        let many = self.seats.len() + self.most / 8 >= self.most;
+        if self.full != full && (full || !many) {
+            self.full = full;
+            let connected = self.seats.len();
+            info!(
+                connected,
+                "{}: {why}",
+                if full { "no room for clients" } else { "room for clients again" }
+            );
+        }
+    }
+}
+
+/// Takes clients' connections, up to a number at a time, until this scheduler ends; then what has come up to that
+/// moment is still let in, as a connection that was accepted by the machine counts as taken.
+pub(crate) async fn accept(listener: TcpListener, most: usize, desk: Desk) {
     let (saw, mut seen) = mpsc::unbounded_channel();
-    let mut silent: BTreeMap<ClientId, AbortHandle> = BTreeMap::new();
-    let (mut next, mut connected) = (0, 0);
+    let closing = desk.closing.clone();
+    let (seats, next, asked, full) = (BTreeMap::new(), 0, false, false);
+    let mut doors = Doors { desk, most, next, seats, saw, asked, full };
+    // One that has been accepted and waits for another's place.
+    let mut comes = None;
     loop {
+        if doors.seats.len() < doors.most {
+            if let Some(stream) = comes.take() {
+                doors.let_in(stream);
+            }
+        } else if comes.is_some() && !doors.asked && !doors.make_room() {
+            doors.say_once(true, "all places are taken by clients with something open");
+            comes = None;
+        }
         let accepted = tokio::select! {
             biased;
-            what = seen.recv() => {
-                match what {
-                    Some(Seen::Spoke(id)) => drop(silent.remove(&id)),
-                    Some(Seen::Closed(id)) => {
-                        silent.remove(&id);
-                        connected -= 1;
-                    }
-                    None => return,
-                }
+            Some(what) = seen.recv() => {
+                doors.saw(what);
                 continue;
             }
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if comes.is_none() => accepted,
+            () = closing.cancelled() => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => {
+                if doors.seats.len() < doors.most {
+                    doors.say_once(false, "a connection was accepted");
+                }
+                comes = Some(stream);
+            }
             Err(e) => {
-                // Out of descriptors, most likely: those in use go on, and closing ones make room.
-                warn!("a connection could not be accepted: {e}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
+                // Out of descriptors, most likely. Room is made as at the cap, and nothing spins meanwhile.
+                doors.say_once(true, &e.to_string());
+                let _ = doors.asked || doors.make_room();
+                if let Ok(Some(what)) = timeout(AGAIN, seen.recv()).await {
+                    doors.saw(what);
+                }
             }
-        };
-        if connected >= most {
-            let Some((_, longest)) = silent.pop_first() else {
-                debug!("turned away: {connected} clients are connected");
-                continue;
-            };
-            longest.abort();
         }
-        next += 1;
-        connected += 1;
-        let id = ClientId(next);
-        let place = Place(id, saw.clone());
-        let task = tasks.spawn(client(id, stream, bounds, notes.clone(), place));
-        silent.insert(id, task.abort_handle());
     }
+    // What the machine has accepted is asked for once more after the driver has looked.
+    yield_now().await;
+    comes.into_iter().for_each(|stream| doors.let_in(stream));
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        doors.let_in(stream);
+    }
+}
+
+/// Commands that were read and not yet taken by the engine.
+#[derive(Default)]
+struct Ahead {
+    calls: VecDeque<Vec<Bytes>>,
+    bytes: usize,
 }
 
-async fn client(id: ClientId, stream: TcpStream, bounds: Bounds, notes: mpsc::Sender<Note>, place: Place) {
+impl Ahead {
+    fn has_room(&self) -> bool {
+        self.calls.len() < AHEAD.0 && self.bytes < AHEAD.1
+    }
+
+    fn size(words: &[Bytes]) -> usize {
+        words.iter().map(Bytes::len).sum()
+    }
+
+    fn push(&mut self, words: Vec<Bytes>) {
+        self.bytes += Self::size(&words);
+        self.calls.push_back(words);
+    }
+
+    fn pop(&mut self) -> Option<Vec<Bytes>> {
+        let words = self.calls.pop_front()?;
+        self.bytes -= Self::size(&words);
+        Some(words)
+    }
+
+    /// Drops the call that this withdraws, if it is still here.
+    fn withdraw(&mut self, cancel: &[Bytes]) -> bool {
+        let at = self.calls.iter().position(|call| call.get(1) == cancel.get(1));
+        let call = at.and_then(|at| self.calls.remove(at));
+        self.bytes -= call.as_deref().map_or(0, Self::size);
+        call.is_some()
+    }
+}
+
+type Reader = FramedRead<OwnedReadHalf, Commands>;
+
+/// Whether all that has come has been read: asked once more after the driver has looked.
+async fn next_at_once(reader: &mut Reader) -> Option<Result<Vec<Bytes>, RespError>> {
+    yield_now().await;
+    timeout(Duration::ZERO, reader.next()).await.unwrap_or_default()
+}
+
+/// Whoever asked it to leave looks for another.
+fn stays(presence: &Presence, desk: &Desk, place: &Place) {
+    if presence.active.swap(desk.clock.now().0, Relaxed) == u64::MAX {
+        let _ = place.1.send(Seen::Stays);
+    }
+}
+
+async fn client(id: ClientId, stream: TcpStream, desk: Desk, presence: Arc<Presence>, place: Place) {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
-    let codec = Commands { most_words: 8, most_word: bounds.frame };
+    let codec = Commands { most_words: 8, most_word: desk.bounds.frame };
     let mut reader = FramedRead::new(read, codec);
     // Nothing is kept for it, here or with the engine, until it has said a first thing.
-    let first = match timeout(2 * QUIET, reader.next()).await {
-        Ok(Some(Ok(words))) => words,
-        Ok(Some(Err(why))) => return info!(client = id.0, "a first command that cannot be read: {why}"),
-        Ok(None) | Err(_) => return,
+    let until = Instant::now() + 2 * QUIET;
+    let first = loop {
+        tokio::select! {
+            biased;
+            first = timeout_at(until, reader.next()) => break first.unwrap_or_default(),
+            () = presence.leave.notified() => {
+                let first = next_at_once(&mut reader).await;
+                if first.is_some() || reader.read_buffer().is_empty() {
+                    break first;
+                }
+                stays(&presence, &desk, &place);
+            }
+            () = desk.closing.cancelled() => break next_at_once(&mut reader).await,
+        }
+    };
+    let first = match first {
+        Some(Ok(words)) => words,
+        Some(Err(why)) => {
+            info!(client = id.0, "a first command that cannot be read: {why}");
+            return linger(reader.get_mut(), LINGER.0, LINGER.1).await;
+        }
+        None => return,
     };
-    let _ = place.1.send(Seen::Spoke(id));
-    let (outbox, mut writer) = outbox::<Bytes>(write, bounds);
-    let (writer_task, tags, open) = (writer.abort_handle(), Default::default(), Default::default());
-    let client = Client { outbox, writer: writer_task, tags, open, faults: 0, quiet: 0 };
-    if notes.send(Note::ClientIn(id, client)).await.is_err()
-        || notes.send(Note::Client(id, first)).await.is_err()
-    {
+    stays(&presence, &desk, &place);
+    let (outbox, mut writer) = outbox::<Bytes>(write, desk.bounds);
+    let client = Client::new(outbox, writer.abort_handle(), Arc::clone(&presence));
+    if desk.endings.send(Note::ClientIn(id, client)).await.is_err() {
         return;
     }
-    let (mut writing, mut half, mut why) = (true, false, None);
+    let (mut ahead, mut half, mut why) = (Ahead::default(), false, None);
+    let (mut writing, mut lingers) = (true, true);
+    let mut came = Some(first);
+    let mut silent_at = Instant::now() + QUIET;
     loop {
-        let next = tokio::select! {
-            next = timeout(QUIET, reader.next()) => next,
+        if let Some(words) = came.take() {
+            (half, silent_at) = (false, Instant::now() + QUIET);
+            presence.reads();
+            stays(&presence, &desk, &place);
+            if words.first().is_some_and(|w| w == CANCEL) {
+                if ahead.withdraw(&words) {
+                    // Neither was heard of elsewhere.
+                    presence.dealt_with(presence.open.load(Relaxed) as usize);
+                    presence.dealt_with(presence.open.load(Relaxed) as usize);
+                } else if desk.endings.send(Note::Cancel(id, words)).await.is_err() {
+                    break;
+                }
+            } else {
+                ahead.push(words);
+            }
+        }
+        // What has come is read before what was read is passed on, so that a client that has gone meanwhile is seen.
+        tokio::select! {
+            biased;
             _ = &mut writer => {
                 writing = false;
                 break;
             }
-        };
-        match next {
-            // A full channel holds back this client alone.
-            Ok(Some(Ok(words))) => {
-                half = false;
-                if notes.send(Note::Client(id, words)).await.is_err() {
+            next = reader.next(), if ahead.has_room() => match next {
+                Some(Ok(words)) => came = Some(words),
+                Some(Err(e)) => {
+                    why = Some(e);
                     break;
                 }
+                // It has gone: what it asked and nobody took is forgotten. One that has only shut its writing side says
+                // the same, and is taken for gone as well.
+                None => break,
+            },
+            // A full channel holds back this client alone.
+            room = desk.asks.reserve(), if !ahead.calls.is_empty() => match (room, ahead.pop()) {
+                (Ok(room), Some(words)) => room.send(Note::Client(id, words)),
+                _ => break,
+            },
+            () = presence.leave.notified() => {
+                came = match next_at_once(&mut reader).await {
+                    // Nothing of it is unread, and nothing that it was told is fresh.
+                    None if presence.is_idle() && reader.read_buffer().is_empty() => {
+                        lingers = false;
+                        break;
+                    }
+                    Some(Ok(words)) => Some(words),
+                    _ => None,
+                };
+                stays(&presence, &desk, &place);
             }
-            Ok(Some(Err(e))) => {
-                why = Some(e);
-                break;
-            }
-            Ok(None) => break,
-            Err(_) if half && !reader.read_buffer().is_empty() => {
-                why = Some(RespError::CutShort);
-                break;
-            }
-            Err(_) => {
-                half = !reader.read_buffer().is_empty();
-                if notes.send(Note::Quiet(id)).await.is_err() {
+            () = desk.closing.cancelled(), if ahead.calls.is_empty() => match next_at_once(&mut reader).await {
+                Some(Ok(words)) => came = Some(words),
+                _ => break,
+            },
+            () = tokio::time::sleep_until(silent_at), if ahead.calls.is_empty() => {
+                let begun = !reader.read_buffer().is_empty();
+                if half && begun {
+                    why = Some(RespError::CutShort);
+                    break;
+                }
+                (half, silent_at) = (begun, Instant::now() + QUIET);
+                if desk.endings.send(Note::Quiet(id)).await.is_err() {
                     break;
                 }
             }
         }
     }
-    let _ = notes.send(Note::ClientOut(id, why)).await;
+    let spoilt = why.as_ref().map(RespError::to_string);
+    // Where this scheduler ends, what was asked last is answered first: it went by the other channel.
+    let last = if desk.closing.is_cancelled() { &desk.asks } else { &desk.endings };
+    let _ = last.send(Note::ClientOut(id, why)).await;
     if writing {
         let _ = writer.await;
     }
+    debug!(client = id.0, spoilt, "closed");
+    if lingers {
+        linger(reader.get_mut(), LINGER.0, LINGER.1).await;
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/curlewpoint-node/src/outside.rs
+++ b/crates/curlewpoint-node/src/outside.rs
@@ -1,29 +1,41 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use curlewpoint::types::{Outcome, RpcId, Time, WorkerId};
 use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
-use curlewpoint_link::{Outbox, Ticket};
+use curlewpoint_link::{Clock, Outbox, Ticket};
 use curlewpoint_platform::asked::{self, Tags};
 use curlewpoint_platform::{lines, resp};
 use tokio::task::AbortHandle;
 use tracing::{debug, info};
 
+use crate::clients::Presence;
 use crate::workers::Dialler;
 
 /// A client's connection, as the engine's task sees it.
 pub(crate) struct Client {
     pub outbox: Outbox<Bytes>,
     pub writer: AbortHandle,
+    pub presence: Arc<Presence>,
     pub tags: Tags,
     pub open: BTreeSet<u64>,
+    /// Tags that it cancelled before they came.
+    pub cancelled: BTreeSet<u64>,
     /// What it asked that could not be taken, for a fault of its own.
     pub faults: u32,
     /// How often in a row it was seen to say nothing.
     pub quiet: u32,
 }
 
+impl Client {
+    pub fn new(outbox: Outbox<Bytes>, writer: AbortHandle, presence: Arc<Presence>) -> Client {
+        let (tags, open, cancelled) = Default::default();
+        Client { outbox, writer, presence, tags, open, cancelled, faults: 0, quiet: 0 }
+    }
+}
+
 /// What a worker is asked: under this name, in these bytes, and taken back so.
 pub(crate) struct Asked {
     name: Arc<str>,
@@ -38,13 +50,19 @@
     tickets: BTreeMap<ErrandId, (Ticket, ConnId, Arc<str>)>,
     /// What is asked on each connection, by the names that workers answer under.
     names: BTreeMap<(ConnId, Arc<str>), ErrandId>,
+    /// Where else an RPC that is held was asked under its name. A name is used once on a connection, so that a second
+    /// answer to one attempt is never taken for that to the next: 'full' twice would prove that the next never ran.
+    spent: BTreeMap<Arc<str>, Vec<ConnId>>,
     ended: VecDeque<(ErrandId, Outcome)>,
 }
 
 impl Sockets {
     fn forget(&mut self, errand: ErrandId) {
         if let Some((_, conn, name)) = self.tickets.remove(&errand) {
-            self.names.remove(&(conn, name));
+            self.names.remove(&(conn, Arc::clone(&name)));
+            if !name.starts_with(OWN) {
+                self.spent.entry(name).or_default().push(conn);
+            }
         }
     }
 }
@@ -59,7 +77,11 @@
         let Some(outbox) = self.outboxes.get(&conn) else { return false };
         let key = (conn, Arc::clone(&asked.name));
         let ticket = Ticket::default();
-        if self.names.contains_key(&key) || outbox.send(asked.line.clone(), Some(ticket.clone())).is_err() {
+        let spent = self.spent.get(&asked.name).is_some_and(|conns| conns.contains(&conn));
+        if spent
+            || self.names.contains_key(&key)
+            || outbox.send(asked.line.clone(), Some(ticket.clone())).is_err()
+        {
             return false;
         }
         self.names.insert(key, errand);
@@ -91,6 +113,9 @@
     }
 }
 
+/// How long, and how many of, the ids of RPCs that have ended are known: longer than an answer comes late.
+const LATELY: Duration = Duration::from_secs(10);
+const MOST_LATELY: usize = 16_384;
 /// Begins the names of probes and orders; clients' ids are hex digits.
 const OWN: char = 't';
 
@@ -106,19 +131,25 @@
     /// The ids that clients gave, of all RPCs held.
     ids: BTreeMap<RpcId, Arc<str>>,
     held: BTreeSet<Arc<str>>,
+    /// Ids of RPCs held a short while ago, the oldest first: a repeat of one is none that a client sends.
+    lately: VecDeque<(Instant, Arc<str>)>,
+    clock: Clock,
     pool: Pool<Asked>,
     sockets: Sockets,
 }
 
 impl Outside {
-    pub fn new(pool: Pool<Asked>, dialler: Dialler) -> Outside {
-        let (outboxes, tickets, names, ended) = Default::default();
-        let sockets = Sockets { dialler, outboxes, tickets, names, ended };
-        let (clients, lost, ids, held) = Default::default();
-        Outside { clients, lost, coming: "".into(), withdrawn: None, ids, held, pool, sockets }
+    pub fn new(pool: Pool<Asked>, dialler: Dialler, clock: Clock) -> Outside {
+        let (outboxes, tickets, names, spent, ended) = Default::default();
+        let sockets = Sockets { dialler, outboxes, tickets, names, spent, ended };
+        let (clients, lost, ids, held, lately) = Default::default();
+        let coming = "".into();
+        Outside { clients, lost, coming, withdrawn: None, ids, held, lately, clock, pool, sockets }
     }
 
-    /// Whether an RPC with this id is held; workers know RPCs by it.
+    /// Whether an RPC with this id is held, or was a short while ago; workers know RPCs by it. Guards against a late or
+    /// second answer to the one before, which would be taken for an answer to this. Harms no client that keeps to the
+    /// protocol: its ids are new with every request.
     pub fn holds(&self, id: &str) -> bool {
         self.held.contains(id)
     }
@@ -140,8 +171,8 @@
         self.pool.conn_up(now, &mut self.sockets, conn);
     }
 
-    pub fn conn_failed(&mut self, now: Time, conn: ConnId) {
-        self.pool.conn_failed(now, &mut self.sockets, conn);
+    pub fn conn_failed(&mut self, now: Time, conn: ConnId, ours: bool) {
+        self.pool.conn_failed(now, &mut self.sockets, conn, ours);
     }
 
     pub fn conn_broken(&mut self, now: Time, conn: ConnId) {
@@ -159,7 +190,16 @@
         self.pool.answered(now, &mut self.sockets, errand);
     }
 
+    fn forget_lately(&mut self, most: usize) {
+        while self.lately.front().is_some_and(|(at, _)| self.lately.len() > most || at.elapsed() >= LATELY) {
+            if let Some((_, id)) = self.lately.pop_front() {
+                self.held.remove(&id);
+            }
+        }
+    }
+
     pub fn sweep(&mut self, now: Time) {
+        self.forget_lately(MOST_LATELY);
         self.pool.sweep(now, &mut self.sockets);
     }
 
@@ -173,7 +213,9 @@
         let here = [
             ("clients", self.clients.len()),
             ("ids of RPCs", self.ids.len()),
+            ("ids of late", self.lately.len()),
             ("names at workers", self.sockets.names.len()),
+            ("names spent", self.sockets.spent.len()),
             ("tickets", self.sockets.tickets.len()),
             ("outboxes", self.sockets.outboxes.len()),
         ];
@@ -220,6 +262,7 @@
         debug!(rpc = rpc.0, client = client.0, tag, "{answer:?} {why}");
         if let Some(client) = self.clients.get_mut(&client) {
             client.open.remove(&tag);
+            client.presence.answered(self.clock.now(), client.open.len());
         }
         if self.withdrawn == Some((client, tag)) {
             return;
@@ -247,9 +290,9 @@
     /// The whole list is asked for again and again; there is nothing to ask for beside.
     fn watch_list(&mut self, _held: Option<(u64, u64)>) {}
 
-    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str) {
+    fn worker_at(&mut self, now: Time, worker: WorkerId, name: &str, address: &str, since: Time) {
         debug!(worker = worker.0, name, address, "listed");
-        self.pool.worker_at(now, &mut self.sockets, worker, address);
+        self.pool.worker_at(now, &mut self.sockets, worker, address, since);
     }
 
     fn worker_drains(&mut self, now: Time, worker: WorkerId) {
@@ -267,9 +310,10 @@
     }
 
     fn forgotten(&mut self, rpc: RpcId) {
-        if let Some(id) = self.ids.remove(&rpc) {
-            self.held.remove(&id);
-        }
+        let Some(id) = self.ids.remove(&rpc) else { return };
+        self.sockets.spent.remove(&id);
+        self.lately.push_back((Instant::now(), id));
+        self.forget_lately(MOST_LATELY);
     }
 
     fn log(&mut self, rpc: Option<RpcId>, line: &str) {
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use curlewpoint::types::{Copy, Standing, Time};
@@ -11,8 +11,9 @@
 use serde_json::{Map, Value};
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{AbortHandle, JoinHandle};
-use tokio::time::timeout;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
@@ -29,10 +30,10 @@
     Known(#[from] ToldError),
 }
 
-/// Notes that wait for the engine's task; beyond these their senders wait.
-const WAITING: usize = 1024;
-/// Notes taken in a turn, before time is looked at again.
-const TURN: usize = 128;
+/// Notes that wait for the engine's task; beyond these their senders wait. Few of what begins something, so that what a
+/// client asks does not lie there while it goes.
+const ENDINGS: usize = 1024;
+const ASKS: usize = 128;
 const SWEEP: Duration = Duration::from_secs(1);
 /// The longest body, and the longest line of a worker: a body in base64 and its fields.
 const MOST_BODY: usize = 16 * 1024;
@@ -49,6 +50,8 @@
 const COMING: Duration = Duration::from_millis(1_000);
 const KILLED: (Duration, Duration) = (Duration::from_millis(3_000), Duration::from_millis(700));
 const LAST_WORDS: Duration = Duration::from_millis(200);
+/// Descriptors that are neither clients' nor workers': listener, directory, signals and the like.
+const OWN: usize = 16;
 /// Tells a scheduler to stop.
 #[derive(Clone)]
 pub struct Stopper(mpsc::Sender<Note>);
@@ -94,15 +97,17 @@
     }
 }
 
+/// A limit of the settings; where it is absent, nought or no number the default holds.
 fn limit(settings: &Map<String, Value>, name: &str, default: u64) -> u64 {
-    settings.get("limits").and_then(|l| l.get(name)).and_then(Value::as_f64).map_or(default, |v| v as u64)
+    let told = settings.get("limits").and_then(|l| l.get(name)).and_then(Value::as_f64);
+    told.map(|v| v as u64).filter(|v| *v > 0).unwrap_or(default)
 }
 
 /// The longest time that a client waits, by the settings.
 fn longest(settings: &Map<String, Value>) -> Duration {
     let methods = settings.get("requestClasses").and_then(Value::as_array).into_iter().flatten();
-    let times = methods.filter_map(|m| m.get("giveUp")?.as_f64());
-    Duration::from_millis(times.fold(0.0, f64::max) as u64)
+    let times = methods.filter_map(|m| m.get("giveUp")?.as_f64()).filter(|ms| *ms > 0.0);
+    times.reduce(f64::max).map_or(KILLED.0, |ms| Duration::from_millis(ms as u64))
 }
 
 /// Starts a scheduler. It serves from the moment this returns.
@@ -112,14 +117,15 @@
     let address = listener.local_addr().map_err(|e| StartError::Listen(at, e))?;
     info!(name, %address, seed = %seed, sockets, memory_mb, "serving");
 
-    let (answers_in, answers) = mpsc::channel(WAITING);
-    let (asks_in, asks) = mpsc::channel(WAITING);
+    let (endings, ended) = mpsc::channel(ENDINGS);
+    let (asks_in, asks) = mpsc::channel(ASKS);
     let bounds = Bounds { frame: MOST_LINE, outbox: (512, 1 << 20), ..Bounds::default() };
     let dial = Duration::from_millis(limit(&settings, "dialTimeout", 250));
-    let dialler = Dialler { bounds, limit: dial, notes: answers_in.clone() };
+    let dialler = Dialler { bounds, limit: dial, notes: endings.clone() };
     let limits = PoolLimits {
         streams: limit(&settings, "streamsPerConn", 32) as usize,
         conns: (sockets / 64).clamp(2, 16),
+        all: sockets - sockets / 2 - OWN,
         // Before the worker closes it: what crosses that may have run.
         idle: Time::from_ms(limit(&settings, "keepalive", 15_000) as f64 * 0.6),
         back_off: (Time::from_ms(50.0), Time::from_ms(1_000.0)),
@@ -127,8 +133,9 @@
     // Each RPC held may hold a body: half of the memory is for them.
     let most_open =
         limit(&settings, "maxOpen", 100_000).min((memory_mb * 1024 * 1024 / 2 / MOST_BODY) as u64);
-    if let Some(Value::Object(limits)) = settings.get_mut("limits") {
-        limits.insert("maxOpen".to_owned(), most_open.into());
+    let limits_told = settings.entry("limits").or_insert_with(|| Value::Object(Map::new()));
+    if let Value::Object(told) = limits_told {
+        told.insert("maxOpen".to_owned(), most_open.into());
     }
     let names = settings.get("loadInfo").and_then(|l| l.get("names")).and_then(Value::as_array);
     let report: Vec<String> =
@@ -136,18 +143,31 @@
     let killed = longest(&settings).min(KILLED.0) + KILLED.1;
     let clock = Clock::start();
     let mut engine =
-        Engine::start(clock.now(), Outside::new(Pool::new(limits, seed), dialler), seed, settings);
+        Engine::start(clock.now(), Outside::new(Pool::new(limits, seed), dialler, clock), seed, settings);
     told::known(&known, &mut ToEngine { engine: &mut engine, now: clock.now() })?;
 
-    let tasks = TaskTracker::new();
-    let of_clients = Bounds { frame: MOST_BODY, ..bounds };
-    let accepting = clients::accept(listener, sockets / 2, of_clients, asks_in.clone(), tasks.clone());
+    let (tasks, closing) = (TaskTracker::new(), CancellationToken::new());
+    let desk = clients::Desk {
+        bounds: Bounds { frame: MOST_BODY, ..bounds },
+        clock,
+        endings: endings.clone(),
+        asks: asks_in,
+        closing: closing.clone(),
+        tasks: tasks.clone(),
+    };
+    let accepting = tasks.spawn(clients::accept(listener, sockets / 2, desk));
     let (resolver, at) = watch::channel(resolver);
-    let following = directory::follow(at, answers_in, Rand64::new(seed));
-    let helpers = [tokio::spawn(accepting).abort_handle(), tokio::spawn(following).abort_handle()];
-    let turn = Turn { engine, clock, report, killed, ending: None, mismatched: false, listed: 0 };
-    let end = tokio::spawn(turn.run(answers, asks, tasks, helpers));
-    Ok(Running { address, notes: Stopper(asks_in), resolver, end })
+    let following = tokio::spawn(directory::follow(at, endings.clone(), Rand64::new(seed))).abort_handle();
+    let (begun, ending) = (Instant::now(), None);
+    let turn =
+        Turn { engine, clock, report, killed, begun, ending, mismatched: false, listed: 0, checked: false };
+    let end = tokio::spawn(async move {
+        let figures = turn.run(Turns::new(ended, asks, ASKS), tasks, closing).await;
+        following.abort();
+        accepting.abort();
+        figures
+    });
+    Ok(Running { address, notes: Stopper(endings), resolver, end })
 }
 
 /// The task that owns the engine.
@@ -158,48 +178,49 @@
     report: Vec<String>,
     /// So long after a stop the platform kills what still runs.
     killed: Duration,
+    begun: Instant,
     /// When a stop was asked for.
     ending: Option<Instant>,
     /// Books were seen to differ, and it was said.
     mismatched: bool,
     /// The newest list heard of.
     listed: u64,
+    /// It was asked whether it is fit, and it was said when.
+    checked: bool,
 }
 
 impl Turn {
     async fn run(
-        mut self, answers: mpsc::Receiver<Note>, asks: mpsc::Receiver<Note>, tasks: TaskTracker,
-        helpers: [AbortHandle; 2],
+        mut self, mut turns: Turns<Note>, tasks: TaskTracker, closing: CancellationToken,
     ) -> Figures {
-        let mut turns = Turns::new(answers, asks, TURN);
         let mut swept = Instant::now();
-        loop {
-            let wake = self.engine.next_wake().map_or(SWEEP, |at| self.clock.until(at)).min(SWEEP);
-            for note in turns.next(wake).await {
-                self.note(note);
-            }
-            let now = self.clock.now();
-            self.engine.advance(now);
-            for client in std::mem::take(&mut self.engine.world().lost) {
-                self.engine.client_gone(now, client);
-            }
+        while !self.is_over() {
+            self.turn(&mut turns, SWEEP).await;
             if swept.elapsed() >= SWEEP {
                 swept = Instant::now();
+                let now = self.clock.now();
                 self.engine.world().sweep(now);
                 self.look_into_books();
             }
-            if self.is_over() {
-                break;
-            }
         }
-        helpers.iter().for_each(AbortHandle::abort);
+        // From here on all that comes is refused. What has come is read to its last word, answered, flushed; then each
+        // connection is shut, read to its end and closed, within the time for last words.
+        self.engine.stop_taking();
         self.engine.abort_all(self.clock.now());
-        // Dropping the outboxes lets the writers finish and close.
-        self.engine.world().clients.clear();
+        closing.cancel();
         tasks.close();
-        let _ = timeout(LAST_WORDS / 2, tasks.wait()).await;
-        let f = self.engine.figures();
+        let (all, until) = (tasks.wait(), tokio::time::sleep(LAST_WORDS));
+        tokio::pin!(all, until);
+        loop {
+            tokio::select! {
+                () = &mut all => break,
+                () = &mut until => break,
+                () = self.turn(&mut turns, SWEEP) => {}
+            }
+        }
+        self.engine.abort_all(self.clock.now());
         let conns = self.engine.world().conns();
+        let f = self.engine.figures();
         info!(
             f.taken,
             f.ok, f.denied, f.aborted, f.left, f.refused, f.call_outs, conns, f.cut_off, "stopped"
@@ -207,6 +228,19 @@
         f
     }
 
+    /// Waits until something has come, and takes it.
+    async fn turn(&mut self, turns: &mut Turns<Note>, at_most: Duration) {
+        let wake = self.engine.next_wake().map_or(at_most, |at| self.clock.until(at)).min(at_most);
+        for note in turns.next(wake).await {
+            self.note(note);
+        }
+        let now = self.clock.now();
+        self.engine.advance(now);
+        for client in std::mem::take(&mut self.engine.world().lost) {
+            self.engine.client_gone(now, client);
+        }
+    }
+
     /// Holds what the module believes out against what is open on the sockets, and tells how much is kept.
     fn look_into_books(&mut self) {
         let open = self.engine.world().open();
@@ -230,15 +264,18 @@
         let engine = &mut self.engine;
         match note {
             Note::ClientIn(id, client) => drop(engine.world().clients.insert(id, client)),
-            Note::Client(id, words) => {
+            Note::Client(id, words) | Note::Cancel(id, words) => {
                 if let Err(why) = self.client(now, id, words) {
                     self.close_client(now, id, why);
                 }
+                if let Some(client) = self.engine.world().clients.get(&id) {
+                    client.presence.dealt_with(client.open.len());
+                }
             }
             Note::Quiet(id) => {
                 let Some(client) = engine.world().clients.get_mut(&id) else { return };
                 client.quiet += 1;
-                if client.open.is_empty() && client.quiet >= MOST_QUIET {
+                if client.presence.is_idle() && client.quiet >= MOST_QUIET {
                     engine.world().clients.remove(&id);
                 }
             }
@@ -251,8 +288,8 @@
                 engine.world().conn_up(now, conn, outbox);
                 engine.settle(now);
             }
-            Note::Down(conn) => {
-                engine.world().conn_failed(now, conn);
+            Note::Down(conn, ours) => {
+                engine.world().conn_failed(now, conn, ours);
                 engine.settle(now);
             }
             Note::Worker(conn, row) => {
@@ -292,6 +329,9 @@
                 if !client.tags.is_new(tag, MOST_SCATTERED) {
                     return Err("a tag for the second time");
                 }
+                if client.cancelled.remove(&tag) {
+                    return Ok(());
+                }
                 if client.open.len() >= MOST_OPEN {
                     self.engine.refused();
                     self.engine.world().tell(id, tag, asked::ENOUGH, "", b"");
@@ -302,6 +342,13 @@
                     self.turned_down(id, tag, word)?;
                 }
             }
+            // A cancel goes ahead of calls: what it withdraws may still be on its way.
+            asked::CANCEL if !client.tags.was_used(tag) => {
+                client.cancelled.insert(tag);
+                if client.cancelled.len() > MOST_SCATTERED {
+                    return Err("too many tags cancelled that were never used");
+                }
+            }
             asked::CANCEL => {
                 self.engine.world().withdrawn = Some((id, tag));
                 self.engine.cancelled(now, id, tag);
@@ -309,6 +356,10 @@
             }
             asked::CHECK => {
                 let said = if stopping { asked::UNFIT } else { asked::FIT };
+                if !std::mem::replace(&mut self.checked, true) {
+                    let after = self.begun.elapsed().as_millis() as u64;
+                    info!(after, "first asked whether it is {said}, milliseconds from the start");
+                }
                 self.engine.world().tell(id, tag, said, "", b"");
             }
             _ => return Err("a command that is none"),
--- a/crates/curlewpoint-node/src/workers.rs
+++ b/crates/curlewpoint-node/src/workers.rs
@@ -2,12 +2,12 @@
 
 use bytes::Bytes;
 use curlewpoint_engine::ConnId;
-use curlewpoint_link::{outbox, Bounds};
+use curlewpoint_link::{is_ours, linger, outbox, Bounds};
 use curlewpoint_platform::lines::{LineError, Lines};
 use serde_json::{Map, Value};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, Instant};
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
 use tracing::{debug, info};
@@ -23,19 +23,21 @@
 
 /// A line that has begun and has not ended for so long, looked at twice, does not end any more.
 const LINE: Duration = Duration::from_millis(300);
+/// What is still read, and for how long, from a worker whose connection was shut from here.
+const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
 
 impl Dialler {
     pub fn dial(&self, conn: ConnId, address: String) {
         let (bounds, limit, notes) = (self.bounds, self.limit, self.notes.clone());
         tokio::spawn(async move {
             let dialled = timeout(limit, TcpStream::connect(&address)).await;
-            let why = match dialled {
+            let (why, ours) = match dialled {
                 Ok(Ok(stream)) => return converse(conn, stream, bounds, notes).await,
-                Ok(Err(why)) => why.to_string(),
-                Err(_) => "no answer in time".to_owned(),
+                Ok(Err(why)) => (why.to_string(), is_ours(&why)),
+                Err(_) => ("no answer in time".to_owned(), false),
             };
             debug!(conn = conn.0, address, "not connected: {why}");
-            let _ = notes.send(Note::Down(conn)).await;
+            let _ = notes.send(Note::Down(conn, ours)).await;
         });
     }
 }
@@ -65,15 +67,23 @@
     if notes.send(Note::Up(conn, outbox)).await.is_err() {
         return;
     }
-    let mut writing = true;
+    // Where nothing can be written any more, until when what the worker said before is still read.
+    let (mut writing, mut until) = (true, None);
     loop {
         let line = tokio::select! {
+            biased;
             line = next(&mut reader) => line,
-            // The outbox was dropped, or nothing can be written any more.
-            _ = &mut writer => {
+            ended = &mut writer, if writing => {
                 writing = false;
-                break;
+                if matches!(ended, Ok(Ok(()))) {
+                    // The outbox was dropped: nobody waits for an answer here any more.
+                    linger(reader.get_mut(), LINGER.0, LINGER.1).await;
+                    break;
+                }
+                until = Some(Instant::now() + LINE);
+                continue;
             }
+            () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => break,
         };
         match line {
             Some(Ok(row)) => {
--- /dev/null
+++ b/crates/curlewpoint-node/tests/crossings.rs
@@ -0,0 +1,352 @@
+//! Events that cross, on real sockets, the crossing forced: a peer acts at a named point, or a clock is moved by hand.
+//! The table of all pairs is in docs/crossings.md.
+
+mod stand;
+
+use std::io::Write;
+use std::net::TcpStream as Blocking;
+use std::time::Duration;
+
+use curlewpoint_platform::resp::row;
+use serde_json::json;
+use stand::*;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, UdpSocket};
+
+fn call(tag: &str, id: &str) -> Vec<u8> {
+    let fields = format!("req={id},timeout=5000,subject=00000000000000aa,info=memory_mb:512;lanes:2");
+    row(&[b"CALL", tag.as_bytes(), b"read", fields.as_bytes(), b"body"]).to_vec()
+}
+
+fn say(words: &[&str]) -> Vec<u8> {
+    row(&words.iter().map(|w| w.as_bytes()).collect::<Vec<_>>()).to_vec()
+}
+
+/// All that is said until the end of the connection.
+async fn rest(client: &mut Client) -> String {
+    let mut rest = Vec::new();
+    soon(client.0.read_to_end(&mut rest)).await.expect("closed, not reset");
+    String::from_utf8(rest).unwrap()
+}
+
+// Departed clients.
+
+/// Guards against attempts that begin for a client that has gone: what came together with its going is never sent on.
+#[test_case(true ; "it closes")]
+#[test_case(false ; "it cancels")]
+#[tokio::test]
+async fn a_call_and_its_end_in_one_go_reach_no_worker(closes: bool) {
+    let (at, mut heard) = worker().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    // By a blocking socket, so that both are there before the scheduler, on this thread, reads a byte.
+    let mut gone = Blocking::connect(of.address).unwrap();
+    let bytes = [call("1", IDS[0]), say(&["CANCEL", "1"])].concat();
+    gone.write_all(if closes { &bytes[..bytes.len() - 22] } else { &bytes }).unwrap();
+    let gone = (!closes).then_some(gone);
+    let mut client = Client::new(&of).await;
+    client.call("1", "read", IDS[1]).await;
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    assert_eq!(asked["req"], json!(IDS[1]));
+    say.send(answer(&asked, "OK", "")).unwrap();
+    client.hears(&["1", "good", "", ""]).await;
+    assert!(heard.try_recv().is_err());
+    drop(gone);
+}
+
+/// A worker that takes no connection until it is let: its queue of one is held by another.
+async fn unreachable() -> (String, TcpListener, Vec<tokio::net::TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let at = listener.local_addr().unwrap();
+    let held = vec![tokio::net::TcpStream::connect(at).await.unwrap()];
+    (at.to_string(), listener, held)
+}
+
+/// Guards against an attempt that waits for a connection and goes out when it comes up, its client long gone.
+#[tokio::test]
+async fn what_waits_for_a_dial_does_not_outlive_its_client() {
+    let (at, listener, held) = unreachable().await;
+    let of =
+        scheduler_with(&[&at], NOWHERE, |told| told["settings"]["limits"]["dialTimeout"] = json!(8000)).await;
+    let (mut gone, mut client) = (Client::new(&of).await, Client::new(&of).await);
+    gone.call("1", "read", IDS[0]).await;
+    gone.say(&["CHECK", "2", ""]).await;
+    gone.hears(&["2", "fit", "", ""]).await;
+    client.call("1", "read", IDS[1]).await;
+    drop(gone);
+    client.say(&["CHECK", "2", ""]).await;
+    client.hears(&["2", "fit", "", ""]).await;
+    let (first, _) = soon(listener.accept()).await.unwrap();
+    drop((first, held));
+    let (mut second, _) = soon(listener.accept()).await.unwrap();
+    let mut line = Vec::new();
+    while !line.ends_with(b"\n") {
+        line.push(soon(second.read_u8()).await.unwrap());
+    }
+    let asked: serde_json::Value = serde_json::from_slice(&line).unwrap();
+    assert_eq!(asked["req"], json!(IDS[1]), "the one whose client is there");
+}
+
+/// A client that has shut its writing side cannot be told from one that has gone, and counts as gone.
+#[tokio::test]
+async fn half_a_close_is_a_close() {
+    let (at, mut heard) = worker().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "read", IDS[0]).await;
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    client.0.shutdown().await.unwrap();
+    assert_eq!(rest(&mut client).await, "");
+    let _ = say.send(answer(&asked, "OK", ""));
+}
+
+// Closing.
+
+/// Guards against a close with unread bytes: it resets the connection, and what the machine had not yet sent of the
+/// answers is destroyed. Here the client's window is full, and it reads only after it has spoilt its connection.
+#[tokio::test]
+async fn a_client_that_is_cut_off_while_it_writes_still_reads_its_answers() {
+    let (at, mut heard) = worker().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    let (mut slow, mut other) = (Client(socket.connect(of.address).await.unwrap()), Client::new(&of).await);
+    let body = "A".repeat(16_000);
+    let (mut want, mut tag) = (String::new(), 0);
+    for _ in 0..8 {
+        tag += 1;
+        slow.call(&tag.to_string(), "read", &format!("{tag:016x}")).await;
+        let (asked, to) = soon(heard.recv()).await.unwrap();
+        to.send(answer(&asked, "OK", &body)).unwrap();
+        want += std::str::from_utf8(&row(&[tag.to_string().as_bytes(), b"good", b"", &[0; 12_000]])).unwrap();
+        // One at a time on one connection: what is answered to this one was answered to the slow one before.
+        other.call(&tag.to_string(), "read", &format!("{:016x}", 1000 + tag)).await;
+        let (asked, to) = soon(heard.recv()).await.unwrap();
+        to.send(answer(&asked, "OK", "")).unwrap();
+        other.hears(&[&tag.to_string(), "good", "", ""]).await;
+    }
+    let rude = [b"no command at all ".to_vec(), vec![b'x'; 100_000]].concat();
+    slow.0.try_write(&rude).unwrap();
+    other.say(&["CHECK", "9", ""]).await;
+    other.hears(&["9", "fit", "", ""]).await;
+    assert!(rest(&mut slow).await == want, "answers are missing");
+}
+
+/// Guards against an answer that is lost to the close which follows it at once.
+#[test_case(false ; "closed")]
+#[test_case(true ; "reset")]
+#[tokio::test]
+async fn an_answer_and_the_end_of_its_connection_in_one_go(reset: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let of = scheduler(&[&listener.local_addr().unwrap().to_string()], NOWHERE).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "issue", IDS[0]).await;
+    let (stream, _) = soon(listener.accept()).await.unwrap();
+    let mut lines = tokio::io::BufReader::new(stream);
+    let mut line = String::new();
+    soon(tokio::io::AsyncBufReadExt::read_line(&mut lines, &mut line)).await.unwrap();
+    let stream = lines.into_inner().into_std().unwrap();
+    // On this thread: the answer and the end are both there before the scheduler reads either.
+    (&stream).write_all(answer(&json!({"req": IDS[0]}), "OK", "ZG9uZQ==").as_bytes()).unwrap();
+    if reset {
+        rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+    }
+    drop(stream);
+    client.hears(&["1", "good", "", "done"]).await;
+}
+
+/// Guards the descriptors against clients that ask once and stay: the longest idle makes room, and none that is owed an
+/// answer or has said something unread.
+#[tokio::test]
+async fn the_longest_idle_makes_room_and_no_other() {
+    let (at, mut heard) = worker().await;
+    let of = scheduler_with(&[&at], NOWHERE, |told| told["limits"]["sockets"] = json!(64)).await;
+    let mut owed = Client::new(&of).await;
+    owed.call("1", "read", IDS[0]).await;
+    let (asked, say_owed) = soon(heard.recv()).await.unwrap();
+    let mut idle = Vec::new();
+    for _ in 0..30 {
+        let mut client = Client::new(&of).await;
+        client.say(&["CHECK", "1", ""]).await;
+        client.hears(&["1", "fit", "", ""]).await;
+        idle.push(client);
+    }
+    // Not idle at all: what it says and the one that comes are there before the scheduler reads either.
+    let mut speaks = Client::new(&of).await;
+    speaks.say(&["CHECK", "1", ""]).await;
+    speaks.hears(&["1", "fit", "", ""]).await;
+    let bytes = call("1", IDS[1]);
+    idle[0].0.try_write(&bytes).unwrap();
+    let new = Blocking::connect(of.address).unwrap();
+    new.set_nonblocking(true).unwrap();
+    let mut new = Client(tokio::net::TcpStream::from_std(new).unwrap());
+    new.say(&["CHECK", "1", ""]).await;
+    new.hears(&["1", "fit", "", ""]).await;
+    let (second, say_second) = soon(heard.recv()).await.unwrap();
+    assert_eq!(second["req"], json!(IDS[1]));
+    say_second.send(answer(&second, "OK", "")).unwrap();
+    idle[0].hears(&["1", "good", "", ""]).await;
+    say_owed.send(answer(&asked, "OK", "")).unwrap();
+    owed.hears(&["1", "good", "", ""]).await;
+    idle[1].is_closed().await;
+    for client in &mut idle[2..] {
+        client.say(&["CHECK", "2", ""]).await;
+        client.hears(&["2", "fit", "", ""]).await;
+    }
+}
+
+// Shutdown.
+
+/// Guards against requests that lie in the machine's queues when serving ends: on a connection not yet accepted, on one
+/// not yet read. Each has its one answer, and the connection is closed and not reset.
+#[tokio::test]
+async fn what_has_come_by_the_end_of_serving_is_answered() {
+    let (at, _heard) = worker().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    let mut open = Client::new(&of).await;
+    open.say(&["CHECK", "1", ""]).await;
+    open.hears(&["1", "fit", "", ""]).await;
+    of.notes.stop().await;
+    open.say(&["CHECK", "2", ""]).await;
+    open.hears(&["2", "unfit", "", ""]).await;
+    // Before the scheduler, on this thread, looks again: the time is up, and all this has come.
+    let mut row_of_32 = Vec::new();
+    (3..35).for_each(|tag: u64| row_of_32.extend(say(&["CHECK", &tag.to_string(), ""])));
+    open.0.try_write(&row_of_32).unwrap();
+    let mut late = Blocking::connect(of.address).unwrap();
+    late.write_all(&say(&["CHECK", "1", ""])).unwrap();
+    tokio::time::pause();
+    tokio::time::advance(Duration::from_millis(1_001)).await;
+    tokio::time::resume();
+    let answers = rest(&mut open).await;
+    (3..35).for_each(|tag: u64| {
+        assert!(answers.contains(&format!("${}\r\n{tag}\r\n", if tag < 10 { 1 } else { 2 })))
+    });
+    assert_eq!(answers.matches("unfit").count(), 32);
+    late.set_nonblocking(true).unwrap();
+    let mut late = Client(tokio::net::TcpStream::from_std(late).unwrap());
+    assert_eq!(rest(&mut late).await, String::from_utf8(say(&["1", "unfit", "", ""])).unwrap());
+    soon(of.end).await.unwrap();
+}
+
+/// A second stop, and a directory that moves just before or after one, change nothing for what is open.
+#[tokio::test]
+async fn a_second_stop_and_a_move_beside_it_change_nothing() {
+    let (at, mut heard) = worker().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "read", IDS[0]).await;
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    of.resolver.send("127.0.0.1:10".parse().unwrap()).unwrap();
+    of.notes.stop().await;
+    of.notes.stop().await;
+    of.resolver.send(NOWHERE.parse().unwrap()).unwrap();
+    client.say(&["CHECK", "2", ""]).await;
+    client.hears(&["2", "unfit", "", ""]).await;
+    say.send(answer(&asked, "OK", "ZG9uZQ==")).unwrap();
+    client.hears(&["1", "good", "", "done"]).await;
+    let figures = soon(of.end).await.unwrap();
+    assert_eq!((figures.taken, figures.ok, figures.cut_off), (1, 1, 0));
+}
+
+// Retries.
+
+/// Guards against a second copy of one attempt's answer that is taken for the next attempt's: here it would prove that
+/// the second never ran, and a third would begin.
+#[tokio::test]
+async fn a_second_answer_to_one_attempt_is_none_to_the_next() {
+    let (at, mut heard) = worker().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "issue", IDS[0]).await;
+    let (first, say_first) = soon(heard.recv()).await.unwrap();
+    say_first.send(answer(&first, "BUSY", "")).unwrap();
+    let (second, say_second) = soon(heard.recv()).await.unwrap();
+    assert_eq!(first["req"], second["req"]);
+    say_first.send(answer(&first, "BUSY", "")).unwrap();
+    // On the same connection a probe's answer follows it, so that the copy is read before the answer is sent.
+    client.say(&["CHECK", "2", ""]).await;
+    client.hears(&["2", "fit", "", ""]).await;
+    say_second.send(answer(&second, "OK", "ZG9uZQ==")).unwrap();
+    client.hears(&["1", "good", "", "done"]).await;
+    assert!(heard.try_recv().is_err(), "a third attempt");
+}
+
+/// Guards against an answer to an earlier request that is taken for one to a later of the same id, with another body.
+#[tokio::test]
+async fn the_id_of_one_answered_lately_is_turned_down() {
+    let (at, mut heard) = worker().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    let (mut client, mut other) = (Client::new(&of).await, Client::new(&of).await);
+    client.call("1", "read", IDS[0]).await;
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    say.send(answer(&asked, "OK", "ZG9uZQ==")).unwrap();
+    client.hears(&["1", "good", "", "done"]).await;
+    for (client, tag) in [(&mut client, "2"), (&mut other, "1")] {
+        client.call(tag, "read", IDS[0]).await;
+        client.hears(&[tag, "broken", "", ""]).await;
+    }
+    assert!(heard.try_recv().is_err());
+}
+
+// The list.
+
+/// Guards against a directory that is always slower than the pause between questions: an answer counts as told from the
+/// moment it was sent, whichever question it is to.
+#[tokio::test]
+async fn an_answer_that_comes_after_the_next_question_counts() {
+    let (at, mut heard) = worker().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let of = scheduler(&[], &socket.local_addr().unwrap().to_string()).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "read", IDS[0]).await;
+    let mut query = [0; 512];
+    let (n, _) = soon(socket.recv_from(&mut query)).await.unwrap();
+    let first = listed(&query[..n], 2, &[("s-0", at, 0)]);
+    let (_, from) = soon(socket.recv_from(&mut query)).await.unwrap();
+    socket.send_to(&first.to_vec().unwrap(), from).await.unwrap();
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    say.send(answer(&asked, "OK", "")).unwrap();
+    client.hears(&["1", "good", "", ""]).await;
+}
+
+/// The directory moves twice while a question is out, first to where nobody is; the last place told is asked.
+#[tokio::test]
+async fn a_directory_that_moves_twice_is_asked_at_the_last_place() {
+    let first = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let second = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let of = scheduler(&[], &first.local_addr().unwrap().to_string()).await;
+    let mut query = [0; 512];
+    soon(first.recv_from(&mut query)).await.unwrap();
+    of.resolver.send(NOWHERE.parse().unwrap()).unwrap();
+    of.resolver.send(second.local_addr().unwrap()).unwrap();
+    soon(second.recv_from(&mut query)).await.unwrap();
+    of.resolver.send(NOWHERE.parse().unwrap()).unwrap();
+    of.resolver.send(first.local_addr().unwrap()).unwrap();
+    let mut at_first = 0;
+    while at_first < 2 {
+        soon(first.recv_from(&mut query)).await.unwrap();
+        at_first += 1;
+    }
+}
+
+/// Guards against an answer that came empty by a fault: the next one, under the same number, brings the workers back.
+#[tokio::test]
+async fn a_list_that_came_empty_is_made_good_by_the_next_of_the_same_number() {
+    let (at, mut heard) = worker().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let of = scheduler(&[&at], &socket.local_addr().unwrap().to_string()).await;
+    let mut client = Client::new(&of).await;
+    let mut query = [0; 512];
+    for workers in [vec![], vec![("s-0", at, 0)]] {
+        let (n, from) = soon(socket.recv_from(&mut query)).await.unwrap();
+        let list = listed(&query[..n], 2, &workers);
+        socket.send_to(&list.to_vec().unwrap(), from).await.unwrap();
+    }
+    client.call("1", "read", IDS[0]).await;
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    say.send(answer(&asked, "OK", "")).unwrap();
+    client.hears(&["1", "good", "", ""]).await;
+}
--- a/crates/curlewpoint-platform/src/asked.rs
+++ b/crates/curlewpoint-platform/src/asked.rs
@@ -71,6 +71,10 @@
 }
 
 impl Tags {
+    pub fn was_used(&self, tag: u64) -> bool {
+        tag <= self.below || self.above.contains(&tag)
+    }
+
     /// False: it was used before, or too many lie scattered to tell.
     pub fn is_new(&mut self, tag: u64, most: usize) -> bool {
         let new = tag > self.below && self.above.len() < most && self.above.insert(tag);
--- a/crates/curlewpoint-platform/src/told.rs
+++ b/crates/curlewpoint-platform/src/told.rs
@@ -14,8 +14,14 @@
     NotRead(#[from] serde_json::Error),
     #[error("'{0}' is missing or cannot be used")]
     Lacks(&'static str),
+    #[error("'{0}' is {1}, and {2} is the least that serves")]
+    TooLittle(&'static str, u64, u64),
 }
 
+/// The least descriptors, and megabytes, that a scheduler can serve with.
+const LEAST_SOCKETS: u64 = 64;
+const LEAST_MEMORY_MB: u64 = 8;
+
 pub struct Told {
     pub name: String,
     pub listen: SocketAddr,
@@ -33,11 +39,18 @@
     let mut all: Map<String, Value> = serde_json::from_str(text)?;
     let text = |name: &'static str| all.get(name).and_then(Value::as_str).ok_or(ToldError::Lacks(name));
     let address = |name| text(name).and_then(|a| a.parse().map_err(|_| ToldError::Lacks(name)));
-    let limit = |name| all.get("limits").and_then(|l| l.get(name)).and_then(Value::as_u64);
+    let limit = |name: &str, whole: &'static str, least: u64| {
+        let told = all.get("limits").and_then(|l| l.get(name)).and_then(Value::as_f64);
+        let told = told.filter(|v| *v >= 0.0 && *v < 1e15).ok_or(ToldError::Lacks(whole))? as u64;
+        if told < least {
+            return Err(ToldError::TooLittle(whole, told, least));
+        }
+        Ok(told as usize)
+    };
     let (listen, resolver, name) = (address("listen")?, address("resolver")?, text("name")?.to_owned());
     let seed = u128::from_str_radix(text("seed")?, 16).map_err(|_| ToldError::Lacks("seed"))?;
-    let sockets = limit("sockets").ok_or(ToldError::Lacks("sockets"))? as usize;
-    let memory_mb = limit("memory_mb").ok_or(ToldError::Lacks("memory_mb"))? as usize;
+    let sockets = limit("sockets", "limits.sockets", LEAST_SOCKETS)?;
+    let memory_mb = limit("memory_mb", "limits.memory_mb", LEAST_MEMORY_MB)?;
     let known = all.remove("known").unwrap_or_default();
     let Some(Value::Object(settings)) = all.remove("settings") else {
         return Err(ToldError::Lacks("settings"));
