Keep sends to a cold worker a slot apart, and let slots of each length nest

Seen (crates/curlewpoint-engine/tests/cold.rs, up to 300 schedulers at one cold worker or a zone of four, all demand there): thirty schedulers with 600 RPCs a second sent 75 to 79 in the first window where the budget was 56 and chance bears 73. Cause (brain.rs, budget_left): a slot could be used late and the next at once, so the first window held half as many again; and as a worker warms and slots halve, (age / gap + phase) drew each scheduler's place anew, so others opened beside.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,6 +71,8 @@
 const FADING: f64 = 0.001;
 const EJECT_SHARE: f64 = 0.34;
 const COLD_PART: f64 = 1.0;
+/// Windows over which schedulers' slots at a cold worker are spread; a power of two.
+const PHASES: f64 = 4096.0;
 /// Workers at which an RPC tries to begin a load.
 const LOADS_TRIED: usize = 2;
 const RETRY_SHARE: f64 = 0.1;
@@ -734,8 +736,10 @@
         // In steps of two, that a rate that moves does not open one slot after the other.
         let gap = fall.ms() * budget.max(1.0 / self.schedulers()).log2().floor().exp2().recip();
         // Slots lapse unused: else all schedulers spend theirs at once when a function's home moves here.
-        let into = (age.ms() / gap.max(0.1) + w.phase).fract() * gap;
-        let unspent = w.last_sent < now - Time::from_ms(into) || w.last_sent < since;
+        // Slots of half the length begin where longer ones do, and half way: a step opens few at once.
+        let into = (age.ms() + w.phase * PHASES * fall.ms()) % gap.max(0.1);
+        // A slot's length apart, also where one was used late or slots have just grown shorter.
+        let unspent = w.last_sent + Time::from_ms(gap) <= now || w.last_sent < since;
         unspent && into <= fall.ms() / 2.0
     }
 
