--- a/crates/curlewpoint-cli/src/commands/node.rs
+++ b/crates/curlewpoint-cli/src/commands/node.rs
@@ -6,7 +6,7 @@
 use curlewpoint_node::Running;
 use curlewpoint_platform::told;
 use tokio::signal::unix::{signal, SignalKind};
-use tracing::warn;
+use tracing::{debug, warn};
 
 use super::{fail, AT_FAULT, DONE, FAILED};
 
@@ -36,7 +36,10 @@
     let mut tried = 0;
     loop {
         match read(path) {
-            Err(_) if tried < AGAIN.0 => tried += 1,
+            Err(why) if tried < AGAIN.0 => {
+                tried += 1;
+                debug!("read again in a moment: {why}");
+            }
             told => return told.map(|told| told.resolver),
         }
         tokio::time::sleep(AGAIN.1).await;
--- /dev/null
+++ b/crates/curlewpoint-cli/tests/nodes.rs
@@ -0,0 +1,301 @@
+//! Nodes as processes of their own, on loopback, at moments that cross.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{mpsc, Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use hickory_proto::op::{Message, MessageType};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record};
+use serde_json::{json, Value};
+
+/// No step of a story takes longer; one that does has failed.
+const STEP: Duration = Duration::from_secs(20);
+
+/// A node and the file that it was told; both go with their test.
+struct Node {
+    child: Child,
+    file: PathBuf,
+    address: String,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+    assert!(sent.expect("kill runs").success());
+}
+
+fn file(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("curlewpoint-{name}-{}.json", std::process::id()))
+}
+
+/// Runs a node within so many descriptors.
+fn run(file: &PathBuf, descriptors: usize) -> Child {
+    let mut shell = Command::new("sh");
+    let line = format!(
+        "ulimit -n {descriptors}; exec {} node {}",
+        env!("CARGO_BIN_EXE_curlewpoint"),
+        file.display()
+    );
+    shell.args(["-c", &line]).stdout(Stdio::piped()).stderr(Stdio::null());
+    shell.spawn().expect("it starts")
+}
+
+impl Node {
+    fn start(name: &str, told: &Value, descriptors: usize) -> Node {
+        let file = file(name);
+        std::fs::write(&file, told.to_string()).unwrap();
+        let mut child = run(&file, descriptors);
+        let mut first = String::new();
+        BufReader::new(child.stdout.take().expect("piped")).read_line(&mut first).expect("a line");
+        let address = first.trim().rsplit(' ').next().expect("an address").to_owned();
+        Node { child, file, address }
+    }
+}
+
+fn told(seed: u64, resolver: &str, workers: &[String], sockets: usize, settings: Value) -> Value {
+    let nodes: Vec<Value> = workers
+        .iter()
+        .enumerate()
+        .map(|(no, at)| json!({"instanceId": format!("s-{no}"), "hostPort": at, "zone": "z", "lifecycle": "Ready"}))
+        .collect();
+    json!({
+        "name": format!("n{seed}"), "listen": "127.0.0.1:0", "seed": format!("{seed:x}"), "resolver": resolver,
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+        "known": {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {"reset": false, "instances": nodes}}]},
+        "settings": settings,
+    })
+}
+
+fn settings(instances: usize) -> Value {
+    json!({
+        "instances": instances, "tenants": [],
+        "requestClasses": [
+            {"name": "read", "effect": "read_like", "group": "all", "aim": 500.0, "giveUp": 2000.0, "gain": 1.0}],
+        "limits": {"maxAttempts": 5, "mayCancel": true, "secondCopies": true, "probes": true},
+        "contract": {"answerSlack": 16.0, "drainGrace": 500.0, "warmWithin": WARM_WITHIN, "fall": FALL,
+            "fallMultiple": 2.0, "startCapacity": 0.2},
+        "familyInfo": {"keepAlive": 8000.0, "whenAbsent": "load"},
+    })
+}
+
+const WARM_WITHIN: f64 = 4_000.0;
+const FALL: f64 = 1_000.0;
+
+/// A worker that answers all that it is asked; it tells when each call came.
+fn worker() -> (String, Arc<Mutex<Vec<Instant>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, calls) =
+        (listener.local_addr().unwrap().to_string(), Arc::<Mutex<Vec<Instant>>>::default());
+    let came = Arc::clone(&calls);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let came = Arc::clone(&came);
+            std::thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                for line in BufReader::new(&stream).lines().map_while(Result::ok) {
+                    let row: Value = serde_json::from_str(&line).expect("a row");
+                    let word = match row["type"].as_str() {
+                        Some("invoke") => {
+                            came.lock().unwrap().push(Instant::now());
+                            "OK"
+                        }
+                        Some("gauges") => "UP",
+                        _ => continue,
+                    };
+                    let answer =
+                        json!({"type": word, "req": row["req"], "meta": {"detail": "resident"}, "data": ""});
+                    if (&stream).write_all(format!("{answer}\n").as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
+fn row(words: &[&str]) -> Vec<u8> {
+    let words = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len()));
+    format!("*{}\r\n{}", words.len(), words.collect::<String>()).into_bytes()
+}
+
+fn call(tag: u64, id: u64) -> Vec<u8> {
+    let fields = format!("req={id:016x},timeout=1900,subject={id:016x},info=memory_mb:512;lanes:2");
+    row(&["CALL", &tag.to_string(), "read", &fields, "body"])
+}
+
+/// Guards against a stop that ends a node by the signal itself, which counts as a crash: here it comes while the node
+/// reads what it is told, before it serves.
+#[test]
+fn a_stop_before_it_is_ready_ends_it_well() {
+    let file = file("early");
+    let _ = std::fs::remove_file(&file);
+    assert!(Command::new("mkfifo").arg(&file).status().expect("mkfifo runs").success());
+    let child = run(&file, 256);
+    let mut node = Node { child, file, address: String::new() };
+    // Opened from here once it is open over there.
+    let mut pipe = File::options().write(true).open(&node.file).unwrap();
+    signal(&node.child, "TERM");
+    pipe.write_all(told(7, "127.0.0.1:9", &[], 256, settings(1)).to_string().as_bytes()).unwrap();
+    drop(pipe);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+/// Guards the descriptors that are a worker's, the directory's and the usual clients' against crowds that connect and
+/// say nothing, or ask once and stay, while the directory says nothing either.
+#[test]
+fn idle_crowds_leave_room_for_dials_the_directory_and_usual_clients() {
+    let (at, calls) = worker();
+    let silent = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let first = told(7, &silent.local_addr().unwrap().to_string(), &[at], 64, settings(1));
+    let node = Node::start("crowd", &first, 64);
+    let crowd: Vec<TcpStream> = (0..120)
+        .map(|no| {
+            let mut idle = TcpStream::connect(&node.address).unwrap();
+            if no % 2 == 0 {
+                let _ = idle.write_all(&row(&["CHECK", "1", ""]));
+            }
+            idle
+        })
+        .collect();
+    for no in 1..=8 {
+        let mut usual = TcpStream::connect(&node.address).unwrap();
+        usual.set_read_timeout(Some(STEP)).unwrap();
+        usual.write_all(&call(1, no)).unwrap();
+        let mut answer = vec![0; row(&["1", "good", "", ""]).len()];
+        usual.read_exact(&mut answer).unwrap();
+        assert_eq!(answer, row(&["1", "good", "", ""]));
+    }
+    assert_eq!(calls.lock().unwrap().len(), 8);
+    let moved = UdpSocket::bind("127.0.0.1:0").unwrap();
+    moved.set_read_timeout(Some(STEP)).unwrap();
+    let mut anew = first;
+    anew["resolver"] = json!(moved.local_addr().unwrap().to_string());
+    std::fs::write(&node.file, anew.to_string()).unwrap();
+    signal(&node.child, "HUP");
+    moved.recv(&mut [0; 512]).expect("the directory is asked at its new place");
+    drop(crowd);
+}
+
+/// A directory of two lists: that of the start, and from a moment on one with a worker that has just started, while the
+/// others drain.
+fn directory(workers: Vec<String>, cold: Arc<AtomicU64>) -> String {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let at = socket.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        let (mut query, name) = ([0; 512], |n: &str| Name::from_ascii(n).unwrap());
+        while let Ok((n, from)) = socket.recv_from(&mut query) {
+            let since = cold.load(Ordering::Acquire);
+            let mut m = Message::from_vec(&query[..n]).unwrap();
+            m.set_message_type(MessageType::Response);
+            let list = m.queries()[0].name().clone();
+            let serial = if since > 0 { 2 } else { 1 };
+            let soa = SOA::new(name("a."), name("b."), serial, 1, 1, 1, 1);
+            m.add_name_server(Record::from_rdata(list.clone(), 0, RData::SOA(soa)));
+            for (no, at) in workers.iter().enumerate() {
+                let is_cold = no + 1 == workers.len();
+                if is_cold && since == 0 {
+                    continue;
+                }
+                let (target, port) = (name(&format!("s-{no}.z.hosts.")), at.rsplit_once(':').unwrap().1);
+                let drains = u16::from(!is_cold && since > 0);
+                let srv = SRV::new(drains, 40, port.parse().unwrap(), target.clone());
+                m.add_answer(Record::from_rdata(list.clone(), 0, RData::SRV(srv)));
+                m.add_additional(Record::from_rdata(target.clone(), 0, RData::A(A(Ipv4Addr::LOCALHOST))));
+                let started = if is_cold { since } else { 0 };
+                let text = TXT::new(vec!["cell=0".into(), format!("started={started}")]);
+                m.add_additional(Record::from_rdata(target, 0, RData::TXT(text)));
+            }
+            let _ = socket.send_to(&m.to_vec().unwrap(), from);
+        }
+    });
+    at
+}
+
+/// Guards against processes that push a cold worker over together: as with engines in made-up time (cold.rs there), here
+/// on sockets, all demand turned to one worker at the moment that it is listed.
+#[test]
+fn twenty_four_processes_keep_to_a_cold_workers_budget() {
+    const NODES: usize = 24;
+    const WARM: usize = 3;
+    let workers: Vec<_> = (0..=WARM).map(|_| worker()).collect();
+    let addresses: Vec<String> = workers.iter().map(|(at, _)| at.clone()).collect();
+    let since = Arc::<AtomicU64>::default();
+    let resolver = directory(addresses.clone(), Arc::clone(&since));
+    let nodes: Vec<Node> = (0..NODES)
+        .map(|no| {
+            let told = told(no as u64 + 1, &resolver, &addresses[..WARM], 256, settings(NODES));
+            Node::start(&format!("cold-{no}"), &told, 256)
+        })
+        .collect();
+    let (ended, (tell, answered)) = (Arc::<AtomicBool>::default(), mpsc::channel());
+    let clients: Vec<_> = nodes
+        .iter()
+        .enumerate()
+        .map(|(no, node)| {
+            let mut asks = TcpStream::connect(&node.address).unwrap();
+            let (mut answers, ended, tell) = (asks.try_clone().unwrap(), Arc::clone(&ended), tell.clone());
+            std::thread::spawn(move || {
+                let mut some = [0; 4096];
+                while let Ok(n) = answers.read(&mut some) {
+                    if n == 0 || tell.send(n).is_err() {
+                        return;
+                    }
+                }
+            });
+            // Calls at a steady pace; each asks for a function of its own.
+            std::thread::spawn(move || {
+                let begun = Instant::now();
+                for tag in 1.. {
+                    if ended.load(Ordering::Acquire)
+                        || asks.write_all(&call(tag, (no as u64 + 1) << 32 | tag)).is_err()
+                    {
+                        return;
+                    }
+                    let due = begun + Duration::from_millis(40) * tag as u32;
+                    std::thread::park_timeout(due.saturating_duration_since(Instant::now()));
+                }
+            })
+        })
+        .collect();
+    // Warm: so many answers are known to each that their rates say what a worker takes.
+    let (begun, mut warm) = (Instant::now(), 0);
+    while begun.elapsed() < Duration::from_secs(3) || warm < NODES * 40 {
+        answered.recv_timeout(STEP).expect("answers come");
+        warm += 1;
+    }
+    let taken = workers[..WARM].iter().map(|(_, calls)| calls.lock().unwrap().len()).sum::<usize>() as f64;
+    let a_second = taken / begun.elapsed().as_secs_f64() / WARM as f64;
+    let start = Instant::now();
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    since.store(wall, Ordering::Release);
+    while start.elapsed().as_millis() < WARM_WITHIN as u128 {
+        let _ =
+            answered.recv_timeout(Duration::from_millis(WARM_WITHIN as u64).saturating_sub(start.elapsed()));
+    }
+    ended.store(true, Ordering::Release);
+    clients.into_iter().for_each(|c| c.join().unwrap());
+    let calls: Vec<f64> =
+        workers[WARM].1.lock().unwrap().iter().map(|at| (*at - start).as_secs_f64() * 1_000.0).collect();
+    let capacity = |age: f64| (0.2 + 0.8 * age / WARM_WITHIN).min(1.0);
+    for (no, from) in calls.iter().enumerate().filter(|(_, from)| **from + FALL <= WARM_WITHIN) {
+        let n = 2.0 * (capacity(*from) + capacity(from + FALL)) / 2.0 * FALL / 1_000.0 * a_second;
+        let there = calls[no..].iter().take_while(|at| **at < from + FALL).count() as f64;
+        assert!(there <= n + 2.0 * n.sqrt() + 2.0, "{there} in the window from {from:.0} ms, budget {n:.1}");
+    }
+    println!("{} calls while cold, a warm worker took {a_second:.0} a second", calls.len());
+    assert!(!calls.is_empty(), "the ramp is not kept by sending nothing");
+}
