--- a/crates/curlewpoint-cli/tests/nodes.rs
+++ b/crates/curlewpoint-cli/tests/nodes.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
@@ -42,7 +42,7 @@
 }
 
 /// Runs a node within so many descriptors.
-fn run(file: &PathBuf, descriptors: usize) -> Child {
+fn run(file: &Path, descriptors: usize) -> Child {
     let mut shell = Command::new("sh");
     let line = format!(
         "ulimit -n {descriptors}; exec {} node {}",
