--- a/crates/curlewpoint-node/tests/crossings.rs
+++ b/crates/curlewpoint-node/tests/crossings.rs
@@ -350,3 +350,20 @@
     say.send(answer(&asked, "OK", "")).unwrap();
     client.hears(&["1", "good", "", ""]).await;
 }
+
+/// Limits of the settings that are absent, nought or of another type hold nothing back: the default is used.
+#[test_case(json!(null) ; "absent")]
+#[test_case(json!({"dialTimeout": 0, "streamsPerConn": 0, "keepalive": 0, "maxOpen": 0}) ; "nought")]
+#[test_case(json!({"dialTimeout": "x", "streamsPerConn": [], "keepalive": "y", "maxOpen": {}}) ; "of another type")]
+#[test_case(json!({"dialTimeout": 1e9, "streamsPerConn": 1e9, "keepalive": 1e9, "maxOpen": 1e12}) ; "huge")]
+#[test_case(json!(7) ; "no object")]
+#[tokio::test]
+async fn limits_that_say_nothing_hold_nothing_back(limits: serde_json::Value) {
+    let (at, mut heard) = worker().await;
+    let of = scheduler_with(&[&at], NOWHERE, |told| told["settings"]["limits"] = limits.clone()).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "read", IDS[0]).await;
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    say.send(answer(&asked, "OK", "")).unwrap();
+    client.hears(&["1", "good", "", ""]).await;
+}
