--- a/crates/curlewpoint-engine/tests/cold.rs
+++ b/crates/curlewpoint-engine/tests/cold.rs
@@ -1,42 +1,17 @@
 //! Cold workers under the sum of many schedulers: what all of them together send to one that has just started, in any
 //! window that the settings name, and that it is not nothing.
 
-use std::collections::{BTreeMap, VecDeque};
+mod wire;
+
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use curlewpoint::types::*;
-use curlewpoint_engine::{Answer, ClientId, Engine, Errand, ErrandId, World};
+use curlewpoint_engine::{ClientId, Engine, ErrandId};
 use oorandom::Rand64;
 use serde_json::{json, Map, Value};
 use test_case::test_case;
-
-/// Writes down what is sent; the story answers it.
-#[derive(Default)]
-struct Wire {
-    sent: Vec<(Time, ErrandId, WorkerId, bool)>,
-    ended: VecDeque<(ErrandId, Outcome)>,
-}
-
-impl World for Wire {
-    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
-        self.sent.push((now, id, worker, matches!(errand, Errand::CallOut { .. })));
-    }
-    fn take_back(&mut self, _: Time, _: ErrandId) -> bool {
-        false
-    }
-    fn answer(&mut self, _: RpcId, _: ClientId, _: u64, _: Answer, _: &str, _: Time, _: Bytes) {}
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
-        self.ended.pop_front()
-    }
-    fn unload(&mut self, _: Time, _: WorkerId, _: &str) {}
-    fn watch_list(&mut self, _: Option<(u64, u64)>) {}
-    fn worker_at(&mut self, _: Time, _: WorkerId, _: &str, _: &str, _: Time) {}
-    fn worker_drains(&mut self, _: Time, _: WorkerId) {}
-    fn worker_gone(&mut self, _: Time, _: WorkerId) {}
-    fn taken(&mut self, _: RpcId) {}
-    fn forgotten(&mut self, _: RpcId) {}
-    fn log(&mut self, _: Option<RpcId>, _: &str) {}
-}
+use wire::{Asked, Wire};
 
 const WORKERS: usize = 12;
 const WARM_WITHIN: f64 = 10_000.0;
@@ -145,7 +120,8 @@
             let _ = one.engine.rpc(now, from, "read", &model, "", Time(30_000), None, None, Bytes::new());
         }
         for one in &mut all {
-            for (when, id, worker, attempt) in std::mem::take(&mut one.engine.world().sent) {
+            for (when, id, worker, _, asked) in std::mem::take(&mut one.engine.world().sent) {
+                let attempt = asked == Asked::Attempt;
                 // One in ten is turned away, and goes to another worker.
                 let full = attempt && rng.rand_float() < 0.1;
                 let (takes, outcome) = if full { (10, Outcome::Full) } else { (100, Outcome::Ok) };
--- a/crates/curlewpoint-engine/tests/release.rs
+++ b/crates/curlewpoint-engine/tests/release.rs
@@ -1,47 +1,16 @@
 //! A release on a quiet day: copies of four functions in ten go void at once, and nothing else fails.
 
-use std::collections::{BTreeMap, VecDeque};
+mod wire;
+
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use curlewpoint::types::*;
-use curlewpoint_engine::{Answer, ClientId, Engine, Errand, ErrandId, World};
+use curlewpoint_engine::{Answer, ClientId, Engine, ErrandId};
 use oorandom::Rand64;
 use serde_json::{json, Map, Value};
 use test_case::test_case;
-
-#[derive(Default)]
-struct Wire {
-    sent: Vec<(ErrandId, WorkerId, String, bool)>,
-    answers: Vec<(u64, Answer)>,
-    ended: VecDeque<(ErrandId, Outcome)>,
-}
-
-impl World for Wire {
-    fn errand(&mut self, _: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
-        match errand {
-            Errand::CallOut { model, .. } => self.sent.push((id, worker, model.to_owned(), false)),
-            Errand::Load { model, .. } => self.sent.push((id, worker, model.to_owned(), true)),
-            Errand::Probe => self.ended.push_back((id, Outcome::NotSent)),
-        }
-    }
-    fn take_back(&mut self, _: Time, _: ErrandId) -> bool {
-        false
-    }
-    fn answer(&mut self, _: RpcId, _: ClientId, tag: u64, answer: Answer, _: &str, _: Time, _: Bytes) {
-        self.answers.push((tag, answer));
-    }
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
-        self.ended.pop_front()
-    }
-    fn unload(&mut self, _: Time, _: WorkerId, _: &str) {}
-    fn watch_list(&mut self, _: Option<(u64, u64)>) {}
-    fn worker_at(&mut self, _: Time, _: WorkerId, _: &str, _: &str, _: Time) {}
-    fn worker_drains(&mut self, _: Time, _: WorkerId) {}
-    fn worker_gone(&mut self, _: Time, _: WorkerId) {}
-    fn taken(&mut self, _: RpcId) {}
-    fn forgotten(&mut self, _: RpcId) {}
-    fn log(&mut self, _: Option<RpcId>, _: &str) {}
-}
+use wire::{Asked, Wire};
 
 const FLOOR: f64 = 6.0;
 const SHARE: f64 = 0.2;
@@ -100,7 +69,8 @@
             let from = (ClientId(1), tag);
             engine.rpc(at(ms), from, "read", &model, "", Time(30_000), None, None, Bytes::new()).unwrap();
         }
-        for (id, worker, model, order) in std::mem::take(&mut engine.world().sent) {
+        for (_, id, worker, model, asked) in std::mem::take(&mut engine.world().sent) {
+            let order = asked == Asked::Load;
             let stands = copies.get(&(worker, model.clone())).copied();
             if order {
                 orders.push(ms);
--- /dev/null
+++ b/crates/curlewpoint-engine/tests/wire/mod.rs
@@ -0,0 +1,49 @@
+//! A world that writes down what is sent; the story answers it.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use curlewpoint::types::*;
+use curlewpoint_engine::{Answer, ClientId, Errand, ErrandId, World};
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Asked {
+    Attempt,
+    Load,
+    Probe,
+}
+
+#[derive(Default)]
+pub struct Wire {
+    pub sent: Vec<(Time, ErrandId, WorkerId, String, Asked)>,
+    pub answers: Vec<(u64, Answer)>,
+    pub ended: VecDeque<(ErrandId, Outcome)>,
+}
+
+impl World for Wire {
+    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
+        let (model, asked) = match errand {
+            Errand::CallOut { model, .. } => (model, Asked::Attempt),
+            Errand::Load { model, .. } => (model, Asked::Load),
+            Errand::Probe => ("", Asked::Probe),
+        };
+        self.sent.push((now, id, worker, model.to_owned(), asked));
+    }
+    fn take_back(&mut self, _: Time, _: ErrandId) -> bool {
+        false
+    }
+    fn answer(&mut self, _: RpcId, _: ClientId, tag: u64, answer: Answer, _: &str, _: Time, _: Bytes) {
+        self.answers.push((tag, answer));
+    }
+    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+        self.ended.pop_front()
+    }
+    fn unload(&mut self, _: Time, _: WorkerId, _: &str) {}
+    fn watch_list(&mut self, _: Option<(u64, u64)>) {}
+    fn worker_at(&mut self, _: Time, _: WorkerId, _: &str, _: &str, _: Time) {}
+    fn worker_drains(&mut self, _: Time, _: WorkerId) {}
+    fn worker_gone(&mut self, _: Time, _: WorkerId) {}
+    fn taken(&mut self, _: RpcId) {}
+    fn forgotten(&mut self, _: RpcId) {}
+    fn log(&mut self, _: Option<RpcId>, _: &str) {}
+}
--- /dev/null
+++ b/crates/curlewpoint-platform/src/asked/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+use test_case::test_case;
+
+#[test_case("1500", Some(Time(15_000)))]
+#[test_case("0.25", Some(Time(2)) ; "a part is rounded down")]
+#[test_case("0", None)]
+#[test_case("-5", None)]
+#[test_case("+5", None)]
+#[test_case("1e3", None)]
+#[test_case("NaN", None)]
+#[test_case("inf", None)]
+#[test_case("99999999999999999999999", None)]
+#[test_case("", None)]
+fn only_a_plain_time_is_one(text: &str, want: Option<Time>) {
+    assert_eq!(timeout(text), want);
+}
+
+#[test_case("memory_mb:512;lanes:2", Some(vec![("memory_mb", 512.0), ("lanes", 2.0)]))]
+#[test_case("", Some(vec![]))]
+#[test_case("lanes:many", None)]
+#[test_case("lanes", None)]
+fn figures_are_read_or_refused(text: &str, want: Option<Vec<(&str, f64)>>) {
+    assert_eq!(info(text), want);
+}
+
+#[test]
+fn a_tag_is_new_once_and_counted_ones_take_no_room() {
+    let mut tags = Tags::default();
+    assert!((1..=1000).all(|tag| tags.is_new(tag, 4)) && tags.above.is_empty());
+    assert!(!tags.is_new(7, 4) && tags.is_new(1002, 4) && tags.is_new(1001, 4) && !tags.is_new(1002, 4));
+    assert!((0..4).all(|n| tags.is_new(2000 + n, 4)) && !tags.is_new(3000, 4));
+}
+
+#[test]
+fn a_field_is_found_by_its_whole_name() {
+    let fields = "req=9b1f03aa5c7e2d41,timeout=1500";
+    assert_eq!((field(fields, "timeout"), field(fields, "time")), (Some("1500"), None));
+}
+
+#[test]
+fn a_tag_is_known_as_used_from_its_first_use_on() {
+    let mut tags = Tags::default();
+    assert!(!tags.was_used(1) && !tags.was_used(7));
+    assert!(tags.is_new(7, 9) && tags.is_new(1, 9));
+    assert!(tags.was_used(1) && tags.was_used(7) && !tags.was_used(2));
+}
