--- a/benches/module.rs
+++ b/benches/module.rs
@@ -10,17 +10,17 @@
 use oorandom::Rand64;
 use serde_json::json;
 
-/// Remembers where the last call-out went.
+/// Remembers where the last attempt went.
 #[derive(Default)]
 struct Last {
     calls: Vec<(RpcId, WorkerId)>,
 }
 
 impl Host for Last {
-    fn call_out(&mut self, rpc: RpcId, worker: WorkerId, _: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _: Time) {
         self.calls.push((rpc, worker));
     }
-    fn cancel(&mut self, _: RpcId, _: CallOutNo) {}
+    fn cancel(&mut self, _: RpcId, _: AttemptNo) {}
     fn deny(&mut self, _: RpcId, _: Time) {}
     fn abort(&mut self, _: RpcId) {}
     fn load(&mut self, _: WorkerId, _: FunctionId, _: u64) {}
@@ -87,9 +87,9 @@
         }
         self.ask();
         for (rpc, worker) in std::mem::take(&mut self.module.host().calls) {
-            let (no, elapsed) = (CallOutNo(0), Time(400));
+            let (no, elapsed) = (AttemptNo(0), Time(400));
             let report = [0.4, 3.0, 0.3];
-            self.module.call_out_ended(self.now, rpc, no, Outcome::Ok, elapsed, true, Copy::Warm, 1, &report);
+            self.module.attempt_ended(self.now, rpc, no, Outcome::Ok, elapsed, true, Copy::Warm, 1, &report);
             let _ = worker;
         }
     }
--- a/crates/curlewpoint-cli/tests/crashes.rs
+++ b/crates/curlewpoint-cli/tests/crashes.rs
@@ -120,9 +120,9 @@
 /// Where the scheduler is killed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Step {
-    /// The message has just been delivered: its intent may be written or not, its call-out be sent or not.
+    /// The message has just been delivered: its intent may be written or not, its attempt be sent or not.
     Delivered,
-    /// A worker has the call-out.
+    /// A worker has the attempt.
     CalledOut,
     /// The worker has answered, and the answer may have been read or not.
     WorkerAnswered,
@@ -162,7 +162,7 @@
     fleet.ask(method);
     delivered.await.expect("it is delivered");
     if step != Step::Delivered {
-        let asked = worker.call_out().await;
+        let asked = worker.attempt().await;
         *ran.entry(asked.1.get_text(Field::TOKEN).expect("it has one").to_owned()).or_default() += 1;
         if step != Step::CalledOut {
             worker.answer(&asked, Outcome::Ok);
@@ -191,7 +191,7 @@
         } => {}
         () = async {
             loop {
-                let asked = worker.call_out().await;
+                let asked = worker.attempt().await;
                 *ran.entry(asked.1.get_text(Field::TOKEN).unwrap_or("").to_owned()).or_default() += 1;
                 if worker.peers.contains_key(&asked.0) {
                     worker.answer(&asked, Outcome::Ok);
--- a/crates/curlewpoint-cli/tests/processes.rs
+++ b/crates/curlewpoint-cli/tests/processes.rs
@@ -116,7 +116,7 @@
         let mut f = fleet(&format!("open-{signal}"), "900ms");
         let open =
             call(&f.gateway.address).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("it starts");
-        f.gateway.logs("call-out");
+        f.gateway.logs("attempt");
         f.gateway.signal(signal);
         let Output { status, stdout, .. } = open.wait_with_output().expect("it ends");
         assert_eq!(status.code(), Some(if answered { 0 } else { 5 }), "{signal}: {}", text(&stdout));
@@ -164,7 +164,7 @@
         f.gateway.logs(logged);
     };
     let open = call(&f.gateway.address).stdout(Stdio::piped()).spawn().expect("it starts");
-    f.gateway.logs("call-out");
+    f.gateway.logs("attempt");
     change(
         &good.replace("deadline 5s\n}", "deadline 5s\n"),
         "reload refused, the methods in force stay: error",
--- a/crates/curlewpoint-drill/src/main.rs
+++ b/crates/curlewpoint-drill/src/main.rs
@@ -26,11 +26,11 @@
 }
 
 impl Host for Wire {
-    fn call_out(&mut self, rpc: RpcId, worker: WorkerId, limit: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time) {
         let limit = limit.ms();
         self.say("PASS_ON", format_args!(" req={} worker={} allowFor={limit:.1}", rpc.0, worker.0));
     }
-    fn cancel(&mut self, rpc: RpcId, no: CallOutNo) {
+    fn cancel(&mut self, rpc: RpcId, no: AttemptNo) {
         self.say("UNDO_SEND", format_args!(" req={} seqNo={}", rpc.0, no.0));
     }
     fn deny(&mut self, rpc: RpcId, retry_after: Time) {
@@ -217,12 +217,12 @@
                     4 => Copy::LoadFailed,
                     _ => Copy::Untold,
                 };
-                let no = CallOutNo(line.get("seqNo")?);
+                let no = AttemptNo(line.get("seqNo")?);
                 let done = line.maybe("final")?.unwrap_or(0u64) == 1;
                 let (outcome, report) = (line.outcome()?, line.report()?);
                 let elapsed = line.ms("elapsed")?;
                 let rpc = RpcId(line.get("req")?);
-                srv.call_out_ended(now, rpc, no, outcome, elapsed, done, copy, remark / 8, &report);
+                srv.attempt_ended(now, rpc, no, outcome, elapsed, done, copy, remark / 8, &report);
             }
             "STATUS_BACK" => {
                 srv.report_read(now, WorkerId(line.get("worker")?), &line.report()?);
--- a/crates/curlewpoint-engine/benches/held.rs
+++ b/crates/curlewpoint-engine/benches/held.rs
@@ -5,27 +5,27 @@
 
 use bytes::Bytes;
 use curlewpoint::types::*;
-use curlewpoint_engine::{Answer, ClientId, Engine, Errand, ErrandId, World};
+use curlewpoint_engine::{Answer, ClientId, Engine, RequestId, UpstreamRequest, World};
 use serde_json::json;
 
-/// Keeps the last call-out, and ends nothing by itself.
+/// Keeps the last attempt, and ends nothing by itself.
 #[derive(Default)]
 struct Quiet {
-    last: Option<ErrandId>,
-    ended: VecDeque<(ErrandId, Outcome)>,
+    last: Option<RequestId>,
+    ended: VecDeque<(RequestId, Outcome)>,
 }
 
 impl World for Quiet {
-    fn errand(&mut self, _: Time, id: ErrandId, _: WorkerId, errand: Errand<'_>) {
-        if let Errand::CallOut { .. } = errand {
+    fn request(&mut self, _: Time, id: RequestId, _: WorkerId, request: UpstreamRequest<'_>) {
+        if let UpstreamRequest::Attempt { .. } = request {
             self.last = Some(id);
         }
     }
-    fn take_back(&mut self, _: Time, _: ErrandId) -> bool {
+    fn take_back(&mut self, _: Time, _: RequestId) -> bool {
         false
     }
     fn answer(&mut self, _: RpcId, _: ClientId, _: u64, _: Answer, _: &str, _: Time, _: Bytes) {}
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+    fn ended(&mut self) -> Option<(RequestId, Outcome)> {
         self.ended.pop_front()
     }
     fn unload(&mut self, _: Time, _: WorkerId, _: &str) {}
@@ -80,7 +80,7 @@
             let _ = ask(&mut engine, now, tag);
             if let Some(out) = engine.world().last {
                 answered += 1;
-                engine.errand_ended(now, out, Outcome::Ok, Copy::Warm, 0, 0, Vec::new(), Bytes::new());
+                engine.request_ended(now, out, Outcome::Ok, Copy::Warm, 0, 0, Vec::new(), Bytes::new());
             }
         }
         let us = began.elapsed().as_secs_f64() * 1e6 / MORE as f64;
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -6,7 +6,7 @@
 use curlewpoint::types::*;
 use serde_json::{Map, Value};
 
-use crate::ids::{ClientId, ErrandId, Ids};
+use crate::ids::{ClientId, Ids, RequestId};
 use crate::roster::{Read, Roster};
 use crate::wheel::Wheel;
 
@@ -39,10 +39,10 @@
 }
 
 /// What a worker is asked.
-pub enum Errand<'a> {
-    CallOut {
+pub enum UpstreamRequest<'a> {
+    Attempt {
         rpc: RpcId,
-        no: CallOutNo,
+        no: AttemptNo,
         method: &'a str,
         model: &'a str,
         tenant: &'a str,
@@ -59,17 +59,17 @@
 
 /// What the engine acts through.
 pub trait World {
-    /// Asks a worker; one `errand_ended` follows, unless it is taken back.
-    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>);
-    /// Nobody waits for the errand any more. True: not one byte of it was, or ever will be, sent.
-    fn take_back(&mut self, now: Time, id: ErrandId) -> bool;
+    /// Asks a worker; one `request_ended` follows, unless it is taken back.
+    fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>);
+    /// Nobody waits for the upstream request any more. True: not one byte of it was, or ever will be, sent.
+    fn take_back(&mut self, now: Time, id: RequestId) -> bool;
     /// The final answer for the RPC that `client` calls `tag`.
     fn answer(
         &mut self, rpc: RpcId, client: ClientId, tag: u64, answer: Answer, why: &str, retry_after: Time,
         body: Bytes,
     );
-    /// The next of the errands that ended on this side, without an answer.
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)>;
+    /// The next of the upstream requests that ended on this side, without an answer.
+    fn ended(&mut self) -> Option<(RequestId, Outcome)>;
     fn unload(&mut self, now: Time, worker: WorkerId, model: &str);
     /// The list is wanted from the version held on; none: the whole.
     fn watch_list(&mut self, held: Option<(u64, u64)>);
@@ -82,7 +82,7 @@
     fn seen(&mut self, _worker: WorkerId, _function: FunctionId, _hint: Hint, _held: u64) {}
     /// An RPC has been taken: what it needs until it is forgotten is to be kept.
     fn taken(&mut self, rpc: RpcId);
-    /// It has its answer and no call-out of it is open: nothing comes for it any more.
+    /// It has its answer and no attempt of it is open: nothing comes for it any more.
     fn forgotten(&mut self, rpc: RpcId);
     fn log(&mut self, rpc: Option<RpcId>, line: &str);
 }
@@ -97,7 +97,7 @@
     /// Their client went away first.
     pub left: u64,
     pub refused: u64,
-    pub call_outs: u64,
+    pub attempts: u64,
     pub loads: u64,
     pub probes: u64,
     /// Answered here because the module had said nothing in time.
@@ -146,13 +146,13 @@
     deadline: Time,
     body: Bytes,
     answered: bool,
-    call_outs: usize,
-    open: BTreeMap<CallOutNo, ErrandId>,
+    attempts: usize,
+    open: BTreeMap<AttemptNo, RequestId>,
 }
 
 #[derive(Clone, Copy)]
 enum What {
-    CallOut(RpcId, CallOutNo),
+    Attempt(RpcId, AttemptNo),
     Load(FunctionId),
     Probe,
 }
@@ -166,12 +166,12 @@
 enum Wake {
     Module(WakeId),
     Guard(RpcId),
-    Errand(ErrandId),
+    UpstreamRequest(RequestId),
 }
 
-/// The end of an errand, as it is told to the module. Ends are told in the order in which they came.
+/// The end of an upstream request, as it is told to the module. Ends are told in the order in which they came.
 struct End {
-    id: ErrandId,
+    id: RequestId,
     outcome: Outcome,
     copy: Copy,
     held: u64,
@@ -186,7 +186,7 @@
     now: Time,
     rpcs: BTreeMap<RpcId, Owed>,
     tags: BTreeMap<(ClientId, u64), RpcId>,
-    outs: BTreeMap<ErrandId, Out>,
+    outs: BTreeMap<RequestId, Out>,
     /// Ends that are known and not yet told: the module is not called from within its own call.
     ends: VecDeque<End>,
     wheel: Wheel<Wake>,
@@ -200,28 +200,28 @@
     known: BTreeMap<String, MethodId>,
     served: BTreeMap<String, MethodId>,
     tenants: Vec<String>,
-    next_errand: u64,
+    next_request: u64,
     order_limit: Time,
     probe_limit: Time,
-    most_call_outs: usize,
+    most_attempts: usize,
     figures: Figures,
 }
 
 impl<W: World> Desk<W> {
-    fn open_errand(&mut self, what: What, worker: WorkerId) -> ErrandId {
-        self.next_errand += 1;
-        let id = ErrandId(self.next_errand);
+    fn open_request(&mut self, what: What, worker: WorkerId) -> RequestId {
+        self.next_request += 1;
+        let id = RequestId(self.next_request);
         self.outs.insert(id, Out { what, worker, sent: self.now });
         id
     }
 
-    fn end(&mut self, id: ErrandId, outcome: Outcome) {
+    fn end(&mut self, id: RequestId, outcome: Outcome) {
         let (copy, held, copies) = (Copy::Untold, 0, 0);
         self.ends.push_back(End { id, outcome, copy, held, copies, report: Vec::new(), body: Bytes::new() });
     }
 
-    /// Ends an errand from here; one that was never begun provably never ran.
-    fn take_back(&mut self, id: ErrandId, outcome: Outcome) {
+    /// Ends an upstream request from here; one that was never begun provably never ran.
+    fn take_back(&mut self, id: RequestId, outcome: Outcome) {
         if self.outs.contains_key(&id) {
             let untouched = self.world.take_back(self.now, id);
             self.end(id, if untouched { Outcome::NotSent } else { outcome });
@@ -269,35 +269,35 @@
 }
 
 impl<W: World> Host for Desk<W> {
-    fn call_out(&mut self, rpc: RpcId, worker: WorkerId, limit: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time) {
         let now = self.now;
-        let Some(owed) = self.rpcs.get_mut(&rpc) else { return self.pass_over(rpc, "a call-out") };
+        let Some(owed) = self.rpcs.get_mut(&rpc) else { return self.pass_over(rpc, "an attempt") };
         // Numbers count what the module asked for, also what is not sent.
-        let no = CallOutNo(owed.call_outs);
-        owed.call_outs += 1;
-        let (answered, spent) = (owed.answered, owed.call_outs > self.most_call_outs);
+        let no = AttemptNo(owed.attempts);
+        owed.attempts += 1;
+        let (answered, spent) = (owed.answered, owed.attempts > self.most_attempts);
         let until = if limit == Time(0) { owed.deadline } else { owed.deadline.min(now + limit) };
-        let id = self.open_errand(What::CallOut(rpc, no), worker);
+        let id = self.open_request(What::Attempt(rpc, no), worker);
         let owed = self.rpcs.get_mut(&rpc).expect("looked up above");
         owed.open.insert(no, id);
         if answered || spent || until <= now {
             if answered {
-                self.pass_over(rpc, "a call-out");
+                self.pass_over(rpc, "an attempt");
             }
             return self.end(id, Outcome::NotSent);
         }
-        self.figures.call_outs += 1;
+        self.figures.attempts += 1;
         if until < owed.deadline {
-            self.wheel.set(until, Wake::Errand(id));
+            self.wheel.set(until, Wake::UpstreamRequest(id));
         }
         let (method, tenant) = (&self.methods[owed.method.0].name, self.tenants.get(owed.tenant.0));
         let (model, tenant) = (self.functions.name(owed.function.0), tenant.map_or("", String::as_str));
         let (token, left, body) = (owed.token.as_deref(), until - now, &owed.body);
-        let errand = Errand::CallOut { rpc, no, method, model, tenant, token, left, body };
-        self.world.errand(now, id, worker, errand);
+        let request = UpstreamRequest::Attempt { rpc, no, method, model, tenant, token, left, body };
+        self.world.request(now, id, worker, request);
     }
 
-    fn cancel(&mut self, rpc: RpcId, no: CallOutNo) {
+    fn cancel(&mut self, rpc: RpcId, no: AttemptNo) {
         if let Some(&id) = self.rpcs.get(&rpc).and_then(|o| o.open.get(&no)) {
             if !self.ends.iter().any(|e| e.id == id) {
                 self.take_back(id, Outcome::Cancelled);
@@ -314,11 +314,11 @@
     }
 
     fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64) {
-        let id = self.open_errand(What::Load(function), worker);
+        let id = self.open_request(What::Load(function), worker);
         self.figures.loads += 1;
-        self.wheel.set(self.now + self.order_limit, Wake::Errand(id));
+        self.wheel.set(self.now + self.order_limit, Wake::UpstreamRequest(id));
         let model = self.functions.name(function.0);
-        self.world.errand(self.now, id, worker, Errand::Load { model, copies });
+        self.world.request(self.now, id, worker, UpstreamRequest::Load { model, copies });
     }
 
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
@@ -326,10 +326,10 @@
     }
 
     fn probe(&mut self, worker: WorkerId) {
-        let id = self.open_errand(What::Probe, worker);
+        let id = self.open_request(What::Probe, worker);
         self.figures.probes += 1;
-        self.wheel.set(self.now + self.probe_limit, Wake::Errand(id));
-        self.world.errand(self.now, id, worker, Errand::Probe);
+        self.wheel.set(self.now + self.probe_limit, Wake::UpstreamRequest(id));
+        self.world.request(self.now, id, worker, UpstreamRequest::Probe);
     }
 
     fn wake(&mut self, delay: Time, id: WakeId) {
@@ -349,7 +349,7 @@
     }
 }
 
-/// One scheduler: RPCs taken and owed, errands out, wake-ups and the list, around the module.
+/// One scheduler: RPCs taken and owed, upstream requests out, wake-ups and the list, around the module.
 ///
 /// The settings are the module's; the engine reads from them the names of methods and tenants, `limits.maxOpen`,
 /// `limits.maxAttempts`, `limits.probeLimit`, `familyInfo.orderLimit` and `contract.answerSlack`, the time that it
@@ -365,8 +365,8 @@
 
 /// How long after its going the name and the start of a worker are kept: lists told late may still name it.
 const GONE_KEPT: Time = Time(6_000_000);
-/// The longest name of a model, and the longest token, in bytes: with them a call-out's head stays far below what any
-/// worker takes. A longer one would end a connection that carries others' call-outs.
+/// The longest name of a model, and the longest token, in bytes: with them an attempt's head stays far below what any
+/// worker takes. A longer one would end a connection that carries others' attempts.
 const MOST_NAME: usize = 1024;
 const MOST_WORKERS: usize = 100_000;
 const MOST_MODELS: usize = 1_000_000;
@@ -402,10 +402,10 @@
             known,
             served,
             tenants: list(&settings, "tenants").iter().map(|t| name_of(t).to_owned()).collect(),
-            next_errand: 0,
+            next_request: 0,
             order_limit: ms("familyInfo", "orderLimit", 10_000.0),
             probe_limit: ms("limits", "probeLimit", 1_000.0),
-            most_call_outs: number(&settings, "limits", "maxAttempts", 1e9) as usize,
+            most_attempts: number(&settings, "limits", "maxAttempts", 1e9) as usize,
             figures: Figures::default(),
         };
         let (slack, most_open) =
@@ -433,7 +433,7 @@
         self.module.host().tags.len()
     }
 
-    /// RPCs held: those owed an answer, and those answered that still have a call-out open.
+    /// RPCs held: those owed an answer, and those answered that still have an attempt open.
     pub fn held(&mut self) -> usize {
         self.module.host().rpcs.len()
     }
@@ -443,18 +443,18 @@
     }
 
     /// Where what the module believes out differs from what is out here, or that from what the pool has open.
-    pub fn mismatch(&mut self, open: &BTreeMap<ErrandId, WorkerId>) -> Option<String> {
+    pub fn mismatch(&mut self, open: &BTreeMap<RequestId, WorkerId>) -> Option<String> {
         let outs = &self.module.host().outs;
-        let out = |id: &ErrandId| outs.get(id).map(|o| o.worker);
+        let out = |id: &RequestId| outs.get(id).map(|o| o.worker);
         if let Some(id) = outs.keys().chain(open.keys()).find(|id| out(id) != open.get(id).copied()) {
-            return Some(format!("errand {} is out at {:?}, and open at {:?}", id.0, out(id), open.get(id)));
+            return Some(format!("request {} is out at {:?}, and open at {:?}", id.0, out(id), open.get(id)));
         }
-        let mut call_outs: BTreeMap<WorkerId, u64> = BTreeMap::new();
-        for o in outs.values().filter(|o| matches!(o.what, What::CallOut(..))) {
-            *call_outs.entry(o.worker).or_default() += 1;
+        let mut attempts: BTreeMap<WorkerId, u64> = BTreeMap::new();
+        for o in outs.values().filter(|o| matches!(o.what, What::Attempt(..))) {
+            *attempts.entry(o.worker).or_default() += 1;
         }
         let believed: BTreeMap<WorkerId, u64> = self.module.believed_out().collect();
-        (believed != call_outs).then(|| format!("believed out {believed:?}, and out {call_outs:?}"))
+        (believed != attempts).then(|| format!("believed out {believed:?}, and out {attempts:?}"))
     }
 
     /// How much is kept here and by the module, by kind.
@@ -462,7 +462,7 @@
         let desk = self.module.host();
         let here = [
             ("rpcs", desk.rpcs.len()),
-            ("errands", desk.outs.len()),
+            ("requests", desk.outs.len()),
             ("wake-ups", desk.wheel.len()),
             ("function names", desk.functions.len()),
             ("worker names", desk.roster.len()),
@@ -470,10 +470,10 @@
         here.into_iter().chain(self.module.sizes()).collect()
     }
 
-    /// The RPC that a call-out which is out is for, and its method.
-    pub fn asked_by(&mut self, errand: ErrandId) -> Option<(RpcId, &str)> {
+    /// The RPC that an attempt which is out is for, and its method.
+    pub fn asked_by(&mut self, request: RequestId) -> Option<(RpcId, &str)> {
         let desk = self.module.host();
-        let What::CallOut(rpc, _) = desk.outs.get(&errand)?.what else { return None };
+        let What::Attempt(rpc, _) = desk.outs.get(&request)?.what else { return None };
         Some((rpc, &desk.methods[desk.rpcs.get(&rpc)?.method.0].name))
     }
 
@@ -578,10 +578,10 @@
         let id = RpcId(self.next_rpc);
         let tenant = TenantId(tenant);
         let desk = self.module.host();
-        let (call_outs, open, answered) = (0, BTreeMap::new(), false);
+        let (attempts, open, answered) = (0, BTreeMap::new(), false);
         let (deadline, token) = (now + left, token.map(str::to_owned));
         let owed =
-            Owed { client, tag, method, tenant, function, token, deadline, body, answered, call_outs, open };
+            Owed { client, tag, method, tenant, function, token, deadline, body, answered, attempts, open };
         desk.rpcs.insert(id, owed);
         *desk.asked_for.entry(function).or_default() += 1;
         desk.tags.insert(from, id);
@@ -621,20 +621,20 @@
     fn end_rpc(&mut self, now: Time, id: RpcId) {
         self.module.rpc_gone(id);
         let desk = self.module.host();
-        let open: Vec<ErrandId> =
+        let open: Vec<RequestId> =
             desk.rpcs.get(&id).map(|o| o.open.values().copied().collect()).unwrap_or_default();
-        for errand in open {
-            if !desk.ends.iter().any(|e| e.id == errand) {
-                desk.take_back(errand, Outcome::TimeOut);
+        for request in open {
+            if !desk.ends.iter().any(|e| e.id == request) {
+                desk.take_back(request, Outcome::TimeOut);
             }
         }
         desk.forget_if_done(id);
         self.settle(now);
     }
 
-    /// An errand was answered, or is known to have ended. A second end, or one for what was never asked, is nothing.
-    pub fn errand_ended(
-        &mut self, now: Time, id: ErrandId, outcome: Outcome, copy: Copy, held: u64, copies: u64,
+    /// An upstream request was answered, or is known to have ended. A second end, or one for what was never asked, is nothing.
+    pub fn request_ended(
+        &mut self, now: Time, id: RequestId, outcome: Outcome, copy: Copy, held: u64, copies: u64,
         report: Vec<f64>, body: Bytes,
     ) {
         self.desk(now).ends.push_back(End { id, outcome, copy, held, copies, report, body });
@@ -648,7 +648,7 @@
             match what {
                 Wake::Module(id) => self.module.woken(now, id),
                 Wake::Guard(id) => self.guard(now, id),
-                Wake::Errand(id) => self.module.host().take_back(id, Outcome::TimeOut),
+                Wake::UpstreamRequest(id) => self.module.host().take_back(id, Outcome::TimeOut),
             }
             self.settle(now);
         }
@@ -692,7 +692,7 @@
             let Some(end) = desk.ends.pop_front() else { return };
             let Some(Out { what, worker, sent }) = desk.outs.remove(&end.id) else { continue };
             match what {
-                What::CallOut(rpc, no) => {
+                What::Attempt(rpc, no) => {
                     let Some(owed) = desk.rpcs.get_mut(&rpc) else { continue };
                     owed.open.remove(&no);
                     if end.outcome == Outcome::Ok && !owed.answered {
@@ -701,7 +701,7 @@
                     let done = desk.rpcs.get(&rpc).is_none_or(|o| o.answered);
                     let (outcome, elapsed) = (end.outcome, now - sent);
                     let (copy, held) = (end.copy, end.held);
-                    self.module.call_out_ended(now, rpc, no, outcome, elapsed, done, copy, held, &end.report);
+                    self.module.attempt_ended(now, rpc, no, outcome, elapsed, done, copy, held, &end.report);
                     self.module.host().forget_if_done(rpc);
                 }
                 What::Load(function) => {
--- a/crates/curlewpoint-engine/src/ids.rs
+++ b/crates/curlewpoint-engine/src/ids.rs
@@ -10,9 +10,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnId(pub u64);
 
-/// A call-out, a probe or a load order: whatever a worker is asked and owes an end for.
+/// An attempt, a probe or a load order: whatever a worker is asked and owes an end for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ErrandId(pub u64);
+pub struct RequestId(pub u64);
 
 /// The id of a name, the same at every scheduler that ever reads it.
 pub fn id_of(name: &str) -> u64 {
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -3,26 +3,26 @@
 use curlewpoint::types::{Outcome, Time, WorkerId};
 use oorandom::Rand64;
 
-use crate::ids::{ConnId, ErrandId};
+use crate::ids::{ConnId, RequestId};
 
 /// What the pool acts through.
 pub trait Wires<P> {
     /// Opens a connection; `conn_up` or `conn_failed` follows, within the dial time-out.
     fn dial(&mut self, conn: ConnId, worker: WorkerId, address: &str);
-    /// Hands an errand to a connection's outbox; false: the outbox is full or the connection has broken.
-    fn send(&mut self, conn: ConnId, errand: ErrandId, payload: &P) -> bool;
+    /// Hands an upstream request to a connection's outbox; false: the outbox is full or the connection has broken.
+    fn send(&mut self, conn: ConnId, request: RequestId, payload: &P) -> bool;
     /// Takes back what was sent; true: not one byte of it was, or ever will be, handed to the kernel.
-    fn take_back(&mut self, conn: ConnId, errand: ErrandId) -> bool;
+    fn take_back(&mut self, conn: ConnId, request: RequestId) -> bool;
     /// Tells the worker that nobody waits for what was begun.
-    fn withdraw(&mut self, conn: ConnId, errand: ErrandId);
+    fn withdraw(&mut self, conn: ConnId, request: RequestId);
     fn close(&mut self, conn: ConnId);
-    /// An errand that ends here, without an answer.
-    fn ended(&mut self, errand: ErrandId, outcome: Outcome);
+    /// An upstream request that ends here, without an answer.
+    fn ended(&mut self, request: RequestId, outcome: Outcome);
 }
 
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
-    /// Errands at a time on a connection.
+    /// Requests at a time on a connection.
     pub streams: usize,
     /// Connections to a worker.
     pub conns: usize,
@@ -35,10 +35,10 @@
 
 /// With so many out on each of a worker's connections another is opened beside them: as a rule, and for a while after
 /// a connection broke with something out on it. A handshake costs the worker's time, and three hundred schedulers that
-/// each open one for every second call-out pay for thousands; where answers come spoilt it is worth its price.
+/// each open one for every second attempt pay for thousands; where answers come spoilt it is worth its price.
 const SPREAD: (usize, usize) = (4, 1);
 const WARY: Time = Time(600_000);
-/// An errand is given up after this time or later, and nothing has been heard on its connection since it was sent: the
+/// An upstream request is given up after this time or later, and nothing has been heard on its connection since it was sent: the
 /// connection takes nothing new. Longer than a warm answer takes.
 const DEAF: Time = Time(10_000);
 
@@ -54,7 +54,7 @@
     worker: WorkerId,
     state: State,
     /// What is out on it, and since when.
-    out: BTreeMap<ErrandId, Time>,
+    out: BTreeMap<RequestId, Time>,
     idle_since: Time,
     /// When it last brought an answer, or came up.
     heard: Time,
@@ -75,7 +75,7 @@
     start: Time,
     conns: Vec<ConnId>,
     /// What waits for a connection that is being dialled.
-    waiting: VecDeque<(ErrandId, P)>,
+    waiting: VecDeque<(RequestId, P)>,
     failures: u32,
     not_before: Time,
     /// The last dial failed for want of something on this side.
@@ -83,8 +83,8 @@
     gone: bool,
 }
 
-/// Which connection to a worker an errand takes: the one with the fewest out, else one that is being dialled, else
-/// a new one up to a cap. Nothing waits for long: a dial has a time-out, and where no connection can come an errand
+/// Which connection to a worker an upstream request takes: the one with the fewest out, else one that is being dialled, else
+/// a new one up to a cap. Nothing waits for long: a dial has a time-out, and where no connection can come an upstream request
 /// ends at once, as `ConnectFailed` while the worker cannot be reached and as `Full` when its connections are full.
 pub struct Pool<P> {
     limits: PoolLimits,
@@ -92,8 +92,8 @@
     next: u64,
     lines: BTreeMap<WorkerId, Line<P>>,
     conns: BTreeMap<ConnId, Conn>,
-    /// Where each errand is: on a connection, or waiting at its worker.
-    whereabouts: BTreeMap<ErrandId, (WorkerId, Option<ConnId>)>,
+    /// Where each upstream request is: on a connection, or waiting at its worker.
+    whereabouts: BTreeMap<RequestId, (WorkerId, Option<ConnId>)>,
     /// Until then connections are expected to break.
     wary_until: Time,
 }
@@ -112,12 +112,12 @@
     /// How much is kept, by kind.
     pub fn sizes(&self) -> [(&'static str, usize); 3] {
         let (open, dialled) = (self.whereabouts.len(), self.lines.len());
-        [("connections", self.conns.len()), ("errands open", open), ("workers dialled", dialled)]
+        [("connections", self.conns.len()), ("requests open", open), ("workers dialled", dialled)]
     }
 
     /// What is open, and at which worker.
-    pub fn open(&self) -> impl Iterator<Item = (ErrandId, WorkerId)> + '_ {
-        self.whereabouts.iter().map(|(errand, (worker, _))| (*errand, *worker))
+    pub fn open(&self) -> impl Iterator<Item = (RequestId, WorkerId)> + '_ {
+        self.whereabouts.iter().map(|(request, (worker, _))| (*request, *worker))
     }
 
     /// A worker's address and start, as the list tells them. At a new address, and to a process that has ended, old
@@ -146,21 +146,21 @@
     }
 
     /// The list says that a worker drains or is gone: what still waits to be sent there is not sent. Guards the rule on
-    /// drains where a worker does not read, as its outbox may hold call-outs for longer than the grace. Should also hold
+    /// drains where a worker does not read, as its outbox may hold attempts for longer than the grace. Should also hold
     /// for a dial that hangs. Harms little: what is not sent goes elsewhere.
     pub fn send_nothing_more(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
         let Some(line) = self.lines.get_mut(&worker) else { return };
         let conns = line.conns.clone();
-        for (errand, _) in std::mem::take(&mut line.waiting) {
-            self.whereabouts.remove(&errand);
-            wires.ended(errand, Outcome::NotSent);
+        for (request, _) in std::mem::take(&mut line.waiting) {
+            self.whereabouts.remove(&request);
+            wires.ended(request, Outcome::NotSent);
         }
         for conn in conns {
             let out = self.conns.get(&conn).map(|c| c.out.clone()).unwrap_or_default();
-            for errand in out.into_keys() {
-                if wires.take_back(conn, errand) {
-                    self.let_go(now, wires, errand);
-                    wires.ended(errand, Outcome::NotSent);
+            for request in out.into_keys() {
+                if wires.take_back(conn, request) {
+                    self.let_go(now, wires, request);
+                    wires.ended(request, Outcome::NotSent);
                 }
             }
         }
@@ -207,14 +207,14 @@
         self.forget(worker);
     }
 
-    pub fn errand(
-        &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, errand: ErrandId, payload: P,
+    pub fn request(
+        &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, request: RequestId, payload: P,
     ) {
-        if self.hand_over(now, wires, worker, errand, &payload, false) {
+        if self.hand_over(now, wires, worker, request, &payload, false) {
             return self.spread(now, wires, worker);
         }
         let Some(line) = self.lines.get_mut(&worker).filter(|l| !l.gone) else {
-            return wires.ended(errand, Outcome::ConnectFailed);
+            return wires.ended(request, Outcome::ConnectFailed);
         };
         let dialling = line.conns.iter().filter(|c| self.conns[*c].state == State::Dialling).count();
         if line.waiting.len() >= dialling * self.limits.streams {
@@ -222,17 +222,17 @@
             let unreached = line.conns.is_empty() && !line.ours && now < line.not_before;
             if held || !self.make_room(wires) {
                 // Where no other can come, one that was passed over has to do.
-                if !self.hand_over(now, wires, worker, errand, &payload, true) {
-                    wires.ended(errand, if unreached { Outcome::ConnectFailed } else { Outcome::Full });
+                if !self.hand_over(now, wires, worker, request, &payload, true) {
+                    wires.ended(request, if unreached { Outcome::ConnectFailed } else { Outcome::Full });
                 }
                 return;
             }
             self.dial(now, wires, worker);
         }
         if let Some(line) = self.lines.get_mut(&worker) {
-            line.waiting.push_back((errand, payload));
+            line.waiting.push_back((request, payload));
         }
-        self.whereabouts.insert(errand, (worker, None));
+        self.whereabouts.insert(request, (worker, None));
     }
 
     /// Whether one connection more fits; where all are taken, the one that has lain idle longest goes. Guards the
@@ -258,7 +258,7 @@
     }
 
     /// Opens one connection more where each has enough out. Guards against one connection's end, as by an answer that
-    /// cannot be read, that takes all call-outs to a worker with it; what may have run is lost there or runs again.
+    /// cannot be read, that takes all attempts to a worker with it; what may have run is lost there or runs again.
     /// Should also hold for one that stands still. Costs handshakes, and descriptors up to the cap.
     fn spread(&mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId) {
         let Some(line) = self.lines.get(&worker).filter(|l| !l.gone && now >= l.not_before) else { return };
@@ -274,9 +274,9 @@
         }
     }
 
-    /// Gives an errand to the connection with the fewest out that takes it; to one that was passed over only if told.
+    /// Gives an upstream request to the connection with the fewest out that takes it; to one that was passed over only if told.
     fn hand_over(
-        &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, errand: ErrandId, payload: &P,
+        &mut self, now: Time, wires: &mut impl Wires<P>, worker: WorkerId, request: RequestId, payload: &P,
         passed: bool,
     ) -> bool {
         let Some(line) = self.lines.get(&worker) else { return false };
@@ -285,11 +285,11 @@
         let mut open: Vec<ConnId> = line.conns.iter().copied().filter(|c| takes(&self.conns[c])).collect();
         open.sort_by_key(|c| (self.conns[c].passed, self.conns[c].out.len()));
         for conn in open {
-            if wires.send(conn, errand, payload) {
+            if wires.send(conn, request, payload) {
                 let c = self.conns.get_mut(&conn).expect("it is open");
-                c.out.insert(errand, now);
+                c.out.insert(request, now);
                 c.idle_since = now;
-                self.whereabouts.insert(errand, (worker, Some(conn)));
+                self.whereabouts.insert(request, (worker, Some(conn)));
                 return true;
             }
         }
@@ -303,9 +303,9 @@
         let Some(line) = self.lines.get_mut(&worker) else { return };
         (line.failures, line.ours) = (0, false);
         let mut waiting = std::mem::take(&mut line.waiting);
-        while let Some((errand, payload)) = waiting.pop_front() {
-            if !self.hand_over(now, wires, worker, errand, &payload, false) {
-                waiting.push_front((errand, payload));
+        while let Some((request, payload)) = waiting.pop_front() {
+            if !self.hand_over(now, wires, worker, request, &payload, false) {
+                waiting.push_front((request, payload));
                 break;
             }
         }
@@ -340,9 +340,9 @@
         if line.conns.iter().any(|c| self.conns[c].state == State::Dialling) {
             return;
         }
-        for (errand, _) in std::mem::take(&mut line.waiting) {
-            self.whereabouts.remove(&errand);
-            wires.ended(errand, outcome);
+        for (request, _) in std::mem::take(&mut line.waiting) {
+            self.whereabouts.remove(&request);
+            wires.ended(request, outcome);
         }
         self.forget(worker);
     }
@@ -354,18 +354,18 @@
         if !out.is_empty() {
             self.wary_until = now + WARY;
         }
-        for errand in out.into_keys() {
-            self.whereabouts.remove(&errand);
-            let untouched = wires.take_back(conn, errand);
-            wires.ended(errand, if untouched { Outcome::NotSent } else { Outcome::Reset });
+        for request in out.into_keys() {
+            self.whereabouts.remove(&request);
+            let untouched = wires.take_back(conn, request);
+            wires.ended(request, if untouched { Outcome::NotSent } else { Outcome::Reset });
         }
         self.drop_conn(conn, worker);
         self.settle_waiting(wires, worker, Outcome::ConnectFailed);
     }
 
-    /// Whether an errand is out on this connection.
-    pub fn is_on(&self, errand: ErrandId, conn: ConnId) -> bool {
-        self.whereabouts.get(&errand).is_some_and(|(_, on)| *on == Some(conn))
+    /// Whether an upstream request is out on this connection.
+    pub fn is_on(&self, request: RequestId, conn: ConnId) -> bool {
+        self.whereabouts.get(&request).is_some_and(|(_, on)| *on == Some(conn))
     }
 
     /// Lets `say` use a connection that is up, for what needs no answer; where none is, nothing is said.
@@ -379,22 +379,22 @@
         }
     }
 
-    /// An errand was answered.
-    pub fn answered(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) {
-        if let Some((worker, Some(conn))) = self.whereabouts.get(&errand).copied() {
-            self.heard(now, worker, conn, errand);
+    /// An upstream request was answered.
+    pub fn answered(&mut self, now: Time, wires: &mut impl Wires<P>, request: RequestId) {
+        if let Some((worker, Some(conn))) = self.whereabouts.get(&request).copied() {
+            self.heard(now, worker, conn, request);
         }
-        self.let_go(now, wires, errand);
+        self.let_go(now, wires, request);
     }
 
     /// An answer came on a connection. Another that has been silent since before its question was sent is passed over
     /// from here on, until it is heard again. Guards against one that stays up and brings nothing more, without waiting
-    /// for an errand on it to be given up. Should also hold for one behind a slow path. Harms little where all that it
+    /// for an upstream request on it to be given up. Should also hold for one behind a slow path. Harms little where all that it
     /// carries is slow, as a load is: the others take what comes, and it is taken again once it has answered.
-    fn heard(&mut self, now: Time, worker: WorkerId, conn: ConnId, errand: ErrandId) {
+    fn heard(&mut self, now: Time, worker: WorkerId, conn: ConnId, request: RequestId) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
         (c.heard, c.passed) = (now, false);
-        let Some(sent) = c.out.get(&errand).copied() else { return };
+        let Some(sent) = c.out.get(&request).copied() else { return };
         for other in self.lines.get(&worker).map(|l| l.conns.as_slice()).unwrap_or_default() {
             if let Some(c) = self.conns.get_mut(other).filter(|_| *other != conn) {
                 c.passed |= c.silent_since().is_some_and(|since| since < sent);
@@ -402,37 +402,37 @@
         }
     }
 
-    fn let_go(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) {
-        let Some((_, Some(conn))) = self.whereabouts.remove(&errand) else { return };
+    fn let_go(&mut self, now: Time, wires: &mut impl Wires<P>, request: RequestId) {
+        let Some((_, Some(conn))) = self.whereabouts.remove(&request) else { return };
         if let Some(c) = self.conns.get_mut(&conn) {
-            c.out.remove(&errand);
+            c.out.remove(&request);
             c.idle_since = now;
         }
         self.close_if_done(wires, conn);
     }
 
-    /// Nobody waits for an errand any more; true: it provably was not and will not be sent.
-    pub fn take_back(&mut self, now: Time, wires: &mut impl Wires<P>, errand: ErrandId) -> bool {
-        match self.whereabouts.get(&errand).copied() {
+    /// Nobody waits for an upstream request any more; true: it provably was not and will not be sent.
+    pub fn take_back(&mut self, now: Time, wires: &mut impl Wires<P>, request: RequestId) -> bool {
+        match self.whereabouts.get(&request).copied() {
             None => false,
             Some((worker, None)) => {
-                self.whereabouts.remove(&errand);
+                self.whereabouts.remove(&request);
                 if let Some(line) = self.lines.get_mut(&worker) {
-                    line.waiting.retain(|(e, _)| *e != errand);
+                    line.waiting.retain(|(e, _)| *e != request);
                 }
                 true
             }
             Some((_, Some(conn))) => {
-                let untouched = wires.take_back(conn, errand);
+                let untouched = wires.take_back(conn, request);
                 if !untouched {
-                    wires.withdraw(conn, errand);
+                    wires.withdraw(conn, request);
                 }
                 let deaf = |c: &Conn| {
                     let unheard = |sent: &Time| c.heard <= *sent && now - *sent >= DEAF;
-                    c.passed || c.out.get(&errand).is_some_and(unheard)
+                    c.passed || c.out.get(&request).is_some_and(unheard)
                 };
                 let deaf = self.conns.get(&conn).is_some_and(deaf);
-                self.let_go(now, wires, errand);
+                self.let_go(now, wires, request);
                 if deaf {
                     // Guards against a connection that stays up and brings nothing more: with ever less out on it, it
                     // would be the first choice. Harms little where the worker itself is slow: another is dialled.
--- a/crates/curlewpoint-engine/tests/beliefs.rs
+++ b/crates/curlewpoint-engine/tests/beliefs.rs
@@ -1,4 +1,4 @@
-//! What the module believes out at each worker is what the pool has open there, and each errand ends once; and nothing
+//! What the module believes out at each worker is what the pool has open there, and each upstream request ends once; and nothing
 //! that is kept grows with what has passed.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use curlewpoint::types::*;
 use curlewpoint_engine::{
-    Answer, ClientId, ConnId, Engine, Errand, ErrandId, Pool, PoolLimits, Wires, World,
+    Answer, ClientId, ConnId, Engine, Pool, PoolLimits, RequestId, UpstreamRequest, Wires, World,
 };
 use proptest::prelude::*;
 use serde_json::{json, Map, Value};
@@ -17,32 +17,32 @@
     dialled: Vec<ConnId>,
     up: BTreeSet<ConnId>,
     /// What is on each connection, as its own book has it.
-    out: BTreeMap<ErrandId, ConnId>,
+    out: BTreeMap<RequestId, ConnId>,
     full: bool,
     untouched: bool,
-    ends: VecDeque<(ErrandId, Outcome)>,
+    ends: VecDeque<(RequestId, Outcome)>,
 }
 
 impl Wires<()> for Sockets {
     fn dial(&mut self, conn: ConnId, _: WorkerId, _: &str) {
         self.dialled.push(conn);
     }
-    fn send(&mut self, conn: ConnId, errand: ErrandId, _: &()) -> bool {
+    fn send(&mut self, conn: ConnId, request: RequestId, _: &()) -> bool {
         let sent = self.up.contains(&conn) && !self.full;
         if sent {
-            assert!(self.out.insert(errand, conn).is_none(), "sent twice");
+            assert!(self.out.insert(request, conn).is_none(), "sent twice");
         }
         sent
     }
-    fn take_back(&mut self, _: ConnId, errand: ErrandId) -> bool {
-        self.untouched && self.out.contains_key(&errand)
+    fn take_back(&mut self, _: ConnId, request: RequestId) -> bool {
+        self.untouched && self.out.contains_key(&request)
     }
-    fn withdraw(&mut self, _: ConnId, _: ErrandId) {}
+    fn withdraw(&mut self, _: ConnId, _: RequestId) {}
     fn close(&mut self, conn: ConnId) {
         assert!(self.up.remove(&conn), "closed twice, or never up");
     }
-    fn ended(&mut self, errand: ErrandId, outcome: Outcome) {
-        self.ends.push_back((errand, outcome));
+    fn ended(&mut self, request: RequestId, outcome: Outcome) {
+        self.ends.push_back((request, outcome));
     }
 }
 
@@ -50,29 +50,29 @@
 struct Around {
     pool: Pool<()>,
     sockets: Sockets,
-    begun: BTreeSet<ErrandId>,
-    over: BTreeSet<ErrandId>,
+    begun: BTreeSet<RequestId>,
+    over: BTreeSet<RequestId>,
 }
 
 impl Around {
-    fn is_over(&mut self, id: ErrandId) {
+    fn is_over(&mut self, id: RequestId) {
         assert!(self.over.insert(id), "{id:?} ended twice");
         self.sockets.out.remove(&id);
     }
 }
 
 impl World for Around {
-    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, _: Errand<'_>) {
+    fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, _: UpstreamRequest<'_>) {
         assert!(self.begun.insert(id));
-        self.pool.errand(now, &mut self.sockets, worker, id, ());
+        self.pool.request(now, &mut self.sockets, worker, id, ());
     }
-    fn take_back(&mut self, now: Time, id: ErrandId) -> bool {
+    fn take_back(&mut self, now: Time, id: RequestId) -> bool {
         let untouched = self.pool.take_back(now, &mut self.sockets, id);
         self.is_over(id);
         untouched
     }
     fn answer(&mut self, _: RpcId, _: ClientId, _: u64, _: Answer, _: &str, _: Time, _: Bytes) {}
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+    fn ended(&mut self) -> Option<(RequestId, Outcome)> {
         let end = self.sockets.ends.pop_front()?;
         self.is_over(end.0);
         Some(end)
@@ -178,7 +178,7 @@
         world.pool.answered(self.now, &mut world.sockets, id);
         for _ in 0..2 {
             let (copy, body) = (Copy::Warm, Bytes::new());
-            self.engine.errand_ended(self.now, id, outcome, copy, 0, 1, vec![0.5], body);
+            self.engine.request_ended(self.now, id, outcome, copy, 0, 1, vec![0.5], body);
         }
     }
 
@@ -230,7 +230,7 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
     #[test]
-    fn what_is_believed_out_is_what_is_open_and_each_errand_ends_once(
+    fn what_is_believed_out_is_what_is_open_and_each_request_ends_once(
         steps in prop::collection::vec(step(), 1..150)
     ) {
         let mut day = Day::new();
@@ -297,10 +297,10 @@
     // with the copies.
     let bounds = [
         ("connections", 2 * workers),
-        ("errands open", 1),
+        ("requests open", 1),
         ("workers dialled", workers),
         ("rpcs", 1),
-        ("errands", 1),
+        ("requests", 1),
         ("wake-ups", 100),
         ("function names", 1),
         ("worker names", 62 * workers),
--- a/crates/curlewpoint-engine/tests/cold.rs
+++ b/crates/curlewpoint-engine/tests/cold.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use curlewpoint::types::*;
-use curlewpoint_engine::{ClientId, Engine, ErrandId};
+use curlewpoint_engine::{ClientId, Engine, RequestId};
 use oorandom::Rand64;
 use serde_json::{json, Map, Value};
 use test_case::test_case;
@@ -39,7 +39,7 @@
 struct One {
     engine: Engine<Wire>,
     /// Answers on their way, by the moment at which they come.
-    coming: BTreeMap<(Time, ErrandId), Outcome>,
+    coming: BTreeMap<(Time, RequestId), Outcome>,
     told: bool,
 }
 
@@ -105,7 +105,7 @@
             {
                 let outcome = one.coming.remove(&(when, id)).expect("it was first");
                 let copy = if outcome == Outcome::Ok { Copy::Warm } else { Copy::Untold };
-                one.engine.errand_ended(now, id, outcome, copy, 0, 1, vec![0.5], Bytes::new());
+                one.engine.request_ended(now, id, outcome, copy, 0, 1, vec![0.5], Bytes::new());
             }
             if one.engine.next_wake().is_some_and(|wake| wake <= now) {
                 one.engine.advance(now);
--- a/crates/curlewpoint-engine/tests/pool.rs
+++ b/crates/curlewpoint-engine/tests/pool.rs
@@ -3,44 +3,44 @@
 use std::collections::BTreeSet;
 
 use curlewpoint::types::{Outcome, Time, WorkerId};
-use curlewpoint_engine::{ConnId, ErrandId, Pool, PoolLimits, Wires};
+use curlewpoint_engine::{ConnId, Pool, PoolLimits, RequestId, Wires};
 use test_case::test_case;
 
 #[derive(Default)]
 struct Fake {
     dialled: Vec<ConnId>,
-    sent: Vec<(ConnId, ErrandId)>,
+    sent: Vec<(ConnId, RequestId)>,
     closed: Vec<ConnId>,
-    withdrawn: Vec<ErrandId>,
-    ended: Vec<(ErrandId, Outcome)>,
+    withdrawn: Vec<RequestId>,
+    ended: Vec<(RequestId, Outcome)>,
     /// Connections whose outbox is full.
     full: BTreeSet<ConnId>,
-    /// Errands of which not a byte has been sent.
-    untouched: BTreeSet<ErrandId>,
+    /// Requests of which not a byte has been sent.
+    untouched: BTreeSet<RequestId>,
 }
 
 impl Wires<&'static str> for Fake {
     fn dial(&mut self, conn: ConnId, _: WorkerId, _: &str) {
         self.dialled.push(conn);
     }
-    fn send(&mut self, conn: ConnId, errand: ErrandId, _: &&'static str) -> bool {
+    fn send(&mut self, conn: ConnId, request: RequestId, _: &&'static str) -> bool {
         let room = !self.full.contains(&conn);
         if room {
-            self.sent.push((conn, errand));
+            self.sent.push((conn, request));
         }
         room
     }
-    fn take_back(&mut self, _: ConnId, errand: ErrandId) -> bool {
-        self.untouched.contains(&errand)
+    fn take_back(&mut self, _: ConnId, request: RequestId) -> bool {
+        self.untouched.contains(&request)
     }
-    fn withdraw(&mut self, _: ConnId, errand: ErrandId) {
-        self.withdrawn.push(errand);
+    fn withdraw(&mut self, _: ConnId, request: RequestId) {
+        self.withdrawn.push(request);
     }
     fn close(&mut self, conn: ConnId) {
         self.closed.push(conn);
     }
-    fn ended(&mut self, errand: ErrandId, outcome: Outcome) {
-        self.ended.push((errand, outcome));
+    fn ended(&mut self, request: RequestId, outcome: Outcome) {
+        self.ended.push((request, outcome));
     }
 }
 
@@ -54,8 +54,8 @@
     (pool, wires)
 }
 
-fn ask(p: &mut Pool<&'static str>, w: &mut Fake, now: u64, errands: std::ops::RangeInclusive<u64>) {
-    errands.for_each(|e| p.errand(Time(now), w, W, ErrandId(e), "x"));
+fn ask(p: &mut Pool<&'static str>, w: &mut Fake, now: u64, requests: std::ops::RangeInclusive<u64>) {
+    requests.for_each(|e| p.request(Time(now), w, W, RequestId(e), "x"));
 }
 
 #[test]
@@ -63,14 +63,14 @@
     let (mut p, mut w) = pool();
     ask(&mut p, &mut w, 0, 1..=5);
     assert_eq!(w.dialled.len(), 2);
-    assert_eq!(w.ended, [(ErrandId(5), Outcome::Full)]);
+    assert_eq!(w.ended, [(RequestId(5), Outcome::Full)]);
     for conn in w.dialled.clone() {
         p.conn_up(Time(9), &mut w, conn);
     }
     assert_eq!(w.sent.len(), 4);
     ask(&mut p, &mut w, 10, 6..=6);
-    assert_eq!(w.ended[1], (ErrandId(6), Outcome::Full));
-    p.answered(Time(11), &mut w, ErrandId(1));
+    assert_eq!(w.ended[1], (RequestId(6), Outcome::Full));
+    p.answered(Time(11), &mut w, RequestId(1));
     ask(&mut p, &mut w, 12, 7..=7);
     assert_eq!(w.sent.len(), 5);
 }
@@ -82,9 +82,9 @@
     ask(&mut p, &mut w, 0, 1..=2);
     let conn = w.dialled[0];
     p.conn_failed(Time(100), &mut w, conn, false);
-    assert_eq!(w.ended, [(ErrandId(1), Outcome::ConnectFailed), (ErrandId(2), Outcome::ConnectFailed)]);
+    assert_eq!(w.ended, [(RequestId(1), Outcome::ConnectFailed), (RequestId(2), Outcome::ConnectFailed)]);
     ask(&mut p, &mut w, 101, 3..=3);
-    assert_eq!(w.ended[2], (ErrandId(3), Outcome::ConnectFailed), "in the pause after it");
+    assert_eq!(w.ended[2], (RequestId(3), Outcome::ConnectFailed), "in the pause after it");
     ask(&mut p, &mut w, 700, 4..=4);
     assert_eq!(w.dialled.len(), 2, "after the pause it is dialled anew");
 }
@@ -95,9 +95,9 @@
     ask(&mut p, &mut w, 0, 1..=2);
     let conn = w.dialled[0];
     p.conn_up(Time(5), &mut w, conn);
-    w.untouched.insert(ErrandId(2));
+    w.untouched.insert(RequestId(2));
     p.conn_broken(Time(50), &mut w, conn);
-    assert_eq!(w.ended, [(ErrandId(1), Outcome::Reset), (ErrandId(2), Outcome::NotSent)]);
+    assert_eq!(w.ended, [(RequestId(1), Outcome::Reset), (RequestId(2), Outcome::NotSent)]);
     assert_eq!(p.conns(), 0);
 }
 
@@ -112,7 +112,7 @@
     let second = w.dialled[1];
     w.full.insert(second);
     p.conn_up(Time(7), &mut w, second);
-    assert_eq!(w.ended, [(ErrandId(2), Outcome::Full)]);
+    assert_eq!(w.ended, [(RequestId(2), Outcome::Full)]);
 }
 
 #[test]
@@ -125,25 +125,25 @@
     assert!(w.closed.is_empty(), "something is out on it");
     p.worker_gone(Time(200_000), &mut w, W);
     ask(&mut p, &mut w, 200_001, 2..=2);
-    assert_eq!(w.ended, [(ErrandId(2), Outcome::ConnectFailed)], "nothing new goes to it");
-    p.answered(Time(200_002), &mut w, ErrandId(1));
+    assert_eq!(w.ended, [(RequestId(2), Outcome::ConnectFailed)], "nothing new goes to it");
+    p.answered(Time(200_002), &mut w, RequestId(1));
     assert_eq!((w.closed.as_slice(), p.conns()), (&[conn][..], 0));
 }
 
-/// Guards against call-outs that reach a worker long after it was known to drain, as it did not read until then.
+/// Guards against attempts that reach a worker long after it was known to drain, as it did not read until then.
 #[test]
 fn what_was_not_begun_when_a_worker_drains_is_not_sent() {
     let (mut p, mut w) = pool();
     ask(&mut p, &mut w, 0, 1..=3);
     let conn = w.dialled[0];
     p.conn_up(Time(5), &mut w, conn);
-    w.untouched.insert(ErrandId(2));
+    w.untouched.insert(RequestId(2));
     p.send_nothing_more(Time(6), &mut w, W);
-    assert_eq!(w.ended, [(ErrandId(3), Outcome::NotSent), (ErrandId(2), Outcome::NotSent)]);
-    assert!(p.is_on(ErrandId(1), conn) && w.withdrawn.is_empty(), "what was begun goes on to its end");
+    assert_eq!(w.ended, [(RequestId(3), Outcome::NotSent), (RequestId(2), Outcome::NotSent)]);
+    assert!(p.is_on(RequestId(1), conn) && w.withdrawn.is_empty(), "what was begun goes on to its end");
 }
 
-/// Guards against one connection's end that takes all call-outs to a worker with it.
+/// Guards against one connection's end that takes all attempts to a worker with it.
 #[test]
 fn another_connection_comes_beside_one_that_has_enough_out() {
     let (mut p, mut w) = pool();
@@ -151,13 +151,13 @@
     let first = w.dialled[0];
     p.conn_up(Time(5), &mut w, first);
     ask(&mut p, &mut w, 6, 2..=2);
-    assert_eq!((w.dialled.len(), w.sent.len()), (2, 2), "the second errand does not wait for it");
+    assert_eq!((w.dialled.len(), w.sent.len()), (2, 2), "the second request does not wait for it");
     let second = w.dialled[1];
     p.conn_up(Time(7), &mut w, second);
     ask(&mut p, &mut w, 8, 3..=4);
-    assert_eq!((w.dialled.len(), &w.sent[2..]), (2, &[(second, ErrandId(3)), (second, ErrandId(4))][..]));
+    assert_eq!((w.dialled.len(), &w.sent[2..]), (2, &[(second, RequestId(3)), (second, RequestId(4))][..]));
     p.conn_broken(Time(50), &mut w, second);
-    assert_eq!(w.ended, [(ErrandId(3), Outcome::Reset), (ErrandId(4), Outcome::Reset)]);
+    assert_eq!(w.ended, [(RequestId(3), Outcome::Reset), (RequestId(4), Outcome::Reset)]);
 }
 
 /// Guards against a connection that is up and brings nothing more: emptied by time-outs it would be chosen first.
@@ -171,9 +171,9 @@
     if answers {
         p.sweep(Time(50), &mut w);
         ask(&mut p, &mut w, 60, 9..=9);
-        p.answered(Time(100), &mut w, ErrandId(9));
+        p.answered(Time(100), &mut w, RequestId(9));
     }
-    assert!(!p.take_back(Time(11_000), &mut w, ErrandId(1)));
+    assert!(!p.take_back(Time(11_000), &mut w, RequestId(1)));
     w.dialled.retain(|c| *c == conn);
     ask(&mut p, &mut w, 11_001, 2..=2);
     assert_eq!(w.dialled.len(), dials);
@@ -183,49 +183,49 @@
 fn what_waits_for_a_dial_can_be_taken_back_as_unsent() {
     let (mut p, mut w) = pool();
     ask(&mut p, &mut w, 0, 1..=1);
-    assert!(p.take_back(Time(1), &mut w, ErrandId(1)));
+    assert!(p.take_back(Time(1), &mut w, RequestId(1)));
     let conn = w.dialled[0];
     p.conn_up(Time(5), &mut w, conn);
     assert!(w.sent.is_empty() && w.ended.is_empty());
 }
 
-/// Two connections are up, with errands 1 and 2 out on the first and 3 on the second.
+/// Two connections are up, with upstream requests 1 and 2 out on the first and 3 on the second.
 fn two_up() -> (Pool<&'static str>, Fake, [ConnId; 2]) {
     let (mut p, mut w) = pool();
     ask(&mut p, &mut w, 0, 1..=3);
     let conns = [w.dialled[0], w.dialled[1]];
     conns.iter().for_each(|c| p.conn_up(Time(5), &mut w, *c));
-    assert_eq!(w.sent, [(conns[0], ErrandId(1)), (conns[0], ErrandId(2)), (conns[1], ErrandId(3))]);
+    assert_eq!(w.sent, [(conns[0], RequestId(1)), (conns[0], RequestId(2)), (conns[1], RequestId(3))]);
     (p, w, conns)
 }
 
-/// Guards against errands that go on a connection which has gone silent while another brings answers.
+/// Guards against upstream requests that go on a connection which has gone silent while another brings answers.
 #[test]
 fn a_silent_connection_is_passed_over_once_another_answers_what_was_sent_later() {
     let (mut p, mut w, [silent, good]) = two_up();
-    p.answered(Time(20), &mut w, ErrandId(3));
+    p.answered(Time(20), &mut w, RequestId(3));
     ask(&mut p, &mut w, 30, 4..=4);
-    assert_eq!(w.sent[3], (good, ErrandId(4)));
-    p.take_back(Time(31), &mut w, ErrandId(1));
+    assert_eq!(w.sent[3], (good, RequestId(4)));
+    p.take_back(Time(31), &mut w, RequestId(1));
     assert!(w.closed.is_empty(), "all were sent in one moment: no evidence yet");
-    p.answered(Time(40), &mut w, ErrandId(4));
+    p.answered(Time(40), &mut w, RequestId(4));
     ask(&mut p, &mut w, 50, 5..=6);
     assert!(w.sent[4..].iter().all(|(conn, _)| *conn == good), "though it has the fewest out");
     ask(&mut p, &mut w, 51, 7..=7);
-    assert_eq!(w.sent.last(), Some(&(silent, ErrandId(7))), "no other can come: it has to do");
-    p.take_back(Time(60), &mut w, ErrandId(2));
-    p.take_back(Time(61), &mut w, ErrandId(7));
+    assert_eq!(w.sent.last(), Some(&(silent, RequestId(7))), "no other can come: it has to do");
+    p.take_back(Time(60), &mut w, RequestId(2));
+    p.take_back(Time(61), &mut w, RequestId(7));
     assert_eq!(w.closed, [silent]);
 }
 
 #[test]
 fn a_connection_that_was_passed_over_is_taken_again_once_it_answers() {
     let (mut p, mut w, [slow, _]) = two_up();
-    p.answered(Time(20), &mut w, ErrandId(3));
+    p.answered(Time(20), &mut w, RequestId(3));
     ask(&mut p, &mut w, 30, 4..=4);
-    p.answered(Time(40), &mut w, ErrandId(4));
-    p.answered(Time(50), &mut w, ErrandId(1));
-    p.take_back(Time(51), &mut w, ErrandId(2));
+    p.answered(Time(40), &mut w, RequestId(4));
+    p.answered(Time(50), &mut w, RequestId(1));
+    p.take_back(Time(51), &mut w, RequestId(2));
     ask(&mut p, &mut w, 60, 5..=6);
     assert!(w.closed.is_empty() && w.sent[4..].iter().any(|(conn, _)| *conn == slow));
 }
@@ -245,9 +245,9 @@
         ask(&mut p, &mut w, 7, 101..=101);
         conn = w.dialled[1];
         p.conn_up(Time(8), &mut w, conn);
-        p.answered(Time(9), &mut w, ErrandId(101));
+        p.answered(Time(9), &mut w, RequestId(101));
     } else {
-        p.answered(Time(9), &mut w, ErrandId(100));
+        p.answered(Time(9), &mut w, RequestId(100));
     }
     let before = w.dialled.len();
     let first = (1..=9).find(|e| {
@@ -264,7 +264,7 @@
     ask(&mut p, &mut w, 0, 1..=1);
     let first = w.dialled[0];
     p.conn_up(Time(5), &mut w, first);
-    p.answered(Time(9), &mut w, ErrandId(1));
+    p.answered(Time(9), &mut w, RequestId(1));
     p.worker_at(Time(10), &mut w, W, "here", Time(0));
     ask(&mut p, &mut w, 11, 2..=2);
     assert_eq!(w.dialled.len(), 1, "the same start told again is no restart");
@@ -282,7 +282,7 @@
     let first = w.dialled[0];
     p.conn_failed(Time(9), &mut w, first, true);
     ask(&mut p, &mut w, 10, 2..=2);
-    assert_eq!(w.ended, [(ErrandId(1), Outcome::Full), (ErrandId(2), Outcome::Full)]);
+    assert_eq!(w.ended, [(RequestId(1), Outcome::Full), (RequestId(2), Outcome::Full)]);
 }
 
 /// Guards the descriptors of clients and of the directory against a fleet of many workers: all connections together have
@@ -294,15 +294,15 @@
         p.worker_at(Time(0), &mut w, WorkerId(no), "there", Time(0));
     }
     for no in 1..=3 {
-        p.errand(Time(no), &mut w, WorkerId(no), ErrandId(no), "x");
+        p.request(Time(no), &mut w, WorkerId(no), RequestId(no), "x");
         let conn = w.dialled[no as usize - 1];
         p.conn_up(Time(no), &mut w, conn);
     }
-    p.errand(Time(10), &mut w, WorkerId(4), ErrandId(4), "x");
-    assert_eq!(w.ended, [(ErrandId(4), Outcome::Full)], "all have something out");
-    p.answered(Time(20), &mut w, ErrandId(2));
-    p.answered(Time(30), &mut w, ErrandId(1));
-    p.errand(Time(40), &mut w, WorkerId(4), ErrandId(5), "x");
+    p.request(Time(10), &mut w, WorkerId(4), RequestId(4), "x");
+    assert_eq!(w.ended, [(RequestId(4), Outcome::Full)], "all have something out");
+    p.answered(Time(20), &mut w, RequestId(2));
+    p.answered(Time(30), &mut w, RequestId(1));
+    p.request(Time(40), &mut w, WorkerId(4), RequestId(5), "x");
     assert_eq!((w.closed.as_slice(), w.dialled.len()), (&[w.dialled[1]][..], 4));
     assert_eq!(p.conns(), 3);
 }
--- a/crates/curlewpoint-engine/tests/promises.rs
+++ b/crates/curlewpoint-engine/tests/promises.rs
@@ -1,21 +1,21 @@
-//! What the engine promises, whatever happens: one answer an RPC, in its time, and one end an errand.
+//! What the engine promises, whatever happens: one answer an RPC, in its time, and one end an upstream request.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use curlewpoint::types::*;
-use curlewpoint_engine::{Answer, ClientId, Engine, Errand, ErrandId, Refusal, World};
+use curlewpoint_engine::{Answer, ClientId, Engine, Refusal, RequestId, UpstreamRequest, World};
 use proptest::prelude::*;
 use serde_json::{json, Map, Value};
 
 #[derive(Default)]
 struct Fake {
-    out: BTreeMap<ErrandId, (Option<RpcId>, WorkerId)>,
+    out: BTreeMap<RequestId, (Option<RpcId>, WorkerId)>,
     answers: Vec<(u64, Answer, Bytes)>,
     sent_after_answer: usize,
     answered: BTreeSet<RpcId>,
-    ends: VecDeque<(ErrandId, Outcome)>,
-    /// Errands that are refused on this side at once.
+    ends: VecDeque<(RequestId, Outcome)>,
+    /// Requests that are refused on this side at once.
     dead: BTreeSet<WorkerId>,
     untouched: bool,
     asked_list: Vec<Option<(u64, u64)>>,
@@ -25,8 +25,8 @@
 }
 
 impl World for Fake {
-    fn errand(&mut self, _: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
-        let rpc = if let Errand::CallOut { rpc, .. } = errand { Some(rpc) } else { None };
+    fn request(&mut self, _: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>) {
+        let rpc = if let UpstreamRequest::Attempt { rpc, .. } = request { Some(rpc) } else { None };
         self.sent_after_answer += usize::from(rpc.is_some_and(|r| self.answered.contains(&r)));
         if self.dead.contains(&worker) {
             self.ends.push_back((id, Outcome::ConnectFailed));
@@ -34,14 +34,14 @@
             self.out.insert(id, (rpc, worker));
         }
     }
-    fn take_back(&mut self, _: Time, id: ErrandId) -> bool {
+    fn take_back(&mut self, _: Time, id: RequestId) -> bool {
         self.out.remove(&id).is_some() && self.untouched
     }
     fn answer(&mut self, rpc: RpcId, _: ClientId, tag: u64, answer: Answer, _: &str, _: Time, body: Bytes) {
         self.answered.insert(rpc);
         self.answers.push((tag, answer, body));
     }
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+    fn ended(&mut self) -> Option<(RequestId, Outcome)> {
         self.ends.pop_front()
     }
     fn unload(&mut self, _: Time, _: WorkerId, _: &str) {}
@@ -107,16 +107,16 @@
         self.engine.rpc(self.now, (CLIENT, tag), method, "model", "", Time(10_000), None, None, body)
     }
 
-    fn end(&mut self, id: ErrandId, outcome: Outcome) {
+    fn end(&mut self, id: RequestId, outcome: Outcome) {
         self.engine.world().out.remove(&id);
         let body = Bytes::from_static(b"read");
-        self.engine.errand_ended(self.now, id, outcome, Copy::Warm, 0, 1, Vec::new(), body);
+        self.engine.request_ended(self.now, id, outcome, Copy::Warm, 0, 1, Vec::new(), body);
     }
 
-    /// The call-out that is out, and nothing else.
-    fn out(&mut self) -> ErrandId {
+    /// The attempt that is out, and nothing else.
+    fn out(&mut self) -> RequestId {
         let world = self.engine.world();
-        *world.out.iter().rev().find(|(_, o)| o.0.is_some()).expect("a call-out is out").0
+        *world.out.iter().rev().find(|(_, o)| o.0.is_some()).expect("an attempt is out").0
     }
 
     fn pass(&mut self, span: u64) {
@@ -158,7 +158,7 @@
     let mut s = Story::new(3);
     s.rpc(1, "read").unwrap();
     let out = s.out();
-    s.end(ErrandId(9_999), Outcome::Ok);
+    s.end(RequestId(9_999), Outcome::Ok);
     assert_eq!(s.answers(), []);
     s.end(out, Outcome::Ok);
     s.end(out, Outcome::Error);
@@ -166,7 +166,7 @@
 }
 
 #[test]
-fn a_client_that_leaves_is_owed_nothing_and_its_call_outs_are_taken_back() {
+fn a_client_that_leaves_is_owed_nothing_and_its_attempts_are_taken_back() {
     let mut s = Story::new(3);
     s.rpc(1, "issue").unwrap();
     s.engine.client_gone(s.now, CLIENT);
@@ -298,7 +298,7 @@
     fn every_rpc_ends_once_in_its_time_and_the_figures_add_up(steps in proptest::collection::vec(step(), 1..150)) {
         let mut s = Story::new(4);
         let (mut tag, mut version) = (0, 1);
-        // When each is over at the latest, and whether a call-out of a side-effecting one may have run.
+        // When each is over at the latest, and whether an attempt of a side-effecting one may have run.
         let mut asked: BTreeMap<u64, Time> = BTreeMap::new();
         let mut may_have_run: BTreeSet<RpcId> = BTreeSet::new();
         let mut issues: BTreeSet<RpcId> = BTreeSet::new();
--- a/crates/curlewpoint-engine/tests/release.rs
+++ b/crates/curlewpoint-engine/tests/release.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use curlewpoint::types::*;
-use curlewpoint_engine::{Answer, ClientId, Engine, ErrandId};
+use curlewpoint_engine::{Answer, ClientId, Engine, RequestId};
 use oorandom::Rand64;
 use serde_json::{json, Map, Value};
 use test_case::test_case;
@@ -50,7 +50,7 @@
     let mut rng = Rand64::new(3);
     // When a copy stands, by worker and function; what comes back when.
     let mut copies: BTreeMap<(WorkerId, String), u64> = BTreeMap::new();
-    let mut coming: BTreeMap<(u64, ErrandId), (Outcome, Copy)> = BTreeMap::new();
+    let mut coming: BTreeMap<(u64, RequestId), (Outcome, Copy)> = BTreeMap::new();
     let (mut begun, mut orders, mut misses) = (BTreeMap::new(), Vec::new(), 0);
     let (mut late, mut last_late, mut taken) = (0, 0, Vec::new());
     for ms in (0..20_000u64).step_by(5) {
@@ -59,7 +59,7 @@
         }
         while let Some((&(when, id), _)) = coming.first_key_value().filter(|((when, _), _)| *when <= ms) {
             let (outcome, copy) = coming.remove(&(when, id)).expect("it was first");
-            engine.errand_ended(at(ms), id, outcome, copy, 0, 1, Vec::new(), Bytes::new());
+            engine.request_ended(at(ms), id, outcome, copy, 0, 1, Vec::new(), Bytes::new());
         }
         engine.advance(at(ms));
         if ms % 20 == 0 {
--- a/crates/curlewpoint-engine/tests/wire/mod.rs
+++ b/crates/curlewpoint-engine/tests/wire/mod.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use curlewpoint::types::*;
-use curlewpoint_engine::{Answer, ClientId, Errand, ErrandId, World};
+use curlewpoint_engine::{Answer, ClientId, RequestId, UpstreamRequest, World};
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Asked {
@@ -15,27 +15,27 @@
 
 #[derive(Default)]
 pub struct Wire {
-    pub sent: Vec<(Time, ErrandId, WorkerId, String, Asked)>,
+    pub sent: Vec<(Time, RequestId, WorkerId, String, Asked)>,
     pub answers: Vec<(u64, Answer)>,
-    pub ended: VecDeque<(ErrandId, Outcome)>,
+    pub ended: VecDeque<(RequestId, Outcome)>,
 }
 
 impl World for Wire {
-    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
-        let (model, asked) = match errand {
-            Errand::CallOut { model, .. } => (model, Asked::Attempt),
-            Errand::Load { model, .. } => (model, Asked::Load),
-            Errand::Probe => ("", Asked::Probe),
+    fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>) {
+        let (model, asked) = match request {
+            UpstreamRequest::Attempt { model, .. } => (model, Asked::Attempt),
+            UpstreamRequest::Load { model, .. } => (model, Asked::Load),
+            UpstreamRequest::Probe => ("", Asked::Probe),
         };
         self.sent.push((now, id, worker, model.to_owned(), asked));
     }
-    fn take_back(&mut self, _: Time, _: ErrandId) -> bool {
+    fn take_back(&mut self, _: Time, _: RequestId) -> bool {
         false
     }
     fn answer(&mut self, _: RpcId, _: ClientId, tag: u64, answer: Answer, _: &str, _: Time, _: Bytes) {
         self.answers.push((tag, answer));
     }
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+    fn ended(&mut self) -> Option<(RequestId, Outcome)> {
         self.ended.pop_front()
     }
     fn unload(&mut self, _: Time, _: WorkerId, _: &str) {}
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -400,7 +400,7 @@
     }
 
     /// Guards against a start while neither list service nor peers can be reached: what was held before is better than
-    /// nothing. Harms where workers were replaced meanwhile: call-outs to them fail to connect, which proves that they
+    /// nothing. Harms where workers were replaced meanwhile: attempts to them fail to connect, which proves that they
     /// never ran. A drain that was not heard of cannot be known; the first list that anybody tells replaces it.
     fn use_remembered(&mut self, now: Time, out: &mut impl Outside) {
         if self.remembered_at.is_none_or(|at| now < at) {
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use curlewpoint::types::{FunctionId, Hint, Outcome, RpcId, Time, WorkerId};
 use curlewpoint_catalogue::{Catalogue, Release, Releases};
-use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
+use curlewpoint_engine::{Answer, ClientId, ConnId, Pool, RequestId, UpstreamRequest, Wires, World};
 use curlewpoint_link::{Outbox, Ticket};
 use curlewpoint_wire::{Field, Frame, Kind};
 use tokio::sync::oneshot;
@@ -26,8 +26,8 @@
 pub(crate) struct Sockets {
     dialler: Dialler,
     outboxes: BTreeMap<ConnId, Outbox>,
-    tickets: BTreeMap<ErrandId, Ticket>,
-    ended: VecDeque<(ErrandId, Outcome)>,
+    tickets: BTreeMap<RequestId, Ticket>,
+    ended: VecDeque<(RequestId, Outcome)>,
 }
 
 impl Wires<Frame> for Sockets {
@@ -36,24 +36,24 @@
         self.dialler.dial(conn, address.to_owned());
     }
 
-    fn send(&mut self, conn: ConnId, errand: ErrandId, payload: &Frame) -> bool {
+    fn send(&mut self, conn: ConnId, request: RequestId, payload: &Frame) -> bool {
         let Some(outbox) = self.outboxes.get(&conn) else { return false };
         let ticket = Ticket::default();
         let sent = outbox.send(payload.clone(), Some(ticket.clone())).is_ok();
         if sent {
-            self.tickets.insert(errand, ticket);
+            self.tickets.insert(request, ticket);
         }
         sent
     }
 
-    fn take_back(&mut self, _conn: ConnId, errand: ErrandId) -> bool {
-        self.tickets.get(&errand).is_some_and(Ticket::take_back)
+    fn take_back(&mut self, _conn: ConnId, request: RequestId) -> bool {
+        self.tickets.get(&request).is_some_and(Ticket::take_back)
     }
 
-    fn withdraw(&mut self, conn: ConnId, errand: ErrandId) {
+    fn withdraw(&mut self, conn: ConnId, request: RequestId) {
         if let Some(outbox) = self.outboxes.get(&conn) {
             // The worker may be spared what nobody waits for; where its outbox is full it is not told.
-            let _ = outbox.send(Frame::new(Kind::WITHDRAW).int(Field::TAG, errand.0), None);
+            let _ = outbox.send(Frame::new(Kind::WITHDRAW).int(Field::TAG, request.0), None);
         }
     }
 
@@ -61,9 +61,9 @@
         self.outboxes.remove(&conn);
     }
 
-    fn ended(&mut self, errand: ErrandId, outcome: Outcome) {
-        self.tickets.remove(&errand);
-        self.ended.push_back((errand, outcome));
+    fn ended(&mut self, request: RequestId, outcome: Outcome) {
+        self.tickets.remove(&request);
+        self.ended.push_back((request, outcome));
     }
 }
 
@@ -138,11 +138,11 @@
     }
 
     /// An answer came on this connection; false: nothing was asked there under this number, or it has ended since.
-    pub fn answered(&mut self, now: Time, conn: ConnId, errand: ErrandId) -> bool {
-        let asked = self.pool.is_on(errand, conn);
+    pub fn answered(&mut self, now: Time, conn: ConnId, request: RequestId) -> bool {
+        let asked = self.pool.is_on(request, conn);
         if asked {
-            self.sockets.tickets.remove(&errand);
-            self.pool.answered(now, &mut self.sockets, errand);
+            self.sockets.tickets.remove(&request);
+            self.pool.answered(now, &mut self.sockets, request);
         }
         asked
     }
@@ -161,11 +161,11 @@
 }
 
 impl World for Outside {
-    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
-        let frame = match errand {
-            Errand::CallOut { rpc, no, method, model, tenant, token, left, body } => {
+    fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>) {
+        let frame = match request {
+            UpstreamRequest::Attempt { rpc, no, method, model, tenant, token, left, body } => {
                 let name = self.rpc_name(rpc);
-                debug!(rpc = name, no = no.0, worker = worker.0, "call-out");
+                debug!(rpc = name, no = no.0, worker = worker.0, "attempt");
                 let mut f = Frame::new(Kind::CALL_OUT)
                     .int(Field::TAG, id.0)
                     .text(Field::RPC, &name)
@@ -179,16 +179,16 @@
                 }
                 f.body(body.clone())
             }
-            Errand::Load { model, copies } => {
+            UpstreamRequest::Load { model, copies } => {
                 let f = Frame::new(Kind::LOAD).int(Field::TAG, id.0).text(Field::MODEL, model);
                 f.int(Field::COPIES, copies)
             }
-            Errand::Probe => Frame::new(Kind::PROBE).int(Field::TAG, id.0),
+            UpstreamRequest::Probe => Frame::new(Kind::PROBE).int(Field::TAG, id.0),
         };
-        self.pool.errand(now, &mut self.sockets, worker, id, frame);
+        self.pool.request(now, &mut self.sockets, worker, id, frame);
     }
 
-    fn take_back(&mut self, now: Time, id: ErrandId) -> bool {
+    fn take_back(&mut self, now: Time, id: RequestId) -> bool {
         let untouched = self.pool.take_back(now, &mut self.sockets, id);
         self.sockets.tickets.remove(&id);
         untouched
@@ -220,7 +220,7 @@
         self.tell_client(client, f.body(body));
     }
 
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+    fn ended(&mut self) -> Option<(RequestId, Outcome)> {
         self.sockets.ended.pop_front()
     }
 
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -7,7 +7,7 @@
 use curlewpoint_amqp::Login;
 use curlewpoint_catalogue::{Release, Releases, Standing};
 use curlewpoint_config::Config;
-use curlewpoint_engine::{ClientId, ConnId, Engine, ErrandId, Figures, Pool, PoolLimits, Refusal};
+use curlewpoint_engine::{ClientId, ConnId, Engine, Figures, Pool, PoolLimits, Refusal, RequestId};
 use curlewpoint_journal::{Journal, JournalError, Limits as JournalLimits};
 use curlewpoint_link::{Bounds, Clock, Turns};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
@@ -51,7 +51,7 @@
 const LAST_WRITES: Duration = Duration::from_secs(2);
 /// After a stop, how long clients may take to say that they send nothing more.
 const LEAVE: Duration = Duration::from_secs(2);
-/// A call-out's head is longer than the RPC's by less than this, in bytes.
+/// An attempt's head is longer than the RPC's by less than this, in bytes.
 const HEADROOM: usize = 4096;
 /// A scheduler that serves.
 pub struct Running {
@@ -182,7 +182,7 @@
 
     let tasks = TaskTracker::new();
     let most = of("clients") as usize;
-    // What a client sends must fit a worker's frame with the longer head of a call-out.
+    // What a client sends must fit a worker's frame with the longer head of an attempt.
     let of_clients = Bounds { frame: bounds.frame.saturating_sub(HEADROOM), ..bounds };
     let desk = clients::Desk {
         name: name.clone(),
@@ -347,7 +347,7 @@
         let _ = timeout(LAST_WRITES, tasks.wait()).await;
         let f = self.engine.figures();
         let conns = self.engine.world().conns();
-        info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.call_outs, conns, "stopped");
+        info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, "stopped");
         f
     }
 
@@ -568,8 +568,8 @@
     }
 
     /// Whether what a worker answered is what the method's description promised when the RPC was taken.
-    fn fits(&mut self, errand: ErrandId, body: &[u8]) -> bool {
-        let Some((rpc, method)) = self.engine.asked_by(errand) else { return true };
+    fn fits(&mut self, request: RequestId, body: &[u8]) -> bool {
+        let Some((rpc, method)) = self.engine.asked_by(request) else { return true };
         let method = method.to_owned();
         let catalogue = self.engine.world().taken_under(rpc);
         let checked = catalogue.and_then(|c| c.method(&method)).map_or(Ok(()), |m| m.answer.check(body));
@@ -589,18 +589,18 @@
     fn worker(&mut self, now: Time, conn: ConnId, f: &Frame) -> Result<(), WireError> {
         match f.kind {
             Kind::ANSWER | Kind::LOADED | Kind::REPORT => {
-                let errand = ErrandId(f.get_int(Field::TAG)?);
+                let request = RequestId(f.get_int(Field::TAG)?);
                 let outcome = if f.kind == Kind::REPORT { Outcome::Ok } else { codes::outcome(f)? };
                 let copy = if f.kind == Kind::ANSWER { codes::copy(f)? } else { Copy::Untold };
                 let held = f.maybe_int(Field::HELD)?.unwrap_or(0);
                 let copies = f.maybe_int(Field::COPIES)?.unwrap_or(0);
                 let report = f.get_floats(Field::REPORT)?;
                 // It has run, so it is no denial; what was promised did not come, so it is not ok: an error.
-                let unfit = f.kind == Kind::ANSWER && outcome == Outcome::Ok && !self.fits(errand, &f.body);
+                let unfit = f.kind == Kind::ANSWER && outcome == Outcome::Ok && !self.fits(request, &f.body);
                 let outcome = if unfit { Outcome::Error } else { outcome };
-                if self.engine.world().answered(now, conn, errand) {
+                if self.engine.world().answered(now, conn, request) {
                     let body = f.body.clone();
-                    self.engine.errand_ended(now, errand, outcome, copy, held, copies, report, body);
+                    self.engine.request_ended(now, request, outcome, copy, held, copies, report, body);
                 }
             }
             Kind::GO_AWAY => self.engine.world().conn_leaves(conn),
--- a/crates/curlewpoint-journal/src/journal.rs
+++ b/crates/curlewpoint-journal/src/journal.rs
@@ -154,7 +154,7 @@
         }
     }
 
-    /// From this moment on its call-outs may be sent, once `told` hears true. False: they must not be.
+    /// From this moment on its attempts may be sent, once `told` hears true. False: they must not be.
     pub fn intent(&self, name: &Name, at: Time, told: impl FnOnce(bool) + Send + 'static) {
         self.send(Write::Intent(name.clone(), at, Box::new(told)));
     }
--- a/crates/curlewpoint-journal/src/record.rs
+++ b/crates/curlewpoint-journal/src/record.rs
@@ -6,7 +6,7 @@
 
 /// Who is told what the records say. Moments are those of the clock that the writer went by.
 pub trait Reader {
-    /// Call-outs may have been sent for it from this moment on.
+    /// Attempts may have been sent for it from this moment on.
     fn intent(&mut self, name: Name, at: Time);
     /// It was answered; the broker may have the answer.
     fn answer(&mut self, name: Name, at: Time, answer: Final);
--- a/crates/curlewpoint-lab/benches/triggers.rs
+++ b/crates/curlewpoint-lab/benches/triggers.rs
@@ -38,7 +38,7 @@
             list.set(&puppet.name, row);
             workers.push(tokio::spawn(async move {
                 loop {
-                    let asked = puppet.call_out().await;
+                    let asked = puppet.attempt().await;
                     if puppet.peers.contains_key(&asked.0) {
                         puppet.answer(&asked, Outcome::Ok);
                     }
--- a/crates/curlewpoint-lab/src/check.rs
+++ b/crates/curlewpoint-lab/src/check.rs
@@ -123,7 +123,7 @@
     finals: Vec<(Time, Answer)>,
     refused: bool,
     left: Option<Time>,
-    /// Each call-out that arrived: when, where, and whether it was turned away unseen.
+    /// Each attempt that arrived: when, where, and whether it was turned away unseen.
     arrived: Vec<(Time, String, bool)>,
     ran: Vec<(Time, String)>,
 }
@@ -204,12 +204,12 @@
         verdict.broken(
             *when,
             1,
-            format!("RPC {key}: a call-out reached {worker} {after:.1} ms after the answer"),
+            format!("RPC {key}: an attempt reached {worker} {after:.1} ms after the answer"),
         );
     }
 }
 
-/// When a call-out that arrived at `at` may have been sent: what reaches a worker that was kept from reading may have
+/// When an attempt that arrived at `at` may have been sent: what reaches a worker that was kept from reading may have
 /// lain in its socket since then.
 fn sent(terms: &Terms, held: &[Held], worker: &str, at: Time) -> Time {
     let kept = held.iter().find(|(who, from, to)| who == worker && *from <= at && at <= *to + terms.transit);
@@ -231,7 +231,7 @@
                     *at,
                     2,
                     format!(
-                        "RPC {key} ({}): {n} call-outs that may have run, the second at {worker}",
+                        "RPC {key} ({}): {n} attempts that may have run, the second at {worker}",
                         s.method
                     ),
                 );
--- a/crates/curlewpoint-lab/src/record.rs
+++ b/crates/curlewpoint-lab/src/record.rs
@@ -27,7 +27,7 @@
     Left {
         key: u64,
     },
-    /// A call-out has arrived at a worker.
+    /// An attempt has arrived at a worker.
     Arrived {
         key: u64,
         scheduler: String,
--- a/crates/curlewpoint-lab/src/stand/puppet.rs
+++ b/crates/curlewpoint-lab/src/stand/puppet.rs
@@ -29,8 +29,8 @@
         Puppet { name: name.to_owned(), address, door, heard, peers: BTreeMap::new(), mute }
     }
 
-    /// The next call-out that arrives.
-    pub async fn call_out(&mut self) -> (PeerId, Frame) {
+    /// The next attempt that arrives.
+    pub async fn attempt(&mut self) -> (PeerId, Frame) {
         loop {
             let Some(heard) = self.heard.recv().await else {
                 // It has died: nothing arrives any more.
@@ -49,10 +49,10 @@
         }
     }
 
-    /// Whether a call-out arrives before this event has happened.
-    pub async fn call_out_before(&mut self, event: impl std::future::Future<Output = ()>) -> bool {
+    /// Whether an attempt arrives before this event has happened.
+    pub async fn attempt_before(&mut self, event: impl std::future::Future<Output = ()>) -> bool {
         tokio::select! {
-            _ = self.call_out() => true,
+            _ = self.attempt() => true,
             () = event => false,
         }
     }
@@ -72,7 +72,7 @@
 }
 
 pub fn answer(f: &Frame, outcome: Outcome) -> Frame {
-    let tag = f.get_int(Field::TAG).expect("call-outs have tags");
+    let tag = f.get_int(Field::TAG).expect("attempts have tags");
     Frame::new(Kind::ANSWER)
         .int(Field::TAG, tag)
         .int(Field::OUTCOME, outcome_code(outcome))
--- a/crates/curlewpoint-lab/tests/caught.rs
+++ b/crates/curlewpoint-lab/tests/caught.rs
@@ -44,7 +44,7 @@
 }
 
 impl Rogue {
-    fn call_out(&mut self, worker: usize, asked: &Frame) {
+    fn attempt(&mut self, worker: usize, asked: &Frame) {
         self.next += 1;
         let text = |field| asked.get_text(field).unwrap_or("");
         let f =
@@ -167,7 +167,7 @@
 ) {
     match breaks {
         Breaks::Nothing | Breaks::Twice | Breaks::Late | Breaks::CallsOutAfterTheAnswer => {
-            r.call_out(0, asked);
+            r.attempt(0, asked);
             r.answered(0).await;
             if let Breaks::Late = breaks {
                 tokio::time::sleep(std::time::Duration::from_millis(850)).await;
@@ -180,14 +180,14 @@
             }
             if let Breaks::CallsOutAfterTheAnswer = breaks {
                 tokio::time::sleep(std::time::Duration::from_micros(terms.transit.0 * 100 + 20_000)).await;
-                r.call_out(1, asked);
+                r.attempt(1, asked);
             }
         }
         Breaks::Silent => {}
         Breaks::RunsTwice | Breaks::RepeatsOutsideTheGroup => {
-            r.call_out(0, asked);
+            r.attempt(0, asked);
             r.answered(0).await;
-            r.call_out(1, asked);
+            r.attempt(1, asked);
             r.answered(1).await;
             r.answer(asked, Answer::Ok);
             until(record, |s| matches!(s, Seen::Final { .. })).await;
@@ -201,16 +201,16 @@
                     *span = Time(0);
                 }
             }
-            r.call_out(0, asked);
+            r.attempt(0, asked);
             r.answered(0).await;
             tokio::time::sleep(std::time::Duration::from_micros(terms.transit.0 * 100 + 20_000)).await;
-            r.call_out(1, asked);
+            r.attempt(1, asked);
             r.answered(1).await;
             r.answer(asked, Answer::Ok);
             until(record, |s| matches!(s, Seen::Final { .. })).await;
         }
         Breaks::DeniesWhatMayHaveRun => {
-            r.call_out(0, asked);
+            r.attempt(0, asked);
             r.answered(0).await;
             r.answer(asked, Answer::Denied);
             until(record, |s| matches!(s, Seen::Final { .. })).await;
@@ -233,7 +233,7 @@
                 r.order(0);
                 until(record, |s| matches!(s, Seen::Ordered { .. })).await;
             } else {
-                r.call_out(0, asked);
+                r.attempt(0, asked);
                 until(record, |s| matches!(s, Seen::Arrived { .. })).await;
             }
             r.answer(asked, Answer::Aborted);
@@ -241,7 +241,7 @@
         }
         Breaks::PushesACold => {
             for _ in 0..200 {
-                r.call_out(0, asked);
+                r.attempt(0, asked);
             }
             r.answer(asked, Answer::Ok);
             until(record, |s| matches!(s, Seen::Final { .. })).await;
--- a/crates/curlewpoint-lab/tests/sockets/amqp.rs
+++ b/crates/curlewpoint-lab/tests/sockets/amqp.rs
@@ -150,7 +150,7 @@
     let o = Office::open("plain", &[&a]).await;
     let gateway = o.gateway("front-1").await;
     o.ask(EXTRACTS, "m1", |p| p);
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     let read = |f| asked.1.get_text(f).unwrap().to_owned();
     assert_eq!(
         (read(Field::METHOD), read(Field::MODEL), read(Field::TOKEN)),
@@ -189,23 +189,23 @@
     let dead = o.waiting("curlewpoint.dead", 2).await;
     assert_eq!(dead.iter().filter(|m| m.body == "who").count(), 1);
     assert_eq!(dead.iter().filter(|m| answer(m) == said("none", "denied")).count(), 1);
-    assert_eq!(end(gateway).await.call_outs, 0);
+    assert_eq!(end(gateway).await.attempts, 0);
 }
 
-/// The connection drops while a worker has the extract: it comes again, and the answer is that of the one call-out.
+/// The connection drops while a worker has the extract: it comes again, and the answer is that of the one attempt.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_dropped_connection_does_not_run_an_extract_twice() {
     let mut a = Puppet::start("a").await;
     let o = Office::open("drop", &[&a]).await;
     let gateway = o.gateway("front-1").await;
     o.ask(EXTRACTS, "m1", |p| p);
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     o.broker.drop_all();
     a.answer(&asked, Outcome::Ok);
     let told = o.waiting("office", 1).await;
     assert_eq!(answer(&told[0]), said("m1", "ok"));
     let f = end(gateway).await;
-    assert_eq!((f.taken, f.call_outs, o.waiting("office", 1).await.len()), (1, 1, 1));
+    assert_eq!((f.taken, f.attempts, o.waiting("office", 1).await.len()), (1, 1, 1));
 }
 
 /// The connection drops with the commit: before it was done the answer comes with the next delivery, after it there is one.
@@ -217,12 +217,12 @@
         let gateway = o.gateway("front-1").await;
         o.broker.drop_at_commit(done);
         o.ask(EXTRACTS, "m1", |p| p);
-        let asked = a.call_out().await;
+        let asked = a.attempt().await;
         a.answer(&asked, Outcome::Ok);
         let told = o.waiting("office", 1).await;
         assert_eq!(answer(&told[0]), said("m1", "ok"), "{done}");
         let f = end(gateway).await;
-        assert_eq!((f.call_outs, o.waiting("office", 1).await.len()), (1, 1), "{done}");
+        assert_eq!((f.attempts, o.waiting("office", 1).await.len()), (1, 1), "{done}");
         assert_eq!(o.waiting(EXTRACTS, 0).await.len(), 0);
     }
 }
@@ -235,16 +235,16 @@
     let first = Killable::start(o.config("front-1")).await;
     o.ask(EXTRACTS, "extract", |p| p);
     o.ask("curlewpoint.read-fields", "read", |p| p);
-    let out = [a.call_out().await, a.call_out().await];
+    let out = [a.attempt().await, a.attempt().await];
     first.kill().await;
     let second = o.gateway("front-2").await;
-    let again = a.call_out().await;
+    let again = a.attempt().await;
     assert_eq!(again.1.get_text(Field::METHOD).unwrap(), "read-fields");
     a.answer(&again, Outcome::Ok);
     let mut told: Vec<_> = o.waiting("office", 2).await.iter().map(answer).collect();
     told.sort();
     assert_eq!(told, [said("extract", "aborted"), said("read", "ok")]);
-    assert_eq!(end(second).await.call_outs, 1);
+    assert_eq!(end(second).await.attempts, 1);
     drop(out);
 }
 
@@ -256,12 +256,12 @@
     o.broker.faults(BrokerFaults { forgets_marks: true, ..BrokerFaults::default() });
     let first = Killable::start(o.config("front-1")).await;
     o.ask(EXTRACTS, "m1", |p| p);
-    let _out = a.call_out().await;
+    let _out = a.attempt().await;
     first.kill().await;
     let next = o.gateway("front-1").await;
     let told = o.waiting("office", 1).await;
     assert_eq!(answer(&told[0]), said("m1", "aborted"));
-    assert_eq!(end(next).await.call_outs, 0);
+    assert_eq!(end(next).await.attempts, 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -270,7 +270,7 @@
     let o = Office::open("stop", &[&a]).await;
     let gateway = o.gateway("front-1").await;
     o.ask(EXTRACTS, "m1", |p| p);
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     gateway.stop().await;
     o.ask(EXTRACTS, "m2", |p| p);
     a.answer(&asked, Outcome::Ok);
@@ -278,7 +278,7 @@
     assert_eq!(answer(&o.waiting("office", 1).await[0]), said("m1", "ok"));
     // Another instance serves the one that was left, as it was not sent.
     let next = o.gateway("front-2").await;
-    let left = a.call_out().await;
+    let left = a.attempt().await;
     a.answer(&left, Outcome::Ok);
     let told: Vec<_> = o.waiting("office", 2).await.iter().map(answer).collect();
     assert_eq!(told[1], said("m2", "ok"));
@@ -309,7 +309,7 @@
     properties.with_message_id("m1").with_reply_to("replies").with_expiration("4000").with_headers(headers);
     let to = BasicPublishArguments::new("", EXTRACTS);
     channel.basic_publish(properties.finish(), b"page 1".to_vec(), to).await.unwrap();
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     a.answer(&asked, Outcome::Ok);
     let answer = answers.recv().await.unwrap();
     let told = answer.basic_properties.unwrap();
@@ -341,11 +341,11 @@
     let why = told[0].properties.headers().as_ref().and_then(|h| h.inner().get("why"));
     assert_eq!(why, Some(&AMQPValue::LongString("unfit: expected value at line 1 column 1".into())));
     o.ask("curlewpoint.read-fields", "m2", |p| p);
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     assert_eq!(asked.1.get_text(Field::TOKEN).unwrap(), "m2", "nothing was sent for the first");
     a.answer(&asked, Outcome::Ok);
     o.waiting("office", 2).await;
-    assert_eq!(end(gateway).await.call_outs, 1);
+    assert_eq!(end(gateway).await.attempts, 1);
 }
 
 /// A delivery cut in its middle was never read, but the broker cannot know: it comes again, marked.
@@ -358,7 +358,7 @@
         o.broker.cut_delivery();
         o.ask(queue, id, |p| p);
         if word == "ok" {
-            let asked = a.call_out().await;
+            let asked = a.attempt().await;
             a.answer(&asked, Outcome::Ok);
         }
         assert_eq!(
@@ -366,7 +366,7 @@
             said(id, word)
         );
     }
-    assert_eq!(end(gateway).await.call_outs, 1);
+    assert_eq!(end(gateway).await.attempts, 1);
 }
 
 /// A broker that reads and writes nothing while its connection stays up is given up, and the answer waits for it.
@@ -377,7 +377,7 @@
     let gateway =
         curlewpoint_gateway::start(&o.config("front-1").with_in("amqp", "heartbeat", "1s")).await.unwrap();
     o.ask(EXTRACTS, "m1", |p| p.with_expiration("20000".into()));
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     o.broker.mute(true);
     a.answer(&asked, Outcome::Ok);
     // Nothing is heard for two heartbeats: another connection is opened. The broker then finds the old one ended.
@@ -386,7 +386,7 @@
     o.broker.mute(false);
     assert_eq!(answer(&o.waiting("office", 1).await[0]), said("m1", "ok"));
     let f = end(gateway).await;
-    assert_eq!((f.call_outs, o.waiting("office", 1).await.len()), (1, 1));
+    assert_eq!((f.attempts, o.waiting("office", 1).await.len()), (1, 1));
 }
 
 /// The broker's certificate has to be signed by one of ours and to have the name: one that has not is not spoken to.
@@ -428,7 +428,7 @@
     end(wrong).await;
     let right = curlewpoint_gateway::start(&tls.with_in("amqp", "tls-name", "broker.test")).await.unwrap();
     o.ask(EXTRACTS, "m1", |p| p);
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     a.answer(&asked, Outcome::Ok);
     assert_eq!(answer(&o.waiting("office", 1).await[0]), said("m1", "ok"));
     end(right).await;
@@ -436,11 +436,11 @@
     assert!(curlewpoint_gateway::start(&none).await.is_err());
 }
 
-/// Answers every call-out after a while, and counts by message what ran.
+/// Answers every attempt after a while, and counts by message what ran.
 fn works(mut a: Puppet, ran: Arc<Mutex<BTreeMap<String, u32>>>) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
         loop {
-            let asked = a.call_out().await;
+            let asked = a.attempt().await;
             let id = asked.1.get_text(Field::TOKEN).unwrap().to_owned();
             *ran.lock().unwrap().entry(id).or_default() += 1;
             // Some answers take longer, so that there is always something out when trouble comes.
--- a/crates/curlewpoint-lab/tests/sockets/hard.rs
+++ b/crates/curlewpoint-lab/tests/sockets/hard.rs
@@ -12,18 +12,18 @@
 
 const LONG: u64 = 3_000;
 
-/// It has read the call-out, so it may have run: it is not called out again, and the abort promises nothing.
+/// It has read the attempt, so it may have run: it is not called out again, and the abort promises nothing.
 #[tokio::test]
-async fn a_worker_that_dies_after_reading_a_side_effecting_call_out_ends_it_aborted() {
+async fn a_worker_that_dies_after_reading_a_side_effecting_attempt_ends_it_aborted() {
     let (mut a, mut b) = (Puppet::start("a").await, Puppet::start("b").await);
     let stage = Stage::new(&[&a, &b]).await;
     stage.ask(1, "issue-extract", LONG);
-    let first = tokio::select! { _ = a.call_out() => &mut a, _ = b.call_out() => &mut b };
+    let first = tokio::select! { _ = a.attempt() => &mut a, _ = b.attempt() => &mut b };
     first.die();
     assert_eq!(stage.final_of(1).await, Answer::Aborted);
-    assert!(!a.call_out_before(async {}).await && !b.call_out_before(async {}).await);
+    assert!(!a.attempt_before(async {}).await && !b.attempt_before(async {}).await);
     let f = stop(stage).await;
-    assert_eq!((f.aborted, f.call_outs), (1, 1));
+    assert_eq!((f.aborted, f.attempts), (1, 1));
 }
 
 /// Nothing was sent, so another worker may take it.
@@ -34,7 +34,7 @@
     let stage = Stage::new(&[&a, &b]).await;
     for key in 1..=6 {
         stage.ask(key, "issue-extract", LONG);
-        let asked = b.call_out().await;
+        let asked = b.attempt().await;
         b.answer(&asked, Outcome::Ok);
         assert_eq!(stage.final_of(key).await, Answer::Ok);
     }
@@ -47,29 +47,29 @@
     let mut a = Puppet::start("a").await;
     let stage = Stage::new(&[&a]).await;
     stage.ask(1, "issue-extract", LONG);
-    let (peer, f) = a.call_out().await;
+    let (peer, f) = a.attempt().await;
     a.say(peer, Say::Half(answer(&f, Outcome::Ok)));
     assert_eq!(stage.final_of(1).await, Answer::Aborted);
 }
 
-/// An answer after the abort, one given twice, and one for a call-out that was never sent change nothing.
+/// An answer after the abort, one given twice, and one for an attempt that was never sent change nothing.
 #[tokio::test]
 async fn answers_late_twice_and_unasked_are_passed_over() {
     let mut a = Puppet::start("a").await;
     let stage = Stage::new(&[&a]).await;
     stage.ask(1, "issue-extract", 500);
-    let first = a.call_out().await;
+    let first = a.attempt().await;
     assert_eq!(stage.final_of(1).await, Answer::Aborted);
     a.answer(&first, Outcome::Ok);
     a.say(first.0, Say::Frame(Frame::new(Kind::ANSWER).int(Field::TAG, 999).int(Field::OUTCOME, 0)));
     stage.ask(2, "issue-extract", LONG);
-    let second = a.call_out().await;
+    let second = a.attempt().await;
     a.answer(&second, Outcome::Ok);
     a.answer(&second, Outcome::Ok);
     a.answer(&second, Outcome::Error);
     assert_eq!(stage.final_of(2).await, Answer::Ok);
     stage.ask(3, "issue-extract", LONG);
-    let third = a.call_out().await;
+    let third = a.attempt().await;
     a.answer(&third, Outcome::Ok);
     assert_eq!(stage.final_of(3).await, Answer::Ok);
     assert_eq!((stage.finals(1), stage.finals(2), stage.finals(3)), (1, 1, 1));
@@ -81,12 +81,12 @@
     let mut a = Puppet::start("a").await;
     let Stage { record, list, gateway, office } = Stage::new(&[&a]).await;
     office.ask(1, "read-fields", "model", "", Time(30_000), 64);
-    let (peer, _) = a.call_out().await;
+    let (peer, _) = a.attempt().await;
     office.leave();
     // A later client's RPC comes to its answer beside it, and then a stop has nothing to wait for.
     let other = Office::open(&gateway.address.to_string(), "front", &record).await.unwrap();
     other.ask(2, "read-fields", "model", "", Time(30_000), 64);
-    let second = a.call_out().await;
+    let second = a.attempt().await;
     a.answer(&second, Outcome::Ok);
     let stage = Stage { record, list, gateway, office: other };
     assert_eq!(stage.final_of(2).await, Answer::Ok);
@@ -103,7 +103,7 @@
     let stage = Stage::new(&[&a, &b]).await;
     let serving = tokio::spawn(async move {
         loop {
-            let asked = b.call_out().await;
+            let asked = b.attempt().await;
             b.answer(&asked, Outcome::Ok);
         }
     });
@@ -129,7 +129,7 @@
     let mut a = Puppet::start("a").await;
     let stage = Stage::new(&[&a]).await;
     stage.ask(0, "issue-extract", LONG);
-    let first = a.call_out().await;
+    let first = a.attempt().await;
     a.answer(&first, Outcome::Ok);
     stage.final_of(0).await;
     a.mute.send(true).unwrap();
@@ -149,7 +149,7 @@
     let f = stop(stage).await;
     // Those never called out are denied in any case. One that was called out is denied only if it was taken back before
     // its first byte: left to its deadline it would be aborted, as it is still out.
-    let called_out = f.call_outs as usize - 1;
+    let called_out = f.attempts as usize - 1;
     assert!(called_out >= 2 && denied > 4 - called_out, "{denied} denied, {called_out} of 4 called out");
 }
 
@@ -166,13 +166,13 @@
     let stage = Stage { record, list, gateway, office };
     stage.ask(1, "read-fields", LONG);
     name(&stage.list, &a, Standing::Ready);
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     a.answer(&asked, Outcome::Ok);
     assert_eq!(stage.final_of(1).await, Answer::Ok);
     stage.list.down_until(stage.record.now() + Time(600_000));
     for key in 2..5 {
         stage.ask(key, "read-fields", LONG);
-        let asked = a.call_out().await;
+        let asked = a.attempt().await;
         a.answer(&asked, Outcome::Ok);
         assert_eq!(stage.final_of(key).await, Answer::Ok);
     }
@@ -186,7 +186,7 @@
     let address = stage.gateway.address.to_string();
     let serving = tokio::spawn(async move {
         loop {
-            let asked = a.call_out().await;
+            let asked = a.attempt().await;
             a.answer(&asked, Outcome::Ok);
         }
     });
@@ -206,18 +206,18 @@
     serving.abort();
 }
 
-/// Guards against one client's words ending a connection that carries others' call-outs.
+/// Guards against one client's words ending a connection that carries others' attempts.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_longest_words_a_client_may_use_harm_nobody_else() {
     let mut a = Puppet::start("a").await;
     let stage = Stage::new(&[&a]).await;
     let address = stage.gateway.address.to_string();
     stage.ask(1, "issue-extract", LONG);
-    let others = a.call_out().await;
+    let others = a.attempt().await;
     let serving = tokio::spawn(async move {
         a.answer(&others, Outcome::Ok);
         loop {
-            let asked = a.call_out().await;
+            let asked = a.attempt().await;
             a.answer(&asked, Outcome::Ok);
         }
     });
@@ -315,8 +315,8 @@
     let stage = Stage::new(&[&a]).await;
     stage.ask(1, "issue-extract", LONG);
     stage.ask(2, "issue-extract", 700);
-    let first = a.call_out().await;
-    let _second = a.call_out().await;
+    let first = a.attempt().await;
+    let _second = a.attempt().await;
     stage.gateway.stop().await;
     assert_eq!(stage.final_of(2).await, Answer::Aborted);
     a.answer(&first, Outcome::Ok);
--- a/crates/curlewpoint-lab/tests/sockets/http.rs
+++ b/crates/curlewpoint-lab/tests/sockets/http.rs
@@ -109,11 +109,11 @@
     Door { stage, http, folder: Folder(folder) }
 }
 
-/// A worker that answers every call-out with its own body.
+/// A worker that answers every attempt with its own body.
 fn echo(mut a: Puppet) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
         loop {
-            let asked = a.call_out().await;
+            let asked = a.attempt().await;
             a.answer(&asked, Outcome::Ok);
         }
     })
@@ -203,15 +203,15 @@
         })
     };
     let call = issue();
-    let (peer, f) = a.call_out().await;
+    let (peer, f) = a.attempt().await;
     assert_eq!(f.get_text(Field::MODEL).unwrap(), "büro");
     a.answer(&(peer, f), Outcome::Ok);
     let ok = call.await.unwrap();
     assert_eq!((ok.status, ok.body.as_slice()), (200, &br#"{"page": 3}"#[..]));
     described(&document, path, &ok);
-    // It has run, but its answer breaks its schema: no ok, and as it is side-effecting no second call-out either.
+    // It has run, but its answer breaks its schema: no ok, and as it is side-effecting no second attempt either.
     let call = issue();
-    let (peer, f) = a.call_out().await;
+    let (peer, f) = a.attempt().await;
     let tag = f.get_int(Field::TAG).unwrap();
     let unfit = Frame::new(Kind::ANSWER).int(Field::TAG, tag).int(Field::OUTCOME, 0).body(&b"{}"[..]);
     a.say(peer, Say::Frame(unfit));
@@ -243,7 +243,7 @@
     };
     // It is told that it goes, and is served with that word; its request is narrowed and its answer is another one.
     let open = issue(390);
-    let (peer, f) = a.call_out().await;
+    let (peer, f) = a.attempt().await;
     std::fs::write(d.folder.0.join("asked.json"), r#"{"properties": {"page": {"maximum": 300}}}"#).unwrap();
     std::fs::write(d.folder.0.join("told.json"), r#"{"type": "object", "required": ["extract"]}"#).unwrap();
     let told = "method issue-extract {\n  deprecated 2026-11-01\n  sunset 2027-03-01";
@@ -253,7 +253,7 @@
     a.answer(&(peer, f), Outcome::Ok);
     assert_eq!(open.await.unwrap().status, 200);
     let call = issue(3);
-    let (peer, f) = a.call_out().await;
+    let (peer, f) = a.attempt().await;
     let tag = f.get_int(Field::TAG).unwrap();
     let new =
         Frame::new(Kind::ANSWER).int(Field::TAG, tag).int(Field::OUTCOME, 0).body(&b"{\"extract\": 1}"[..]);
@@ -322,7 +322,7 @@
     let (told, mut draw) = (serde_json::from_str::<Value>(TOLD).unwrap(), Draw::new(5));
     tokio::spawn(async move {
         loop {
-            let (peer, f) = a.call_out().await;
+            let (peer, f) = a.attempt().await;
             let answer = match f.get_text(Field::METHOD).unwrap() {
                 "issue-extract" => b"%PDF".to_vec(),
                 _ => draw.value(&told).to_string().into_bytes(),
@@ -474,13 +474,13 @@
     let mut gone = TcpStream::connect(&d.http).await.unwrap();
     let request = "POST /v1/read-fields/m HTTP/1.1\r\nhost: x\r\ncontent-type: application/octet-stream\r\ncontent-length: 1\r\n\r\nx";
     gone.write_all(request.as_bytes()).await.unwrap();
-    let _first = a.call_out().await;
+    let _first = a.attempt().await;
     drop(gone);
     let http = d.http.clone();
     let stays = tokio::spawn(async move {
         send(&http, "POST", "/v1/read-fields/m", "content-type: application/octet-stream\r\n", b"x").await
     });
-    let second = a.call_out().await;
+    let second = a.attempt().await;
     d.stage.gateway.stop().await;
     a.answer(&second, Outcome::Ok);
     assert_eq!(stays.await.unwrap().status, 200);
--- a/crates/curlewpoint-lab/tests/sockets/reload.rs
+++ b/crates/curlewpoint-lab/tests/sockets/reload.rs
@@ -36,7 +36,7 @@
     let mut a = Puppet::start("a").await;
     let s = Stage::new(&[&a]).await;
     s.ask(1, "issue-extract", 4_000);
-    let asked = a.call_out().await;
+    let asked = a.attempt().await;
     let reloader = s.gateway.reloader();
     reloader.reload(changed(&s, &[NO_ISSUE])).await.unwrap();
     s.ask(2, "issue-extract", 4_000);
@@ -45,7 +45,7 @@
     assert_eq!(refusal(&s, 3).await, "no-such-method");
     // The one that came is served here at once.
     s.ask(4, "issue-extracts", 4_000);
-    let new = a.call_out().await;
+    let new = a.attempt().await;
     assert_eq!(new.1.get_text(Field::METHOD).unwrap(), "issue-extracts");
     a.answer(&new, Outcome::Ok);
     a.answer(&asked, Outcome::Ok);
@@ -53,7 +53,7 @@
     // It comes back, and is served as before.
     reloader.reload(changed(&s, &[])).await.unwrap();
     s.ask(5, "issue-extract", 4_000);
-    let back = a.call_out().await;
+    let back = a.attempt().await;
     a.answer(&back, Outcome::Ok);
     assert_eq!(s.final_of(5).await, Answer::Ok);
 }
@@ -66,24 +66,24 @@
     let only_issue = ("effect idempotent", "effect side-effecting");
     s.ask(1, "read-fields", 4_000);
     let (first, to_a) = tokio::select! {
-        x = a.call_out() => (x, true),
-        x = b.call_out() => (x, false),
+        x = a.attempt() => (x, true),
+        x = b.attempt() => (x, false),
     };
     s.gateway.reloader().reload(changed(&s, &[only_issue])).await.unwrap();
     let (this, other) = if to_a { (&mut a, &mut b) } else { (&mut b, &mut a) };
     this.answer(&first, Outcome::Error);
     // Taken as idempotent: it may have run, and goes out again.
     let again = tokio::select! {
-        x = this.call_out() => { this.answer(&x, Outcome::Ok); x }
-        x = other.call_out() => { other.answer(&x, Outcome::Ok); x }
+        x = this.attempt() => { this.answer(&x, Outcome::Ok); x }
+        x = other.attempt() => { other.answer(&x, Outcome::Ok); x }
     };
     assert_eq!(again.1.get_int(Field::NO).unwrap(), 1);
     assert_eq!(s.final_of(1).await, Answer::Ok);
-    // Taken as side-effecting: no second call-out.
+    // Taken as side-effecting: no second attempt.
     s.ask(2, "read-fields", 4_000);
     tokio::select! {
-        x = a.call_out() => a.answer(&x, Outcome::Error),
-        x = b.call_out() => b.answer(&x, Outcome::Error),
+        x = a.attempt() => a.answer(&x, Outcome::Error),
+        x = b.attempt() => b.answer(&x, Outcome::Error),
     }
     assert_eq!(s.final_of(2).await, Answer::Aborted);
 }
@@ -96,16 +96,16 @@
     let mut asked = Vec::new();
     for (key, release) in [(1, "2"), (2, "3")] {
         s.ask(key, "issue-extract", 4_000);
-        asked.push(a.call_out().await);
+        asked.push(a.attempt().await);
         reloader.reload(changed(&s, &[]).with("release", release)).await.unwrap();
     }
     s.ask(3, "issue-extract", 4_000);
-    asked.push(a.call_out().await);
+    asked.push(a.attempt().await);
     let third = changed(&s, &[NO_ISSUE]);
     assert_eq!(reloader.reload(third.clone()).await, Err(ReloadError::TooMany(3)));
     // Nothing of it came into force.
     s.ask(4, "issue-extract", 4_000);
-    let more = a.call_out().await;
+    let more = a.attempt().await;
     a.answer(&more, Outcome::Ok);
     assert_eq!(s.final_of(4).await, Answer::Ok);
     a.answer(&asked[0], Outcome::Ok);
@@ -145,7 +145,7 @@
     assert_eq!(call(ahead.clone(), "issue-extract").await, refused("withdrawn"));
     for (address, method) in [(ahead, "issue-extracts"), (behind, "issue-extract")] {
         let called = tokio::spawn(call(address, method));
-        let asked = a.call_out().await;
+        let asked = a.attempt().await;
         a.answer(&asked, Outcome::Ok);
         assert!(matches!(called.await.unwrap(), Called::Final { answer: Answer::Ok, .. }), "{method}");
     }
@@ -161,7 +161,7 @@
         let mut held = std::collections::VecDeque::new();
         loop {
             tokio::select! {
-                asked = a.call_out() => held.push_back(asked),
+                asked = a.attempt() => held.push_back(asked),
                 // Answers come a while after: RPCs are open at every reload.
                 () = tokio::time::sleep(Duration::from_millis(5)), if !held.is_empty() => {}
                 _ = &mut stopped, if held.is_empty() => return,
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -1,6 +1,6 @@
 //! Connections that speak the native protocol: a hello each way, a bounded outbox, and exact word of what was begun.
 //!
-//! Whether a call-out may have run hangs on whether one byte of it was handed to the kernel. A [`Ticket`] goes with
+//! Whether an attempt may have run hangs on whether one byte of it was handed to the kernel. A [`Ticket`] goes with
 //! each frame for which that matters: whoever waits may take it back until the writer has begun it, and never after.
 
 mod clock;
--- a/crates/curlewpoint-node/src/outside.rs
+++ b/crates/curlewpoint-node/src/outside.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use curlewpoint::types::{Outcome, RpcId, Time, WorkerId};
-use curlewpoint_engine::{Answer, ClientId, ConnId, Errand, ErrandId, Pool, Wires, World};
+use curlewpoint_engine::{Answer, ClientId, ConnId, Pool, RequestId, UpstreamRequest, Wires, World};
 use curlewpoint_link::{Clock, Outbox, Ticket};
 use curlewpoint_platform::asked::{self, Tags};
 use curlewpoint_platform::{lines, resp};
@@ -40,25 +40,25 @@
 pub(crate) struct Asked {
     name: Arc<str>,
     line: Bytes,
-    call_out: bool,
+    attempt: bool,
 }
 
 /// Sockets towards workers, as the pool acts on them.
 pub(crate) struct Sockets {
     dialler: Dialler,
     outboxes: BTreeMap<ConnId, Outbox<Bytes>>,
-    tickets: BTreeMap<ErrandId, (Ticket, ConnId, Arc<str>)>,
+    tickets: BTreeMap<RequestId, (Ticket, ConnId, Arc<str>)>,
     /// What is asked on each connection, by the names that workers answer under.
-    names: BTreeMap<(ConnId, Arc<str>), ErrandId>,
+    names: BTreeMap<(ConnId, Arc<str>), RequestId>,
     /// Where else an RPC that is held was asked under its name. A name is used once on a connection, so that a second
     /// answer to one attempt is never taken for that to the next: 'full' twice would prove that the next never ran.
     spent: BTreeMap<Arc<str>, Vec<ConnId>>,
-    ended: VecDeque<(ErrandId, Outcome)>,
+    ended: VecDeque<(RequestId, Outcome)>,
 }
 
 impl Sockets {
-    fn forget(&mut self, errand: ErrandId) {
-        if let Some((_, conn, name)) = self.tickets.remove(&errand) {
+    fn forget(&mut self, request: RequestId) {
+        if let Some((_, conn, name)) = self.tickets.remove(&request) {
             self.names.remove(&(conn, Arc::clone(&name)));
             if !name.starts_with(OWN) {
                 self.spent.entry(name).or_default().push(conn);
@@ -73,7 +73,7 @@
         self.dialler.dial(conn, address.to_owned());
     }
 
-    fn send(&mut self, conn: ConnId, errand: ErrandId, asked: &Asked) -> bool {
+    fn send(&mut self, conn: ConnId, request: RequestId, asked: &Asked) -> bool {
         let Some(outbox) = self.outboxes.get(&conn) else { return false };
         let key = (conn, Arc::clone(&asked.name));
         let ticket = Ticket::default();
@@ -84,17 +84,18 @@
         {
             return false;
         }
-        self.names.insert(key, errand);
-        self.tickets.insert(errand, (ticket, conn, Arc::clone(&asked.name)));
+        self.names.insert(key, request);
+        self.tickets.insert(request, (ticket, conn, Arc::clone(&asked.name)));
         true
     }
 
-    fn take_back(&mut self, _conn: ConnId, errand: ErrandId) -> bool {
-        self.tickets.get(&errand).is_some_and(|(ticket, ..)| ticket.take_back())
+    fn take_back(&mut self, _conn: ConnId, request: RequestId) -> bool {
+        self.tickets.get(&request).is_some_and(|(ticket, ..)| ticket.take_back())
     }
 
-    fn withdraw(&mut self, conn: ConnId, errand: ErrandId) {
-        let (Some(outbox), Some((_, _, name))) = (self.outboxes.get(&conn), self.tickets.get(&errand)) else {
+    fn withdraw(&mut self, conn: ConnId, request: RequestId) {
+        let (Some(outbox), Some((_, _, name))) = (self.outboxes.get(&conn), self.tickets.get(&request))
+        else {
             return;
         };
         // A probe or an order is not taken back: its end is passed over. Where the outbox is full nothing is told.
@@ -107,9 +108,9 @@
         self.outboxes.remove(&conn);
     }
 
-    fn ended(&mut self, errand: ErrandId, outcome: Outcome) {
-        self.forget(errand);
-        self.ended.push_back((errand, outcome));
+    fn ended(&mut self, request: RequestId, outcome: Outcome) {
+        self.forget(request);
+        self.ended.push_back((request, outcome));
     }
 }
 
@@ -181,13 +182,13 @@
     }
 
     /// What is asked on this connection under this name, if it is still waited for.
-    pub fn asked_as(&self, conn: ConnId, name: &str) -> Option<ErrandId> {
+    pub fn asked_as(&self, conn: ConnId, name: &str) -> Option<RequestId> {
         self.sockets.names.get(&(conn, Arc::from(name))).copied()
     }
 
-    pub fn answered(&mut self, now: Time, errand: ErrandId) {
-        self.sockets.forget(errand);
-        self.pool.answered(now, &mut self.sockets, errand);
+    pub fn answered(&mut self, now: Time, request: RequestId) {
+        self.sockets.forget(request);
+        self.pool.answered(now, &mut self.sockets, request);
     }
 
     fn forget_lately(&mut self, most: usize) {
@@ -204,7 +205,7 @@
     }
 
     /// What the pool has open, and at which worker.
-    pub fn open(&self) -> BTreeMap<ErrandId, WorkerId> {
+    pub fn open(&self) -> BTreeMap<RequestId, WorkerId> {
         self.pool.open().collect()
     }
 
@@ -228,28 +229,28 @@
 }
 
 impl World for Outside {
-    fn errand(&mut self, now: Time, id: ErrandId, worker: WorkerId, errand: Errand<'_>) {
+    fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>) {
         let name = || Arc::from(format!("{OWN}{}", id.0));
-        let asked = match errand {
-            Errand::CallOut { rpc, method, model, token, left, body, .. } => {
+        let asked = match request {
+            UpstreamRequest::Attempt { rpc, method, model, token, left, body, .. } => {
                 let name = Arc::clone(&self.ids[&rpc]);
                 let line = lines::invoke(&name, method, model, token, left, body);
-                Asked { name, line, call_out: true }
+                Asked { name, line, attempt: true }
             }
-            Errand::Load { model, copies } => {
+            UpstreamRequest::Load { model, copies } => {
                 let name: Arc<str> = name();
-                Asked { line: lines::prewarm(&name, model, copies), name, call_out: false }
+                Asked { line: lines::prewarm(&name, model, copies), name, attempt: false }
             }
-            Errand::Probe => {
+            UpstreamRequest::Probe => {
                 let name: Arc<str> = name();
-                Asked { line: lines::gauges(&name), name, call_out: false }
+                Asked { line: lines::gauges(&name), name, attempt: false }
             }
         };
-        debug!(errand = id.0, worker = worker.0, call_out = asked.call_out, "asked as {}", asked.name);
-        self.pool.errand(now, &mut self.sockets, worker, id, asked);
+        debug!(request = id.0, worker = worker.0, attempt = asked.attempt, "asked as {}", asked.name);
+        self.pool.request(now, &mut self.sockets, worker, id, asked);
     }
 
-    fn take_back(&mut self, now: Time, id: ErrandId) -> bool {
+    fn take_back(&mut self, now: Time, id: RequestId) -> bool {
         let untouched = self.pool.take_back(now, &mut self.sockets, id);
         self.sockets.forget(id);
         untouched
@@ -275,7 +276,7 @@
         self.tell(client, tag, word, &asked::answer_fields(retry_after), &body);
     }
 
-    fn ended(&mut self) -> Option<(ErrandId, Outcome)> {
+    fn ended(&mut self) -> Option<(RequestId, Outcome)> {
         self.sockets.ended.pop_front()
     }
 
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -221,10 +221,7 @@
         self.engine.abort_all(self.clock.now());
         let conns = self.engine.world().conns();
         let f = self.engine.figures();
-        info!(
-            f.taken,
-            f.ok, f.denied, f.aborted, f.left, f.refused, f.call_outs, conns, f.cut_off, "stopped"
-        );
+        info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, f.cut_off, "stopped");
         f
     }
 
@@ -430,15 +427,15 @@
     /// What a worker says; what nobody waits for is passed over.
     fn worker(&mut self, now: Time, conn: ConnId, row: &Map<String, Value>) -> Result<(), lines::LineError> {
         let outcome = lines::outcome(row)?;
-        let Some(errand) = self.engine.world().asked_as(conn, lines::text(row, "req")?) else {
+        let Some(request) = self.engine.world().asked_as(conn, lines::text(row, "req")?) else {
             return Ok(());
         };
         let body = lines::body(row)?;
-        let is_call_out = self.engine.asked_by(errand).is_some();
-        let copy = if is_call_out { lines::copy(row) } else { Copy::Untold };
+        let is_attempt = self.engine.asked_by(request).is_some();
+        let copy = if is_attempt { lines::copy(row) } else { Copy::Untold };
         let (held, copies, report) = (lines::held(row), lines::copies(row), lines::report(row, &self.report));
-        self.engine.world().answered(now, errand);
-        self.engine.errand_ended(now, errand, outcome, copy, held, copies, report, body);
+        self.engine.world().answered(now, request);
+        self.engine.request_ended(now, request, outcome, copy, held, copies, report, body);
         Ok(())
     }
 }
--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -27,11 +27,11 @@
     pub list_connections_in_all: usize,
     pub whole_lists: usize,
     pub list_bytes: usize,
-    /// In the first 5 s: connections at workers, probes, load orders, call-outs; the busiest worker against the mean.
+    /// In the first 5 s: connections at workers, probes, load orders, attempts; the busiest worker against the mean.
     pub worker_connections: usize,
     pub probes: usize,
     pub orders: usize,
-    pub call_outs: usize,
+    pub attempts: usize,
     pub busiest: f64,
     /// In the first 5 s and in all: asked, ok, denied, aborted, refused, unanswered.
     pub first: [usize; 6],
@@ -107,7 +107,7 @@
                     Kind::PROBE => self.probes += 1,
                     Kind::LOAD => self.orders += 1,
                     Kind::CALL_OUT => {
-                        self.call_outs += 1;
+                        self.attempts += 1;
                         *by_worker.entry(to).or_default() += 1;
                     }
                     _ => {}
@@ -128,7 +128,7 @@
         }
         self.list_connections = most_within(&dials, WINDOW);
         self.list_connections_in_all = dials.len();
-        let (most, sum) = (by_worker.values().max().copied().unwrap_or(0), self.call_outs);
+        let (most, sum) = (by_worker.values().max().copied().unwrap_or(0), self.attempts);
         self.busiest = most as f64 * by_worker.len() as f64 / sum.max(1) as f64;
         let settled = alike(&beats, end) && last_unlike + SPEAKS < end;
         self.alike = (!beats.is_empty() && settled).then(|| last_unlike - over);
@@ -185,7 +185,7 @@
             ("a first list at half; at 99 in 100", |f| format!("{}; {}", ms(f.listed[0]), ms(f.listed[1]))),
             ("first 5 s: connections at workers", |f| f.worker_connections.to_string()),
             ("first 5 s: probes; load orders", |f| format!("{}; {}", f.probes, f.orders)),
-            ("first 5 s: call-outs; busiest worker", |f| format!("{}; {:.1} x mean", f.call_outs, f.busiest)),
+            ("first 5 s: attempts; busiest worker", |f| format!("{}; {:.1} x mean", f.attempts, f.busiest)),
             ("first 5 s: ok, denied, aborted of asked", |f| {
                 let [asked, ok, denied, aborted, ..] = f.first;
                 format!("{ok}, {denied}, {aborted} of {asked}")
--- a/crates/curlewpoint-trigger/src/inbox.rs
+++ b/crates/curlewpoint-trigger/src/inbox.rs
@@ -66,7 +66,7 @@
 
 /// What an inbox acts through.
 pub trait Desk {
-    /// Notes on disk that call-outs may be sent from here on; `intent_written` or `intent_lost` follows, with this number.
+    /// Notes on disk that attempts may be sent from here on; `intent_written` or `intent_lost` follows, with this number.
     fn write_intent(&mut self, name: &Name, no: u64);
     /// Notes the answer, and that it need not be kept any more; nobody waits for either.
     fn write_answer(&mut self, name: &Name, answer: &Final);
@@ -95,7 +95,7 @@
     Asked,
     /// It has its answer, which waits for the broker's word, or for the next delivery.
     Answered(Final),
-    /// A record of a run before this one says that call-outs may have been sent since this moment.
+    /// A record of a run before this one says that attempts may have been sent since this moment.
     SentBefore(Time),
 }
 
@@ -217,7 +217,7 @@
         }
     }
 
-    /// A message that may have had its call-out before, so long ago if that is known.
+    /// A message that may have had its attempt before, so long ago if that is known.
     fn repeat(&mut self, now: Time, name: &Name, terms: Terms, sent: Option<Time>) {
         let left = match (terms.effect, sent) {
             (Effect::Idempotent, _) => terms.left,
@@ -279,7 +279,7 @@
         let Some(message) = self.messages.get(name).filter(|m| m.stage == Stage::Asked) else { return };
         let denied_repeat = answer.end == End::Denied
             && message.terms.is_some_and(|t| t.redelivered && t.effect != Effect::Idempotent);
-        // This run's call-outs never ran, but one before may have: no denial.
+        // This run's attempts never ran, but one before may have: no denial.
         let answer = if denied_repeat {
             Final::of(End::Aborted, "it was delivered before and may have run")
         } else {
--- a/crates/curlewpoint-trigger/tests/model.rs
+++ b/crates/curlewpoint-trigger/tests/model.rs
@@ -59,7 +59,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Engine {
     Idle,
-    /// Its call-out may be sent at any moment.
+    /// Its attempt may be sent at any moment.
     Asked,
     Ran,
 }
--- a/crates/curlewpoint-trigger/tests/stories.rs
+++ b/crates/curlewpoint-trigger/tests/stories.rs
@@ -249,7 +249,7 @@
     assert_eq!(s.deeds(), "note Aborted, settle 3 Aborted");
 }
 
-/// The requester has sent it twice while it was open: one call-out, and each of the two has the answer.
+/// The requester has sent it twice while it was open: one attempt, and each of the two has the answer.
 #[test]
 fn a_message_sent_twice_is_asked_for_once() {
     let mut s = Story::new();
--- a/crates/curlewpoint-wire/src/frame.rs
+++ b/crates/curlewpoint-wire/src/frame.rs
@@ -78,7 +78,7 @@
     /// The RPC's name in logs: instance and number.
     pub const RPC: Field = Field(15);
     pub const COPIES: Field = Field(16);
-    /// A call-out's number within its RPC, from 0.
+    /// An attempt's number within its RPC, from 0.
     pub const NO: Field = Field(17);
     /// One run of the list service; versions of the list count within it.
     pub const EPOCH: Field = Field(18);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,12 +1,12 @@
 //! All decisions of one scheduler. Whoever runs it calls `Scheduler::start` with a `Host` (src/host.rs), the
 //! seed and the settings, and then one method for each thing that happens, with the clock: `rpc`,
-//! `call_out_ended`, `load_ended`, `report_read`, `worker_listed` ... The module acts by calling the host.
+//! `attempt_ended`, `load_ended`, `report_read`, `worker_listed` ... The module acts by calling the host.
 //!
 //! The design: filter workers that drain or are full, score the rest by graded affinity, depth and
 //! utilisation, take the best, and coalesce new loads (`pick`). Beside it stand five mechanisms:
-//! 1. health: a sequential test on outcomes, overdue call-outs included; suspects rest (`judge`)
-//! 2. slow start: a budget of call-outs for a cold worker (`budget_left`)
-//! 3. the second line: further call-outs, after first ones, within a retry budget (`serve`, `sweep`)
+//! 1. health: a sequential test on outcomes, overdue attempts included; suspects rest (`judge`)
+//! 2. slow start: a budget of attempts for a cold worker (`budget_left`)
+//! 3. the second line: further attempts, after first ones, within a retry budget (`serve`, `sweep`)
 //! 4. copies: one more copy of a crowded function is ordered elsewhere, rationed (`order`)
 //! 5. admission: what cannot be in time is denied at once, where harmless (`give_up`)
 
@@ -16,7 +16,7 @@
 use serde_json::{Map, Value};
 
 use crate::host::Host;
-use crate::records::{faded, Belief, CallOut, Copies, Rpc, Worker};
+use crate::records::{faded, Attempt, Belief, Copies, Rpc, Worker};
 use crate::types::*;
 
 const AFFINITY_WEIGHT: f64 = 0.5;
@@ -130,7 +130,7 @@
     out: f64,
     out_of: BTreeMap<TenantId, f64>,
     methods: BTreeMap<MethodId, Pace>,
-    /// First call-outs wait in the first line, further ones in the second.
+    /// First attempts wait in the first line, further ones in the second.
     lines: [VecDeque<RpcId>; 2],
     ticked: Time,
     taken: VecDeque<Time>,
@@ -271,7 +271,7 @@
         let (waiting, done, streaming) = (true, false, false);
         let rpc = Rpc { method, function, tenant, lanes, taken, deadline, outs, waiting, done, streaming };
         self.rpcs.insert(id, rpc);
-        if self.first_call_out(now, id) {
+        if self.first_attempt(now, id) {
             self.lines[0].push_back(id);
         }
     }
@@ -286,8 +286,8 @@
         }
     }
 
-    pub fn call_out_ended(
-        &mut self, now: Time, id: RpcId, no: CallOutNo, outcome: Outcome, elapsed: Time, done: bool,
+    pub fn attempt_ended(
+        &mut self, now: Time, id: RpcId, no: AttemptNo, outcome: Outcome, elapsed: Time, done: bool,
         copy: Copy, held: u64, report: &[f64],
     ) {
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
@@ -460,7 +460,7 @@
         self.workers.values().filter(|w| w.standing == Standing::Ready)
     }
 
-    /// Whether a further call-out to `worker`, or a denial (no worker), keeps the rule on repeated effects.
+    /// Whether a further attempt to `worker`, or a denial (no worker), keeps the rule on repeated effects.
     fn harmless(&self, now: Time, rpc: &Rpc, worker: Option<&Worker>) -> bool {
         let Some(first) = rpc.outs.iter().find(|o| o.open || !o.never_ran) else { return true };
         let group = self.of_method(rpc.method, "group").and_then(Value::as_str);
@@ -578,7 +578,7 @@
         all
     }
 
-    /// Chooses the worker for an RPC's next call-out; none: it waits.
+    /// Chooses the worker for an RPC's next attempt; none: it waits.
     fn pick(&mut self, now: Time, id: RpcId) -> Option<WorkerId> {
         let function = self.rpcs[&id].function;
         let mut all = self.candidates(now, &self.rpcs[&id]);
@@ -632,13 +632,13 @@
         (w.mine, w.last_sent) = (w.mine + 1, now);
         let belief = w.beliefs.entry(rpc.function).or_default();
         let (open, never_ran, full, broke, beside, overdue) = (true, false, false, false, belief.mine, 0);
-        rpc.outs.push(CallOut { worker: to, sent: now, open, never_ran, full, broke, warm, beside, overdue });
+        rpc.outs.push(Attempt { worker: to, sent: now, open, never_ran, full, broke, warm, beside, overdue });
         belief.mine += 1;
         let function = rpc.function;
         if loads && std::mem::replace(&mut belief.copies, Copies::Loading) != Copies::Loading {
             self.host.seen(to, function, Hint::Loading, belief.mine);
         }
-        self.host.call_out(id, to, Time(0));
+        self.host.attempt(id, to, Time(0));
         // Probes follow the RPCs taken, to the workers chosen: their number does not grow with the fleet.
         if probes && self.probes >= 1.0 && now - w.probed >= REPORT_AGE {
             w.probed = now;
@@ -709,7 +709,7 @@
         }
     }
 
-    /// How long a call-out may take before it counts as overdue.
+    /// How long an attempt may take before it counts as overdue.
     fn limit(&self, method: MethodId, warm: bool) -> Time {
         let usual = self.methods.get(&method).map(|p| p[usize::from(warm)]).unwrap_or_default();
         let unknown = if warm { 1.0 } else { 3.0 } * self.aim(method);
@@ -721,7 +721,7 @@
     /// Guards against schedulers that together push a cold worker over. Each gives it its present share of
     /// capacity times what this scheduler gets answered by a worker of its size on the mean: no fleet answers
     /// more than its capacity, so the sum stays under the stated multiple, also when retries swell what is
-    /// taken. One call-out a slot, at times of its own, keeps those with a part under one a window to it.
+    /// taken. One attempt a slot, at times of its own, keeps those with a part under one a window to it.
     fn budget_left(&self, now: Time, w: &Worker) -> bool {
         let Some(since) = w.cold_since else { return true };
         let within = self.span("contract", "warmWithin");
@@ -745,8 +745,8 @@
 
     // 3. The second line.
 
-    /// Tries an RPC's first call-out; true: it has to wait.
-    fn first_call_out(&mut self, now: Time, id: RpcId) -> bool {
+    /// Tries an RPC's first attempt; true: it has to wait.
+    fn first_attempt(&mut self, now: Time, id: RpcId) -> bool {
         let waits = self.admit(now, id);
         let to = if waits == Some(false) { self.pick(now, id) } else { None };
         match to {
@@ -758,14 +758,14 @@
         false
     }
 
-    /// Tries an RPC's further call-out; true: it has to wait. One beside an open call-out goes only where a
+    /// Tries an RPC's further attempt; true: it has to wait. One beside an open attempt goes only where a
     /// copy is believed warm, and does not wait. What proves that it never ran costs nothing of the budget.
     /// Turned away by two workers at which it would have begun a load, or failed by two loads, an RPC begins
     /// none elsewhere: a store that turns fetches away does so whoever asks. Guards
     /// against schedulers that each scatter a function's loads beyond its homes: these turn away further
     /// loads, and the fleet stays so. Should hold for any lack of room for loads. May hurt a small fleet
     /// where a third worker alone has room: the function's next RPCs find it.
-    fn further_call_out(&mut self, now: Time, id: RpcId) -> bool {
+    fn further_attempt(&mut self, now: Time, id: RpcId) -> bool {
         let rpc = &self.rpcs[&id];
         let beside = rpc.open() > 0;
         let cost = if rpc.outs.last().is_some_and(|o| o.never_ran) { 0.0 } else { 1.0 };
@@ -795,7 +795,7 @@
         false
     }
 
-    /// Serves first call-outs, then further ones, until a few have found no room.
+    /// Serves first attempts, then further ones, until a few have found no room.
     fn serve(&mut self, now: Time) {
         for no in 0..self.lines.len() {
             let (mut stuck, mut left) = (0, self.lines[no].len());
@@ -805,7 +805,7 @@
                 if self.rpcs.get(&id).is_none_or(|r| r.done || !r.waiting) {
                     continue;
                 }
-                if if no == 0 { self.first_call_out(now, id) } else { self.further_call_out(now, id) } {
+                if if no == 0 { self.first_attempt(now, id) } else { self.further_attempt(now, id) } {
                     self.lines[no].push_back(id);
                     stuck += 1;
                 }
@@ -813,7 +813,7 @@
         }
     }
 
-    /// Looks for overdue call-outs: each is evidence against its worker, and earns a further call-out beside
+    /// Looks for overdue attempts: each is evidence against its worker, and earns a further attempt beside
     /// it where that is allowed. Then keeps the books short.
     fn sweep(&mut self, now: Time) {
         let mut late: Vec<(RpcId, usize, WorkerId)> = Vec::new();
@@ -913,7 +913,7 @@
         (limit, self.out, self.out_of.get(&tenant).copied().unwrap_or(0.0))
     }
 
-    /// A call-out comes or goes. RPCs behind a load count in part; halves add up exactly.
+    /// An attempt comes or goes. RPCs behind a load count in part; halves add up exactly.
     fn weigh(&mut self, tenant: TenantId, warm: bool, sign: f64) {
         let weight = sign * if warm { 1.0 } else { BEHIND_LOAD };
         self.out += weight;
@@ -970,7 +970,7 @@
         self.close(id);
     }
 
-    /// Nothing more is owed for an RPC; its open call-outs are ended, and it is kept until they have.
+    /// Nothing more is owed for an RPC; its open attempts are ended, and it is kept until they have.
     fn close(&mut self, id: RpcId) {
         let may_cancel = self.allowed("limits", "mayCancel");
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
@@ -979,7 +979,7 @@
             self.rpcs.remove(&id);
         } else if first && may_cancel {
             for (no, _) in rpc.outs.iter().enumerate().filter(|(_, o)| o.open) {
-                self.host.cancel(id, CallOutNo(no));
+                self.host.cancel(id, AttemptNo(no));
             }
         }
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,12 +1,12 @@
 //! What the decision module can do in the world: whoever runs it implements this.
 
-use crate::types::{CallOutNo, FunctionId, Hint, RpcId, Time, WakeId, WorkerId};
+use crate::types::{AttemptNo, FunctionId, Hint, RpcId, Time, WakeId, WorkerId};
 
 pub trait Host {
-    /// Sends the RPC to a worker, to be answered within `limit`. Call-outs of an RPC count from 0.
-    fn call_out(&mut self, rpc: RpcId, worker: WorkerId, limit: Time);
-    /// Ends the wait for a call-out; its end is still reported.
-    fn cancel(&mut self, rpc: RpcId, no: CallOutNo);
+    /// Sends the RPC to a worker, to be answered within `limit`. Attempts of an RPC count from 0.
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time);
+    /// Ends the wait for an attempt; its end is still reported.
+    fn cancel(&mut self, rpc: RpcId, no: AttemptNo);
     /// Final answer: denied, and when to come back (nought: no advice).
     fn deny(&mut self, rpc: RpcId, retry_after: Time);
     /// Final answer: aborted; it promises nothing about the effect.
--- a/src/records.rs
+++ b/src/records.rs
@@ -75,10 +75,10 @@
     pub beliefs: BTreeMap<FunctionId, Belief>,
     pub evidence: f64,
     pub suspect: bool,
-    /// Where in its gap between call-outs my first one to it lies while it is cold, drawn anew at each start.
+    /// Where in its gap between attempts my first one to it lies while it is cold, drawn anew at each start.
     pub phase: f64,
     pub last_sent: Time,
-    /// When a call-out to it last broke off.
+    /// When an attempt to it last broke off.
     pub broke: Time,
     /// When it last answered anything.
     pub heard: Time,
@@ -103,7 +103,7 @@
     }
 }
 
-pub struct CallOut {
+pub struct Attempt {
     pub worker: WorkerId,
     pub sent: Time,
     pub open: bool,
@@ -127,10 +127,10 @@
     pub lanes: f64,
     pub taken: Time,
     pub deadline: Time,
-    pub outs: Vec<CallOut>,
+    pub outs: Vec<Attempt>,
     /// In the first line, or (once it has been called out) in the second.
     pub waiting: bool,
-    /// The final answer has been given; kept while call-outs are still open.
+    /// The final answer has been given; kept while attempts are still open.
     pub done: bool,
     pub streaming: bool,
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -30,9 +30,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u64);
 
-/// A call-out of an RPC, numbered from 0 in the order sent.
+/// An attempt of an RPC, numbered from 0 in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallOutNo(pub usize);
+pub struct AttemptNo(pub usize);
 
 /// A wake-up that the module asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,7 +89,7 @@
     Warm,
 }
 
-/// How a call-out, a probe or a load order ended.
+/// How an attempt, a probe or a load order ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Ok,
@@ -104,7 +104,7 @@
 }
 
 impl Outcome {
-    /// Whether this outcome proves that the call-out never ran.
+    /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss)
     }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -19,10 +19,10 @@
 }
 
 impl Host for Fake {
-    fn call_out(&mut self, rpc: RpcId, worker: WorkerId, _limit: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _limit: Time) {
         self.did(format!("call {} {}", rpc.0, worker.0));
     }
-    fn cancel(&mut self, rpc: RpcId, no: CallOutNo) {
+    fn cancel(&mut self, rpc: RpcId, no: AttemptNo) {
         self.did(format!("cancel {} {}", rpc.0, no.0));
     }
     fn deny(&mut self, rpc: RpcId, _retry_after: Time) {
@@ -117,11 +117,11 @@
         self.next
     }
 
-    /// Ends a call-out at the present clock.
+    /// Ends an attempt at the present clock.
     pub fn end(&mut self, rpc: u64, no: usize, outcome: Outcome, copy: Copy) {
         let (now, done) = (self.now(), outcome == Outcome::Ok);
-        let (rpc, no, took) = (RpcId(rpc), CallOutNo(no), Time(self.took * 10));
-        self.srv.call_out_ended(now, rpc, no, outcome, took, done, copy, self.held, &[]);
+        let (rpc, no, took) = (RpcId(rpc), AttemptNo(no), Time(self.took * 10));
+        self.srv.attempt_ended(now, rpc, no, outcome, took, done, copy, self.held, &[]);
     }
 
     /// An RPC that is answered from a warm copy; returns the worker it went to.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -193,7 +193,7 @@
     let mut s = Story::new(listed_before);
     let since = s.ms - 100;
     s.list(1, Standing::Ready, since);
-    // No answers known, a third of the schedulers told: one call-out in three windows of 2 s until warm.
+    // No answers known, a third of the schedulers told: one attempt in three windows of 2 s until warm.
     for f in 0..18 {
         s.rpc(IDEMPOTENT, f);
         s.pass(500);
@@ -232,7 +232,7 @@
 }
 
 #[test]
-fn a_silent_worker_is_found_by_overdue_call_outs() {
+fn a_silent_worker_is_found_by_overdue_attempts() {
     let mut s = Story::new(3);
     let home = s.served(9);
     (0..10).for_each(|_| assert_eq!(s.served(9), home));
@@ -246,7 +246,7 @@
 
 #[test_case(IDEMPOTENT, 2 ; "idempotent")]
 #[test_case(SIDE_EFFECTING, 1 ; "side effecting")]
-fn an_overdue_call_out_gets_a_second_copy_where_one_is_warm(method: usize, calls: usize) {
+fn an_overdue_attempt_gets_a_second_copy_where_one_is_warm(method: usize, calls: usize) {
     let mut s = Story::new(2);
     let home = s.served(9);
     (0..6).for_each(|_| assert_eq!(s.served(9), home));
