Make room for clients ahead of need and in batches, not at a millisecond each

So each leaving took a millisecond, and what the crowd brought beyond that lay accepted by the machine for up to 1.3 s, usual clients' requests too. To blame: `next_at_once` in clients.rs looked once more by a time-out of nought, which waits for the next tick of the timers, a whole millisecond; and `accept` asked the next only when the last had left.

Change: what is there is looked at without a timer. Who makes room is decided by `Doors`, a module without I/O: while a crowd comes, room is made for as many as came in the last 0.1 s, an eighth of the places at most, the longest idle first; one that comes alone has one put out, as before. Where nobody is idle, those whose request has been in pieces for over 0.25 s go, the longest first; they held a place each for two seconds before. Nobody with something open or unread is put out, as before.

Eight tests of the module; the node's tests pass. Failed try: room for all that came of late, crowd or not, put out clients that nobody needed to go (the test of the longest idle failed).

--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -1,17 +1,16 @@
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::collections::VecDeque;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use curlewpoint::types::Time;
 use curlewpoint_engine::ClientId;
 use curlewpoint_link::{linger, outbox, Bounds, Clock};
 use curlewpoint_platform::asked::CANCEL;
 use curlewpoint_platform::resp::{Commands, RespError};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 use tokio::task::yield_now;
 use tokio::time::{timeout, timeout_at, Instant};
 use tokio_stream::StreamExt;
@@ -20,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info};
 
+use crate::doors::{Doors, Presence};
 use crate::notes::Note;
 use crate::outside::Client;
 
@@ -33,45 +33,6 @@
 /// Where a connection could not be accepted, so long until the next try.
 const AGAIN: Duration = Duration::from_millis(20);
 
-/// What is going on with a client, for those who may close its connection.
-#[derive(Default)]
-pub(crate) struct Presence {
-    /// Commands read, and commands that the engine has dealt with.
-    read: AtomicU64,
-    done: AtomicU64,
-    /// RPCs that it is owed an answer for.
-    open: AtomicU64,
-    /// When it last asked or was answered something.
-    active: AtomicU64,
-    leave: Notify,
-}
-
-impl Presence {
-    fn reads(&self) {
-        self.read.fetch_add(1, Relaxed);
-    }
-
-    /// The engine has dealt with one command.
-    pub fn dealt_with(&self, open: usize) {
-        self.done.fetch_add(1, Relaxed);
-        self.owed(open);
-    }
-
-    pub fn owed(&self, open: usize) {
-        self.open.store(open as u64, Relaxed);
-    }
-
-    pub fn answered(&self, now: Time, open: usize) {
-        self.active.store(now.0, Relaxed);
-        self.owed(open);
-    }
-
-    /// Nothing that it has asked is on the way, and nothing is owed to it.
-    pub fn is_idle(&self) -> bool {
-        self.open.load(Relaxed) == 0 && self.read.load(Relaxed) == self.done.load(Relaxed)
-    }
-}
-
 enum Seen {
     Closed(ClientId),
     /// Asked to leave, it turned out to have spoken.
@@ -100,84 +61,34 @@
     pub tasks: TaskTracker,
 }
 
-/// The connections of clients that are up.
-struct Doors {
-    desk: Desk,
-    most: usize,
-    next: u64,
-    seats: BTreeMap<ClientId, Arc<Presence>>,
-    saw: mpsc::UnboundedSender<Seen>,
-    /// Somebody was asked to leave and has not yet said whether it does.
-    asked: bool,
-    /// None could be let in, and it was said.
-    full: bool,
-}
-
-impl Doors {
-    fn let_in(&mut self, stream: TcpStream) {
-        self.next += 1;
-        let (id, presence) = (ClientId(self.next), Arc::<Presence>::default());
-        presence.active.store(self.desk.clock.now().0, Relaxed);
-        self.seats.insert(id, Arc::clone(&presence));
-        let place = Place(id, self.saw.clone());
-        self.desk.tasks.spawn(client(id, stream, self.desk.clone(), presence, place));
-    }
-
-    /// Asks the client that has been idle longest to leave; false: none is idle. Guards against crowds that connect and
-    /// then say nothing, or ask once and stay; should also hold for clients that died without a word. Harms a client that
-    /// connects in advance while the doors are full: it has to connect again.
-    fn make_room(&mut self) -> bool {
-        let idle = self.seats.values().filter(|p| p.is_idle());
-        let Some(longest) = idle.min_by_key(|p| p.active.load(Relaxed)) else { return false };
-        longest.active.store(u64::MAX, Relaxed);
-        longest.leave.notify_one();
-        self.asked = true;
-        true
-    }
-
-    fn saw(&mut self, what: Seen) {
-        self.asked = false;
-        if let Seen::Closed(id) = what {
-            self.seats.remove(&id);
-        }
-    }
-
-    fn say_once(&mut self, full: bool, why: &str) {
-        let many = self.seats.len() + self.most / 8 >= self.most;
-        if self.full != full && (full || !many) {
-            self.full = full;
-            let connected = self.seats.len();
-            info!(
-                connected,
-                "{}: {why}",
-                if full { "no room for clients" } else { "room for clients again" }
-            );
-        }
-    }
-}
-
 /// Takes clients' connections, up to a number at a time, until this scheduler ends; then what has come up to that
 /// moment is still let in, as a connection that was accepted by the machine counts as taken.
 pub(crate) async fn accept(listener: TcpListener, most: usize, desk: Desk) {
     let (saw, mut seen) = mpsc::unbounded_channel();
-    let closing = desk.closing.clone();
-    let (seats, next, asked, full) = (BTreeMap::new(), 0, false, false);
-    let mut doors = Doors { desk, most, next, seats, saw, asked, full };
+    let (closing, clock) = (desk.closing.clone(), desk.clock);
+    let mut doors = Doors::new(most);
+    let let_in = |doors: &mut Doors, stream, waited| {
+        let (id, presence) = doors.let_in(clock.now(), waited);
+        let place = Place(id, saw.clone());
+        desk.tasks.spawn(client(id, stream, desk.clone(), presence, place));
+    };
     // One that has been accepted and waits for another's place.
-    let mut comes = None;
+    let (mut comes, mut waited) = (None, false);
     loop {
-        if doors.seats.len() < doors.most {
-            if let Some(stream) = comes.take() {
-                doors.let_in(stream);
-            }
-        } else if comes.is_some() && !doors.asked && !doors.make_room() {
-            doors.say_once(true, "all places are taken by clients with something open");
+        if doors.has_room() {
+            comes.take().into_iter().for_each(|stream| let_in(&mut doors, stream, waited));
+        }
+        for presence in doors.make_room(clock.now(), comes.is_some()) {
+            presence.leave.notify_one();
+        }
+        if comes.is_some() && !doors.has_room() && !doors.is_making_room() {
+            say_once(&mut doors, true, "all places are taken by clients with something open");
             comes = None;
         }
         let accepted = tokio::select! {
             biased;
             Some(what) = seen.recv() => {
-                doors.saw(what);
+                saw_of(&mut doors, what);
                 continue;
             }
             accepted = listener.accept(), if comes.is_none() => accepted,
@@ -185,26 +96,53 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                if doors.seats.len() < doors.most {
-                    doors.say_once(false, "a connection was accepted");
+                waited = !doors.has_room();
+                if !waited {
+                    say_once(&mut doors, false, "a connection was accepted");
                 }
                 comes = Some(stream);
             }
             Err(e) => {
                 // Out of descriptors, most likely. Room is made as at the cap, and nothing spins meanwhile.
-                doors.say_once(true, &e.to_string());
-                let _ = doors.asked || doors.make_room();
+                say_once(&mut doors, true, &e.to_string());
+                for presence in doors.make_room_anyway(clock.now()) {
+                    presence.leave.notify_one();
+                }
                 if let Ok(Some(what)) = timeout(AGAIN, seen.recv()).await {
-                    doors.saw(what);
+                    saw_of(&mut doors, what);
                 }
             }
         }
     }
     // What the machine has accepted is asked for once more after the driver has looked.
     yield_now().await;
-    comes.into_iter().for_each(|stream| doors.let_in(stream));
-    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-        doors.let_in(stream);
+    comes.into_iter().for_each(|stream| let_in(&mut doors, stream, waited));
+    while let Some(Ok((stream, _))) = at_once(listener.accept()).await {
+        let_in(&mut doors, stream, false);
+    }
+}
+
+fn saw_of(doors: &mut Doors, what: Seen) {
+    match what {
+        Seen::Closed(id) => doors.left(id),
+        Seen::Stays => doors.stayed(),
+    }
+}
+
+fn say_once(doors: &mut Doors, full: bool, why: &str) {
+    if doors.turns(full) {
+        let (connected, what) =
+            (doors.connected(), if full { "no room for clients" } else { "room for clients again" });
+        info!(connected, "{what}: {why}");
+    }
+}
+
+/// What there is without waiting. A time-out of nought would wait for the next tick of the timers, a millisecond.
+async fn at_once<T>(what: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        what = what => Some(what),
+        () = std::future::ready(()) => None,
     }
 }
 
@@ -249,12 +187,12 @@
 /// Whether all that has come has been read: asked once more after the driver has looked.
 async fn next_at_once(reader: &mut Reader) -> Option<Result<Vec<Bytes>, RespError>> {
     yield_now().await;
-    timeout(Duration::ZERO, reader.next()).await.unwrap_or_default()
+    at_once(reader.next()).await.flatten()
 }
 
-/// Whoever asked it to leave looks for another.
-fn stays(presence: &Presence, desk: &Desk, place: &Place) {
-    if presence.active.swap(desk.clock.now().0, Relaxed) == u64::MAX {
+/// It has said something whole, or part of something; whoever asked it to leave looks for another.
+fn stays(presence: &Presence, desk: &Desk, place: &Place, begun: bool) {
+    if presence.stays(desk.clock.now(), begun) {
         let _ = place.1.send(Seen::Stays);
     }
 }
@@ -272,10 +210,10 @@
             first = timeout_at(until, reader.next()) => break first.unwrap_or_default(),
             () = presence.leave.notified() => {
                 let first = next_at_once(&mut reader).await;
-                if first.is_some() || reader.read_buffer().is_empty() {
+                if first.is_some() || reader.read_buffer().is_empty() || presence.asked() == Some(true) {
                     break first;
                 }
-                stays(&presence, &desk, &place);
+                stays(&presence, &desk, &place, true);
             }
             () = desk.closing.cancelled() => break next_at_once(&mut reader).await,
         }
@@ -288,7 +226,7 @@
         }
         None => return,
     };
-    stays(&presence, &desk, &place);
+    stays(&presence, &desk, &place, false);
     let (outbox, mut writer) = outbox::<Bytes>(write, desk.bounds);
     let client = Client::new(outbox, writer.abort_handle(), Arc::clone(&presence));
     if desk.endings.send(Note::ClientIn(id, client)).await.is_err() {
@@ -302,12 +240,12 @@
         if let Some(words) = came.take() {
             (half, silent_at) = (false, Instant::now() + QUIET);
             presence.reads();
-            stays(&presence, &desk, &place);
+            stays(&presence, &desk, &place, false);
             if words.first().is_some_and(|w| w == CANCEL) {
                 if ahead.withdraw(&words) {
                     // Neither was heard of elsewhere.
-                    presence.dealt_with(presence.open.load(Relaxed) as usize);
-                    presence.dealt_with(presence.open.load(Relaxed) as usize);
+                    presence.dealt_with(presence.open());
+                    presence.dealt_with(presence.open());
                 } else if desk.endings.send(Note::Cancel(id, words)).await.is_err() {
                     break;
                 }
@@ -338,16 +276,22 @@
                 _ => break,
             },
             () = presence.leave.notified() => {
-                came = match next_at_once(&mut reader).await {
+                let (next, begun) = (next_at_once(&mut reader).await, !reader.read_buffer().is_empty());
+                match (next, presence.asked()) {
+                    (Some(Ok(words)), _) => came = Some(words),
+                    (Some(Err(e)), _) => {
+                        why = Some(e);
+                        break;
+                    }
                     // Nothing of it is unread, and nothing that it was told is fresh.
-                    None if presence.is_idle() && reader.read_buffer().is_empty() => {
+                    (None, Some(begun_too)) if presence.is_idle() && (begun_too || !begun) => {
                         lingers = false;
                         break;
                     }
-                    Some(Ok(words)) => Some(words),
-                    _ => None,
-                };
-                stays(&presence, &desk, &place);
+                    (None, Some(_)) => stays(&presence, &desk, &place, begun),
+                    // It has spoken since it was asked, and said so.
+                    (None, None) => {}
+                }
             }
             () = desk.closing.cancelled(), if ahead.calls.is_empty() => match next_at_once(&mut reader).await {
                 Some(Ok(words)) => came = Some(words),
--- a/crates/curlewpoint-node/src/lib.rs
+++ b/crates/curlewpoint-node/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod directory;
+mod doors;
 mod notes;
 mod outside;
 mod run;
--- a/crates/curlewpoint-node/src/outside.rs
+++ b/crates/curlewpoint-node/src/outside.rs
@@ -11,7 +11,7 @@
 use tokio::task::AbortHandle;
 use tracing::{debug, info};
 
-use crate::clients::Presence;
+use crate::doors::Presence;
 use crate::workers::Dialler;
 
 /// A client's connection, as the engine's task sees it.
