Judge the whole record of each test on sockets: one answer to a request, or none begun

Cause: tests on sockets looked at the answers that they waited for. One that was dropped, sent twice or given to the wrong tag beside them went unseen.

Change: clients' connections in tests/stand keep all that was written and read, workers what they heard and said. Each test has to end by settling: workers answer all that they were asked, what is owed is read, a last CHECK on each connection brings up what came behind an answer, and the record is judged by code that shares nothing with the node's. A scheduler dropped without settling fails its test. No expectation of a test was taken out. Two tests with listeners of their own now tell the record what they heard; what_waits_for_a_dial answers its one attempt and waits for the answer, which it left open before.

--- a/crates/curlewpoint-node/tests/crossings.rs
+++ b/crates/curlewpoint-node/tests/crossings.rs
@@ -4,7 +4,6 @@
 mod stand;
 
 use std::io::Write;
-use std::net::TcpStream as Blocking;
 use std::time::Duration;
 
 use curlewpoint_platform::resp::row;
@@ -40,9 +39,8 @@
     let (at, mut heard) = worker().await;
     let of = scheduler(&[&at], NOWHERE).await;
     // By a blocking socket, so that both are there before the scheduler, on this thread, reads a byte.
-    let mut gone = Blocking::connect(of.address).unwrap();
     let bytes = [call("1", IDS[0]), say(&["CANCEL", "1"])].concat();
-    gone.write_all(if closes { &bytes[..bytes.len() - 22] } else { &bytes }).unwrap();
+    let gone = Client::at_once(of.address, if closes { &bytes[..bytes.len() - 22] } else { &bytes });
     let gone = (!closes).then_some(gone);
     let mut client = Client::new(&of).await;
     client.call("1", "read", IDS[1]).await;
@@ -52,6 +50,7 @@
     client.hears(&["1", "good", "", ""]).await;
     assert!(heard.try_recv().is_err());
     drop(gone);
+    of.settled().await;
 }
 
 /// A worker that takes no connection until it is let: its queue of one is held by another.
@@ -86,7 +85,11 @@
         line.push(soon(second.read_u8()).await.unwrap());
     }
     let asked: serde_json::Value = serde_json::from_slice(&line).unwrap();
+    went_out(&asked);
     assert_eq!(asked["req"], json!(IDS[1]), "the one whose client is there");
+    second.write_all(answer(&asked, "OK", "").as_bytes()).await.unwrap();
+    client.hears(&["1", "good", "", ""]).await;
+    of.settled().await;
 }
 
 /// A client that has shut its writing side cannot be told from one that has gone, and counts as gone.
@@ -100,6 +103,7 @@
     client.0.shutdown().await.unwrap();
     assert_eq!(rest(&mut client).await, "");
     let _ = say.send(answer(&asked, "OK", ""));
+    of.settled().await;
 }
 
 // Closing.
@@ -112,7 +116,8 @@
     let of = scheduler(&[&at], NOWHERE).await;
     let socket = tokio::net::TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(4096).unwrap();
-    let (mut slow, mut other) = (Client(socket.connect(of.address).await.unwrap()), Client::new(&of).await);
+    let (mut slow, mut other) =
+        (Client::of(socket.connect(of.address).await.unwrap()), Client::new(&of).await);
     let body = "A".repeat(16_000);
     let (mut want, mut tag) = (String::new(), 0);
     for _ in 0..8 {
@@ -132,6 +137,7 @@
     other.say(&["CHECK", "9", ""]).await;
     other.hears(&["9", "fit", "", ""]).await;
     assert!(rest(&mut slow).await == want, "answers are missing");
+    of.settled().await;
 }
 
 /// Guards against an answer that is lost to the close which follows it at once.
@@ -147,6 +153,7 @@
     let mut lines = tokio::io::BufReader::new(stream);
     let mut line = String::new();
     soon(tokio::io::AsyncBufReadExt::read_line(&mut lines, &mut line)).await.unwrap();
+    went_out(&serde_json::from_str(&line).unwrap());
     let stream = lines.into_inner().into_std().unwrap();
     // On this thread: the answer and the end are both there before the scheduler reads either.
     (&stream).write_all(answer(&json!({"req": IDS[0]}), "OK", "ZG9uZQ==").as_bytes()).unwrap();
@@ -155,6 +162,7 @@
     }
     drop(stream);
     client.hears(&["1", "good", "", "done"]).await;
+    of.settled().await;
 }
 
 /// Guards the descriptors against clients that ask once and stay: the longest idle makes room, and none that is owed an
@@ -179,10 +187,7 @@
     speaks.hears(&["1", "fit", "", ""]).await;
     let bytes = call("1", IDS[1]);
     idle[0].0.try_write(&bytes).unwrap();
-    let new = Blocking::connect(of.address).unwrap();
-    new.set_nonblocking(true).unwrap();
-    let mut new = Client(tokio::net::TcpStream::from_std(new).unwrap());
-    new.say(&["CHECK", "1", ""]).await;
+    let mut new = Client::at_once(of.address, &say(&["CHECK", "1", ""]));
     new.hears(&["1", "fit", "", ""]).await;
     let (second, say_second) = soon(heard.recv()).await.unwrap();
     assert_eq!(second["req"], json!(IDS[1]));
@@ -195,6 +200,7 @@
         client.say(&["CHECK", "2", ""]).await;
         client.hears(&["2", "fit", "", ""]).await;
     }
+    of.settled().await;
 }
 
 // Shutdown.
@@ -204,7 +210,7 @@
 #[tokio::test]
 async fn what_has_come_by_the_end_of_serving_is_answered() {
     let (at, _heard) = worker().await;
-    let of = scheduler(&[&at], NOWHERE).await;
+    let mut of = scheduler(&[&at], NOWHERE).await;
     let mut open = Client::new(&of).await;
     open.say(&["CHECK", "1", ""]).await;
     open.hears(&["1", "fit", "", ""]).await;
@@ -215,8 +221,7 @@
     let mut row_of_32 = Vec::new();
     (3..35).for_each(|tag: u64| row_of_32.extend(say(&["CHECK", &tag.to_string(), ""])));
     open.0.try_write(&row_of_32).unwrap();
-    let mut late = Blocking::connect(of.address).unwrap();
-    late.write_all(&say(&["CHECK", "1", ""])).unwrap();
+    let mut late = Client::at_once(of.address, &say(&["CHECK", "1", ""]));
     tokio::time::pause();
     tokio::time::advance(Duration::from_millis(1_001)).await;
     tokio::time::resume();
@@ -225,17 +230,16 @@
         assert!(answers.contains(&format!("${}\r\n{tag}\r\n", if tag < 10 { 1 } else { 2 })))
     });
     assert_eq!(answers.matches("unfit").count(), 32);
-    late.set_nonblocking(true).unwrap();
-    let mut late = Client(tokio::net::TcpStream::from_std(late).unwrap());
     assert_eq!(rest(&mut late).await, String::from_utf8(say(&["1", "unfit", "", ""])).unwrap());
-    soon(of.end).await.unwrap();
+    soon(&mut of.end).await.unwrap();
+    of.settled().await;
 }
 
 /// A second stop, and a directory that moves just before or after one, change nothing for what is open.
 #[tokio::test]
 async fn a_second_stop_and_a_move_beside_it_change_nothing() {
     let (at, mut heard) = worker().await;
-    let of = scheduler(&[&at], NOWHERE).await;
+    let mut of = scheduler(&[&at], NOWHERE).await;
     let mut client = Client::new(&of).await;
     client.call("1", "read", IDS[0]).await;
     let (asked, say) = soon(heard.recv()).await.unwrap();
@@ -247,8 +251,9 @@
     client.hears(&["2", "unfit", "", ""]).await;
     say.send(answer(&asked, "OK", "ZG9uZQ==")).unwrap();
     client.hears(&["1", "good", "", "done"]).await;
-    let figures = soon(of.end).await.unwrap();
+    let figures = soon(&mut of.end).await.unwrap();
     assert_eq!((figures.taken, figures.ok, figures.cut_off), (1, 1, 0));
+    of.settled().await;
 }
 
 // Retries.
@@ -272,6 +277,7 @@
     say_second.send(answer(&second, "OK", "ZG9uZQ==")).unwrap();
     client.hears(&["1", "good", "", "done"]).await;
     assert!(heard.try_recv().is_err(), "a third attempt");
+    of.settled().await;
 }
 
 /// Guards against an answer to an earlier request that is taken for one to a later of the same id, with another body.
@@ -289,6 +295,7 @@
         client.hears(&[tag, "broken", "", ""]).await;
     }
     assert!(heard.try_recv().is_err());
+    of.settled().await;
 }
 
 // The list.
@@ -310,6 +317,7 @@
     let (asked, say) = soon(heard.recv()).await.unwrap();
     say.send(answer(&asked, "OK", "")).unwrap();
     client.hears(&["1", "good", "", ""]).await;
+    of.settled().await;
 }
 
 /// The directory moves twice while a question is out, first to where nobody is; the last place told is asked.
@@ -330,6 +338,7 @@
         soon(first.recv_from(&mut query)).await.unwrap();
         at_first += 1;
     }
+    of.settled().await;
 }
 
 /// Guards against an answer that came empty by a fault: the next one, under the same number, brings the workers back.
@@ -349,6 +358,7 @@
     let (asked, say) = soon(heard.recv()).await.unwrap();
     say.send(answer(&asked, "OK", "")).unwrap();
     client.hears(&["1", "good", "", ""]).await;
+    of.settled().await;
 }
 
 /// Limits of the settings that are absent, nought or of another type hold nothing back: the default is used.
@@ -366,4 +376,5 @@
     let (asked, say) = soon(heard.recv()).await.unwrap();
     say.send(answer(&asked, "OK", "")).unwrap();
     client.hears(&["1", "good", "", ""]).await;
+    of.settled().await;
 }
--- a/crates/curlewpoint-node/tests/sockets.rs
+++ b/crates/curlewpoint-node/tests/sockets.rs
@@ -33,6 +33,7 @@
     client.hears(&["2", "good", "", "done"]).await;
     client.say(&["CHECK", "3", ""]).await;
     client.hears(&["3", "fit", "", ""]).await;
+    of.settled().await;
 }
 
 /// Guards against an answer that cannot be read: what may have run is repeated only where that is harmless.
@@ -61,6 +62,7 @@
             assert!(heard.try_recv().is_err(), "it went out again");
         }
     }
+    of.settled().await;
 }
 
 #[test_case(b"*2\r\n$4\r\nCALL\r\n$-1\r\n" ; "a negative length")]
@@ -80,6 +82,7 @@
     let (asked, say) = soon(heard.recv()).await.unwrap();
     say.send(answer(&asked, "OK", "ZG9uZQ==")).unwrap();
     good.hears(&["1", "good", "", "done"]).await;
+    of.settled().await;
 }
 
 #[test_case("req=9b1f03aa5c7e2d42,timeout=soon,subject=00000000000000aa", "read" ; "a time that is none")]
@@ -99,6 +102,7 @@
     say.send(answer(&asked, "OK", "ZG9uZQ==")).unwrap();
     client.hears(&["1", "good", "", "done"]).await;
     assert!(heard.try_recv().is_err());
+    of.settled().await;
 }
 
 #[tokio::test]
@@ -111,6 +115,7 @@
     client.call("1", "read", IDS[1]).await;
     client.hears(&["1", "broken", "", ""]).await;
     client.is_closed().await;
+    of.settled().await;
 }
 
 /// Calls one after the other until one comes to a worker at which all that come are counted as heard.
@@ -140,12 +145,13 @@
     let back = directory(3, vec![("s-0", first, 0)]).await;
     of.resolver.send(back.parse().unwrap()).unwrap();
     calls_until_heard(&mut client, &mut at_first, &mut tag).await;
+    of.settled().await;
 }
 
 #[tokio::test]
 async fn a_stop_answers_what_is_open_and_what_still_comes() {
     let (at, mut heard) = worker().await;
-    let of = scheduler(&[&at], NOWHERE).await;
+    let mut of = scheduler(&[&at], NOWHERE).await;
     let mut client = Client::new(&of).await;
     client.call("1", "read", IDS[0]).await;
     let first = soon(heard.recv()).await.unwrap();
@@ -160,6 +166,7 @@
     }
     client.hears(&["1", "good", "", "done"]).await;
     late.hears(&["1", "good", "", "done"]).await;
-    let figures = soon(of.end).await.unwrap();
+    let figures = soon(&mut of.end).await.unwrap();
     assert_eq!((figures.taken, figures.ok, figures.cut_off), (2, 2, 0));
+    of.settled().await;
 }
--- a/crates/curlewpoint-node/tests/stand/mod.rs
+++ b/crates/curlewpoint-node/tests/stand/mod.rs
@@ -1,17 +1,30 @@
-//! Stand-ins for a scheduler's clients, its workers and the directory.
+//! Stand-ins for a scheduler's clients, its workers and the directory. All that clients write and read, and all that
+//! workers hear and say, goes into one record a test, which is judged when the test settles.
 #![allow(dead_code)]
 
-use std::net::Ipv4Addr;
+pub mod record;
+
+use std::cell::RefCell;
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::{Deref, DerefMut};
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+
 use curlewpoint_node::{start, Running};
 use curlewpoint_platform::resp::row;
 use curlewpoint_platform::told;
 use hickory_proto::op::{Message, MessageType};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
+use record::{Conn, End};
 use serde_json::{json, Value};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader, ReadBuf};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
@@ -24,6 +37,218 @@
     timeout(STEP, what).await.expect("it never came")
 }
 
+/// What a test has on record, and the ends that its settling still needs: streams by connection, and workers that were
+/// asked something.
+#[derive(Default)]
+struct Seen {
+    record: record::Record,
+    streams: Vec<Weak<TcpStream>>,
+    asked: Vec<(Value, mpsc::WeakUnboundedSender<String>)>,
+    /// From here on workers answer all that they are asked.
+    settling: bool,
+    schedulers: usize,
+}
+
+thread_local! {
+    // A test, its scheduler and its stand-ins are on one thread.
+    static SEEN: RefCell<Seen> = RefCell::default();
+}
+
+fn seen<T>(look: impl FnOnce(&mut Seen) -> T) -> T {
+    SEEN.with_borrow_mut(look)
+}
+
+/// Puts on record what a worker of a test's own has heard.
+pub fn went_out(asked: &Value) {
+    seen(|s| s.record.hears(asked["req"].as_str().unwrap_or_default()));
+}
+
+/// A client's connection, all of it on record.
+pub struct Wire {
+    stream: Arc<TcpStream>,
+    no: usize,
+}
+
+impl Wire {
+    fn new(stream: TcpStream, sent: &[u8]) -> Wire {
+        let stream = Arc::new(stream);
+        let no = seen(|s| {
+            s.streams.push(Arc::downgrade(&stream));
+            s.record.conns.push(Conn { sent: sent.to_vec(), ..Conn::default() });
+            s.streams.len() - 1
+        });
+        Wire { stream, no }
+    }
+
+    fn conn<T>(&self, look: impl FnOnce(&mut Conn) -> T) -> Option<T> {
+        seen(|s| s.record.conns.get_mut(self.no).map(look))
+    }
+
+    pub fn try_write(&self, bytes: &[u8]) -> std::io::Result<usize> {
+        let n = self.stream.try_write(bytes)?;
+        self.conn(|c| c.sent.extend_from_slice(&bytes[..n]));
+        Ok(n)
+    }
+
+    /// Ends with a reset, unread or not.
+    pub fn reset(self) {
+        rustix::net::sockopt::set_socket_linger(&*self.stream, Some(Duration::ZERO)).unwrap();
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        self.conn(|c| {
+            if c.end == End::Open {
+                c.end = End::Left;
+            }
+        });
+    }
+}
+
+/// Puts on record what was read; nought bytes, or an error, is the end.
+fn reads(conn: &mut Conn, got: std::io::Result<&[u8]>) {
+    match got {
+        Ok(bytes) if !bytes.is_empty() => conn.got.extend_from_slice(bytes),
+        _ if conn.end == End::Open => conn.end = End::Closed,
+        _ => {}
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            if buf.remaining() == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(e) => {
+                    self.conn(|c| reads(c, Ok(&[])));
+                    return Poll::Ready(Err(e));
+                }
+                Ok(n) => {
+                    let from = buf.filled().len();
+                    buf.advance(n);
+                    self.conn(|c| reads(c, Ok(&buf.filled()[from..])));
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.try_write(buf) {
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    /// A client that shuts its writing side counts as gone.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<std::io::Result<()>> {
+        self.conn(|c| c.end = End::Left);
+        Poll::Ready(rustix::net::shutdown(&*self.stream, rustix::net::Shutdown::Write).map_err(Into::into))
+    }
+}
+
+/// A scheduler on the thread of its test.
+pub struct Scheduler {
+    running: Running,
+    settled: bool,
+}
+
+impl Deref for Scheduler {
+    type Target = Running;
+
+    fn deref(&self) -> &Running {
+        &self.running
+    }
+}
+
+impl DerefMut for Scheduler {
+    fn deref_mut(&mut self) -> &mut Running {
+        &mut self.running
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        seen(|s| {
+            s.schedulers -= 1;
+            if s.schedulers == 0 {
+                *s = Seen::default();
+            }
+        });
+        assert!(self.settled || std::thread::panicking(), "a test on sockets that did not settle");
+    }
+}
+
+/// Answers under these tags are to the last words of a test.
+const LAST: u64 = 1 << 40;
+
+impl Scheduler {
+    /// Ends a test: workers answer all that they were asked, what is owed to any client is read, and a last word on each
+    /// connection brings up what came behind an answer. Then the whole record has to keep the rule.
+    pub async fn settled(mut self) {
+        self.settles().await;
+    }
+
+    pub async fn settles(&mut self) {
+        self.settled = true;
+        seen(|s| s.settling = true);
+        for (asked, say) in seen(|s| std::mem::take(&mut s.asked)) {
+            say.upgrade().into_iter().for_each(|say| drop(say.send(answer(&asked, "OK", ""))));
+        }
+        let streams: Vec<_> = seen(|s| s.streams.iter().map(Weak::upgrade).collect());
+        for (no, stream) in streams.into_iter().enumerate() {
+            let Some(stream) = stream else { continue };
+            read_what_is_owed(no, &stream).await;
+            let last = row(&[b"CHECK", (LAST + no as u64).to_string().as_bytes(), b""]);
+            let says = seen(|s| {
+                let conn = &mut s.record.conns[no];
+                let says = conn.end == End::Open && conn.is_at_rows_end() && !conn.sent.is_empty();
+                if says && stream.try_write(&last).is_ok() {
+                    conn.sent.extend_from_slice(&last);
+                }
+                says
+            });
+            if says {
+                read_what_is_owed(no, &stream).await;
+            }
+        }
+        let faults = seen(|s| s.record.faults());
+        assert!(faults.is_empty(), "{faults:#?}");
+    }
+}
+
+/// Reads until the client is owed nothing, or its connection has ended; no longer than a step.
+async fn read_what_is_owed(no: usize, stream: &TcpStream) {
+    let mut some = [0; 4096];
+    let all = async {
+        while seen(|s| s.record.conns[no].end == End::Open && s.record.conns[no].is_owed()) {
+            if stream.readable().await.is_err() {
+                return;
+            }
+            match stream.try_read(&mut some) {
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                got => seen(|s| reads(&mut s.record.conns[no], got.map(|n| &some[..n]))),
+            }
+        }
+    };
+    // What is still owed after that is told by the record.
+    let _ = timeout(STEP, all).await;
+}
+
 /// What a worker was asked, and the connection to answer on.
 pub type Heard = (Value, mpsc::UnboundedSender<String>);
 
@@ -43,7 +268,15 @@
                 while let Ok(Some(line)) = lines.next_line().await {
                     let row: Value = serde_json::from_str(&line).unwrap();
                     match row["type"].as_str() {
-                        Some("invoke") => drop(told.send((row, say.clone()))),
+                        Some("invoke") => {
+                            went_out(&row);
+                            if seen(|s| s.settling) {
+                                drop(say.send(answer(&row, "OK", "")));
+                            } else {
+                                seen(|s| s.asked.push((row.clone(), say.downgrade())));
+                                drop(told.send((row, say.clone())));
+                            }
+                        }
                         Some("gauges") => drop(say.send(answer(&row, "UP", ""))),
                         _ => {}
                     }
@@ -60,15 +293,31 @@
     }
 }
 
+/// A worker's answer; what is 'ok' goes on record.
 pub fn answer(to: &Value, word: &str, data: &str) -> String {
+    if let (Some(id), "OK", Ok(body)) = (to["req"].as_str(), word, STANDARD.decode(data)) {
+        seen(|s| s.record.says(id, &body));
+    }
     format!("{}\n", json!({"type": word, "req": to["req"], "meta": {"detail": "resident"}, "data": data}))
 }
 
-pub struct Client(pub TcpStream);
+pub struct Client(pub Wire);
 
 impl Client {
     pub async fn new(of: &Running) -> Client {
-        Client(TcpStream::connect(of.address).await.unwrap())
+        Client::of(TcpStream::connect(of.address).await.unwrap())
+    }
+
+    pub fn of(stream: TcpStream) -> Client {
+        Client(Wire::new(stream, &[]))
+    }
+
+    /// One that has connected and said this before a scheduler on the same thread looks again.
+    pub fn at_once(address: SocketAddr, bytes: &[u8]) -> Client {
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        stream.write_all(bytes).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        Client(Wire::new(TcpStream::from_std(stream).unwrap(), bytes))
     }
 
     pub async fn say(&mut self, words: &[&str]) {
@@ -99,12 +348,12 @@
 
 pub const IDS: [&str; 3] = ["9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42", "9b1f03aa5c7e2d43"];
 
-pub async fn scheduler(workers: &[&str], resolver: &str) -> Running {
+pub async fn scheduler(workers: &[&str], resolver: &str) -> Scheduler {
     scheduler_with(workers, resolver, |_| ()).await
 }
 
 /// One that is told something else than the others at its start.
-pub async fn scheduler_with(workers: &[&str], resolver: &str, change: impl Fn(&mut Value)) -> Running {
+pub async fn scheduler_with(workers: &[&str], resolver: &str, change: impl Fn(&mut Value)) -> Scheduler {
     let nodes: Vec<Value> = workers
         .iter()
         .enumerate()
@@ -126,7 +375,9 @@
         },
     });
     change(&mut told);
-    start(told::read(&told.to_string()).unwrap()).await.unwrap()
+    let running = start(told::read(&told.to_string()).unwrap()).await.unwrap();
+    seen(|s| s.schedulers += 1);
+    Scheduler { running, settled: false }
 }
 
 /// No directory answers there.
