--- a/crates/curlewpoint-node/tests/crossings.rs
+++ b/crates/curlewpoint-node/tests/crossings.rs
@@ -13,15 +13,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UdpSocket};
 
-fn call(tag: &str, id: &str) -> Vec<u8> {
-    let fields = format!("req={id},timeout=5000,subject=00000000000000aa,info=memory_mb:512;lanes:2");
-    row(&[b"CALL", tag.as_bytes(), b"read", fields.as_bytes(), b"body"]).to_vec()
-}
-
-fn say(words: &[&str]) -> Vec<u8> {
-    row(&words.iter().map(|w| w.as_bytes()).collect::<Vec<_>>()).to_vec()
-}
-
 /// All that is said until the end of the connection.
 async fn rest(client: &mut Client) -> String {
     let mut rest = Vec::new();
@@ -39,7 +30,7 @@
     let (at, mut heard) = worker().await;
     let of = scheduler(&[&at], NOWHERE).await;
     // By a blocking socket, so that both are there before the scheduler, on this thread, reads a byte.
-    let bytes = [call("1", IDS[0]), say(&["CANCEL", "1"])].concat();
+    let bytes = [call(1, IDS[0]), say(&["CANCEL", "1"])].concat();
     let gone = Client::at_once(of.address, if closes { &bytes[..bytes.len() - 22] } else { &bytes });
     let gone = (!closes).then_some(gone);
     let mut client = Client::new(&of).await;
@@ -185,7 +176,7 @@
     let mut speaks = Client::new(&of).await;
     speaks.say(&["CHECK", "1", ""]).await;
     speaks.hears(&["1", "fit", "", ""]).await;
-    let bytes = call("1", IDS[1]);
+    let bytes = call(1, IDS[1]);
     idle[0].0.try_write(&bytes).unwrap();
     let mut new = Client::at_once(of.address, &say(&["CHECK", "1", ""]));
     new.hears(&["1", "fit", "", ""]).await;
--- a/crates/curlewpoint-node/tests/stand/mod.rs
+++ b/crates/curlewpoint-node/tests/stand/mod.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::{Deref, DerefMut};
 use std::pin::Pin;
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
@@ -71,6 +71,8 @@
 
 impl Wire {
     fn new(stream: TcpStream, sent: &[u8]) -> Wire {
+        // Else the machine holds a piece back until the one before it was acknowledged.
+        stream.set_nodelay(true).unwrap();
         let stream = Arc::new(stream);
         let no = seen(|s| {
             s.streams.push(Arc::downgrade(&stream));
@@ -260,6 +262,7 @@
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let told = told.clone();
+            stream.set_nodelay(true).unwrap();
             let (read, write) = stream.into_split();
             let (say, said) = mpsc::unbounded_channel();
             tokio::spawn(write_lines(write, said));
@@ -287,6 +290,29 @@
     (address, heard)
 }
 
+/// A worker that gives back the body of all that it is asked, and the ids in the order in which they came.
+pub async fn gives_back() -> (String, Arc<Mutex<Vec<String>>>) {
+    let ((at, mut heard), ids) = (worker().await, Arc::<Mutex<Vec<String>>>::default());
+    let came = Arc::clone(&ids);
+    tokio::spawn(async move {
+        while let Some((asked, say)) = heard.recv().await {
+            came.lock().unwrap().push(asked["req"].as_str().unwrap().to_owned());
+            let _ = say.send(answer(&asked, "OK", asked["data"].as_str().unwrap()));
+        }
+    });
+    (at, ids)
+}
+
+/// The bytes of a call that has five seconds.
+pub fn call(tag: u64, id: &str) -> Vec<u8> {
+    let fields = format!("req={id},timeout=5000,subject=00000000000000aa,info=memory_mb:512;lanes:2");
+    say(&["CALL", &tag.to_string(), "read", &fields, "body"])
+}
+
+pub fn say(words: &[&str]) -> Vec<u8> {
+    row(&words.iter().map(|w| w.as_bytes()).collect::<Vec<_>>()).to_vec()
+}
+
 async fn write_lines(mut write: OwnedWriteHalf, mut said: mpsc::UnboundedReceiver<String>) {
     while let Some(line) = said.recv().await.filter(|l| !l.is_empty()) {
         let _ = write.write_all(line.as_bytes()).await;
@@ -339,6 +365,13 @@
         assert_eq!(String::from_utf8_lossy(&got), String::from_utf8_lossy(&want));
     }
 
+    /// Whatever lay on any connection before is read by the scheduler once this is answered.
+    pub async fn looks(&mut self, tag: &mut u64, word: &str) {
+        *tag += 1;
+        self.say(&["CHECK", &tag.to_string(), ""]).await;
+        self.hears(&[&tag.to_string(), word, "", ""]).await;
+    }
+
     pub async fn is_closed(&mut self) {
         let mut rest = Vec::new();
         let _ = soon(self.0.read_to_end(&mut rest)).await;
