Let goings and cancels go ahead of calls at the native door, and close it in an order

Cause: the gateway's native door passed all that a client sent by one channel, so that a cancel and a going waited behind calls (its own, and with the channel full all others'); at the end it dropped its reader with bytes unread, which resets the connection and destroys answers on their way; a stop dropped the listener with connections in its queue.

ClientIn, Cancel and ClientOut go by the channel of endings, which a turn takes before the asks sent after them. Up to 64 frames or 256 KiB are read ahead; a cancel takes out what is still there, and tells how many frames were passed on before it, so that one in the channel is met there and no later one under the same tag is. What is withdrawn before it was taken is REFUSED, `cancelled`, and what a client that went had asked and nobody took is counted as refused. The end: what has come is let in, read to its last word, refused, flushed, shut, read to its end (300 ms, 256 KiB) and closed; also after a hello that cannot be used and for those turned away. Shared in link: `Ahead`, `next_at_once`, `LINGER`; node has its own of the first two still.

--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -1,12 +1,16 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use curlewpoint_catalogue::Catalogue;
 use curlewpoint_engine::ClientId;
-use curlewpoint_link::{open, Bounds, Link};
+use curlewpoint_link::{linger, next_at_once, open, Ahead, Bounds, Link, LINGER};
 use curlewpoint_wire::{Field, Frame, Kind};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
+use tokio::time::timeout;
 use tokio_stream::StreamExt;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
@@ -14,52 +18,87 @@
 use crate::outside::Client;
 use crate::reload::InForce;
 
+/// Frames, and their bytes, read from one client ahead of what the engine has taken: a cancel among them and its going
+/// are seen behind them.
+const AHEAD: (usize, usize) = (64, 256 * 1024);
+
 /// What each client's task knows.
 #[derive(Clone)]
 pub(crate) struct Desk {
     pub name: String,
     pub bounds: Bounds,
     pub in_force: watch::Receiver<Arc<InForce>>,
-    pub notes: mpsc::Sender<Note>,
+    /// What ends something, and what begins something.
+    pub endings: mpsc::Sender<Note>,
+    pub asks: mpsc::Sender<Note>,
+    /// Cancelled where this scheduler ends: what has come is read, and then all is closed.
+    pub closing: CancellationToken,
+    pub tasks: TaskTracker,
 }
 
-/// Takes clients' connections, up to a number at a time.
-pub(crate) async fn accept(listener: TcpListener, most: usize, desk: Desk, tasks: TaskTracker) {
-    let room = Arc::new(Semaphore::new(most));
-    // Those turned away take a task each for as long as their word takes, up to as many again.
-    let turning = Arc::new(Semaphore::new(most.max(16)));
-    let mut next = 0;
-    loop {
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(e) => {
-                // Out of descriptors, most likely: those in use go on, and closing ones make room.
-                warn!("a connection could not be accepted: {e}");
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let desk = desk.clone();
-        match Arc::clone(&room).try_acquire_owned() {
+/// Clients' connections, up to a number at a time.
+struct Doors {
+    desk: Desk,
+    most: usize,
+    room: Arc<Semaphore>,
+    /// Those turned away take a task each for as long as their word takes, up to as many again.
+    turning: Arc<Semaphore>,
+    next: u64,
+}
+
+impl Doors {
+    fn let_in(&mut self, stream: TcpStream) {
+        let desk = self.desk.clone();
+        let tasks = desk.tasks.clone();
+        match Arc::clone(&self.room).try_acquire_owned() {
             Ok(place) => {
-                next += 1;
-                tasks.spawn(client(ClientId(next), stream, desk, place));
+                self.next += 1;
+                tasks.spawn(client(ClientId(self.next), stream, desk, place));
             }
             Err(_) => {
-                info!(%peer, "turned away: {most} clients are connected");
-                if let Ok(place) = Arc::clone(&turning).try_acquire_owned() {
-                    tasks.spawn(turn_away(stream, desk.name, desk.bounds, place));
+                info!(peer = ?stream.peer_addr().ok(), "turned away: {} clients are connected", self.most);
+                if let Ok(place) = Arc::clone(&self.turning).try_acquire_owned() {
+                    tasks.spawn(turn_away(stream, desk, place));
                 }
             }
         }
     }
 }
 
-async fn turn_away(stream: TcpStream, name: String, bounds: Bounds, place: OwnedSemaphorePermit) {
-    if let Ok(link) = open(stream, &name, bounds).await {
-        let _ = link.outbox.send(Frame::new(Kind::FAULT).text(Field::WHY, "too many connections"), None);
-        drop(link.outbox);
-        let _ = link.writer.await;
+/// Takes clients' connections until a stop; then what has come up to that moment is still let in, and told to go away, as
+/// a connection that was accepted by the machine counts as taken.
+pub(crate) async fn accept(
+    listener: TcpListener, most: usize, desk: Desk, mut stopped: watch::Receiver<bool>,
+) {
+    let (room, turning) = (Arc::new(Semaphore::new(most)), Arc::new(Semaphore::new(most.max(16))));
+    let mut doors = Doors { desk, most, room, turning, next: 0 };
+    loop {
+        let accepted = tokio::select! {
+            _ = stopped.wait_for(|s| *s) => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => doors.let_in(stream),
+            Err(e) => {
+                // Out of descriptors, most likely: those in use go on, and closing ones make room.
+                warn!("a connection could not be accepted: {e}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    // What the machine has accepted is asked for once more after the driver has looked.
+    yield_now().await;
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        doors.let_in(stream);
+    }
+}
+
+async fn turn_away(stream: TcpStream, desk: Desk, place: OwnedSemaphorePermit) {
+    if let Ok(Link { outbox, mut reader, writer, .. }) = open(stream, &desk.name, desk.bounds).await {
+        let _ = outbox.send(Frame::new(Kind::FAULT).text(Field::WHY, "too many connections"), None);
+        drop(outbox);
+        let _ = writer.await;
+        linger(reader.get_mut(), LINGER.0, LINGER.1).await;
     }
     drop(place);
 }
@@ -71,47 +110,98 @@
     method.request.check(&frame.body).err().map(|why| why.to_string())
 }
 
+/// What was read of a client, as it is passed on.
+struct Told {
+    note: Note,
+    /// The tag of an RPC.
+    tag: Option<u64>,
+}
+
 async fn client(id: ClientId, stream: TcpStream, desk: Desk, _place: OwnedSemaphorePermit) {
-    let Desk { name, bounds, in_force, notes } = desk;
-    let Link { outbox, mut reader, mut writer, peer } = match open(stream, &name, bounds).await {
+    let opened = tokio::select! {
+        biased;
+        opened = open(stream, &desk.name, desk.bounds) => opened,
+        // One that has said nothing by then is not waited for.
+        () = async { desk.closing.cancelled().await; yield_now().await } => return,
+    };
+    let Link { outbox, mut reader, mut writer, peer } = match opened {
         Ok(link) => link,
         Err(why) => return info!(client = id.0, "no hello from a client: {why}"),
     };
     debug!(client = id.0, peer, "client connected");
-    let client = Client { outbox, writer: writer.abort_handle(), leaving: false };
-    if notes.send(Note::ClientIn(id, client)).await.is_err() {
+    if desk.endings.send(Note::ClientIn(id, Client::new(outbox, writer.abort_handle()))).await.is_err() {
         return;
     }
+    let (mut ahead, mut passed, mut came) = (Ahead::new(AHEAD), 0, None::<Frame>);
     let (mut writing, mut why) = (true, None);
     loop {
-        let next = tokio::select! {
-            next = reader.next() => next,
-            _ = &mut writer => {
-                writing = false;
-                break;
-            }
-        };
-        match next {
-            // A full channel holds back this client alone.
-            Some(Ok(frame)) => {
-                let now = Arc::clone(&in_force.borrow());
+        if let Some(frame) = came.take() {
+            if frame.kind == Kind::CANCEL {
+                let tag = match frame.get_int(Field::TAG) {
+                    Ok(tag) => tag,
+                    Err(e) => {
+                        why = Some(e);
+                        break;
+                    }
+                };
+                let after = ahead.withdraw(|told: &Told| told.tag == Some(tag)).is_none().then_some(passed);
+                if desk.endings.send(Note::Cancel(id, tag, after)).await.is_err() {
+                    break;
+                }
+            } else {
+                let now = Arc::clone(&desk.in_force.borrow());
+                let bytes = frame.body.len() + frame.head().len();
+                let tag = frame.get_int(Field::TAG).ok().filter(|_| frame.kind == Kind::RPC);
                 let note = match unfit(&now.prepared.catalogue, &frame) {
                     None => Note::Client(id, now.release, frame),
                     Some(why) => Note::Unfit(id, frame, why),
                 };
-                if notes.send(note).await.is_err() {
-                    break;
-                }
+                ahead.push(Told { note, tag }, bytes);
             }
-            Some(Err(e)) => {
-                why = Some(e);
+        }
+        // What has come is read before what was read is passed on, so that a client that has gone meanwhile is seen.
+        tokio::select! {
+            biased;
+            _ = &mut writer => {
+                writing = false;
                 break;
             }
-            None => break,
+            next = reader.next(), if ahead.has_room() => match next {
+                Some(Ok(frame)) => came = Some(frame),
+                Some(Err(e)) => {
+                    why = Some(e);
+                    break;
+                }
+                // It has gone: what it asked and nobody took is forgotten.
+                None => break,
+            },
+            // A full channel holds back this client alone.
+            room = desk.asks.reserve(), if !ahead.is_empty() => match (room, ahead.pop()) {
+                (Ok(room), Some(told)) => {
+                    passed += 1;
+                    room.send(told.note);
+                }
+                _ => break,
+            },
+            () = desk.closing.cancelled(), if ahead.is_empty() => match next_at_once(&mut reader).await {
+                Some(Ok(frame)) => came = Some(frame),
+                Some(Err(e)) => {
+                    why = Some(e);
+                    break;
+                }
+                None => break,
+            },
         }
     }
-    let _ = notes.send(Note::ClientOut(id, why)).await;
+    let forgotten = ahead.iter().filter(|told| told.tag.is_some()).count();
+    // Where this scheduler ends, what was asked last is answered first: it went by the other channel.
+    let last = if desk.closing.is_cancelled() { &desk.asks } else { &desk.endings };
+    let _ = last.send(Note::ClientOut(id, why, forgotten)).await;
     if writing {
         let _ = writer.await;
     }
+    linger(reader.get_mut(), LINGER.0, LINGER.1).await;
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/curlewpoint-gateway/src/http.rs
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -376,7 +376,7 @@
     fn drop(&mut self) {
         if !self.over {
             // Where the notes are full the RPC goes on to its end, and its answer to nobody.
-            let _ = self.notes.try_send(Note::ClientOut(self.id, None));
+            let _ = self.notes.try_send(Note::ClientOut(self.id, None, 0));
         }
     }
 }
--- a/crates/curlewpoint-gateway/src/notes.rs
+++ b/crates/curlewpoint-gateway/src/notes.rs
@@ -15,8 +15,10 @@
     Client(ClientId, Release, Frame),
     /// An RPC whose body does not fit its method, and why.
     Unfit(ClientId, Frame, String),
-    /// It is gone, or what it sent could not be read.
-    ClientOut(ClientId, Option<WireError>),
+    /// It withdraws what it asked under this tag: one that was not passed on, or one among so many passed on before.
+    Cancel(ClientId, u64, Option<u64>),
+    /// It is gone, or what it sent could not be read; so many RPCs were read of it and never passed on.
+    ClientOut(ClientId, Option<WireError>, usize),
     /// An RPC over HTTP.
     Ask(ClientId, Ask),
     /// A connection to a worker is up, could not be opened, brought a frame, has broken.
@@ -39,6 +41,12 @@
 }
 
 impl Note {
+    /// Whether it comes from a client.
+    pub fn is_of_client(&self) -> bool {
+        use Note::*;
+        matches!(self, ClientIn(..) | Client(..) | Unfit(..) | Cancel(..) | ClientOut(..) | Ask(..))
+    }
+
     /// Whether it tells of peers or of the list: what is heard before anything new is sent after standing still.
     pub fn is_news(&self) -> bool {
         use Note::*;
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -20,8 +20,43 @@
     pub writer: AbortHandle,
     /// It has said that it sends nothing more; all that it sent before has been read.
     pub leaving: bool,
+    /// Frames taken of those that it asks by.
+    taken: u64,
+    /// Tags that it withdrew, each with the number of the last frame that may have asked by it; all of these numbers.
+    withdrawn: BTreeMap<u64, u64>,
+    until: u64,
 }
 
+impl Client {
+    pub fn new(outbox: Outbox, writer: AbortHandle) -> Client {
+        Client { outbox, writer, leaving: false, taken: 0, withdrawn: BTreeMap::new(), until: 0 }
+    }
+
+    /// It withdraws what it asked under this tag among the first so many frames: a cancel goes ahead of calls, so it may
+    /// be still on its way. False: more are withdrawn than can be.
+    pub fn withdraws(&mut self, tag: u64, after: u64) -> bool {
+        if after > self.taken {
+            self.until = self.until.max(after);
+            self.withdrawn.insert(tag, after);
+        }
+        self.withdrawn.len() <= MOST_WITHDRAWN
+    }
+
+    /// One more frame of it is taken; whether what it asks under this tag has been withdrawn meanwhile.
+    pub fn takes(&mut self, tag: Option<u64>) -> bool {
+        self.taken += 1;
+        let withdrawn =
+            tag.and_then(|tag| self.withdrawn.get(&tag)).is_some_and(|after| self.taken <= *after);
+        if self.taken >= self.until {
+            self.withdrawn.clear();
+        }
+        withdrawn
+    }
+}
+
+/// Tags of one client that are withdrawn before what it asked under them was taken: as many as the channel holds.
+const MOST_WITHDRAWN: usize = 4096;
+
 /// Sockets towards workers, as the pool acts on them.
 pub(crate) struct Sockets {
     dialler: Dialler,
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinHandle};
-use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::{info, warn};
 
@@ -180,7 +180,7 @@
     let clock = Clock::start();
     let engine = Engine::start(clock.now(), outside, seed, config.settings());
 
-    let tasks = TaskTracker::new();
+    let (tasks, closing) = (TaskTracker::new(), CancellationToken::new());
     let most = of("clients") as usize;
     // What a client sends must fit a worker's frame with the longer head of an attempt.
     let of_clients = Bounds { frame: bounds.frame.saturating_sub(HEADROOM), ..bounds };
@@ -188,12 +188,14 @@
         name: name.clone(),
         bounds: of_clients,
         in_force: in_force.clone(),
-        notes: asks_in.clone(),
+        endings: answers_in.clone(),
+        asks: asks_in.clone(),
+        closing: closing.clone(),
+        tasks: tasks.clone(),
     };
-    let accepting = clients::accept(listener, most, desk, tasks.clone());
-    let accepting = tokio::spawn(accepting).abort_handle();
-    let mut helpers = vec![accepting.clone()];
     let (no_more, stopped) = watch::channel(false);
+    let accepting = clients::accept(listener, most, desk, stopped.clone());
+    let mut helpers = vec![tasks.spawn(accepting).abort_handle()];
     if let Some(door) = door {
         let limits = Limits {
             connections: of("http-clients") as usize,
@@ -244,10 +246,10 @@
         kept,
         _watch: watch,
         publish,
-        accepting,
         no_more,
         ending: None,
         over: false,
+        closing,
     };
     let end = tokio::spawn(turn.run(answers, asks, tasks, config.time("", "stop-limit")));
     let started = Arc::new(config.clone());
@@ -273,12 +275,13 @@
     _watch: watch::Sender<Option<u64>>,
     /// Tells the doors which methods are in force.
     publish: watch::Sender<Arc<InForce>>,
-    accepting: AbortHandle,
-    /// Tells the HTTP door of a stop.
+    /// Tells the doors of a stop.
     no_more: watch::Sender<bool>,
     /// A stop that was asked for.
     ending: Option<Ending>,
     over: bool,
+    /// Tells what is read of clients to come to an end.
+    closing: CancellationToken,
 }
 
 impl Turn {
@@ -341,10 +344,20 @@
         if let Some(mesh) = self.mesh.take() {
             mesh.leave(self.clock.now(), &mut self.engine);
         }
-        // Dropping the outboxes lets the writers finish and close.
-        self.engine.world().clients.clear();
+        // What has come is read to its last word and refused, and told; then each connection is shut, read to its end and
+        // closed.
+        self.closing.cancel();
         tasks.close();
-        let _ = timeout(LAST_WRITES, tasks.wait()).await;
+        let (all, until) = (tasks.wait(), tokio::time::sleep(LAST_WRITES));
+        tokio::pin!(all, until);
+        loop {
+            let notes: Vec<Note> = tokio::select! {
+                () = &mut all => break,
+                () = &mut until => break,
+                notes = turns.next(SWEEP) => notes.filter(Note::is_of_client).collect(),
+            };
+            notes.into_iter().for_each(|note| self.note(note, stop_limit));
+        }
         let f = self.engine.figures();
         let conns = self.engine.world().conns();
         info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, "stopped");
@@ -404,15 +417,32 @@
                     engine.world().tell_client(id, Frame::new(Kind::GO_AWAY));
                 }
             }
-            Note::ClientOut(id, Some(why)) => self.close_client(now, id, &why),
-            Note::ClientOut(id, None) => {
-                engine.world().clients.remove(&id);
-                engine.world().calls.remove(&id);
-                engine.client_gone(now, id);
+            Note::ClientOut(id, why, forgotten) => {
+                // What was read of it and never taken.
+                (0..forgotten).for_each(|_| engine.refused());
+                match why {
+                    Some(why) => self.close_client(now, id, &why.to_string()),
+                    None => {
+                        engine.world().clients.remove(&id);
+                        engine.world().calls.remove(&id);
+                        engine.client_gone(now, id);
+                    }
+                }
             }
             Note::Unfit(id, frame, why) => {
-                if let Err(e) = self.unfit(id, &frame, &why) {
-                    self.close_client(now, id, &e);
+                if self.is_wanted(id, &frame) {
+                    if let Err(e) = self.unfit(id, &frame, &why) {
+                        self.close_client(now, id, &e.to_string());
+                    }
+                }
+            }
+            Note::Cancel(id, tag, None) => self.withdrawn(id, tag),
+            Note::Cancel(id, tag, Some(after)) => {
+                let Some(client) = engine.world().clients.get_mut(&id) else { return };
+                if client.withdraws(tag, after) {
+                    engine.cancelled(now, id, tag);
+                } else {
+                    self.close_client(now, id, "too much is withdrawn");
                 }
             }
             Note::Reload(reload) => {
@@ -421,10 +451,9 @@
             }
             Note::Ask(id, ask) => self.ask(now, id, ask),
             Note::Client(id, release, frame) => {
-                // What a client sent before it was cut off is void with it.
-                if engine.world().clients.contains_key(&id) {
+                if self.is_wanted(id, &frame) {
                     if let Err(e) = self.client(now, id, release, frame) {
-                        self.close_client(now, id, &e);
+                        self.close_client(now, id, &e.to_string());
                     }
                 }
             }
@@ -468,7 +497,6 @@
                 info!(open = engine.open(), "stopping: nothing more is taken");
                 let now = Instant::now();
                 self.ending = Some(Ending { leave: now + LEAVE.min(stop_limit), limit: now + stop_limit });
-                self.accepting.abort();
                 let _ = self.no_more.send(true);
                 engine.stop_taking();
                 let all: Vec<ClientId> = engine.world().clients.keys().copied().collect();
@@ -479,6 +507,26 @@
         }
     }
 
+    /// Whether a frame that a client asks by is still to be taken. What one sent before it went or was cut off is void with
+    /// it; what it has withdrawn meanwhile is refused.
+    fn is_wanted(&mut self, id: ClientId, frame: &Frame) -> bool {
+        let tag = frame.get_int(Field::TAG).ok().filter(|_| frame.kind == Kind::RPC);
+        match (self.engine.world().clients.get_mut(&id).map(|client| client.takes(tag)), tag) {
+            (Some(true), Some(tag)) => self.withdrawn(id, tag),
+            (Some(_), _) => return true,
+            (None, Some(_)) => self.engine.refused(),
+            (None, None) => {}
+        }
+        false
+    }
+
+    /// What a client asked and withdrew before it was taken.
+    fn withdrawn(&mut self, id: ClientId, tag: u64) {
+        self.engine.refused();
+        let refused = Frame::new(Kind::REFUSED).int(Field::TAG, tag).text(Field::WHY, "cancelled");
+        self.engine.world().tell_client(id, refused);
+    }
+
     fn client(&mut self, now: Time, id: ClientId, release: Release, frame: Frame) -> Result<(), WireError> {
         match frame.kind {
             Kind::RPC => {
@@ -512,7 +560,6 @@
             Kind::GO_AWAY => {
                 self.engine.world().clients.get_mut(&id).into_iter().for_each(|c| c.leaving = true);
             }
-            Kind::CANCEL => self.engine.cancelled(now, id, frame.get_int(Field::TAG)?),
             // What later versions may say is passed over.
             _ => {}
         }
@@ -579,9 +626,9 @@
         checked.is_ok()
     }
 
-    fn close_client(&mut self, now: Time, id: ClientId, why: &WireError) {
+    fn close_client(&mut self, now: Time, id: ClientId, why: &str) {
         info!(client = id.0, "closed: {why}");
-        self.engine.world().tell_client(id, Frame::new(Kind::FAULT).text(Field::WHY, &why.to_string()));
+        self.engine.world().tell_client(id, Frame::new(Kind::FAULT).text(Field::WHY, why));
         self.engine.world().clients.remove(&id);
         self.engine.client_gone(now, id);
     }
--- a/crates/curlewpoint-lab/src/lib.rs
+++ b/crates/curlewpoint-lab/src/lib.rs
@@ -11,7 +11,7 @@
 mod web;
 
 pub use check::{judge, Break, Effect, Terms, Verdict, RULES};
-pub use client::{call, Called, Office};
+pub use client::{call, rpc_frame, Called, Office};
 pub use day::{client, play, Day, Entrance, Shared, Traffic};
 pub use record::{Record, Seen};
 pub use report::{draw, table, Row};
--- /dev/null
+++ b/crates/curlewpoint-lab/tests/sockets/doors.rs
@@ -0,0 +1,113 @@
+//! The doors' closes on real sockets: nothing that was sent before one is destroyed by it, and what has come is answered.
+
+use std::io::{Read, Write};
+use std::net::TcpStream as Blocking;
+
+use crate::common::{Puppet, Stage};
+use bytes::BytesMut;
+use curlewpoint::types::{Outcome, Time};
+use curlewpoint_lab::rpc_frame;
+use curlewpoint_wire::{Codec, Field, Frame, Kind, VERSION};
+use test_case::test_case;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio_util::codec::{Decoder, Encoder};
+
+const MOST: usize = 64 << 20;
+
+fn bytes_of(frames: impl IntoIterator<Item = Frame>) -> Vec<u8> {
+    let mut bytes = BytesMut::new();
+    for frame in frames {
+        Codec { most: MOST }.encode(frame, &mut bytes).unwrap();
+    }
+    bytes.to_vec()
+}
+
+/// All frames that came, and whether the connection was closed rather than reset.
+fn frames_until_the_end(stream: &mut Blocking) -> (Vec<Frame>, bool) {
+    let mut bytes = Vec::new();
+    let closed = stream.read_to_end(&mut bytes).is_ok();
+    let (mut bytes, mut frames) = (BytesMut::from(&bytes[..]), Vec::new());
+    while let Ok(Some(frame)) = (Codec { most: MOST }).decode(&mut bytes) {
+        frames.push(frame);
+    }
+    (frames, closed)
+}
+
+/// Guards against a close with unread bytes: it resets the connection, and what the machine had not yet sent of the
+/// answers is destroyed. Here the client's window is full, and it reads only after it has spoilt its connection.
+#[tokio::test]
+async fn a_client_that_is_cut_off_while_it_writes_still_reads_its_answers() {
+    let mut a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    let mut slow = socket.connect(stage.gateway.address).await.unwrap();
+    let hello = Frame::new(Kind::HELLO).int(Field::VERSION, VERSION).text(Field::INSTANCE, "slow");
+    slow.write_all(&bytes_of([hello])).await.unwrap();
+    for tag in 1..=8 {
+        let rpc = rpc_frame(tag, "issue-extract", "model", "", Time(100_000), None).body(vec![b'x'; 12_000]);
+        slow.write_all(&bytes_of([rpc])).await.unwrap();
+        let asked = a.attempt().await;
+        a.answer(&asked, Outcome::Ok);
+        // One at a time on one connection: what is answered to this one was answered to the slow one before.
+        stage.ask(100 + tag, "issue-extract", 10_000);
+        let asked = a.attempt().await;
+        a.answer(&asked, Outcome::Ok);
+        stage.final_of(100 + tag).await;
+    }
+    // The beginning of a frame that is longer than any may be.
+    let rude = bytes_of([Frame::new(Kind::RPC).body(vec![b'x'; 17 << 20])]);
+    slow.try_write(&rude[..100_000]).unwrap();
+    let mut slow = slow.into_std().unwrap();
+    slow.set_nonblocking(false).unwrap();
+    // It reads nothing until the scheduler, which has this thread for itself, has done with it.
+    stage.gateway.stop().await;
+    stage.gateway.stop().await;
+    stage.office.ended().await;
+    let reading = std::thread::spawn(move || frames_until_the_end(&mut slow));
+    stage.gateway.wait().await;
+    let (frames, closed) = reading.join().unwrap();
+    assert!(closed, "closed, not reset");
+    let tags: Vec<_> =
+        frames.iter().filter(|f| f.kind == Kind::FINAL).map(|f| f.get_int(Field::TAG).unwrap()).collect();
+    assert_eq!(tags, (1..=8).collect::<Vec<_>>());
+    assert!(frames.iter().filter(|f| f.kind == Kind::FINAL).all(|f| f.body.len() == 12_000));
+    assert_eq!(frames.last().map(|f| f.kind), Some(Kind::FAULT));
+}
+
+/// What has come by the end of serving is let in, read to its last word and refused; then the connection is closed, not
+/// reset. By blocking sockets: all of it is there before the scheduler, on this thread, looks.
+#[test_case(false ; "from a client that is connected")]
+#[test_case(true ; "on a connection that nobody has accepted")]
+#[tokio::test]
+async fn what_has_come_by_the_end_of_serving_is_refused(in_the_backlog: bool) {
+    let a = Puppet::start("a").await;
+    let stage = Stage::new(&[&a]).await;
+    let hello = Frame::new(Kind::HELLO).int(Field::VERSION, VERSION).text(Field::INSTANCE, "c");
+    let mut client = Blocking::connect(stage.gateway.address).unwrap();
+    client.write_all(&bytes_of([hello])).unwrap();
+    if !in_the_backlog {
+        // Its hello has been answered once it can be read here; until then the scheduler gets the thread.
+        let readable = tokio::net::TcpStream::from_std({
+            let other = client.try_clone().unwrap();
+            other.set_nonblocking(true).unwrap();
+            other
+        });
+        readable.unwrap().readable().await.unwrap();
+        client.set_nonblocking(false).unwrap();
+    }
+    let rpcs = (1..=32).map(|tag| rpc_frame(tag, "issue-extract", "model", "", Time(30_000), None));
+    client.write_all(&bytes_of(rpcs)).unwrap();
+    // The second time it asks for the end at once.
+    stage.gateway.stop().await;
+    stage.gateway.stop().await;
+    let reading = std::thread::spawn(move || frames_until_the_end(&mut client));
+    let f = stage.gateway.wait().await;
+    let (frames, closed) = reading.join().unwrap();
+    let refused: Vec<u64> =
+        frames.iter().filter(|f| f.kind == Kind::REFUSED).map(|f| f.get_int(Field::TAG).unwrap()).collect();
+    assert_eq!(refused, (1..=32).collect::<Vec<_>>());
+    assert!(closed, "closed, not reset");
+    assert_eq!((f.taken, f.refused), (0, 32));
+}
--- /dev/null
+++ b/crates/curlewpoint-link/src/ahead.rs
@@ -0,0 +1,57 @@
+use std::collections::VecDeque;
+
+use tokio::task::yield_now;
+use tokio_stream::{Stream, StreamExt};
+
+/// What was read from one peer and not yet passed on: as long as there is room the peer is read, so that a cancel or its
+/// going is seen behind all that it has sent before.
+pub struct Ahead<T> {
+    waiting: VecDeque<(T, usize)>,
+    bytes: usize,
+    /// How many, and how many bytes; the last one may go over.
+    most: (usize, usize),
+}
+
+impl<T> Ahead<T> {
+    pub fn new(most: (usize, usize)) -> Ahead<T> {
+        Ahead { waiting: VecDeque::new(), bytes: 0, most }
+    }
+
+    pub fn has_room(&self) -> bool {
+        self.waiting.len() < self.most.0 && self.bytes < self.most.1
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    pub fn push(&mut self, what: T, bytes: usize) {
+        self.bytes += bytes;
+        self.waiting.push_back((what, bytes));
+    }
+
+    pub fn pop(&mut self) -> Option<T> {
+        let (what, bytes) = self.waiting.pop_front()?;
+        self.bytes -= bytes;
+        Some(what)
+    }
+
+    /// Takes out the last one of these, if there is any.
+    pub fn withdraw(&mut self, is_it: impl Fn(&T) -> bool) -> Option<T> {
+        let at = self.waiting.iter().rposition(|(what, _)| is_it(what))?;
+        let (what, bytes) = self.waiting.remove(at)?;
+        self.bytes -= bytes;
+        Some(what)
+    }
+
+    /// What was never passed on.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.waiting.iter().map(|(what, _)| what)
+    }
+}
+
+/// The next that has come already, asked for once the driver has looked; none: nothing has, or it has ended.
+pub async fn next_at_once<S: Stream + Unpin>(from: &mut S) -> Option<S::Item> {
+    yield_now().await;
+    tokio::time::timeout(std::time::Duration::ZERO, from.next()).await.unwrap_or_default()
+}
--- a/crates/curlewpoint-link/src/ending.rs
+++ b/crates/curlewpoint-link/src/ending.rs
@@ -5,6 +5,9 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::time::timeout;
 
+/// What is still read, and for how long, from a peer that was answered and shut off.
+pub const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
+
 /// Reads to the end what a peer still sends after our side was shut down, up to a time and so many bytes. A socket that
 /// is closed with unread bytes in it is reset, which destroys what was written before and not yet read over there.
 /// Harms little where the peer never closes: the descriptor is held for the time given.
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -3,14 +3,16 @@
 //! Whether an attempt may have run hangs on whether one byte of it was handed to the kernel. A [`Ticket`] goes with
 //! each frame for which that matters: whoever waits may take it back until the writer has begun it, and never after.
 
+mod ahead;
 mod clock;
 mod ending;
 mod link;
 mod outbox;
 mod turn;
 
+pub use ahead::{next_at_once, Ahead};
 pub use clock::Clock;
-pub use ending::{is_ours, linger};
+pub use ending::{is_ours, linger, LINGER};
 pub use link::{listen, open, outbox, Bounds, Link, LinkError, Reader};
 pub use outbox::{Outbox, Parcel, SendError, Ticket};
 pub use turn::Turns;
--- a/crates/curlewpoint-link/src/link.rs
+++ b/crates/curlewpoint-link/src/link.rs
@@ -9,6 +9,7 @@
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
 
+use crate::ending::{linger, LINGER};
 use crate::outbox::{write_all, Outbox, Parcel};
 
 /// What a connection may take.
@@ -113,6 +114,12 @@
         Ok(peer) => Ok(Link { peer, outbox, reader, writer }),
         Err(why) => {
             let _ = outbox.send(Frame::new(Kind::FAULT).text(Field::WHY, &why.to_string()), None);
+            drop(outbox);
+            // Flushed and shut, then read to its end: a peer that sends on would not read why else.
+            tokio::spawn(async move {
+                let _ = writer.await;
+                linger(reader.get_mut(), LINGER.0, LINGER.1).await;
+            });
             Err(why)
         }
     }
