--- /dev/null
+++ b/crates/curlewpoint-fleet/src/fleet/records.rs
@@ -0,0 +1,252 @@
+//! Records of members: what peers say of each other, what this instance says of itself, doubts and verdicts.
+
+use super::*;
+
+impl Fleet {
+    /// Who is at the other end.
+    pub fn joined(
+        &mut self, now: Time, out: &mut impl Outside, link: LinkId, fleet: &str, id: MemberId, name: &str,
+        address: &str, standing: Standing, known: u64,
+    ) {
+        if fleet != self.fleet {
+            return self.refuse(out, link, &format!("this is fleet '{}', not '{fleet}'", self.fleet));
+        }
+        if known > (self.bounds.instances * RECORDS) as u64 {
+            return self.refuse(out, link, &format!("it knows {known} members, more than are kept"));
+        }
+        if id == self.me {
+            // A peer to begin with that is this instance itself.
+            self.links.remove(&link);
+            return out.close(link);
+        }
+        if !self.learn(now, out, Some(link), id, name, address, standing) {
+            return;
+        }
+        let Some(l) = self.links.get_mut(&link) else { return };
+        (l.peer, l.heard) = (Some(id), now);
+        self.introduced += usize::from(matches!(l.purpose, Purpose::Meet));
+        let looked_for = if let Purpose::Ring(member) = l.purpose { Some(member) } else { None };
+        // What others believe of it, that it may speak for itself.
+        l.untold.insert(id);
+        if known * 2 <= self.table.len() as u64 {
+            l.untold.extend(self.table.spoken_of().map(|(id, _)| id));
+            self.hints.whole().into_iter().for_each(|seen| l.hints.push(seen));
+        }
+        self.unheard.remove(&id);
+        if looked_for.is_some_and(|m| m != id) {
+            // Another run answers where that one was: it is not there any more.
+            let gone = looked_for.expect("just seen");
+            l.purpose = Purpose::Meet;
+            if let Some(m) = self.table.get(gone).filter(|m| m.standing.lives()).cloned() {
+                let standing = Standing { doubts: (1 << RINGS) - 1, ..m.standing };
+                self.learn(now, out, None, gone, &m.name, &m.address, standing);
+            }
+        }
+        if self.watch_from.0.is_none() {
+            // Among as many as the file tells, those few would come first: they need not know the others for that.
+            let place = rank(SALT_WATCH, self.me) as f64 / u64::MAX as f64;
+            let few = AT_ONCE * self.bounds.watchers as f64 / self.number.told() as f64;
+            // The more start at once, the longer it takes until all know all.
+            let most = WATCH_AFTER.0 + Time(KNOWN_AFTER.0 * self.number.told());
+            let wait = if place < few { Time(0) } else { stretch(&mut self.rng, most) };
+            self.watch_from.0 = Some(now + wait);
+        }
+        self.number.linked(now);
+        if known <= 1 {
+            // One that has just started can serve by the list; records of members, hundreds of them, come behind it.
+            self.tell_list(out, link, None);
+        }
+        self.flush(now, out, link);
+        self.flush_hints(now, out, link);
+        self.beat(now, out, link, true);
+        self.settle_rings(now, out);
+        if self.to_introduce() {
+            self.reach_out(now, out);
+        }
+    }
+
+    /// A record of a member.
+    pub fn member(
+        &mut self, now: Time, out: &mut impl Outside, link: LinkId, id: MemberId, name: &str, address: &str,
+        standing: Standing,
+    ) {
+        // What a peer sent before it was refused is void with it.
+        if self.links.get(&link).is_some_and(|l| l.peer.is_some()) {
+            self.heard(now, link);
+            self.learn(now, out, Some(link), id, name, address, standing);
+        }
+    }
+
+    /// Takes a record and hands on what is new; false: it was refused, and its link with it.
+    pub(super) fn learn(
+        &mut self, now: Time, out: &mut impl Outside, from: Option<LinkId>, id: MemberId, name: &str,
+        address: &str, standing: Standing,
+    ) -> bool {
+        if id == self.me {
+            self.of_me(now, out, standing);
+            return true;
+        }
+        let before = self.table.get(id).map(|m| m.standing);
+        match self.table.merge(now, id, name, address, standing) {
+            Ok(false) => {
+                // Who tells it needs not be told it.
+                if let Some(l) = from.and_then(|link| self.links.get_mut(&link)) {
+                    if before == Some(standing) {
+                        l.untold.remove(&id);
+                    }
+                }
+            }
+            Ok(true) => {
+                self.changed = now;
+                let after = self.table.get(id).map(|m| m.standing).unwrap_or_default();
+                let told = match before {
+                    None if after.lives() => Some("joins"),
+                    Some(b) if b.lives() && after.left => Some("leaves"),
+                    Some(b) if b.lives() && after.dead => Some("is given up"),
+                    Some(b) if b.dead && after.lives() => Some("is back"),
+                    _ => None,
+                };
+                if let Some(what) = told {
+                    self.heard_of.entry(what).or_insert((0, name.to_owned())).0 += 1;
+                }
+                self.spread(now, out, from, id);
+            }
+            Err(why) => {
+                let why = match why {
+                    Refused::TooMany => "more members than are kept",
+                    Refused::BadName => "a member whose name is not its own",
+                };
+                if let Some(link) = from {
+                    self.refuse(out, link, why);
+                }
+                return false;
+            }
+        }
+        true
+    }
+
+    /// One line for all that was heard of one kind since the last look, however many start or die together.
+    pub(super) fn tell_of_members(&mut self, out: &mut impl Outside) {
+        for (what, (n, first)) in std::mem::take(&mut self.heard_of) {
+            let others = if n > 1 { format!(" and {} others", n - 1) } else { String::new() };
+            let (live, known) = (self.table.living().count(), self.table.len());
+            out.log(&format!("fleet: {first}{others}: {what}, {live} live of {known} known"));
+        }
+    }
+
+    /// What others believe of this instance; where it is wrong it speaks for itself.
+    pub(super) fn of_me(&mut self, now: Time, out: &mut impl Outside, said: Standing) {
+        let mine = self.table.get(self.me).map(|m| m.standing).unwrap_or_default();
+        if self.left {
+            return;
+        }
+        if said.left {
+            // Nobody but this run can have said so: it has to be another one from here on, as a goodbye is for good.
+            out.log("fleet: a peer says that this run has left; it goes on as another run");
+            self.me.run = Run(self.rng.rand_u64());
+            let _ = self.table.merge(now, self.me, &self.name, &self.address, Standing::default());
+            return self.spread(now, out, None, self.me);
+        }
+        let merged = mine.merge(said);
+        if said.incarnation > mine.incarnation || merged.dead || merged.is_suspect() {
+            let incarnation = merged.incarnation + 1;
+            self.speak(now, out, Standing { incarnation, dead: false, doubts: 0, ..mine });
+        } else if merged != mine {
+            // One alone who hears nothing is let be, and believed alike everywhere.
+            let _ = self.table.merge(now, self.me, &self.name, &self.address, merged);
+        }
+    }
+
+    /// Says something new of this instance.
+    pub(super) fn speak(&mut self, now: Time, out: &mut impl Outside, standing: Standing) {
+        if self.table.merge(now, self.me, &self.name, &self.address, standing) == Ok(true) {
+            self.changed = now;
+            self.spread(now, out, None, self.me);
+        }
+    }
+
+    pub(super) fn spread(&mut self, now: Time, out: &mut impl Outside, from: Option<LinkId>, id: MemberId) {
+        let to: Vec<LinkId> = self.links.iter().filter(|(l, _)| Some(**l) != from).map(|(l, _)| *l).collect();
+        for link in to {
+            let l = self.links.get_mut(&link).expect("just listed");
+            // Round the rings, each in one direction: over both, everyone would be told everything eight times.
+            if l.peer.is_some() && !matches!(l.purpose, Purpose::Theirs) {
+                l.untold.insert(id);
+                if now - l.told_at >= TICK {
+                    self.flush(now, out, link);
+                }
+            }
+        }
+    }
+
+    pub(super) fn flush(&mut self, now: Time, out: &mut impl Outside, link: LinkId) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.told_at = now;
+        for id in std::mem::take(&mut l.untold) {
+            if let Some(member) = self.table.get(id) {
+                out.member(link, id, member);
+            }
+        }
+    }
+
+    /// Says of whom it hears nothing, on the rings on which it would be the one to hear.
+    pub(super) fn doubt(&mut self, now: Time, out: &mut impl Outside) {
+        if self.unheard.is_empty() {
+            return;
+        }
+        let mut doubts: BTreeMap<MemberId, u8> = BTreeMap::new();
+        for ring in 0..RINGS {
+            let place = |id: MemberId| rank(u64::from(ring), id).wrapping_sub(rank(u64::from(ring), self.me));
+            let next = observed(ring, self.me, self.heard_from()).map_or(u64::MAX, place);
+            for id in self.unheard.keys().filter(|id| place(**id) < next) {
+                *doubts.entry(*id).or_default() |= 1 << ring;
+            }
+        }
+        for (id, bits) in doubts {
+            // A suspect needs no more doubt; each change of a record goes to everybody.
+            let new = |m: &&Member| m.standing.doubts & bits != bits && !m.standing.is_suspect();
+            let Some(m) = self.table.get(id).filter(new).cloned() else {
+                continue;
+            };
+            let standing = Standing { doubts: m.standing.doubts | bits, ..m.standing };
+            self.learn(now, out, None, id, &m.name, &m.address, standing);
+        }
+    }
+
+    /// Gives up those whom enough others have doubted for long enough.
+    pub(super) fn judge(&mut self, now: Time) {
+        let suspect: Vec<MemberId> = self
+            .table
+            .living()
+            .filter(|(id, m)| *id != self.me && m.standing.is_suspect())
+            .map(|(id, _)| id)
+            .collect();
+        self.suspects.retain(|id, _| suspect.binary_search(id).is_ok());
+        for id in suspect {
+            let since = *self.suspects.entry(id).or_insert(now);
+            if now - since < SUSPICION {
+                continue;
+            }
+            // All come to the same verdict by the same doubts: nobody has to be told of it.
+            if let Some(m) = self.table.get(id).cloned() {
+                let standing = Standing { dead: true, ..m.standing };
+                if self.table.merge(now, id, &m.name, &m.address, standing) == Ok(true) {
+                    self.changed = now;
+                    self.heard_of.entry("is given up").or_insert((0, m.name)).0 += 1;
+                }
+            }
+        }
+    }
+
+    /// This instance ends: nothing of this run is sent any more.
+    pub fn leave(&mut self, now: Time, out: &mut impl Outside) {
+        let mine = self.table.get(self.me).map(|m| m.standing).unwrap_or_default();
+        self.speak(now, out, Standing { left: true, ..mine });
+        self.left = true;
+        let all: Vec<LinkId> = self.links.keys().copied().collect();
+        for link in all {
+            self.flush(now, out, link);
+        }
+        self.settle_watch(now, out);
+    }
+}
--- /dev/null
+++ b/crates/curlewpoint-fleet/src/fleet/service.rs
@@ -0,0 +1,118 @@
+//! Whether this instance watches the list service, and what it hears there.
+
+use super::*;
+
+impl Fleet {
+    /// The list service has told a list. What it says when asked has no mark that tells it from what it says on its own,
+    /// but only an answer can hold nothing new: that one counts, from the moment at which it was asked for. Guards against
+    /// taking what has lain in a socket for what holds now.
+    pub(super) fn service_told(&mut self, now: Time, out: &mut impl Outside, taken: Taken) {
+        self.answered_service = now;
+        // Whatever a peer said, this is the truth.
+        self.look_at = None;
+        match (taken, self.asked_service) {
+            (Taken::Old, Some(asked)) => {
+                self.asked_service = None;
+                self.fresh_at = self.fresh_at.max(Some(asked));
+                if self.woke.is_some_and(|woke| asked >= woke) {
+                    self.awake(out, "the list service has answered");
+                }
+            }
+            // It may have been the answer: once more, that one with nothing new comes.
+            (Taken::New(_), Some(_)) => out.ask_service(self.book.held()),
+            _ => {}
+        }
+        self.see(now, out, true);
+    }
+
+    /// Whether this instance reaches the list service; it says so when that changes.
+    pub(super) fn see(&mut self, now: Time, out: &mut impl Outside, sees: bool) {
+        let mine = self.table.get(self.me).map(|m| m.standing).unwrap_or_default();
+        if mine.blind == sees {
+            let age = self.age(now).map_or(-1.0, Time::ms);
+            out.log(&format!(
+                "fleet: the list service is {}, list {age:.0} ms old",
+                if sees { "seen" } else { "not seen" }
+            ));
+            self.speak(
+                now,
+                out,
+                Standing { incarnation: mine.incarnation + 1, blind: !sees, dead: false, doubts: 0, ..mine },
+            );
+        }
+        if !sees {
+            self.try_again = now + stretch(&mut self.rng, TRY_AGAIN);
+        }
+    }
+
+    pub fn service_up(&mut self, now: Time, out: &mut impl Outside) {
+        self.service = Some(now);
+        self.ask_service(now, out);
+    }
+
+    pub(super) fn ask_service(&mut self, now: Time, out: &mut impl Outside) {
+        self.asked_service = Some(now);
+        out.ask_service(self.book.held());
+    }
+
+    pub fn service_down(&mut self, now: Time) {
+        self.book.broke(SERVICE);
+        (self.service, self.asked_service, self.service_tried) = (None, None, now);
+    }
+
+    /// Whether this instance is one of the few that watch the list, or has to look for itself: it has no peers, or one
+    /// peer's word alone for a list far on.
+    pub(super) fn is_asked_to_watch(&self, now: Time) -> bool {
+        let (linked, alone) = self.watch_from;
+        if self.links.values().all(|l| l.peer.is_none()) {
+            // No peers: as without a fleet. While some are still being tried it waits longer: they may be slow.
+            let wait = if self.to_introduce() && linked.is_none() { SLOW } else { Time(0) };
+            return now >= linked.unwrap_or(alone).max(alone + wait);
+        }
+        if linked.is_none_or(|at| now < at) {
+            return false;
+        }
+        let blind = self.table.get(self.me).is_some_and(|m| m.standing.blind);
+        let doubts = self.look_at.is_some_and(|(at, _)| now >= at);
+        (doubts || self.first(!blind).contains(&self.me)) && (!blind || now >= self.try_again)
+    }
+
+    pub(super) fn settle_watch(&mut self, now: Time, out: &mut impl Outside) {
+        let asked = !self.left && self.is_asked_to_watch(now);
+        if asked {
+            self.unasked_since = None;
+        }
+        let over = !asked && now - *self.unasked_since.get_or_insert(now) >= WATCH_ON;
+        if asked && !self.watching {
+            (self.watching, self.service_tried) = (true, now);
+            out.log("fleet: watching the list from here on");
+            out.watch(true);
+        } else if self.watching && (over || self.left) {
+            self.watching = false;
+            self.service_down(now);
+            out.log("fleet: others watch the list from here on");
+            out.watch(false);
+        }
+        if !self.watching {
+            return;
+        }
+        let waited = self.asked_service.or(self.service.is_none().then_some(self.service_tried));
+        let peers = self.links.values().any(|l| l.peer.is_some());
+        if waited.is_some_and(|at| now - at >= BLIND_AFTER) {
+            self.see(now, out, false);
+            if peers {
+                self.watching = false;
+                self.service_down(now);
+                out.watch(false);
+            } else {
+                // Nobody else can tell: it goes on trying, and is said once.
+                (self.service_tried, self.asked_service) = (now, self.asked_service.and(Some(now)));
+            }
+        } else if self.service.is_some()
+            && self.asked_service.is_none()
+            && now - self.answered_service >= BEAT
+        {
+            self.ask_service(now, out);
+        }
+    }
+}
--- a/crates/curlewpoint-fleet/src/lib.rs
+++ b/crates/curlewpoint-fleet/src/lib.rs
@@ -16,11 +16,13 @@
 mod hints;
 mod members;
 mod number;
+mod outside;
 mod rings;
 
 pub use book::{Book, Entry, Source, Taken};
-pub use fleet::{Bounds, Fleet, LinkId, Outside};
+pub use fleet::Fleet;
 pub use hints::{Hints, Seen};
 pub use members::{InstanceId, Member, MemberId, Refused, Run, Standing, Table};
 pub use number::Number;
+pub use outside::{Bounds, LinkId, Outside};
 pub use rings::{observed, rank, RINGS, SALT_WATCH};
