Move the encoding of peers' frames from the gateway into curlewpoint-fleet

The scale rig counts bytes of frames between instances, and must call the encoder that runs in production rather than a copy of it. It lay inside the gateway's hands and reader, where nothing else could call it.

curlewpoint_fleet::frames now holds what writes and reads these frames; the gateway sends and receives through it. The numbers for a worker's standing went with it, as a list's rows need them, and the gateway hands them on under the old name.

--- a/crates/curlewpoint-fleet/src/lib.rs
+++ b/crates/curlewpoint-fleet/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`Number`]: how many instances to act on while nobody knows for sure.
 //! - [`Hints`]: what any instance has seen of functions at workers; bounded, never waited for, soon forgotten.
 //! - [`Book`]: the newest list of workers, as it goes from peer to peer.
+//! - [`frames`]: what peers say to each other, as bytes.
 //!
 //! What a peer says is never above one's own evidence, and an instance without peers does what it did before there were
 //! any. `docs/fleet.md` says of each state who may be wrong about it and what is safe meanwhile.
 
 mod book;
 mod fleet;
+pub mod frames;
 mod hints;
 mod members;
 mod number;
--- a/crates/curlewpoint-gateway/src/codes.rs
+++ b/crates/curlewpoint-gateway/src/codes.rs
@@ -1,7 +1,9 @@
 //! The numbers that stand for outcomes, answers and the like in the protocol's fields.
 
-use curlewpoint::types::{Copy, Hint, Outcome, Standing};
+use curlewpoint::types::{Copy, Outcome};
 use curlewpoint_engine::{Answer, Refusal};
+pub(crate) use curlewpoint_fleet::frames::read_standing as standing;
+pub use curlewpoint_fleet::frames::standing_code;
 use curlewpoint_wire::{Field, Frame, WireError};
 
 fn code<T: std::marker::Copy + PartialEq>(all: &[T], of: T) -> u64 {
@@ -18,8 +20,6 @@
 /// What a worker may answer.
 const OUTCOMES: [Outcome; 4] = [Outcome::Ok, Outcome::Error, Outcome::Full, Outcome::Miss];
 const COPIES: [Copy; 5] = [Copy::Untold, Copy::Warm, Copy::BeganLoad, Copy::WaitedForLoad, Copy::LoadFailed];
-const STANDINGS: [Standing; 3] = [Standing::Ready, Standing::Draining, Standing::Gone];
-const HINTS: [Hint; 4] = [Hint::Gone, Hint::Full, Hint::Loading, Hint::Warm];
 const ANSWERS: [Answer; 3] = [Answer::Ok, Answer::Denied, Answer::Aborted];
 
 pub fn outcome_code(of: Outcome) -> u64 {
@@ -42,23 +42,6 @@
     }
 }
 
-pub fn standing_code(of: Standing) -> u64 {
-    code(&STANDINGS, of)
-}
-
-pub(crate) fn standing(frame: &Frame) -> Result<Standing, WireError> {
-    read(frame, Field::STANDING, &STANDINGS, "a standing")
-}
-
-pub(crate) fn hint_code(of: Hint) -> u64 {
-    code(&HINTS, of)
-}
-
-/// What a row of hints tells; a later version may tell more, which is passed over.
-pub(crate) fn hint(code: u64) -> Option<Hint> {
-    HINTS.get(code as usize).copied()
-}
-
 pub fn answer_code(of: Answer) -> u64 {
     code(&ANSWERS, of)
 }
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -10,8 +10,7 @@
 use curlewpoint_config::Config;
 use curlewpoint_engine::Engine;
 use curlewpoint_fleet::{
-    Bounds as FleetBounds, Entry, Fleet, InstanceId, LinkId, Member, MemberId, Outside as Others, Run, Seen,
-    Standing,
+    frames, Bounds as FleetBounds, Entry, Fleet, LinkId, Member, MemberId, Outside as Others, Run, Seen,
 };
 use curlewpoint_link::{open, Bounds, Link, LinkError, Outbox};
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
@@ -24,15 +23,12 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
-use crate::codes;
 use crate::notes::Note;
 use crate::outside::Outside;
 use crate::snapshot;
 
 /// Frames between peers are short: a list goes a row a frame.
 const MOST_FRAME: usize = 64 << 10;
-/// Numbers that a row of hints takes.
-const HINT: usize = 7;
 /// Links opened by peers count from here, those opened from here from one.
 const THEIRS: u64 = 1 << 63;
 /// Beside links: whoever asks how the fleet stands.
@@ -175,80 +171,6 @@
     Run(oorandom::Rand64::new(mixed).rand_u64())
 }
 
-fn state(s: Standing) -> u64 {
-    u64::from(s.left) | u64::from(s.dead) << 1 | u64::from(s.blind) << 2
-}
-
-fn member_frame(kind: Kind, id: MemberId, m: &Member) -> Frame {
-    Frame::new(kind)
-        .text(Field::INSTANCE, &m.name)
-        .int(Field::RUN, id.run.0)
-        .text(Field::ADDRESS, &m.address)
-        .int(Field::INCARNATION, m.standing.incarnation)
-        .int(Field::STATE, state(m.standing))
-        .int(Field::DOUBTS, u64::from(m.standing.doubts))
-}
-
-fn read_member(f: &Frame) -> Result<(MemberId, &str, &str, Standing), WireError> {
-    let (name, state) = (f.get_text(Field::INSTANCE)?, f.get_int(Field::STATE)?);
-    let doubts = f.get_int(Field::DOUBTS)?;
-    let doubts =
-        u8::try_from(doubts).map_err(|_| WireError::NotA(f.kind.0, Field::DOUBTS.0, "a row of rings"))?;
-    let (left, dead, blind) = (state & 1 != 0, state & 2 != 0, state & 4 != 0);
-    let standing = Standing { incarnation: f.get_int(Field::INCARNATION)?, left, dead, blind, doubts };
-    let id = MemberId { instance: InstanceId::of(name), run: Run(f.get_int(Field::RUN)?) };
-    Ok((id, name, f.get_text(Field::ADDRESS)?, standing))
-}
-
-fn held(f: &Frame) -> Result<Option<(u64, u64)>, WireError> {
-    Ok(f.maybe_int(Field::EPOCH)?.zip(f.maybe_int(Field::LIST_VERSION)?))
-}
-
-fn with_held(frame: Frame, held: Option<(u64, u64)>) -> Frame {
-    match held {
-        Some((epoch, version)) => frame.int(Field::EPOCH, epoch).int(Field::LIST_VERSION, version),
-        None => frame,
-    }
-}
-
-/// One worker of a list, as it goes to peers and to disk.
-pub(crate) fn entry_frame(now: Time, name: &str, e: &Entry) -> Frame {
-    let f = Frame::new(Kind::CHANGE).text(Field::WORKER, name).text(Field::ADDRESS, &e.address);
-    let f = f.int(Field::STANDING, codes::standing_code(e.standing)).int(Field::START, e.start);
-    let f = f.text(Field::ZONE, &e.zone).text(Field::CELL, &e.cell).float(Field::SIZE, e.size);
-    match e.since {
-        Some(since) => f.int(Field::AGE, (now - since).0),
-        None => f,
-    }
-}
-
-pub(crate) fn read_entry(now: Time, f: &Frame) -> Result<(&str, Entry), WireError> {
-    let text = |field| f.maybe_text(field).map(|t| t.unwrap_or("").to_owned());
-    let entry = Entry {
-        address: text(Field::ADDRESS)?,
-        standing: codes::standing(f)?,
-        start: f.maybe_int(Field::START)?.unwrap_or(0),
-        since: f.maybe_int(Field::AGE)?.map(|age| now - Time(age)),
-        zone: text(Field::ZONE)?,
-        cell: text(Field::CELL)?,
-        size: f.maybe_float(Field::SIZE)?.unwrap_or(1.0),
-    };
-    Ok((f.get_text(Field::WORKER)?, entry))
-}
-
-/// What others have seen of functions at workers; what cannot be known here yet is passed over.
-fn read_hints(now: Time, f: &Frame) -> Result<Vec<Seen>, WireError> {
-    let rows = f.get_ints(Field::ROWS)?;
-    if rows.len() % HINT != 0 {
-        return Err(WireError::NotA(f.kind.0, Field::ROWS.0, "rows of hints"));
-    }
-    let row = |r: &[u64]| {
-        let (worker, function, at) = (WorkerId(r[0]), FunctionId(r[1]), now - Time(r[4]));
-        Some(Seen { worker, function, hint: codes::hint(r[2])?, held: r[3], at, run: Run(r[5]), no: r[6] })
-    };
-    Ok(rows.chunks_exact(HINT).filter_map(row).collect())
-}
-
 impl Others for Hands<'_> {
     fn dial(&mut self, link: LinkId, address: &str) {
         let door = self.peers.door.clone();
@@ -269,41 +191,34 @@
     }
 
     fn join(&mut self, link: LinkId, fleet: &str, me: MemberId, member: &Member, known: u64) {
-        let frame = member_frame(Kind::JOIN, me, member);
-        self.send(link, frame.text(Field::FLEET, fleet).int(Field::KNOWN, known));
+        self.send(link, frames::join_frame(fleet, me, member, known));
     }
 
     fn member(&mut self, link: LinkId, id: MemberId, member: &Member) {
-        self.send(link, member_frame(Kind::MEMBER, id, member));
+        self.send(link, frames::member_frame(id, member));
     }
 
     fn beat(
-        &mut self, link: LinkId, (tag, echo): (u64, u64), digest: u64, held: Option<(u64, u64)>,
-        age: Option<Time>, sure: bool, answer: bool,
+        &mut self, link: LinkId, tags: (u64, u64), digest: u64, held: Option<(u64, u64)>, age: Option<Time>,
+        sure: bool, answer: bool,
     ) {
-        let mut f = with_held(Frame::new(Kind::BEAT).int(Field::TAG, tag).int(Field::ECHO, echo), held);
-        f = f.int(Field::DIGEST, digest).int(Field::SURE, u64::from(sure));
-        if let Some(age) = age {
-            f = f.int(Field::AGE, age.0);
-        }
-        self.send(link, f.int(Field::WANTED, u64::from(answer)));
+        self.send(link, frames::beat_frame(tags, digest, held, age, sure, answer));
     }
 
     fn ask_list(&mut self, link: LinkId, held: Option<(u64, u64)>) {
-        self.send(link, with_held(Frame::new(Kind::WATCH), held));
+        self.send(link, frames::ask_list_frame(held));
     }
 
-    fn list_begins(&mut self, link: LinkId, (epoch, version): (u64, u64), from: Option<u64>) {
-        let f = Frame::new(Kind::LIST).int(Field::EPOCH, epoch).int(Field::LIST_VERSION, version);
-        self.send(link, from.map_or(f.clone(), |from| f.int(Field::FROM, from)));
+    fn list_begins(&mut self, link: LinkId, version: (u64, u64), from: Option<u64>) {
+        self.send(link, frames::list_frame(version, from));
     }
 
     fn list_row(&mut self, link: LinkId, name: &str, e: &Entry) {
-        self.send(link, entry_frame(self.now, name, e));
+        self.send(link, frames::entry_frame(self.now, name, e));
     }
 
     fn list_ends(&mut self, link: LinkId) {
-        self.send(link, Frame::new(Kind::LIST_END));
+        self.send(link, frames::list_end_frame());
     }
 
     fn watch(&mut self, on: bool) {
@@ -316,7 +231,7 @@
 
     fn ask_service(&mut self, held: Option<(u64, u64)>) {
         if let Some(outbox) = &self.engine.world().list {
-            let _ = outbox.send(with_held(Frame::new(Kind::WATCH), held), None);
+            let _ = outbox.send(frames::ask_list_frame(held), None);
         }
     }
 
@@ -335,13 +250,7 @@
     }
 
     fn hints(&mut self, link: LinkId, seen: &[Seen]) {
-        let now = self.now;
-        let row = |s: &Seen| {
-            let age = (now - s.at).0;
-            [s.worker.0, s.function.0, codes::hint_code(s.hint), s.held, age, s.run.0, s.no]
-        };
-        let rows: Vec<u64> = seen.iter().flat_map(row).collect();
-        self.send(link, Frame::new(Kind::HINTS).ints(Field::ROWS, &rows));
+        self.send(link, frames::hints_frame(self.now, seen));
     }
 
     fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time) {
@@ -466,43 +375,14 @@
         &mut self, now: Time, engine: &mut Engine<Outside>, link: LinkId, f: &Frame,
     ) -> Result<(), WireError> {
         match f.kind {
-            Kind::JOIN => {
-                let (id, name, address, standing) = read_member(f)?;
-                let (fleet, known) = (f.get_text(Field::FLEET)?, f.get_int(Field::KNOWN)?);
-                self.call(now, engine, |me, hands| {
-                    me.joined(now, hands, link, fleet, id, name, address, standing, known);
-                });
-            }
-            Kind::MEMBER => {
-                let (id, name, address, standing) = read_member(f)?;
-                self.call(now, engine, |me, hands| {
-                    me.member(now, hands, link, id, name, address, standing);
-                });
-            }
-            Kind::BEAT => {
-                let (tags, digest) =
-                    ((f.get_int(Field::TAG)?, f.get_int(Field::ECHO)?), f.get_int(Field::DIGEST)?);
-                let (held, age) = (held(f)?, f.maybe_int(Field::AGE)?.map(Time));
-                let (sure, answer) = (f.get_int(Field::SURE)? == 1, f.get_int(Field::WANTED)? == 1);
-                self.call(now, engine, |me, hands| {
-                    me.beaten(now, hands, link, tags, digest, held, age, sure, answer);
-                });
-            }
-            Kind::WATCH => {
-                let held = held(f)?;
-                self.call(now, engine, |me, hands| me.list_asked(now, hands, link, held));
-            }
-            Kind::LIST | Kind::CHANGE | Kind::LIST_END => self.list(now, engine, Some(link), f)?,
-            Kind::HINTS => {
-                let all = read_hints(now, f)?;
-                self.call(now, engine, |me, hands| me.hinted(now, hands, link, all));
-            }
             Kind::FAULT => info!("fleet: a peer says: {}", f.get_text(Field::WHY).unwrap_or("nothing")),
             Kind::STATUS => {
                 let told = Frame::new(Kind::TOLD).body(self.status(now).into_bytes());
                 self.call(now, engine, |_, hands| hands.send(link, told));
             }
-            _ => {}
+            _ => {
+                self.call(now, engine, |me, hands| frames::read(me, now, hands, link, f))?;
+            }
         }
         Ok(())
     }
@@ -511,19 +391,7 @@
     pub fn list(
         &mut self, now: Time, engine: &mut Engine<Outside>, on: Option<LinkId>, f: &Frame,
     ) -> Result<(), WireError> {
-        match f.kind {
-            Kind::LIST => {
-                let (epoch, version) = (f.get_int(Field::EPOCH)?, f.get_int(Field::LIST_VERSION)?);
-                self.fleet.list_begins(on, epoch, version, f.maybe_int(Field::FROM)?);
-            }
-            Kind::CHANGE => {
-                let (name, entry) = read_entry(now, f)?;
-                self.fleet.list_row(on, name, entry);
-            }
-            Kind::LIST_END => self.call(now, engine, |fleet, hands| fleet.list_ends(now, hands, on)),
-            _ => {}
-        }
-        Ok(())
+        self.call(now, engine, |me, hands| frames::read_list(me, now, hands, on, f)).map(drop)
     }
 
     /// The module has seen something of functions at workers.
--- a/crates/curlewpoint-gateway/src/snapshot.rs
+++ b/crates/curlewpoint-gateway/src/snapshot.rs
@@ -6,14 +6,13 @@
 
 use bytes::{BufMut, BytesMut};
 use curlewpoint::types::Time;
+use curlewpoint_fleet::frames::{entry_frame, read_entry};
 use curlewpoint_fleet::{Entry, Fleet};
 use curlewpoint_wire::{Codec, Field, Frame, Kind, WireError};
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::peers::{entry_frame, read_entry};
-
 const FIRST_LINE: &[u8] = b"curlewpoint snapshot 1\n";
 const SUM: usize = 8;
 /// A longer file is none of ours.
