Let the frames' module name the fleet's types where they stand since the split

Cause: the encoding of peers' frames was moved into curlewpoint-fleet while fleet.rs was split; both names it took from there have moved to outside.rs. Change: two lines of use. No behaviour changes.

--- a/crates/curlewpoint-fleet/src/frames.rs
+++ b/crates/curlewpoint-fleet/src/frames.rs
@@ -5,9 +5,10 @@
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 
 use crate::book::Entry;
-use crate::fleet::{Fleet, LinkId, Outside};
+use crate::fleet::Fleet;
 use crate::hints::Seen;
 use crate::members::{InstanceId, Member, MemberId, Run, Standing};
+use crate::outside::{LinkId, Outside};
 
 /// Numbers that a row of hints takes.
 const HINT: usize = 7;
