--- /dev/null
+++ b/crates/curlewpoint-fleet/src/directory.rs
@@ -0,0 +1,499 @@
+//! A directory of copies, held by few for each function and asked at a miss, so that what one instance sends does not grow
+//! with the number of instances. It decides who holds what, what is told to whom and what is left out; it has no I/O.
+//!
+//! Functions and members stand in columns, by fixed hashes; within a column three hold a function, by rendezvous order.
+//! Whoever is of another column speaks to one contact there, which hands on; so two steps reach any holder, and one
+//! instance speaks to about twice the root of all.
+
+mod copies;
+pub mod frames;
+mod queue;
+mod view;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
+
+use crate::hints::Seen;
+use crate::members::{MemberId, Run};
+use copies::Copies;
+pub use queue::Parcel;
+use queue::{Item, Queue, ANSWERS, NEWS, REFRESH, WARM};
+use view::View;
+
+/// Rows held for all functions, and of one: beyond it the oldest go.
+const ROWS: usize = 65_536;
+const ROWS_EACH: usize = 64;
+/// Rows in one answer.
+const ANSWER_ROWS: usize = 8;
+/// Those who are told of changes, of one function and in all: beyond it an answer is all that one gets.
+const SUBSCRIBERS_EACH: usize = 128;
+const SUBSCRIBERS: usize = 16_384;
+/// Whoever asked is told of changes for so long; it asks again a while before, where it has RPCs of the function then.
+const SUBSCRIBED: Time = Time(300_000);
+const RENEW: Time = Time(200_000);
+/// Between two questions for a function of which no copy is known.
+const ASK_AGAIN: Time = Time(20_000);
+/// Functions that were asked for lately, and questions that wait for an answer.
+const INTERESTS: usize = 8_192;
+const OPEN: usize = 256;
+/// A question has no answer for so long: the next one is asked. Twice in a row: that one is not asked for a while.
+const ANSWER_IN: Time = Time(3_000);
+const STRIKES: u8 = 2;
+const AVOIDED: Time = Time(100_000);
+/// What has changed is told no sooner than this, but for a copy that has come up; the same again no sooner than the
+/// second, or a quarter of the time for which it counts.
+const MOVED: Time = Time(5_000);
+const AGAIN: Time = Time(20_000);
+/// Between two looks for what is over.
+const SWEEP: Time = Time(10_000);
+
+/// On what terms an instance takes part.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Bytes a second that are sent for the directory at most, over any while and one burst of a second.
+    pub bytes: u64,
+    /// How long what was seen counts for anything.
+    pub keep: Time,
+    /// Whether this instance tells what it sees and asks; it holds and hands on for others all the same.
+    pub hinted: bool,
+}
+
+/// Whom to speak to is asked; where its answer is awaited since it was sent.
+struct Open {
+    to: MemberId,
+    sent: Option<Time>,
+    queued: Time,
+    tries: usize,
+}
+
+struct Interest {
+    asked: Time,
+    /// Whether the scheduler here has RPCs of it; else it is asked for others.
+    wanted: bool,
+    /// Questions so far: the next goes to another, where the last one knew nothing.
+    turn: usize,
+}
+
+/// What came of the directory so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub questions: u64,
+    pub answers: u64,
+    /// Questions that nobody answered in time, each try counted.
+    pub unanswered: u64,
+    pub bytes: u64,
+    /// Rows, questions and answers that the budget or a bound left out.
+    pub left_out: u64,
+    /// What peers sent beyond what is read of one.
+    pub passed_over: u64,
+}
+
+/// One instance's part of it.
+pub struct Directory {
+    me: MemberId,
+    terms: Terms,
+    view: View,
+    /// Members that take no part: an earlier release, or a configuration without it.
+    strangers: BTreeSet<MemberId>,
+    copies: Copies,
+    subscribers: BTreeMap<FunctionId, BTreeMap<MemberId, Time>>,
+    subscribed: usize,
+    interests: BTreeMap<FunctionId, Interest>,
+    open: BTreeMap<FunctionId, Open>,
+    /// Members that did not answer, how often in a row, and when last.
+    strikes: BTreeMap<MemberId, (u8, Time)>,
+    queue: Queue,
+    /// Bytes that may be sent now; below nought after a frame that took more.
+    allowance: f64,
+    filled: Time,
+    next: u64,
+    swept: Time,
+    counts: Counts,
+}
+
+/// A short mark of a run: with a number it tells one sight from another, in three bytes.
+fn mark(run: Run) -> Run {
+    Run(run.0 >> 48)
+}
+
+impl Directory {
+    pub fn new(now: Time, me: MemberId, terms: Terms) -> Directory {
+        Directory {
+            me,
+            terms,
+            view: View::new(me, std::iter::empty()),
+            strangers: BTreeSet::new(),
+            copies: Copies::new(terms.keep, ROWS, ROWS_EACH),
+            subscribers: BTreeMap::new(),
+            subscribed: 0,
+            interests: BTreeMap::new(),
+            open: BTreeMap::new(),
+            strikes: BTreeMap::new(),
+            queue: Queue::default(),
+            allowance: terms.bytes as f64,
+            filled: now,
+            next: 0,
+            swept: now,
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn counts(&self) -> Counts {
+        Counts { left_out: self.counts.left_out + self.queue.left_out(), ..self.counts }
+    }
+
+    /// Rows held.
+    pub fn len(&self) -> usize {
+        self.copies.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.copies.len() == 0
+    }
+
+    /// Those who are told of changes, over all functions.
+    pub fn subscribers(&self) -> usize {
+        self.subscribed
+    }
+
+    pub fn open_questions(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Those who hold a function, or whom this instance would ask for it, in its order.
+    pub fn towards(&self, function: FunctionId) -> Vec<MemberId> {
+        self.view.towards(function)
+    }
+
+    /// Of a column's function, those three who hold it; none where this instance is of another column.
+    pub fn holders(&self, function: FunctionId) -> Option<Vec<MemberId>> {
+        self.view.is_ours(function).then(|| self.view.holders(function))
+    }
+
+    /// Who lives, as far as is known here.
+    pub fn members(&mut self, me: MemberId, living: impl Iterator<Item = MemberId>) {
+        self.me = me;
+        let strangers = &self.strangers;
+        self.view = View::new(me, living.filter(|m| !strangers.contains(m)));
+    }
+
+    /// A member takes no part; true: that is news.
+    pub fn stranger(&mut self, member: MemberId) -> bool {
+        self.strangers.insert(member)
+    }
+
+    /// A member is heard: it speaks for itself.
+    pub fn heard(&mut self, member: MemberId) {
+        self.strikes.remove(&member);
+    }
+
+    /// A member could not be reached, or said nothing when it had to.
+    pub fn missed(&mut self, now: Time, member: MemberId) {
+        self.strikes.insert(member, (STRIKES, now));
+        self.lost(now, member);
+    }
+
+    /// A link to a member has ended: what it was asked goes to another.
+    pub fn lost(&mut self, now: Time, member: MemberId) {
+        let asked: Vec<FunctionId> =
+            self.open.iter().filter(|(_, o)| o.to == member).map(|(f, _)| *f).collect();
+        asked.into_iter().for_each(|f| self.ask_next(now, f));
+    }
+
+    /// A question is not answered: it goes to another, a few times.
+    fn ask_next(&mut self, now: Time, function: FunctionId) {
+        let Some(o) = self.open.remove(&function) else { return };
+        if o.sent.is_some() {
+            self.counts.unanswered += 1;
+        }
+        if o.tries + 1 < view::HOLDERS {
+            self.question(now, function, o.tries + 1);
+        }
+    }
+
+    /// This instance stood still: others have heard what it has not, so it forgets what it held and asks anew.
+    ///
+    /// Guards against telling of copies that are long gone to all who ask. Harms until it is asked: the other holders know.
+    pub fn stood_still(&mut self) {
+        self.copies.clear();
+        self.open.clear();
+        self.interests.clear();
+    }
+
+    /// A member said nothing when it had to, a while ago at most.
+    pub(crate) fn is_avoided(&self, now: Time, member: MemberId) -> bool {
+        self.strikes.get(&member).is_some_and(|(n, at)| *n >= STRIKES && now - *at < AVOIDED)
+    }
+
+    /// Whom to speak to of a function: those who are not known to say nothing first.
+    fn candidates(&self, now: Time, function: FunctionId) -> Vec<MemberId> {
+        let mut all = self.view.towards(function);
+        all.sort_by_key(|m| self.is_avoided(now, *m));
+        all
+    }
+
+    // The scheduler here.
+
+    /// The scheduler here has seen something of a function at a worker.
+    pub fn saw(&mut self, now: Time, worker: WorkerId, function: FunctionId, hint: Hint, held: u64) {
+        if !self.terms.hinted {
+            return;
+        }
+        let known = self.copies.get(function, worker);
+        // That nothing is there is news only to those who think that something is.
+        let news = known.map_or(hint != Hint::Gone, |k| {
+            let (age, far) = (now - k.at, held.abs_diff(k.held) >= 2 + k.held / 2);
+            let differs = k.hint != hint && (hint == Hint::Warm || age >= MOVED);
+            differs || age >= AGAIN.max(Time(self.terms.keep.0 / 4)) || (far && age >= MOVED)
+        });
+        if !news {
+            return;
+        }
+        self.next += 1;
+        let seen = Seen { worker, function, hint, held, at: now, run: mark(self.me.run), no: self.next };
+        let Some(changed) = self.copies.put(seen) else { return };
+        self.tell_up(now, &seen, changed, None);
+        self.tell_subscribers(now, &seen, changed, None);
+    }
+
+    /// The scheduler here has an RPC of a function. Returns what is known of it, if that is news to the scheduler.
+    pub fn wanted(&mut self, now: Time, function: FunctionId) -> Vec<Seen> {
+        if !self.terms.hinted {
+            return Vec::new();
+        }
+        self.ask(now, function);
+        let Some(interest) = self.interests.get_mut(&function) else { return Vec::new() };
+        let new = !std::mem::replace(&mut interest.wanted, true);
+        let mine = mark(self.me.run);
+        if new {
+            self.copies.of(function).filter(|s| s.run != mine).copied().collect()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Asks for a function, one question at a time, where nothing is known of it or what is known is old.
+    fn ask(&mut self, now: Time, function: FunctionId) {
+        let known = self.copies.is_known(now, function);
+        let pause = if known { RENEW } else { ASK_AGAIN };
+        if self.open.contains_key(&function) {
+            return;
+        }
+        if let Some(i) = self.interests.get(&function) {
+            if now - i.asked < pause {
+                return;
+            }
+        } else if self.interests.len() >= INTERESTS {
+            self.counts.left_out += 1;
+            return;
+        }
+        let first = Interest { asked: now, wanted: false, turn: 0 };
+        let i = self.interests.entry(function).or_insert(first);
+        i.asked = now;
+        if !known {
+            i.turn = i.turn.wrapping_add(1);
+        }
+        self.question(now, function, 0);
+    }
+
+    /// Puts a question to the next of those whom this instance would ask, so many tries on.
+    fn question(&mut self, now: Time, function: FunctionId, tries: usize) {
+        let mut all = self.candidates(now, function);
+        all.retain(|m| !self.is_avoided(now, *m));
+        if all.is_empty() {
+            return;
+        }
+        let turn = self.interests.get(&function).map_or(0, |i| i.turn);
+        let to = all[turn.wrapping_add(tries) % all.len()];
+        if self.open.len() >= OPEN {
+            self.counts.left_out += 1;
+            return;
+        }
+        self.open.insert(function, Open { to, sent: None, queued: now, tries });
+        self.queue.push(now, ANSWERS, to, Item::Ask(function));
+    }
+
+    // What peers say.
+
+    /// A peer asks for functions, and is told of their changes for a while.
+    pub fn asked(&mut self, now: Time, from: MemberId, functions: &[FunctionId]) {
+        self.heard(from);
+        for f in functions {
+            self.subscribe(now, from, *f);
+            self.queue.push(now, ANSWERS, from, Item::Answer(*f));
+            // One of another column does not know the holders; and a holder that is new, or was blind, knows no more.
+            let known = self.copies.is_known(now, *f);
+            if self.view.is_ours(*f) && !self.view.is_mate(from) && !(known && self.view.holds(*f)) {
+                self.ask(now, *f);
+            }
+        }
+    }
+
+    fn subscribe(&mut self, now: Time, who: MemberId, function: FunctionId) {
+        let all = self.subscribers.entry(function).or_default();
+        let new = !all.contains_key(&who);
+        if new && (all.len() >= SUBSCRIBERS_EACH || self.subscribed >= SUBSCRIBERS) {
+            if all.is_empty() {
+                self.subscribers.remove(&function);
+            }
+            self.counts.left_out += 1;
+            return;
+        }
+        self.subscribed += usize::from(new);
+        all.insert(who, now);
+    }
+
+    /// A peer answers for some functions, and tells rows of these and of others. Returns those for the scheduler here.
+    pub fn told(&mut self, now: Time, from: MemberId, answered: &[FunctionId], rows: Vec<Seen>) -> Vec<Seen> {
+        self.heard(from);
+        for f in answered {
+            if self.open.get(f).is_some_and(|o| o.to == from) {
+                self.open.remove(f);
+                self.counts.answers += 1;
+            }
+        }
+        self.take(now, from, rows, false)
+    }
+
+    /// A peer tells what it has seen, or what was seen by those for whom it is the contact. Returns rows for the
+    /// scheduler here.
+    pub fn sighted(&mut self, now: Time, from: MemberId, rows: Vec<Seen>) -> Vec<Seen> {
+        self.heard(from);
+        self.take(now, from, rows, true)
+    }
+
+    fn take(&mut self, now: Time, from: MemberId, rows: Vec<Seen>, up: bool) -> Vec<Seen> {
+        let mine = mark(self.me.run);
+        let mut news = Vec::new();
+        for seen in rows {
+            if seen.run == mine || now - seen.at >= self.terms.keep {
+                continue;
+            }
+            let Some(changed) = self.copies.put(seen) else { continue };
+            // From a mate it has come to all who hold it; from elsewhere this one is the contact.
+            if up && self.view.is_ours(seen.function) && !self.view.is_mate(from) {
+                self.tell_up(now, &seen, changed, Some(from));
+            }
+            self.tell_subscribers(now, &seen, changed, Some(from));
+            if self.interests.get(&seen.function).is_some_and(|i| i.wanted) {
+                news.push(seen);
+            }
+        }
+        news
+    }
+
+    fn class(seen: &Seen, changed: bool) -> usize {
+        match (changed, seen.hint) {
+            (false, _) => REFRESH,
+            (true, Hint::Warm) => WARM,
+            (true, _) => NEWS,
+        }
+    }
+
+    fn tell_up(&mut self, now: Time, seen: &Seen, changed: bool, from: Option<MemberId>) {
+        let mut to = self.candidates(now, seen.function);
+        if !self.view.is_ours(seen.function) {
+            to.truncate(1);
+        }
+        for member in to.into_iter().filter(|m| Some(*m) != from) {
+            let item = Item::Up(seen.function, seen.worker);
+            self.queue.push(now, Self::class(seen, changed), member, item);
+        }
+    }
+
+    fn tell_subscribers(&mut self, now: Time, seen: &Seen, changed: bool, from: Option<MemberId>) {
+        let Some(all) = self.subscribers.get(&seen.function) else { return };
+        for (member, since) in all {
+            if Some(*member) != from && now - *since < SUBSCRIBED {
+                let item = Item::Down(seen.function, seen.worker);
+                self.queue.push(now, Self::class(seen, changed), *member, item);
+            }
+        }
+    }
+
+    /// A peer sent so many rows or questions more than is read of one.
+    pub fn passed_over(&mut self, rows: usize) {
+        self.counts.passed_over += rows as u64;
+    }
+
+    // Time.
+
+    /// Time has passed: questions without an answer go to the next one, what is over is forgotten.
+    pub fn advance(&mut self, now: Time) {
+        let late = |o: &Open| o.sent.map_or(now - o.queued >= queue::LIFE, |at| now - at >= ANSWER_IN);
+        let over: Vec<FunctionId> = self.open.iter().filter(|(_, o)| late(o)).map(|(f, _)| *f).collect();
+        for f in over {
+            let Some(o) = self.open.get(&f).filter(|o| o.sent.is_some()) else {
+                // It never left: there was no room for it, and there is none for another.
+                self.open.remove(&f);
+                continue;
+            };
+            let (n, at) = self.strikes.entry(o.to).or_insert((0, now));
+            (*n, *at) = (n.saturating_add(1), now);
+            self.ask_next(now, f);
+        }
+        if now - self.swept < SWEEP {
+            return;
+        }
+        self.swept = now;
+        self.copies.sweep(now);
+        self.interests.retain(|_, i| now - i.asked < SUBSCRIBED);
+        self.strikes.retain(|_, (_, at)| now - *at < AVOIDED);
+        let mut left = 0;
+        self.subscribers.retain(|_, all| {
+            all.retain(|_, since| now - *since < SUBSCRIBED);
+            left += all.len();
+            !all.is_empty()
+        });
+        self.subscribed = left;
+    }
+
+    /// Those known as living have changed: marks of others are of no use.
+    pub fn forget_strangers(&mut self, lives: impl Fn(MemberId) -> bool) {
+        self.strangers.retain(|m| lives(*m));
+    }
+
+    // What is sent.
+
+    fn refill(&mut self, now: Time) {
+        let (rate, span) = (self.terms.bytes as f64, (now - self.filled).ms() / 1000.0);
+        self.allowance = (self.allowance + rate * span).min(rate);
+        self.filled = now;
+    }
+
+    /// What leaves now, by member, the most useful first and as much as the budget allows; and those for whom something
+    /// waits and to whom no link is up. `linked`: to whom one is.
+    pub fn parcels(
+        &mut self, now: Time, linked: impl Fn(MemberId) -> bool,
+    ) -> (BTreeMap<MemberId, Parcel>, BTreeSet<MemberId>) {
+        self.refill(now);
+        let (copies, open) = (&self.copies, &mut self.open);
+        let rows = |f: FunctionId| copies.best(now, f, ANSWER_ROWS);
+        let one = |f: FunctionId, w: WorkerId| copies.get(f, w).copied();
+        let (parcels, unlinked) = self.queue.gather(now, self.allowance, linked, rows, one);
+        for (to, parcel) in &parcels {
+            for f in &parcel.asked {
+                self.counts.questions += 1;
+                open.get_mut(f).filter(|o| o.to == *to).into_iter().for_each(|o| o.sent = Some(now));
+            }
+        }
+        (parcels, unlinked)
+    }
+
+    /// So many bytes were sent for it.
+    pub fn spent(&mut self, bytes: usize) {
+        self.counts.bytes += bytes as u64;
+        self.allowance -= bytes as f64;
+    }
+
+    /// Whether anything may be sent now.
+    pub fn may_send(&mut self, now: Time) -> bool {
+        self.refill(now);
+        self.allowance > 0.0
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty()
+    }
+}
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::outside::{Bounds, LinkId, Outside};
 use crate::rings::{observed, rank, RINGS, SALT_WATCH};
 
+mod asks;
 mod beats;
 mod links;
 mod list;
@@ -102,6 +103,9 @@
     hints: Untold,
     hinted_at: Time,
     synced: Time,
+    /// It takes part in the directory of copies.
+    takes: bool,
+    intake: asks::Meter,
 }
 
 /// A member that cannot be reached from here.
@@ -162,6 +166,8 @@
     remembered_at: Option<Time>,
     /// One peer alone speaks of a list far on: when this instance looks for itself, and the list.
     look_at: Option<(Time, (u64, u64))>,
+    /// The directory of copies, where this instance takes part in it.
+    asks: Option<asks::Asks>,
 }
 
 /// The list service's connection, as the book knows it, and the disk.
@@ -226,6 +232,7 @@
             heard_of: BTreeMap::new(),
             remembered_at: None,
             look_at: None,
+            asks: None,
         }
     }
 
@@ -366,6 +373,7 @@
                 self.beat(now, out, link, false);
             }
         }
+        self.settle_asks(now, out);
         self.settle_watch(now, out);
         self.tell_of_members(out);
         // A peer to begin with of whom nobody knows may be behind a cut, with a fleet of its own.
@@ -403,6 +411,8 @@
         hints: Untold::default(),
         hinted_at: Time(0),
         synced: Time(0),
+        takes: false,
+        intake: asks::intake(now),
     }
 }
 
--- /dev/null
+++ b/crates/curlewpoint-fleet/src/fleet/asks.rs
@@ -0,0 +1,358 @@
+//! The directory of copies on links: who takes part, which links are opened for it and closed again, what leaves on them.
+
+use curlewpoint_wire::{Frame, HEAD_BYTES};
+
+use super::*;
+use crate::directory::frames;
+use crate::directory::{Directory, Terms};
+
+/// Links opened from here for the directory alone, and such links that peers have opened; beyond the first the one idle
+/// longest goes, beyond the second a peer is refused, and asks another.
+const ASK_LINKS: usize = 256;
+const ASK_LINKS_IN: usize = 512;
+/// Links opened for it in a second, and at once.
+const DIALS: (f64, f64) = (8.0, 16.0);
+/// A link over which nothing went for so long is closed by the one that opened it, and later by the other.
+const IDLE: (Time, Time) = (Time(600_000), Time(1_500_000));
+/// One that is full is made room on by closing a link that was idle for this long.
+const ROOM: Time = Time(10_000);
+/// Who has not said who it is by then is let go.
+const SAID_BY: Time = Time(30_000);
+/// Rows and questions that are read of one peer in a second, and at once: what is beyond is passed over.
+const INTAKE: (f64, f64) = (500.0, 1_000.0);
+/// Rows wait so long for others, a question and its answer never.
+const GATHER: Time = Time(200);
+/// What a frame that tells who speaks takes beside its texts, about.
+const JOIN: usize = 80;
+
+/// A number a second, and so many at once.
+#[derive(Clone, Copy)]
+pub(super) struct Meter {
+    left: f64,
+    at: Time,
+}
+
+impl Meter {
+    pub fn new(now: Time, (_, burst): (f64, f64)) -> Meter {
+        Meter { left: burst, at: now }
+    }
+
+    /// How many of `n` may be had.
+    fn take(&mut self, now: Time, (rate, burst): (f64, f64), n: usize) -> usize {
+        self.left = (self.left + rate * (now - self.at).ms() / 1000.0).min(burst);
+        self.at = now;
+        let may = n.min(self.left as usize);
+        self.left -= may as f64;
+        may
+    }
+}
+
+/// A link for the directory alone: no beats go over it, and nobody is judged by it.
+pub(super) struct AskLink {
+    /// Whom it was opened to; none: a peer has opened it.
+    to: Option<MemberId>,
+    peer: Option<MemberId>,
+    takes: bool,
+    since: Time,
+    used: Time,
+    intake: Meter,
+}
+
+fn ask_link(now: Time, to: Option<MemberId>) -> AskLink {
+    let intake = Meter::new(now, INTAKE);
+    AskLink { to, peer: None, takes: to.is_none(), since: now, used: now, intake }
+}
+
+/// The directory and its links.
+pub(super) struct Asks {
+    pub directory: Directory,
+    pub links: BTreeMap<LinkId, AskLink>,
+    dials: Meter,
+    gathered: Time,
+    /// The records by which it was reckoned who speaks to whom.
+    viewed: Option<u64>,
+}
+
+pub(super) fn intake(now: Time) -> Meter {
+    Meter::new(now, INTAKE)
+}
+
+impl Fleet {
+    /// Takes part in the directory of copies from here on, with so many bytes a second: see [`Directory`]. To be called
+    /// once, before any link is up.
+    pub fn keep_directory(&mut self, now: Time, bytes: u64) {
+        let terms = Terms { bytes, keep: self.bounds.hints, hinted: self.bounds.hinted };
+        let directory = Directory::new(now, self.me, terms);
+        let dials = Meter::new(now, DIALS);
+        self.asks = Some(Asks { directory, links: BTreeMap::new(), dials, gathered: now, viewed: None });
+    }
+
+    /// This instance's part of the directory of copies; none: it takes none.
+    pub fn directory(&self) -> Option<&Directory> {
+        self.asks.as_ref().map(|a| &a.directory)
+    }
+
+    /// Links that are open for the directory alone, from here and from peers.
+    pub fn ask_links(&self) -> usize {
+        self.asks.as_ref().map_or(0, |a| a.links.len())
+    }
+
+    /// The scheduler here has an RPC of a function: a copy of it is asked for where none is known. Nothing waits for it.
+    pub fn wanted(&mut self, now: Time, out: &mut impl Outside, function: FunctionId) {
+        let Some(asks) = &mut self.asks else { return };
+        for s in asks.directory.wanted(now, function) {
+            out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
+        }
+        self.send_parcels(now, out, true);
+    }
+
+    /// Whether a neighbour on the rings takes no part: it is told as before.
+    pub(super) fn has_strangers(&self) -> bool {
+        self.links.values().any(|l| l.peer.is_some() && !l.takes)
+    }
+
+    // What peers say.
+
+    /// A peer takes part; `only`: it has opened the link for nothing else.
+    pub fn takes_part(&mut self, now: Time, out: &mut impl Outside, link: LinkId, only: bool) {
+        let Some(asks) = &mut self.asks else { return };
+        if let Some(l) = asks.links.get_mut(&link) {
+            l.takes = true;
+            return;
+        }
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.takes = true;
+        if !only || l.peer.is_some() || !matches!(l.purpose, Purpose::Theirs) {
+            return;
+        }
+        let theirs = asks.links.values().filter(|l| l.to.is_none()).count();
+        if theirs >= ASK_LINKS_IN {
+            return self.refuse(out, link, "as many peers ask as are answered: try another");
+        }
+        self.links.remove(&link);
+        asks.links.insert(link, ask_link(now, None));
+    }
+
+    /// Whether a link is one for the directory alone; if so, who is at its other end has been taken.
+    pub(super) fn ask_joined(
+        &mut self, now: Time, out: &mut impl Outside, link: LinkId, id: MemberId, name: &str, address: &str,
+        standing: Standing,
+    ) -> bool {
+        if !self.asks.as_ref().is_some_and(|a| a.links.contains_key(&link)) {
+            return false;
+        }
+        if !self.learn(now, out, Some(link), id, name, address, standing) {
+            return true;
+        }
+        let Some(asks) = &mut self.asks else { return true };
+        let Some(l) = asks.links.get_mut(&link) else { return true };
+        (l.peer, l.used) = (Some(id), now);
+        let (other, takes) = (l.to.filter(|to| *to != id), l.takes);
+        if !takes {
+            // An earlier release, or a configuration without it: it would not answer.
+            asks.directory.stranger(id);
+            asks.viewed = None;
+        }
+        // Where another run answers, the one that was looked for is not there any more.
+        other.into_iter().for_each(|to| asks.directory.missed(now, to));
+        if !takes || other.is_some() {
+            asks.links.remove(&link);
+            out.close(link);
+        }
+        self.send_parcels(now, out, true);
+        true
+    }
+
+    /// A neighbour has said who it is without saying that it takes part.
+    pub(super) fn stranger(&mut self, id: MemberId) {
+        if let Some(asks) = &mut self.asks {
+            if asks.directory.stranger(id) {
+                asks.viewed = None;
+            }
+        }
+    }
+
+    /// Who speaks on a link, and how many of `n` rows are read of it; none: it is not known, or what lies in the link may
+    /// be old, for this instance stood still.
+    ///
+    /// Guards against rows that lay in a socket and look young by the age they tell. Harms for the time of a beat.
+    fn speaker(&mut self, now: Time, link: LinkId, n: usize) -> Option<(MemberId, usize)> {
+        let asks = self.asks.as_mut()?;
+        if now - self.ticked >= STALL {
+            return None;
+        }
+        let (peer, meter) = if let Some(l) = asks.links.get_mut(&link) {
+            l.used = now;
+            (l.peer?, &mut l.intake)
+        } else {
+            let l = self.links.get_mut(&link).filter(|l| l.takes)?;
+            l.heard = now;
+            if self.woke.is_some() && !l.answered {
+                return None;
+            }
+            (l.peer?, &mut l.intake)
+        };
+        let may = meter.take(now, INTAKE, n);
+        if may < n {
+            asks.directory.passed_over(n - may);
+        }
+        Some((peer, may))
+    }
+
+    /// A peer asks for what is known of functions.
+    pub fn copies_asked(
+        &mut self, now: Time, out: &mut impl Outside, link: LinkId, mut functions: Vec<FunctionId>,
+    ) {
+        let Some((peer, may)) = self.speaker(now, link, functions.len()) else { return };
+        functions.truncate(may);
+        if let Some(asks) = &mut self.asks {
+            asks.directory.asked(now, peer, &functions);
+        }
+        self.send_parcels(now, out, true);
+    }
+
+    /// A peer answers for some functions, and tells what it knows of them and of others that were asked for.
+    pub fn copies_told(
+        &mut self, now: Time, out: &mut impl Outside, link: LinkId, answered: Vec<FunctionId>,
+        mut rows: Vec<Seen>,
+    ) {
+        let Some((peer, may)) = self.speaker(now, link, rows.len()) else { return };
+        rows.truncate(may);
+        let Some(asks) = &mut self.asks else { return };
+        for s in asks.directory.told(now, peer, &answered, rows) {
+            out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
+        }
+        self.send_parcels(now, out, !answered.is_empty());
+    }
+
+    /// A peer tells what was seen of functions that are held here, or for which this instance is the contact.
+    pub fn copies_sighted(&mut self, now: Time, out: &mut impl Outside, link: LinkId, mut rows: Vec<Seen>) {
+        let Some((peer, may)) = self.speaker(now, link, rows.len()) else { return };
+        rows.truncate(may);
+        let Some(asks) = &mut self.asks else { return };
+        for s in asks.directory.sighted(now, peer, rows) {
+            out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
+        }
+        self.send_parcels(now, out, false);
+    }
+
+    // Links.
+
+    /// Tells that this instance takes part, before it tells who it is.
+    pub(super) fn tell_part(&mut self, out: &mut impl Outside, link: LinkId) {
+        let Some(asks) = &mut self.asks else { return };
+        let own = asks.links.get(&link).is_some_and(|l| l.to.is_some());
+        if own {
+            asks.directory.spent(JOIN + self.fleet.len() + self.name.len() + self.address.len());
+        }
+        out.directory(link, frames::part_frame(own));
+    }
+
+    /// A link for the directory alone has ended, or could not be opened; false: it is another.
+    pub(super) fn ask_link_down(&mut self, now: Time, link: LinkId) -> bool {
+        let Some(asks) = &mut self.asks else { return false };
+        let Some(l) = asks.links.remove(&link) else { return false };
+        match (l.to, l.peer) {
+            (_, Some(peer)) => asks.directory.lost(now, peer),
+            (Some(to), None) => asks.directory.missed(now, to),
+            (None, None) => {}
+        }
+        true
+    }
+
+    /// A link of the rings has ended: what was asked over it goes to another.
+    pub(super) fn ring_link_lost(&mut self, now: Time, peer: Option<MemberId>) {
+        if let (Some(asks), Some(peer)) = (&mut self.asks, peer) {
+            asks.directory.lost(now, peer);
+        }
+    }
+
+    /// This instance stood still: what lies in these links may be old, and goes with them.
+    pub(super) fn drop_ask_links(&mut self, out: &mut impl Outside) {
+        let Some(asks) = &mut self.asks else { return };
+        asks.directory.stood_still();
+        for link in std::mem::take(&mut asks.links).into_keys() {
+            out.close(link);
+        }
+    }
+
+    /// Looks at what time has changed.
+    pub(super) fn settle_asks(&mut self, now: Time, out: &mut impl Outside) {
+        let Some(asks) = &mut self.asks else { return };
+        if asks.viewed != Some(self.table.digest()) {
+            let table = &self.table;
+            asks.viewed = Some(table.digest());
+            asks.directory.forget_strangers(|m| table.get(m).is_some_and(|m| m.standing.lives()));
+            asks.directory.members(self.me, table.living().map(|(id, _)| id));
+        }
+        asks.directory.advance(now);
+        let over = |l: &AskLink| {
+            let idle = if l.to.is_some() { IDLE.0 } else { IDLE.1 };
+            now - l.used >= idle || (l.peer.is_none() && now - l.since >= SAID_BY)
+        };
+        let over: Vec<LinkId> = asks.links.iter().filter(|(_, l)| over(l)).map(|(id, _)| *id).collect();
+        for link in over {
+            out.close(link);
+            self.ask_link_down(now, link);
+        }
+        self.send_parcels(now, out, true);
+    }
+
+    /// Sends what the budget allows, and opens links to those for whom something waits. `urgent`: without waiting for
+    /// more.
+    pub(super) fn send_parcels(&mut self, now: Time, out: &mut impl Outside, urgent: bool) {
+        let Some(asks) = &mut self.asks else { return };
+        if self.left || asks.directory.is_idle() || (!urgent && now - asks.gathered < GATHER) {
+            return;
+        }
+        asks.gathered = now;
+        let of_rings = self.links.iter().filter(|(_, l)| l.takes).filter_map(|(id, l)| Some((l.peer?, *id)));
+        let alone = asks.links.iter().filter_map(|(id, l)| Some((l.peer?, *id)));
+        let linked: BTreeMap<MemberId, LinkId> = alone.chain(of_rings).collect();
+        let (parcels, unlinked) = asks.directory.parcels(now, |m| linked.contains_key(&m));
+        for (to, parcel) in parcels {
+            let link = linked[&to];
+            if let Some(l) = asks.links.get_mut(&link) {
+                l.used = now;
+            }
+            let mut send = |frame: Frame| {
+                asks.directory.spent(HEAD_BYTES + frame.head().len());
+                out.directory(link, frame);
+            };
+            if !parcel.asked.is_empty() {
+                send(frames::ask_frame(&parcel.asked));
+            }
+            if !parcel.answered.is_empty() || !parcel.copies.is_empty() {
+                send(frames::copies_frame(now, &parcel.answered, &parcel.copies));
+            }
+            if !parcel.sights.is_empty() {
+                send(frames::sights_frame(now, &parcel.sights));
+            }
+        }
+        unlinked.into_iter().for_each(|member| self.dial_to_ask(now, out, member));
+    }
+
+    fn dial_to_ask(&mut self, now: Time, out: &mut impl Outside, member: MemberId) {
+        let Some(asks) = &mut self.asks else { return };
+        let known = self.table.get(member).filter(|m| m.standing.lives()).map(|m| m.address.clone());
+        let dialling = asks.links.values().any(|l| l.to == Some(member));
+        let Some(address) = known.filter(|_| !dialling && !asks.directory.is_avoided(now, member)) else {
+            return;
+        };
+        let own = |l: &&AskLink| l.to.is_some();
+        if asks.links.values().filter(own).count() >= ASK_LINKS {
+            let idle = |l: &AskLink| l.to.is_some() && now - l.used >= ROOM;
+            let longest = asks.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| l.used);
+            let Some(link) = longest.map(|(id, _)| *id) else { return };
+            asks.links.remove(&link);
+            out.close(link);
+        }
+        if !asks.directory.may_send(now) || asks.dials.take(now, DIALS, 1) == 0 {
+            return;
+        }
+        self.next_link += 1;
+        let link = LinkId(self.next_link);
+        asks.links.insert(link, ask_link(now, Some(member)));
+        out.dial(link, &address);
+    }
+}
--- a/crates/curlewpoint-fleet/src/fleet/beats.rs
+++ b/crates/curlewpoint-fleet/src/fleet/beats.rs
@@ -71,6 +71,7 @@
         let peers = self.links.values().any(|l| l.peer.is_some());
         self.woke = (peers || self.watching).then_some(now);
         self.links.values_mut().for_each(|l| (l.heard, l.answered) = (now, false));
+        self.drop_ask_links(out);
         let all: Vec<LinkId> = self.links.keys().copied().collect();
         for link in all {
             self.beat(now, out, link, true);
--- a/crates/curlewpoint-fleet/src/fleet/links.rs
+++ b/crates/curlewpoint-fleet/src/fleet/links.rs
@@ -5,6 +5,9 @@
 impl Fleet {
     /// A link that was opened from here is up.
     pub fn link_up(&mut self, now: Time, out: &mut impl Outside, link: LinkId) {
+        if self.asks.as_ref().is_some_and(|a| a.links.contains_key(&link)) {
+            return self.join(out, link);
+        }
         let Some(l) = self.links.get_mut(&link) else { return out.close(link) };
         (l.up, l.heard, l.since) = (true, now, now);
         self.join(out, link);
@@ -23,6 +26,7 @@
     }
 
     pub(super) fn join(&mut self, out: &mut impl Outside, link: LinkId) {
+        self.tell_part(out, link);
         if let Some(me) = self.table.get(self.me) {
             out.join(link, &self.fleet, self.me, me, self.table.len() as u64);
         }
@@ -30,8 +34,12 @@
 
     /// A link has ended, or could not be opened.
     pub fn link_down(&mut self, now: Time, out: &mut impl Outside, link: LinkId) {
+        if self.ask_link_down(now, link) {
+            return;
+        }
         self.book.broke(link.0);
         let Some(l) = self.links.remove(&link) else { return };
+        self.ring_link_lost(now, l.peer);
         if matches!(l.purpose, Purpose::Meet) && l.peer.is_none() {
             self.introduced += 1;
         }
@@ -115,6 +123,7 @@
         out.log(&format!("fleet: a peer is refused: {why}"));
         self.book.broke(link.0);
         self.links.remove(&link);
+        self.asks.as_mut().and_then(|a| a.links.remove(&link));
         out.refuse(link, why);
     }
 
--- a/crates/curlewpoint-fleet/src/fleet/records.rs
+++ b/crates/curlewpoint-fleet/src/fleet/records.rs
@@ -17,11 +17,18 @@
         if id == self.me {
             // A peer to begin with that is this instance itself.
             self.links.remove(&link);
+            self.ask_link_down(now, link);
             return out.close(link);
         }
+        if self.ask_joined(now, out, link, id, name, address, standing) {
+            return;
+        }
         if !self.learn(now, out, Some(link), id, name, address, standing) {
             return;
         }
+        if self.links.get(&link).is_some_and(|l| !l.takes) {
+            self.stranger(id);
+        }
         let Some(l) = self.links.get_mut(&link) else { return };
         (l.peer, l.heard) = (Some(id), now);
         self.introduced += usize::from(matches!(l.purpose, Purpose::Meet));
--- a/crates/curlewpoint-fleet/src/fleet/sights.rs
+++ b/crates/curlewpoint-fleet/src/fleet/sights.rs
@@ -11,8 +11,14 @@
         if !self.bounds.hinted {
             return;
         }
-        if let Some(seen) = self.hints.saw(now, self.me.run, worker, function, hint, held) {
-            self.spread_hints(now, out, None, &[seen]);
+        if self.asks.is_none() || self.has_strangers() {
+            if let Some(seen) = self.hints.saw(now, self.me.run, worker, function, hint, held) {
+                self.spread_hints(now, out, None, &[seen]);
+            }
+        }
+        if let Some(asks) = &mut self.asks {
+            asks.directory.saw(now, worker, function, hint, held);
+            self.send_parcels(now, out, false);
         }
     }
 
--- a/crates/curlewpoint-fleet/src/frames.rs
+++ b/crates/curlewpoint-fleet/src/frames.rs
@@ -5,6 +5,7 @@
 use curlewpoint_wire::{Field, Frame, Kind, WireError};
 
 use crate::book::Entry;
+use crate::directory::frames as directory;
 use crate::fleet::Fleet;
 use crate::hints::Seen;
 use crate::members::{InstanceId, Member, MemberId, Run, Standing};
@@ -15,9 +16,9 @@
 /// What a list says of a worker, by its number on the wire.
 const STANDINGS: [Ready; 3] = [Ready::Ready, Ready::Draining, Ready::Gone];
 /// What a row of hints tells, by its number on the wire.
-const HINTS: [Hint; 4] = [Hint::Gone, Hint::Full, Hint::Loading, Hint::Warm];
+pub(crate) const HINTS: [Hint; 4] = [Hint::Gone, Hint::Full, Hint::Loading, Hint::Warm];
 
-fn code<T: Copy + PartialEq>(all: &[T], of: T) -> u64 {
+pub(crate) fn code<T: Copy + PartialEq>(all: &[T], of: T) -> u64 {
     all.iter().position(|x| *x == of).map_or(0, |no| no as u64)
 }
 
@@ -182,6 +183,9 @@
         }
         Kind::WATCH => fleet.list_asked(now, out, link, held(f)?),
         Kind::HINTS => fleet.hinted(now, out, link, read_hints(now, f)?),
+        Kind::DIRECTORY | Kind::ASK | Kind::COPIES | Kind::SIGHTS => {
+            return directory::read(fleet, now, out, link, f);
+        }
         _ => return read_list(fleet, now, out, Some(link), f),
     }
     Ok(true)
--- a/crates/curlewpoint-fleet/src/lib.rs
+++ b/crates/curlewpoint-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`observed`]: who looks after whom, on a few rings that every instance reckons alike.
 //! - [`Number`]: how many instances to act on while nobody knows for sure.
 //! - [`Hints`]: what any instance has seen of functions at workers; bounded, never waited for, soon forgotten.
+//! - [`Directory`]: the same held by few for each function and asked for, within a budget of bytes a second.
 //! - [`Book`]: the newest list of workers, as it goes from peer to peer.
 //! - [`frames`]: what peers say to each other, as bytes.
 //!
@@ -13,6 +14,7 @@
 //! any. `docs/fleet.md` says of each state who may be wrong about it and what is safe meanwhile.
 
 mod book;
+mod directory;
 mod fleet;
 pub mod frames;
 mod hints;
@@ -22,6 +24,7 @@
 mod rings;
 
 pub use book::{Book, Entry, Source, Taken};
+pub use directory::{frames as directory_frames, Counts, Directory, Terms};
 pub use fleet::Fleet;
 pub use hints::{Hints, Seen};
 pub use members::{InstanceId, Member, MemberId, Refused, Run, Standing, Table};
--- a/crates/curlewpoint-fleet/tests/common/mod.rs
+++ b/crates/curlewpoint-fleet/tests/common/mod.rs
@@ -6,7 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use curlewpoint::types::{FunctionId, Hint, Standing as Ready, Time, WorkerId};
-use curlewpoint_fleet::{Bounds, Entry, Fleet, LinkId, Member, MemberId, Outside, Run, Seen, Standing};
+use curlewpoint_fleet::{
+    directory_frames, Bounds, Entry, Fleet, LinkId, Member, MemberId, Outside, Run, Seen, Standing,
+};
+use curlewpoint_wire::{Frame, Kind, HEAD_BYTES};
 use oorandom::Rand64;
 
 type Say = Box<dyn FnOnce(&mut Fleet, Time, &mut Acts, LinkId)>;
@@ -32,6 +35,10 @@
     /// Members it knew when it got its first list, itself among them.
     pub known: usize,
     pub rows: usize,
+    /// Bytes of frames of the directory that it sent, by moment, and how many of each kind.
+    pub sent: Vec<(Time, usize)>,
+    pub kinds: BTreeMap<Kind, usize>,
+    now: Time,
 }
 
 impl Acts {
@@ -102,6 +109,16 @@
             f.hinted(now, out, l, all);
         });
     }
+    fn directory(&mut self, link: LinkId, frame: Frame) {
+        self.sent.push((self.now, HEAD_BYTES + frame.head().len()));
+        *self.kinds.entry(frame.kind).or_default() += 1;
+        self.say(link, move |f, now, out, l| {
+            if directory_frames::read(f, now, out, l, &frame).is_err() {
+                out.refuse(l, "spoilt");
+                f.link_down(now, out, l);
+            }
+        });
+    }
     fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, _: Time) {
         self.hints.push((worker, function, hint, held));
     }
@@ -154,6 +171,8 @@
     pub service_dials: Vec<Time>,
     pub worst_sum: f64,
     pub records: u64,
+    /// Bytes a second for the directory of copies, for those that start from here on.
+    pub directory: Option<u64>,
 }
 
 pub const MS: u64 = 10;
@@ -183,6 +202,7 @@
             service_dials: Vec::new(),
             worst_sum: 0.0,
             records: 0,
+            directory: None,
         }
     }
 
@@ -200,7 +220,7 @@
         let id = self.next;
         let peers = peers.iter().map(|p| format!("a{p}")).collect();
         let seed = u128::from(self.rng.rand_u64());
-        let fleet = Fleet::start(
+        let mut fleet = Fleet::start(
             self.now,
             "f",
             (&format!("n{name}"), Run(self.rng.rand_u64())),
@@ -210,6 +230,7 @@
             self.bounds,
             seed,
         );
+        self.directory.into_iter().for_each(|bytes| fleet.keep_directory(self.now, bytes));
         let (acts, paused_until, links) = (Acts::default(), Time(0), BTreeMap::new());
         let node = Node {
             fleet,
@@ -261,6 +282,7 @@
     fn call(&mut self, id: u64, what: impl FnOnce(&mut Fleet, Time, &mut Acts)) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else { return };
+        node.acts.now = now;
         what(&mut node.fleet, now, &mut node.acts);
         if node.acts.list.is_some() && node.acts.known == 0 {
             node.acts.known = node.fleet.table().len();
@@ -318,6 +340,27 @@
         self.call(id, |f, now, out| f.saw(now, out, worker, function, hint, 0));
     }
 
+    /// An instance's scheduler has an RPC of a function.
+    pub fn wanted(&mut self, id: u64, function: FunctionId) {
+        self.call(id, |f, now, out| f.wanted(now, out, function));
+    }
+
+    /// A frame of the directory comes to `to` from `from`, as if that one had sent it on a link that is up between them.
+    pub fn forge(&mut self, from: u64, to: u64, frame: &Frame) {
+        let at = self.nodes[&to].links.iter().find(|(_, (peer, _))| *peer == from).map(|(l, _)| *l);
+        let link = at.expect("a link is up between them");
+        self.call(to, |f, now, out| {
+            if directory_frames::read(f, now, out, link, frame).is_err() {
+                out.refuse(link, "spoilt");
+                f.link_down(now, out, link);
+            }
+        });
+    }
+
+    pub fn linked(&self, a: u64, b: u64) -> bool {
+        self.nodes[&a].links.values().any(|(peer, _)| *peer == b)
+    }
+
     /// The service's change of the list, told to all that watch.
     pub fn change(&mut self) {
         self.version.1 += 1;
--- /dev/null
+++ b/crates/curlewpoint-fleet/tests/directory.rs
@@ -0,0 +1,513 @@
+//! The directory of copies: short stories of what is told to whom, one for each failure, and what never grows.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::Net;
+use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
+use curlewpoint_fleet::{directory_frames, MemberId, Run, Seen};
+use curlewpoint_wire::{Field, Frame, Kind};
+use test_case::test_case;
+
+const W: WorkerId = WorkerId(1);
+const F: FunctionId = FunctionId(9);
+const BUDGET: u64 = 3_000;
+
+/// So many, all with the directory, who know each other.
+fn fleet(seed: u64, n: usize) -> (Net, Vec<u64>) {
+    let mut net = Net::new(seed, n as u64);
+    net.directory = Some(BUDGET);
+    let ids = (0..n).map(|name| net.start(name, &[0, 1, 2])).collect();
+    net.run(8_000);
+    assert!(net.alike());
+    (net, ids)
+}
+
+fn member(net: &Net, id: u64) -> MemberId {
+    net.nodes[&id].fleet.me()
+}
+
+/// Who holds a function, as one of its column says.
+fn holders(net: &Net, function: FunctionId) -> Vec<u64> {
+    let by_member: BTreeMap<MemberId, u64> = net.nodes.iter().map(|(id, n)| (n.fleet.me(), *id)).collect();
+    let all: BTreeSet<Vec<MemberId>> =
+        net.nodes.values().filter_map(|n| n.fleet.directory()?.holders(function)).collect();
+    assert_eq!(all.len(), 1, "all of the column reckon alike");
+    all.into_iter().flatten().map(|m| by_member[&m]).collect()
+}
+
+/// Those who neither hold a function nor are of its column.
+fn outsiders(net: &Net, function: FunctionId) -> Vec<u64> {
+    let out = |n: &&u64| net.nodes[n].fleet.directory().is_some_and(|d| d.holders(function).is_none());
+    net.nodes.keys().filter(out).copied().collect()
+}
+
+fn hints(net: &Net, id: u64) -> &[(WorkerId, FunctionId, Hint, u64)] {
+    &net.nodes[&id].acts.hints
+}
+
+fn knows(net: &Net, id: u64, hint: Hint) -> bool {
+    hints(net, id).iter().any(|h| (h.0, h.1, h.2) == (W, F, hint))
+}
+
+/// The most bytes that any instance sent for the directory in any second.
+fn worst_second(net: &Net) -> usize {
+    let of = |sent: &Vec<(Time, usize)>| {
+        let within = |from: Time| {
+            sent.iter()
+                .filter(|(at, _)| *at >= from && *at < from + Time(10_000))
+                .map(|(_, n)| n)
+                .sum::<usize>()
+        };
+        sent.iter().map(|(at, _)| within(*at)).max().unwrap_or(0)
+    };
+    net.nodes.values().map(|n| of(&n.acts.sent)).max().unwrap_or(0)
+}
+
+/// What a second may bring: the rate, what had been saved up, and one more frame to each of a few.
+const MOST: usize = 2 * BUDGET as usize + 1_500;
+
+fn forget_figures(net: &mut Net) {
+    for n in net.nodes.values_mut() {
+        n.acts.sent.clear();
+        n.acts.hints.clear();
+        n.acts.kinds.clear();
+    }
+}
+
+#[test_case(3 ; "three, who all hold everything")]
+#[test_case(12 ; "twelve in one column")]
+#[test_case(60 ; "sixty in four columns")]
+#[test_case(150 ; "a hundred and fifty in sixteen")]
+fn whoever_asks_is_told_and_hears_of_changes(n: usize) {
+    let (mut net, ids) = fleet(1, n);
+    let (seer, asker) = (ids[n / 2], ids[n - 1]);
+    net.saw(seer, W, F, Hint::Loading);
+    net.run(2_500);
+    net.wanted(asker, F);
+    net.run(700);
+    assert!(knows(&net, asker, Hint::Loading));
+    net.saw(seer, W, F, Hint::Warm);
+    net.run(700);
+    assert!(knows(&net, asker, Hint::Warm), "without another question");
+    let uninterested = ids.iter().filter(|id| **id != asker).all(|id| hints(&net, *id).is_empty());
+    assert!(uninterested, "nobody else is bothered");
+    assert_eq!(holders(&net, F).len(), n.min(3));
+}
+
+/// The way of a question, where links are up: it does not wait for the ticks.
+#[test]
+fn an_answer_comes_within_a_few_ways() {
+    let (mut net, ids) = fleet(2, 60);
+    net.saw(ids[3], W, F, Hint::Warm);
+    net.run(2_500);
+    let asker = *outsiders(&net, F).iter().find(|id| **id != ids[3]).expect("there are some");
+    // Another function of the column opens the link.
+    let other = (10..).map(FunctionId).find(|f| {
+        let d = net.nodes[&asker].fleet.directory().expect("it takes part");
+        d.towards(*f) == d.towards(F)
+    });
+    net.wanted(asker, other.expect("there are many"));
+    net.run(1_000);
+    net.wanted(asker, F);
+    net.run(30);
+    assert!(knows(&net, asker, Hint::Warm), "{:?}", net.nodes[&asker].fleet.directory().map(|d| d.counts()));
+}
+
+#[test]
+fn a_question_is_one_at_a_time_and_not_asked_again_while_the_answer_holds() {
+    let (mut net, ids) = fleet(3, 12);
+    net.saw(ids[0], W, F, Hint::Warm);
+    net.run(1_000);
+    let asker = *ids[1..].iter().find(|id| !holders(&net, F).contains(id)).expect("some do not hold it");
+    forget_figures(&mut net);
+    (0..100).for_each(|_| net.wanted(asker, F));
+    net.run(300);
+    (0..100).for_each(|_| net.wanted(asker, F));
+    net.run(4_000);
+    (0..100).for_each(|_| net.wanted(asker, F));
+    net.run(300);
+    assert_eq!(net.nodes[&asker].acts.kinds.get(&Kind::ASK), Some(&1));
+    let d = net.nodes[&asker].fleet.directory().expect("it takes part");
+    assert_eq!((d.counts().questions, d.counts().answers, d.open_questions()), (1, 1, 0));
+}
+
+#[test]
+fn a_holder_that_dies_while_it_is_asked_is_passed_over() {
+    let (mut net, ids) = fleet(4, 12);
+    net.saw(ids[0], W, F, Hint::Warm);
+    net.run(1_000);
+    let held = holders(&net, F);
+    let asker = *ids[1..].iter().find(|id| !held.contains(id)).expect("some do not hold it");
+    let first = net.nodes[&asker].fleet.directory().expect("it takes part").towards(F)[0];
+    let first = *held.iter().find(|h| member(&net, **h) == first).expect("a holder");
+    net.wanted(asker, F);
+    net.kill(first);
+    net.run(1_500);
+    assert!(knows(&net, asker, Hint::Warm), "another was asked");
+}
+
+/// One that says nothing though its links stand is not waited for, and not asked first for a while.
+#[test]
+fn a_holder_that_stands_still_is_passed_over() {
+    let (mut net, ids) = fleet(5, 12);
+    net.saw(ids[0], W, F, Hint::Warm);
+    net.run(1_000);
+    let held = holders(&net, F);
+    let asker = *ids[1..].iter().find(|id| !held.contains(id)).expect("some do not hold it");
+    let first = net.nodes[&asker].fleet.directory().expect("it takes part").towards(F)[0];
+    let first = *held.iter().find(|h| member(&net, **h) == first).expect("a holder");
+    net.pause(first, 4_000);
+    net.wanted(asker, F);
+    net.run(2_500);
+    assert!(knows(&net, asker, Hint::Warm));
+    assert!(net.nodes[&asker].fleet.directory().expect("it takes part").counts().unanswered <= 2);
+}
+
+/// It comes back with what it held before, and with what lay in its sockets meanwhile: a copy that is gone is not told as
+/// one that stands, whichever holder is asked.
+#[test]
+fn a_holder_that_stood_still_returns_with_old_knowledge() {
+    let (mut net, ids) = fleet(6, 12);
+    let held = holders(&net, F);
+    let seer = *ids.iter().find(|id| !held.contains(id)).expect("nine do not hold it");
+    net.saw(seer, W, F, Hint::Warm);
+    net.run(1_000);
+    let stopped = held[0];
+    net.pause(stopped, 3_000);
+    net.run(500);
+    // What is told meanwhile lies before it, and reads young when it wakes.
+    net.saw(seer, W, F, Hint::Loading);
+    net.run(600);
+    net.saw(seer, W, F, Hint::Gone);
+    net.run(3_500);
+    for asker in ids.iter().filter(|id| !held.contains(id) && **id != seer) {
+        net.wanted(*asker, F);
+        net.run(200);
+    }
+    net.run(2_000);
+    for asker in ids.iter().filter(|id| !held.contains(id) && **id != seer) {
+        let last = hints(&net, *asker).iter().rev().find(|h| (h.0, h.1) == (W, F));
+        assert!(last.is_none_or(|h| h.2 == Hint::Gone), "{last:?}");
+    }
+}
+
+/// While members change two views name other holders: whoever asks is told as soon as what is seen is told again.
+#[test]
+fn two_views_of_who_holds_it_while_members_change() {
+    let (mut net, ids) = fleet(7, 40);
+    let seer = ids[20];
+    net.saw(seer, W, F, Hint::Warm);
+    net.run(1_000);
+    for holder in holders(&net, F).into_iter().filter(|h| *h != seer) {
+        net.kill(holder);
+    }
+    for name in 40..60 {
+        net.start(name, &[0, 1, 2]);
+    }
+    // Nobody has seen yet who died; whoever asks may be told nothing, and nothing waits.
+    net.run(300);
+    let asker = *net.nodes.keys().rev().find(|id| **id != seer).expect("many live");
+    net.wanted(asker, F);
+    for _ in 0..8 {
+        net.run(1_000);
+        net.saw(seer, W, F, Hint::Warm);
+        net.wanted(asker, F);
+    }
+    assert!(net.alike());
+    assert!(knows(&net, asker, Hint::Warm));
+    assert!(worst_second(&net) <= MOST, "{}", worst_second(&net));
+}
+
+/// Each half goes on by itself; after the cut nothing is caught up at once.
+#[test]
+fn a_cut_and_its_end_bring_no_burst_over_the_budget() {
+    let (mut net, ids) = fleet(8, 60);
+    let busy = |net: &mut Net, seconds: usize| {
+        for s in 0..seconds {
+            for (no, id) in ids.iter().enumerate() {
+                for k in 0..10 {
+                    let f = FunctionId(((no * 7 + k * 13 + s) % 200) as u64);
+                    net.wanted(*id, f);
+                    net.saw(*id, WorkerId((no % 30) as u64), f, Hint::Warm);
+                }
+            }
+            net.run(1_000);
+        }
+    };
+    busy(&mut net, 3);
+    let (left, right): (Vec<usize>, Vec<usize>) = ((0..30).collect(), (30..60).collect());
+    net.cut_apart(&left, &right);
+    busy(&mut net, 6);
+    net.cut.clear();
+    busy(&mut net, 12);
+    assert!(worst_second(&net) <= MOST, "{}", worst_second(&net));
+    assert_eq!(net.counts(), BTreeSet::from([60]), "and both are one again");
+    net.saw(ids[4], W, F, Hint::Loading);
+    net.run(2_000);
+    net.wanted(ids[50], F);
+    net.run(1_000);
+    assert!(knows(&net, ids[50], Hint::Loading));
+}
+
+/// All have RPCs of one function in the same second, and all see copies of it.
+#[test]
+fn a_function_suddenly_called_everywhere_floods_no_holder() {
+    let (mut net, ids) = fleet(9, 150);
+    net.saw(ids[0], W, F, Hint::Loading);
+    net.run(2_500);
+    forget_figures(&mut net);
+    for round in 0..5_u64 {
+        for (no, id) in ids.iter().enumerate() {
+            net.wanted(*id, F);
+            net.saw(*id, WorkerId(no as u64 % 20 + round), F, Hint::Warm);
+        }
+        net.run(1_000);
+    }
+    assert!(worst_second(&net) <= MOST, "{}", worst_second(&net));
+    let told = ids.iter().filter(|id| hints(&net, **id).iter().any(|h| h.1 == F)).count();
+    assert!(told >= 140, "{told} of 150 were told of it");
+    for id in &ids {
+        let d = net.nodes[id].fleet.directory().expect("it takes part");
+        assert!(d.len() <= 64 && d.subscribers() <= 128, "{} rows, {} subscribers", d.len(), d.subscribers());
+    }
+}
+
+#[test]
+fn a_newcomer_that_knows_nothing_is_told_when_it_asks_and_holds_what_is_told_from_then_on() {
+    let (mut net, ids) = fleet(10, 30);
+    net.saw(ids[3], W, F, Hint::Warm);
+    net.run(2_500);
+    let new = net.start(30, &[0, 1, 2]);
+    // It serves from its first moment: what it wants is asked for when there is somebody to ask.
+    net.wanted(new, F);
+    net.run(1_000);
+    net.wanted(new, F);
+    net.run(2_500);
+    net.wanted(new, F);
+    net.run(700);
+    assert!(knows(&net, new, Hint::Warm));
+}
+
+#[test]
+fn all_that_start_at_once_stay_within_the_budget() {
+    let mut net = Net::new(11, 100);
+    net.directory = Some(BUDGET);
+    let ids: Vec<u64> = (0..100).map(|name| net.start(name, &[0, 1, 2])).collect();
+    for round in 0..60_u64 {
+        for (no, id) in ids.iter().enumerate() {
+            let f = FunctionId((no as u64 + round) % 300);
+            net.wanted(*id, f);
+            net.saw(*id, WorkerId(no as u64 % 30), f, Hint::Loading);
+        }
+        net.run(100);
+    }
+    assert!(worst_second(&net) <= MOST, "{}", worst_second(&net));
+    assert!(net.alike());
+}
+
+/// What one instance sends for the same work is the same, however many there are.
+#[test]
+fn what_one_sends_does_not_grow_with_their_number() {
+    let mean = |n: usize| {
+        let (mut net, ids) = fleet(12, n);
+        let work = |net: &mut Net, seconds: u64| {
+            for s in 0..seconds {
+                for (no, id) in ids.iter().enumerate() {
+                    // In step with the fleet: functions and workers grow as it does, each sees one new thing a second.
+                    let f = FunctionId((no as u64 * 31 + s * 7) % (20 * n as u64));
+                    net.wanted(*id, f);
+                    net.saw(*id, WorkerId((no as u64 * 17 + s) % (2 * n as u64)), f, Hint::Loading);
+                }
+                net.run(1_000);
+            }
+        };
+        work(&mut net, 10);
+        forget_figures(&mut net);
+        work(&mut net, 10);
+        let all: usize = net.nodes.values().flat_map(|node| node.acts.sent.iter().map(|(_, b)| b)).sum();
+        all as f64 / n as f64 / 10.0
+    };
+    let (few, many) = (mean(30), mean(180));
+    assert!(many <= 1.6 * few && many < BUDGET as f64, "{few:.0} bytes a second with 30, {many:.0} with 180");
+}
+
+fn row(worker: u64, function: u64, age_ms: u64, no: u64, now: Time) -> Seen {
+    let at = now - Time(age_ms * 10);
+    let (worker, function) = (WorkerId(worker), FunctionId(function));
+    Seen { worker, function, hint: Hint::Warm, held: 0, at, run: Run(77), no }
+}
+
+#[test]
+fn a_peer_that_floods_is_read_so_much_and_no_more() {
+    let (mut net, ids) = fleet(13, 6);
+    let (to, from) =
+        (ids[0], *ids[1..].iter().find(|id| net.linked(ids[0], **id)).expect("it has neighbours"));
+    for second in 0..10_u64 {
+        for frame in 0..100 {
+            let no = |k: u64| 1 + k + frame * 500 + second * 50_000;
+            let rows: Vec<Seen> = (0..500).map(|k| row(no(k), no(k), 0, no(k), net.now)).collect();
+            let frame = directory_frames::sights_frame(net.now, &rows);
+            net.forge(from, to, &frame);
+        }
+        net.run(1_000);
+    }
+    let d = net.nodes[&to].fleet.directory().expect("it takes part");
+    assert!(d.len() <= 6_000, "{} rows of half a million", d.len());
+    assert!(d.counts().passed_over >= 490_000, "{:?}", d.counts());
+    assert!(worst_second(&net) <= MOST, "{}", worst_second(&net));
+    assert!(net.linked(from, to), "what it tells as a member is still heard");
+}
+
+/// Within what is read of one, a liar tells of copies that are not there: rows stay bounded, and what is seen later holds.
+#[test]
+fn one_that_lies_within_bounds_takes_no_room_from_what_is_seen_later() {
+    let (mut net, ids) = fleet(14, 6);
+    let held = holders(&net, F);
+    let to = held[0];
+    let from = *ids.iter().find(|id| **id != to && net.linked(to, **id)).expect("it has neighbours");
+    for second in 0..20_u64 {
+        let rows: Vec<Seen> =
+            (0..400).map(|k| row(1_000 + second * 400 + k, F.0, 0, 1 + second * 400 + k, net.now)).collect();
+        let frame = directory_frames::sights_frame(net.now, &rows);
+        net.forge(from, to, &frame);
+        net.run(200);
+    }
+    net.saw(ids[5], W, F, Hint::Warm);
+    net.run(1_500);
+    let d = net.nodes[&to].fleet.directory().expect("it takes part");
+    assert!(d.len() <= 64, "{} rows of one function", d.len());
+    let asker = *ids.iter().find(|id| !held.contains(id) && **id != ids[5]).expect("some do not hold it");
+    net.wanted(asker, F);
+    net.run(1_000);
+    assert!(knows(&net, asker, Hint::Warm), "the latest come first in an answer");
+}
+
+#[test_case(Frame::new(Kind::SIGHTS).ints(Field::ROWS, &[1, 2, 3]) ; "half a row")]
+#[test_case(Frame::new(Kind::SIGHTS).text(Field::ROWS, "rows") ; "rows that are a text")]
+#[test_case(Frame::new(Kind::COPIES).ints(Field::ROWS, &[0; 7 * 1_025]) ; "more rows than a frame holds")]
+#[test_case(Frame::new(Kind::ASK).ints(Field::FUNCTIONS, &[0; 1_025]) ; "more names than a frame holds")]
+#[test_case(Frame::new(Kind::DIRECTORY) ; "no word of what the link is for")]
+fn a_spoilt_frame_closes_that_link_alone(frame: Frame) {
+    let (mut net, ids) = fleet(15, 6);
+    let (to, from) =
+        (ids[0], *ids[1..].iter().find(|id| net.linked(ids[0], **id)).expect("it has neighbours"));
+    let others =
+        |net: &Net| ids.iter().filter(|id| **id != to && **id != from && net.linked(to, **id)).count();
+    let before = (net.nodes[&to].fleet.links(), others(&net));
+    net.forge(from, to, &frame);
+    assert_eq!((net.nodes[&to].fleet.links(), others(&net)), (before.0 - 1, before.1));
+    net.run(5_000);
+    assert!(net.linked(from, to) && net.alike(), "the link is opened anew, as nobody died");
+}
+
+#[test]
+fn hints_of_a_kind_that_is_not_known_yet_are_passed_over() {
+    let (mut net, ids) = fleet(16, 3);
+    let rows = [[1, F.0, 9, 0, 0, 5, 1], [2, F.0, 3, 0, 0, 5, 2]].concat();
+    let from = *ids[1..].iter().find(|id| net.linked(ids[0], **id)).expect("it has neighbours");
+    net.forge(from, ids[0], &Frame::new(Kind::SIGHTS).ints(Field::ROWS, &rows));
+    assert_eq!(net.nodes[&ids[0]].fleet.directory().map(|d| d.len()), Some(1));
+}
+
+/// For a release old and new run in one fleet: neighbours of an old one tell as before, and old ones are asked for nothing.
+#[test]
+fn a_new_one_among_old_ones_is_told_and_tells_as_before() {
+    let mut net = Net::new(17, 12);
+    let mut ids: Vec<u64> = (0..11).map(|name| net.start(name, &[0, 1, 2])).collect();
+    net.directory = Some(BUDGET);
+    let new = net.start(11, &[0, 1, 2]);
+    ids.push(new);
+    net.run(8_000);
+    net.saw(ids[4], W, F, Hint::Loading);
+    net.run(500);
+    assert!(knows(&net, new, Hint::Loading));
+    net.saw(new, W, F, Hint::Warm);
+    net.run(500);
+    assert!(ids[..11].iter().all(|id| knows(&net, *id, Hint::Warm)));
+    (0..50).for_each(|f| net.wanted(new, FunctionId(f)));
+    net.run(5_000);
+    assert!(net.alike());
+    assert_eq!(net.nodes[&new].fleet.ask_links(), 0, "nobody to ask");
+    assert_eq!(net.nodes[&new].acts.kinds.get(&Kind::ASK), None);
+}
+
+#[test]
+fn half_of_them_old_all_serve_and_the_new_ones_ask_each_other() {
+    let mut net = Net::new(18, 20);
+    let mut ids = Vec::new();
+    for name in 0..20 {
+        net.directory = (name % 2 == 0).then_some(BUDGET);
+        ids.push(net.start(name, &[0, 1, 2]));
+    }
+    net.run(8_000);
+    net.saw(ids[4], W, F, Hint::Warm);
+    net.saw(ids[5], WorkerId(2), F, Hint::Warm);
+    net.run(2_000);
+    let old = |no: &usize| no % 2 == 1 && *no != 5;
+    assert!((0..20).filter(old).all(|no| knows(&net, ids[no], Hint::Warm)), "round the rings");
+    for no in (0..20).filter(|no| no % 2 == 0 && *no != 4) {
+        net.wanted(ids[no], F);
+        net.run(300);
+    }
+    net.run(3_000);
+    assert!((0..20).filter(|no| no % 2 == 0 && *no != 4).all(|no| knows(&net, ids[no], Hint::Warm)));
+    assert!(net.alike());
+}
+
+/// Links for the directory alone are few, and go when nothing goes over them; nobody is judged by them.
+#[test]
+fn links_that_are_idle_are_closed() {
+    let (mut net, ids) = fleet(19, 60);
+    (0..200).for_each(|f| net.wanted(ids[7], FunctionId(f)));
+    net.run(5_000);
+    let open = net.nodes[&ids[7]].fleet.ask_links();
+    assert!((1..=30).contains(&open), "{open} links to ask 59 others by");
+    net.run(160_000);
+    let left: usize = ids.iter().map(|id| net.nodes[id].fleet.ask_links()).sum();
+    assert_eq!((left, net.counts()), (0, BTreeSet::from([60])));
+}
+
+#[test]
+fn one_that_keeps_out_of_it_holds_for_others_and_neither_tells_nor_asks() {
+    let mut net = Net::new(20, 3);
+    net.directory = Some(BUDGET);
+    let one = net.start(0, &[0, 1, 2]);
+    net.bounds.hinted = false;
+    let out_of_it = net.start(1, &[0, 1, 2]);
+    net.bounds.hinted = true;
+    let two = net.start(2, &[0, 1, 2]);
+    net.run(6_000);
+    net.saw(one, W, F, Hint::Warm);
+    net.saw(out_of_it, WorkerId(2), F, Hint::Warm);
+    net.wanted(out_of_it, F);
+    net.run(1_000);
+    net.wanted(two, F);
+    net.run(500);
+    assert_eq!(hints(&net, two), [(W, F, Hint::Warm, 0)]);
+    assert_eq!(hints(&net, out_of_it), []);
+    assert_eq!(net.nodes[&out_of_it].fleet.directory().map(|d| d.len()), Some(1));
+}
+
+/// Where more is to be told than the budget allows, answers and loads leave first and the same again last, and what was
+/// left out is counted.
+#[test]
+fn the_most_useful_leaves_first_and_what_is_left_out_is_counted() {
+    let mut net = Net::new(21, 3);
+    net.directory = Some(1_000);
+    let ids: Vec<u64> = (0..3).map(|name| net.start(name, &[0, 1, 2])).collect();
+    net.run(6_000);
+    let asker = ids[1];
+    net.wanted(asker, F);
+    net.run(500);
+    for f in 100..600 {
+        net.saw(ids[0], W, FunctionId(f), Hint::Warm);
+    }
+    net.saw(ids[0], W, F, Hint::Loading);
+    net.run(300);
+    assert!(knows(&net, asker, Hint::Loading), "it did not wait behind 500 copies");
+    net.run(5_000);
+    let counts = net.nodes[&ids[0]].fleet.directory().expect("it takes part").counts();
+    assert!(counts.left_out > 0 && counts.bytes <= 1_000 * 13, "{counts:?}");
+}
--- a/crates/curlewpoint-wire/src/frame.rs
+++ b/crates/curlewpoint-wire/src/frame.rs
@@ -49,6 +49,13 @@
     pub const TOLD: Kind = Kind(84);
     /// Between instances: what some have seen of functions at workers.
     pub const HINTS: Kind = Kind(85);
+    /// Between instances: the sender takes part in the directory of copies.
+    pub const DIRECTORY: Kind = Kind(86);
+    /// A question for what is known of functions; the answer, or changes of what was asked for; what was seen, for those
+    /// who hold it.
+    pub const ASK: Kind = Kind(87);
+    pub const COPIES: Kind = Kind(88);
+    pub const SIGHTS: Kind = Kind(89);
     /// On disk only: a snapshot begins.
     pub const SNAPSHOT: Kind = Kind(96);
 }
@@ -119,6 +126,10 @@
     pub const WALL: Field = Field(41);
     /// Whole numbers, some to a row.
     pub const ROWS: Field = Field(42);
+    /// Whether a link is for the directory of copies alone: 1.
+    pub const ONLY: Field = Field(43);
+    /// Functions by their ids.
+    pub const FUNCTIONS: Field = Field(44);
 }
 
 #[derive(Debug, Error, PartialEq)]
