Set the directory of copies by `directory` in the fleet block, and show it in `fleet status`

Cause: the daemon had no way to take part in it.

Change: `directory BYTES` (from 1KiB to 1MiB a second; absent: off, hints go round the rings as before). The engine tells its world of the function of each RPC that it takes (a method that does nothing unless it is written out: node, lab and simulator do not); the gateway asks for these where the directory is on. `fleet status` has a line: rows held, subscribers, links, questions, answers, bytes, what was left out and passed over.

Changed test: a_node_opens_no_socket_for_peers tells the node of a directory as well. New: what one sees is held by others and a process without the setting is told as before; node and drill are built without curlewpoint-fleet (read from Cargo.lock).

--- a/crates/curlewpoint-cli/tests/fleet.rs
+++ b/crates/curlewpoint-cli/tests/fleet.rs
@@ -170,6 +170,49 @@
     until_told(&again.peers, "\n1 hints");
 }
 
+/// With a directory of copies what is seen goes to those who hold it; one without it, as of an earlier release, is told
+/// and tells as before, and whoever holds a row may be killed.
+#[test]
+fn what_one_sees_at_a_worker_is_held_by_few_and_an_old_one_is_told_as_before() {
+    let folder = Folder::new("fleet-directory");
+    let store = stand(&["store", "127.0.0.1:0"]);
+    let script = folder.0.join("x.day");
+    std::fs::write(&script, "method m {\n  work 1ms\n  load 20ms\n}\n").expect("written");
+    let script = script.display().to_string();
+    let worker = stand(&["worker", "127.0.0.1:0", "--store", &store.1, "--script", &script]);
+    let list = stand(&["list", "127.0.0.1:0", "--worker", &format!("w-0={}", worker.1)]);
+    let one = folder.gateway_at("front-1", "records", "  directory 4KiB\n", &list.1);
+    let with = format!("  peers {}\n  directory 4KiB\n", one.peers);
+    let two = folder.gateway_at("front-2", "records", &with, &list.1);
+    let three = folder.gateway_at("front-3", "records", &with, &list.1);
+    for at in [&one, &two, &three] {
+        until_told(&at.peers, "3 live");
+        until_told(&at.peers, ": 1 workers");
+    }
+    let call = |at: &Gateway, model: &str| {
+        let told =
+            program().args(["call", &at.clients, "m", model, "--left", "2s"]).output().expect("it runs");
+        assert_eq!(told.status.code(), Some(0), "{}", String::from_utf8_lossy(&told.stderr));
+    };
+    call(&one, "births");
+    for at in [&one, &two, &three] {
+        until_told(&at.peers, "\ndirectory: 1 rows held");
+    }
+    assert!(status(&two.peers).1.contains("\n0 hints"), "nothing goes round the rings");
+    // One that holds it dies, and one comes that has no directory: all of them serve.
+    drop(three);
+    let old = folder.gateway_at("front-4", "records", &format!("  peers {}\n", one.peers), &list.1);
+    for at in [&one, &two, &old] {
+        until_told(&at.peers, "3 live");
+    }
+    until_told(&old.peers, ": 1 workers");
+    call(&old, "deaths");
+    until_told(&one.peers, "\n1 hints");
+    call(&two, "births");
+    until_told(&old.peers, "\n2 hints");
+    assert!(!status(&old.peers).1.contains("directory:"), "it knows nothing of one");
+}
+
 fn status(at: &str) -> (Option<i32>, String) {
     let out = program().args(["fleet", "status", at]).output().expect("it runs");
     (
@@ -268,6 +311,35 @@
     found
 }
 
+/// All that a package is built from, as the workspace's lock file tells.
+fn built_from(package: &str) -> std::collections::BTreeSet<String> {
+    let lock = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.lock");
+    let lock = std::fs::read_to_string(lock).expect("the lock file");
+    let of = |name: &str| -> Vec<String> {
+        let entry = lock.split("[[package]]").find(|e| e.contains(&format!("\nname = \"{name}\"\n")));
+        let lines = entry.unwrap_or("").lines().filter(|l| l.starts_with(" \""));
+        let word = |l: &str| l.trim_matches([' ', '"', ',']).split(' ').next().unwrap_or("").to_owned();
+        lines.map(word).collect()
+    };
+    let (mut all, mut next) = (std::collections::BTreeSet::new(), vec![package.to_owned()]);
+    while let Some(name) = next.pop() {
+        if all.insert(name.clone()) {
+            next.extend(of(&name));
+        }
+    }
+    all
+}
+
+/// Neither the platform's scheduler nor the bench's is built with any of it; the daemon is.
+#[test]
+fn node_and_drill_are_built_without_a_fleet() {
+    for package in ["curlewpoint-node", "curlewpoint-drill"] {
+        let all = built_from(package);
+        assert!(all.contains("curlewpoint") && !all.contains("curlewpoint-fleet"), "{package}: {all:?}");
+    }
+    assert!(built_from("curlewpoint-gateway").contains("curlewpoint-fleet"));
+}
+
 /// On the platform schedulers share nothing: a node listens for clients, asks its directory, and opens no socket beyond
 /// these, though its settings tell of many instances and of a fleet.
 #[test]
@@ -277,7 +349,9 @@
     let told = serde_json::json!({
         "name": "r-1", "listen": "127.0.0.1:0", "seed": "1f", "resolver": directory.local_addr().expect("bound"),
         "limits": {"memory_mb": 64, "sockets": 256},
-        "settings": {"instances": 300, "fleet": {"name": "f", "listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"]}},
+        "settings": {"instances": 300, "fleet": {
+            "name": "f", "listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"], "directory": 4096,
+        }},
     });
     let path = folder.0.join("told.json");
     std::fs::write(&path, told.to_string()).expect("written");
--- a/crates/curlewpoint-config/src/check.rs
+++ b/crates/curlewpoint-config/src/check.rs
@@ -273,6 +273,10 @@
                 fault(name, &format!("fleet: {name} must be from 1 to 1000000"));
             }
         }
+        let bytes = 1024.0..=1024.0 * 1024.0;
+        if has("directory") && !bytes.contains(&self.config.number("fleet", "directory")) {
+            fault("directory", "fleet: directory must be from 1KiB to 1MiB");
+        }
         self.faults.append(&mut faults);
     }
 
@@ -369,6 +373,9 @@
     #[test_case("tenant a {\nshare 60%\n}\ntenant b {\nshare 60%\n}", "add up to 120%" ; "shares over the whole")]
     #[test_case("include x", "include takes one file" ; "an include in memory")]
     #[test_case("log-level", "log-level needs a value" ; "no value")]
+    #[test_case("fleet {\nname f\nlisten 127.0.0.1:3\ndirectory 0B\n}", "directory must be from 1KiB to 1MiB" ; "a directory without bytes")]
+    #[test_case("fleet {\nname f\nlisten 127.0.0.1:3\ndirectory 2GiB\n}", "directory must be from 1KiB to 1MiB" ; "a directory without bounds")]
+    #[test_case("fleet {\nname f\nlisten 127.0.0.1:3\ndirectory 3000\n}", "not an amount of memory" ; "a directory without a unit")]
     fn a_fault_is_told_with_its_line(more: &str, want: &str) {
         let told = parse("t.conf", &format!("{GOOD}{more}\n")).unwrap_err();
         assert!(told.drawn.contains(want), "{}", told.drawn);
--- a/crates/curlewpoint-config/src/directives.rs
+++ b/crates/curlewpoint-config/src/directives.rs
@@ -274,6 +274,7 @@
             d("snapshot", Text, "", "", "A file that keeps list and addresses of instances for the next start; absent: there is none. Found from the configuration's folder."),
             d("snapshot-age", Time, "10min", "", "An older snapshot is not used."),
             d("hints", YesNo, "yes", "", "Whether this instance tells peers what it sees of functions at workers (copies, loads under way, refusals) and takes what they tell."),
+            d("directory", Memory, "", "", "Bytes a second that this instance sends at most for a directory of copies, from 1KiB to 1MiB: what is seen is told to few and asked for. Absent: it is told to all."),
             d("watchers", Number, "3", "", "Instances that watch the list for all."),
             d("most-instances", Number, "1000", "", "Instances that are known at a time; four times as many are remembered with those that ended."),
             d("most-links", Number, "512", "", "Links that peers may open to this instance."),
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -80,6 +80,8 @@
     fn worker_gone(&mut self, now: Time, worker: WorkerId);
     /// The module has seen this of a function at a worker; others may be told.
     fn seen(&mut self, _worker: WorkerId, _function: FunctionId, _hint: Hint, _held: u64) {}
+    /// An RPC of a function comes in; others may be asked what they know of it. Nothing waits for their answer.
+    fn wanted(&mut self, _function: FunctionId) {}
     /// An RPC has been taken: what it needs until it is forgotten is to be kept.
     fn taken(&mut self, rpc: RpcId);
     /// It has its answer and no attempt of it is open: nothing comes for it any more.
@@ -587,6 +589,7 @@
         desk.tags.insert(from, id);
         desk.figures.taken += 1;
         desk.world.taken(id);
+        desk.world.wanted(function);
         // The module has said nothing by then: half the slack is left for the answer's way.
         desk.wheel.set(deadline + Time(slack.0 / 2), Wake::Guard(id));
         self.module.rpc(now, id, method, function, tenant, left, lanes.unwrap_or(usual));
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use curlewpoint::types::{FunctionId, Hint, Outcome, RpcId, Time, WorkerId};
@@ -80,6 +80,8 @@
     pub releases: Releases,
     /// What the module has seen since the last look, for peers.
     pub seen: Vec<(WorkerId, FunctionId, Hint, u64)>,
+    /// Functions of RPCs that came in since then; none: nobody asks for them.
+    pub wanted: Option<BTreeSet<FunctionId>>,
     /// Which methods each RPC was taken under.
     under: BTreeMap<RpcId, Release>,
     pool: Pool<Frame>,
@@ -98,6 +100,7 @@
             list: None,
             releases,
             seen: Vec::new(),
+            wanted: None,
             under: BTreeMap::new(),
             pool,
             sockets,
@@ -259,6 +262,10 @@
         self.seen.push((worker, function, hint, held));
     }
 
+    fn wanted(&mut self, function: FunctionId) {
+        self.wanted.as_mut().map(|all| all.insert(function));
+    }
+
     fn taken(&mut self, rpc: RpcId) {
         let release = self.releases.taken();
         self.under.insert(rpc, release);
--- a/crates/curlewpoint-gateway/src/peers.rs
+++ b/crates/curlewpoint-gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Sockets between instances of a fleet, and the hands with which a [`Fleet`] acts. What is decided, it decides.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -253,6 +253,10 @@
         self.send(link, frames::hints_frame(self.now, seen));
     }
 
+    fn directory(&mut self, link: LinkId, frame: Frame) {
+        self.send(link, frame);
+    }
+
     fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time) {
         self.engine.hinted(self.now, worker, function, hint, held, age);
     }
@@ -290,6 +294,9 @@
         let (peers, told) = (config.all("fleet", "peers").to_vec(), config.number("", "instances") as u64);
         let fleet_name = fleet.to_owned();
         let mut fleet = Fleet::start(now, fleet, (name, this_run()), address, peers, told, limits, seed);
+        if config.value("fleet", "directory").is_some() {
+            fleet.keep_directory(now, config.number("fleet", "directory") as u64);
+        }
         let kept = config.value("fleet", "snapshot").map(|file| {
             let path = config.path(file);
             match snapshot::read(&path, &fleet_name, config.time("fleet", "snapshot-age"), now, &mut fleet) {
@@ -394,13 +401,19 @@
         self.call(now, engine, |me, hands| frames::read_list(me, now, hands, on, f)).map(drop)
     }
 
-    /// The module has seen something of functions at workers.
+    /// The module has seen something of functions at workers, and RPCs of functions came in.
     pub fn saw(
         &mut self, now: Time, engine: &mut Engine<Outside>, seen: Vec<(WorkerId, FunctionId, Hint, u64)>,
     ) {
         for (worker, function, hint, held) in seen {
             self.call(now, engine, |me, hands| me.saw(now, hands, worker, function, hint, held));
         }
+        if self.fleet.directory().is_none() {
+            return;
+        }
+        for function in engine.world().wanted.replace(BTreeSet::new()).into_iter().flatten() {
+            self.call(now, engine, |me, hands| me.wanted(now, hands, function));
+        }
     }
 
     pub fn service_up(&mut self, now: Time, engine: &mut Engine<Outside>) {
@@ -474,6 +487,23 @@
         let (epoch, version) = fleet.book().held().unwrap_or_default();
         let age = fleet.age(now).map_or("of unknown age".to_owned(), |a| format!("{:.0} ms old", a.ms()));
         let _ = writeln!(out, "{} hints of functions at workers", fleet.hints().len());
+        if let Some(d) = fleet.directory() {
+            let c = d.counts();
+            let _ = writeln!(
+                out,
+                "directory: {} rows held, {} subscribers, {} links, {} questions, {} answers, {} unanswered, \
+                 {} bytes sent, {} left out, {} passed over",
+                d.len(),
+                d.subscribers(),
+                fleet.ask_links(),
+                c.questions,
+                c.answers,
+                c.unanswered,
+                c.bytes,
+                c.left_out,
+                c.passed_over,
+            );
+        }
         let watching = if fleet.is_watching() { "watched from here" } else { "heard from peers" };
         let _ = writeln!(out, "list {epoch}.{version}: {} workers, {age}, {watching}", fleet.book().len());
         let watchers = fleet.watchers();
