--- a/crates/curlewpoint-fleet/src/lib.rs
+++ b/crates/curlewpoint-fleet/src/lib.rs
@@ -6,21 +6,28 @@
 //! - [`observed`]: who looks after whom, on a few rings that every instance reckons alike.
 //! - [`Number`]: how many instances to act on while nobody knows for sure.
 //! - [`Hints`]: what any instance has seen of functions at workers; bounded, never waited for, soon forgotten.
+//! - [`Directory`]: the same held by few for each function and asked for, within a budget of bytes a second.
 //! - [`Book`]: the newest list of workers, as it goes from peer to peer.
+//! - [`frames`]: what peers say to each other, as bytes.
 //!
 //! What a peer says is never above one's own evidence, and an instance without peers does what it did before there were
 //! any. `docs/fleet.md` says of each state who may be wrong about it and what is safe meanwhile.
 
 mod book;
+mod directory;
 mod fleet;
+pub mod frames;
 mod hints;
 mod members;
 mod number;
+mod outside;
 mod rings;
 
 pub use book::{Book, Entry, Source, Taken};
-pub use fleet::{Bounds, Fleet, LinkId, Outside};
+pub use directory::{frames as directory_frames, Counts, Directory, Terms};
+pub use fleet::Fleet;
 pub use hints::{Hints, Seen};
 pub use members::{InstanceId, Member, MemberId, Refused, Run, Standing, Table};
 pub use number::Number;
+pub use outside::{Bounds, LinkId, Outside};
 pub use rings::{observed, rank, RINGS, SALT_WATCH};
