Begin the scale rig: hollow schedulers in one process, and the step table

The plan for 3,400 schedulers needs a slope for each budget, and nothing could play more than some 200 processes. curlewpoint fleet scale runs many fleets, with the real state machines, encoder and decoder, over a made-up network of 5 regions and 16 zones, and the real module by workers and functions. It prints, for sizes in step with the plan, bytes by kind of frame, processor time of the thread inside state machine and frames, and each budget against what it meets.

Memory by resident size is not to be trusted yet: sizes share one process.

--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use clap::{Args, Subcommand, ValueEnum};
 use curlewpoint_link::{open, Bounds};
+use curlewpoint_rig::scale::{plan, steps, Table, LEAST_SIZE, MOST_SIZE};
 use curlewpoint_rig::{folder, run, Bound, Figures, Plan, Play, Program, PLAYS};
 use curlewpoint_wire::{Frame, Kind};
 use tokio::net::TcpStream;
@@ -29,6 +30,9 @@
     Play(PlayFleet),
     /// Names the plays that this program ships.
     Plays,
+    /// Hollow schedulers, many in this process: the real state machines and frames over a made-up network and time;
+    /// prints what each budget of the plan meets at each size.
+    Scale(Scale),
 }
 
 /// What a play is held against, on the same seed.
@@ -58,6 +62,41 @@
     keep: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct Scale {
+    /// Schedulers, with workers and functions in step; from 16 to 4000 each, rising.
+    #[arg(long, value_delimiter = ',', default_values_t = [300, 600, 1_000, 2_000, 3_400])]
+    sizes: Vec<usize>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+impl Scale {
+    fn check(&self) -> Result<(), String> {
+        if self.sizes.is_empty() {
+            return Err("--sizes: none is named".into());
+        }
+        if let Some(bad) = self.sizes.iter().find(|n| !(LEAST_SIZE..=MOST_SIZE).contains(n)) {
+            return Err(format!("--sizes: {bad} is not from {LEAST_SIZE} to {MOST_SIZE}"));
+        }
+        if let Some(pair) = self.sizes.windows(2).find(|p| p[0] >= p[1]) {
+            return Err(format!("--sizes: {} stands after {}; sizes rise", pair[1], pair[0]));
+        }
+        Ok(())
+    }
+
+    fn run(&self) -> u8 {
+        if let Err(why) = self.check() {
+            return fail(AT_FAULT, &why);
+        }
+        // Where all hear of all, an instance in thousands takes many rows a second.
+        let seen = |n: usize| if n <= 1_000 { plan::SEEN.to_vec() } else { plan::SEEN[..2].to_vec() };
+        let all = steps(self.seed, &self.sizes, seen, |step| print!("{}", step.draw()));
+        print!("\n{}", Table::of(&all).draw());
+        DONE
+    }
+}
+
 async fn status(address: &str) -> Result<Bytes, String> {
     let stream = TcpStream::connect(address).await.map_err(|e| format!("{address}: {e}"))?;
     let mut link = open(stream, "status", Bounds::default()).await.map_err(|e| format!("{address}: {e}"))?;
@@ -170,6 +209,7 @@
                 }
                 DONE
             }
+            What::Scale(what) => what.run(),
             What::Play(what) => {
                 let program = match std::env::current_exe() {
                     Ok(path) => Program(path),
--- a/crates/curlewpoint-rig/src/lib.rs
+++ b/crates/curlewpoint-rig/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! A [`Play`] tells the fleet, the load and the faults; one seed gives the same faults again. What is judged is what
 //! passed through the relays and at the far ends of them, which are the rig's own; no scheduler is asked about itself.
+//!
+//! [`scale`] is the other kind: hollow schedulers by the thousand in one process, without sockets.
 
 mod bound;
 mod figures;
@@ -11,6 +13,7 @@
 mod process;
 mod relay;
 mod run;
+pub mod scale;
 
 pub use bound::Bound;
 pub use figures::{Figures, WINDOW};
--- /dev/null
+++ b/crates/curlewpoint-rig/src/scale/fleet_part.rs
@@ -0,0 +1,231 @@
+//! What a scheduler spends as one of a fleet: steady, with hints, when one starts, when a list changes, when all start.
+
+use std::time::Duration;
+
+use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
+use curlewpoint_fleet::{Book, Source};
+use oorandom::Rand64;
+
+use crate::scale::plan;
+use crate::scale::tally::{resident, Tally};
+use crate::scale::world::{row_of, Spent, World};
+
+const SECOND: Time = Time(10_000);
+/// Lists as long as the plan has them are held up to this many instances; beyond it rows are left out, as the bytes of a
+/// list grow with its rows alone: 3,400 books of 8,500 rows are 10 GB.
+pub const WHOLE_LISTS: usize = 1_000;
+const FEW_ROWS: usize = 500;
+
+/// Rows of the list that the hollow instances hold.
+pub fn rows_held(n: usize) -> usize {
+    let rows = plan::workers(n);
+    if n <= WHOLE_LISTS {
+        rows
+    } else {
+        rows.min(FEW_ROWS)
+    }
+}
+
+/// What so many rows of a list take in memory, measured on ten books; none: the system does not tell.
+pub fn book_bytes(rows: usize) -> Option<f64> {
+    const BOOKS: usize = 10;
+    let before = resident()?;
+    let books: Vec<Book> = (0..BOOKS)
+        .map(|_| {
+            let mut book = Book::new(rows);
+            book.begins(0, 1, 1, None);
+            (0..rows).for_each(|no| {
+                let (name, entry) = row_of(no, 1);
+                book.row(0, &name, entry);
+            });
+            book.ends(0, Source::Service);
+            book
+        })
+        .collect();
+    let grown = resident()?.saturating_sub(before) as f64 / BOOKS as f64;
+    drop(books);
+    Some(grown)
+}
+
+/// What one instance spends in a second, on the mean.
+#[derive(Clone, Debug, Default)]
+pub struct Rate {
+    pub sent: Tally,
+    pub got: Tally,
+    /// What those that watch the list exchange with the service, all together.
+    pub service: Tally,
+    pub cpu: Duration,
+    pub instances: usize,
+    pub span: Time,
+    pub hints_taken: u64,
+}
+
+impl Rate {
+    fn of(all: &[Spent], span: Time) -> Rate {
+        let mut rate = Rate { instances: all.len(), span, ..Rate::default() };
+        for s in all {
+            rate.sent.merge(&s.sent);
+            rate.got.merge(&s.got);
+            rate.service.merge(&s.service);
+            rate.cpu += s.cpu;
+            rate.hints_taken += s.hints_taken;
+        }
+        rate
+    }
+
+    fn seconds(&self) -> f64 {
+        self.instances as f64 * self.span.ms() / 1000.0
+    }
+
+    /// Frames and bytes that one sends in a second, of a group or (none) in all.
+    pub fn sent(&self, group: Option<&str>) -> (f64, f64) {
+        let (frames, bytes) = group.map_or_else(|| self.sent.all(), |g| self.sent.group(g));
+        (frames as f64 / self.seconds(), bytes as f64 / self.seconds())
+    }
+
+    /// Milliseconds of processor time that one uses in a second.
+    pub fn cpu_ms(&self) -> f64 {
+        self.cpu.as_secs_f64() * 1000.0 / self.seconds()
+    }
+}
+
+/// A settled fleet.
+pub struct Settled {
+    pub n: usize,
+    pub rows: usize,
+    pub world: World,
+    /// Growth of the resident size, for each instance, with its table and its list.
+    pub memory: Option<f64>,
+    pub good: bool,
+}
+
+/// Builds one and lets it come to rest.
+pub fn settle(seed: u64, n: usize) -> Settled {
+    let rows = rows_held(n);
+    let before = resident();
+    let mut world = World::settled(seed, n, rows);
+    let good = world.until(Time(2_500), Time(60_000), |w| w.alike() && w.listed() && w.sure()).is_some();
+    world.run(SECOND);
+    let grown = resident().zip(before).map(|(now, then)| now.saturating_sub(then) as f64 / n as f64);
+    Settled { n, rows, world, memory: grown, good }
+}
+
+impl Settled {
+    /// So long with nothing new.
+    pub fn steady(&mut self, span: Time) -> Rate {
+        self.world.take_spent();
+        self.world.run(span);
+        Rate::of(&self.world.take_spent(), span)
+    }
+
+    /// So long while each sees `seen` new things a second, after a while of the same.
+    pub fn hinted(&mut self, seen: f64, warm: Time, span: Time, rng: &mut Rand64) -> Rate {
+        self.see(seen, warm, rng);
+        self.world.take_spent();
+        self.see(seen, span, rng);
+        Rate::of(&self.world.take_spent(), span)
+    }
+
+    fn see(&mut self, seen: f64, span: Time, rng: &mut Rand64) {
+        const STEP: Time = Time(100);
+        let (workers, functions) = (plan::workers(self.n).max(1), plan::functions(self.n).max(1));
+        let (until, mut due) = (self.world.now + span, 0.0);
+        while self.world.now < until {
+            due += seen * self.n as f64 * STEP.ms() / 1000.0;
+            while due >= 1.0 {
+                due -= 1.0;
+                let no = rng.rand_range(0..self.n as u64) as usize;
+                // Names' ids are hashes: they fill eight bytes on the wire.
+                let mixed = |x: u64| x.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                let worker = WorkerId(mixed(rng.rand_range(0..workers as u64)));
+                let function = FunctionId(mixed(rng.rand_range(0..functions as u64) << 20));
+                self.world.saw(no, worker, function, Hint::Loading);
+            }
+            self.world.run(STEP);
+        }
+    }
+
+    /// One row of the list changes: until all hold it, and what one sends for it on the mean.
+    pub fn change(&mut self) -> (Option<Time>, f64) {
+        self.world.take_spent();
+        self.world.change();
+        let all = self.world.until(Time(50), Time(300_000), World::listed);
+        let spent = Rate::of(&self.world.take_spent(), SECOND);
+        (all, spent.sent.group("list").1 as f64 / self.n as f64)
+    }
+
+    /// One more starts: what it got and sent until it holds all, by group; what all others sent for it; when it held the
+    /// list, and when all were alike.
+    pub fn joins(&mut self) -> Joined {
+        self.world.take_spent();
+        let began = self.world.now;
+        let no = self.world.add(Time(1));
+        let listed = self.world.until(Time(20), Time(200_000), World::listed);
+        let alike = self.world.until(Time(100), Time(400_000), World::alike);
+        let took = self.world.now - began;
+        let mut all = self.world.take_spent();
+        let one = all.swap_remove(no);
+        let others = Rate::of(&all, took);
+        Joined { listed, alike: alike.map(|_| took), one, others }
+    }
+}
+
+/// What came of one that starts.
+pub struct Joined {
+    pub listed: Option<Time>,
+    pub alike: Option<Time>,
+    pub one: Spent,
+    pub others: Rate,
+}
+
+/// What came of a start of all.
+pub struct AllStart {
+    pub n: usize,
+    pub listed: Option<Time>,
+    pub alike: Option<Time>,
+    pub sure: Option<Time>,
+    /// In the first 6 s, and until all was right.
+    pub first: Rate,
+    pub whole: Rate,
+    pub memory: Option<f64>,
+}
+
+/// All start within a second, knowing nothing.
+pub fn all_start(seed: u64, n: usize, most: Time) -> AllStart {
+    let before = resident();
+    let mut world = World::new(seed, n as u64, rows_held(n));
+    let mut rng = Rand64::new(u128::from(seed) << 1);
+    for _ in 0..n {
+        world.add(Time(rng.rand_range(0..SECOND.0)));
+    }
+    let began = world.now;
+    let (mut listed, mut alike, mut sure, mut first) = (None, None, None, None);
+    let mut whole = vec![Spent::default(); n];
+    while world.now - began < most
+        && (listed.is_none() || alike.is_none() || sure.is_none() || first.is_none())
+    {
+        world.run(Time(1_000));
+        let so_far = world.now - began;
+        if listed.is_none() && world.listed() {
+            listed = Some(so_far);
+        }
+        if alike.is_none() && world.alike() {
+            alike = Some(so_far);
+        }
+        if sure.is_none() && world.sure() {
+            sure = Some(so_far);
+        }
+        for (sum, s) in whole.iter_mut().zip(world.take_spent()) {
+            sum.sent.merge(&s.sent);
+            sum.got.merge(&s.got);
+            sum.service.merge(&s.service);
+            sum.cpu += s.cpu;
+        }
+        if so_far >= Time(60_000) && first.is_none() {
+            first = Some(Rate::of(&whole, so_far));
+        }
+    }
+    let whole = Rate::of(&whole, world.now - began);
+    let memory = resident().zip(before).map(|(now, then)| now.saturating_sub(then) as f64 / n as f64);
+    AllStart { n, listed, alike, sure, first: first.unwrap_or_else(|| whole.clone()), whole, memory }
+}
--- /dev/null
+++ b/crates/curlewpoint-rig/src/scale/world.rs
@@ -0,0 +1,654 @@
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use curlewpoint::types::{FunctionId, Hint, Standing as Ready, Time, WorkerId};
+use curlewpoint_fleet::{
+    frames, Bounds, Entry, Fleet, LinkId, Member, MemberId, Outside, Run, Seen, Standing,
+};
+use curlewpoint_wire::{Codec, Field, Frame, Kind, VERSION};
+use oorandom::Rand64;
+use tokio_util::codec::Decoder;
+
+use crate::scale::place;
+use crate::scale::tally::{Meter, Tally};
+
+/// Links opened by peers count from here.
+const THEIRS: u64 = 1 << 63;
+const FLEET: &str = "scale";
+/// As the gateway's.
+const MOST_FRAME: usize = 64 << 10;
+/// Peers to begin with.
+const PEERS: usize = 3;
+const TICK: Time = Time(1_000);
+/// As the gateway's `dial-limit`.
+const DIAL_LIMIT: Time = Time(20_000);
+/// One way to the list service.
+const SERVICE_WAY: Time = Time(20);
+const EPOCH: u64 = 1;
+
+/// Bounds of a hollow instance: as the settings' defaults, but for the number of members and links, which are set to
+/// what the plan's size needs.
+pub const BOUNDS: Bounds = Bounds {
+    instances: 8_192,
+    links: 4_096,
+    watchers: 3,
+    slack: Time(1_500),
+    hints: Time(80_000),
+    hinted: true,
+};
+
+enum Act {
+    Dial(LinkId, String),
+    Close(LinkId),
+    Say(LinkId, BytesMut),
+    Watch(bool),
+    AskService(BytesMut),
+}
+
+/// The hands of one fleet: encodes what it says, as the gateway does, and counts it.
+#[derive(Default)]
+struct Hands {
+    now: Time,
+    acts: Vec<Act>,
+    sent: Tally,
+    list: Option<(u64, u64)>,
+    rows: u64,
+    hints: u64,
+    refused: u64,
+}
+
+impl Hands {
+    fn say(&mut self, link: LinkId, frame: &Frame) {
+        if !matches!(self.acts.last(), Some(Act::Say(on, _)) if *on == link) {
+            self.acts.push(Act::Say(link, BytesMut::new()));
+        }
+        let Some(Act::Say(_, bytes)) = self.acts.last_mut() else { return };
+        let before = bytes.len();
+        Codec::front(frame, bytes);
+        self.sent.add(frame.kind, bytes.len() - before);
+    }
+}
+
+impl Outside for Hands {
+    fn dial(&mut self, link: LinkId, address: &str) {
+        self.acts.push(Act::Dial(link, address.to_owned()));
+    }
+    fn close(&mut self, link: LinkId) {
+        self.acts.push(Act::Close(link));
+    }
+    fn refuse(&mut self, link: LinkId, why: &str) {
+        self.refused += 1;
+        self.say(link, &Frame::new(Kind::FAULT).text(Field::WHY, why));
+        self.close(link);
+    }
+    fn join(&mut self, link: LinkId, fleet: &str, me: MemberId, member: &Member, known: u64) {
+        self.say(link, &frames::join_frame(fleet, me, member, known));
+    }
+    fn member(&mut self, link: LinkId, id: MemberId, member: &Member) {
+        self.say(link, &frames::member_frame(id, member));
+    }
+    fn beat(
+        &mut self, link: LinkId, tags: (u64, u64), digest: u64, held: Option<(u64, u64)>, age: Option<Time>,
+        sure: bool, answer: bool,
+    ) {
+        self.say(link, &frames::beat_frame(tags, digest, held, age, sure, answer));
+    }
+    fn ask_list(&mut self, link: LinkId, held: Option<(u64, u64)>) {
+        self.say(link, &frames::ask_list_frame(held));
+    }
+    fn list_begins(&mut self, link: LinkId, version: (u64, u64), from: Option<u64>) {
+        self.say(link, &frames::list_frame(version, from));
+    }
+    fn list_row(&mut self, link: LinkId, name: &str, entry: &Entry) {
+        self.say(link, &frames::entry_frame(self.now, name, entry));
+    }
+    fn list_ends(&mut self, link: LinkId) {
+        self.say(link, &frames::list_end_frame());
+    }
+    fn watch(&mut self, on: bool) {
+        self.acts.push(Act::Watch(on));
+    }
+    fn ask_service(&mut self, held: Option<(u64, u64)>) {
+        let mut bytes = BytesMut::new();
+        Codec::front(&frames::ask_list_frame(held), &mut bytes);
+        self.acts.push(Act::AskService(bytes));
+    }
+    fn take_begins(&mut self, version: (u64, u64), _: Option<u64>) {
+        self.list = Some(version);
+    }
+    fn take_row(&mut self, _: &str, _: &Entry) {
+        self.rows += 1;
+    }
+    fn take_ends(&mut self) {}
+    fn hints(&mut self, link: LinkId, seen: &[Seen]) {
+        self.say(link, &frames::hints_frame(self.now, seen));
+    }
+    fn take_hint(&mut self, _: WorkerId, _: FunctionId, _: Hint, _: u64, _: Time) {
+        self.hints += 1;
+    }
+    fn instances(&mut self, _: u64) {}
+    fn log(&mut self, _: &str) {}
+}
+
+/// What a hollow instance has sent and got, and the processor time in its state machine and its frames.
+#[derive(Clone, Debug, Default)]
+pub struct Spent {
+    pub sent: Tally,
+    pub got: Tally,
+    /// To and from the list service.
+    pub service: Tally,
+    pub cpu: Duration,
+    pub hints_taken: u64,
+}
+
+struct Hollow {
+    fleet: Fleet,
+    hands: Hands,
+    /// Another for each start.
+    life: u64,
+    alive: bool,
+    stopped_until: Time,
+    /// The far ends: instance, its life, its link.
+    links: BTreeMap<LinkId, (usize, u64, LinkId)>,
+    serial: u64,
+    watching: bool,
+    connection: u64,
+    spent: Spent,
+}
+
+enum What {
+    Tick,
+    Dialled(LinkId, String),
+    In(LinkId, usize, u64, LinkId),
+    Up(LinkId),
+    Down(LinkId),
+    Bytes(LinkId, BytesMut),
+    ServiceUp(u64),
+    Service(u64, BytesMut),
+    /// At the service: asked on a connection.
+    Asked(u64, BytesMut),
+}
+
+struct Event {
+    at: Time,
+    no: u64,
+    to: usize,
+    life: u64,
+    what: What,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Event) -> bool {
+        (self.at, self.no) == (other.at, other.no)
+    }
+}
+impl Eq for Event {}
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Event) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Event {
+    fn cmp(&self, other: &Event) -> std::cmp::Ordering {
+        (self.at, self.no).cmp(&(other.at, other.no))
+    }
+}
+
+/// Many hollow instances in one made-up network, with one event queue. The same seed gives the same events again.
+pub struct World {
+    pub now: Time,
+    all: Vec<Hollow>,
+    addresses: BTreeMap<String, usize>,
+    events: BinaryHeap<Reverse<Event>>,
+    next: u64,
+    rng: Rand64,
+    told: u64,
+    /// Instances on different sides cannot reach each other.
+    sides: Vec<u8>,
+    /// The list service: names and rows, its version, and what changed with each.
+    rows: Vec<(String, Entry)>,
+    version: u64,
+    changes: Vec<(u64, usize)>,
+    pub service_up: bool,
+    pub service: Tally,
+    meter: Meter,
+    pub handled: u64,
+}
+
+fn name_of(instance: usize) -> String {
+    format!("sched-{:02}-{instance:04}", place::zone_of(instance))
+}
+
+fn address_of(instance: usize) -> String {
+    let zone = place::zone_of(instance);
+    format!("10.{zone}.{}.{}:7100", instance >> 8, instance & 255)
+}
+
+/// A row of the list as it is made up: names and addresses as long as a plan's would be.
+pub(crate) fn row_of(worker: usize, start: u64) -> (String, Entry) {
+    let zone = place::zone_of(worker);
+    let entry = Entry {
+        address: format!("10.{}.{}.{}:9000", 100 + zone, worker >> 8, worker & 255),
+        standing: Ready::Ready,
+        start: start << 32 | worker as u64,
+        since: None,
+        zone: format!("zone-{zone:02}"),
+        cell: format!("cell-{:04}", worker / 20),
+        size: 1.0,
+    };
+    (format!("worker-{zone:02}-{worker:05}"), entry)
+}
+
+impl World {
+    /// No instance yet; a list of so many workers at the service. `told`: the number of instances in the files.
+    pub fn new(seed: u64, told: u64, rows: usize) -> World {
+        World {
+            now: Time(10_000_000),
+            all: Vec::new(),
+            addresses: BTreeMap::new(),
+            events: BinaryHeap::new(),
+            next: 0,
+            rng: Rand64::new(u128::from(seed)),
+            told,
+            sides: Vec::new(),
+            rows: (0..rows).map(|w| row_of(w, 1)).collect(),
+            version: 1,
+            changes: Vec::new(),
+            service_up: true,
+            service: Tally::default(),
+            meter: Meter::new(),
+            handled: 0,
+        }
+    }
+
+    fn plan(&mut self, delay: Time, to: usize, what: What) {
+        let life = self.all[to].life;
+        self.plan_for(delay, to, life, what);
+    }
+
+    fn plan_for(&mut self, delay: Time, to: usize, life: u64, what: What) {
+        self.next += 1;
+        self.events.push(Reverse(Event { at: self.now + delay, no: self.next, to, life, what }));
+    }
+
+    fn begin(&mut self, instance: usize) -> Fleet {
+        let peers: Vec<String> = (0..PEERS).map(address_of).collect();
+        let (run, seed) = (Run(self.rng.rand_u64()), u128::from(self.rng.rand_u64()));
+        let (name, address) = (name_of(instance), address_of(instance));
+        Fleet::start(self.now, FLEET, (&name, run), &address, peers, self.told, BOUNDS, seed)
+    }
+
+    /// One more instance, which knows nothing, from `delay` on.
+    pub fn add(&mut self, delay: Time) -> usize {
+        let no = self.all.len();
+        let fleet = self.begin(no);
+        let (hands, links, spent) = Default::default();
+        self.all.push(Hollow {
+            fleet,
+            hands,
+            life: 1,
+            alive: true,
+            stopped_until: Time(0),
+            links,
+            serial: 0,
+            watching: false,
+            connection: 0,
+            spent,
+        });
+        self.sides.push(0);
+        self.addresses.insert(address_of(no), no);
+        self.plan(delay, no, What::Tick);
+        no
+    }
+
+    /// So many instances that know each other from the start, as after hours; links are not open yet.
+    pub fn settled(seed: u64, n: usize, rows: usize) -> World {
+        let mut world = World::new(seed, n as u64, rows);
+        for _ in 0..n {
+            let delay = Time(world.rng.rand_range(0..TICK.0));
+            world.add(delay);
+        }
+        let all: Vec<(MemberId, String, String)> =
+            (0..n).map(|i| (world.all[i].fleet.me(), name_of(i), address_of(i))).collect();
+        let now = world.now;
+        for no in 0..n {
+            let Hollow { fleet, hands, .. } = &mut world.all[no];
+            hands.now = now;
+            let (link, known) = (LinkId(THEIRS), n as u64);
+            fleet.link_in(now, hands, link);
+            // Another instance has told it of all, on a link that is gone by now.
+            let (id, name, address) = &all[(no + 1) % n];
+            fleet.joined(now, hands, link, FLEET, *id, name, address, Standing::default(), known);
+            for (id, name, address) in &all {
+                fleet.member(now, hands, link, *id, name, address, Standing::default());
+            }
+            fleet.link_down(now, hands, link);
+            hands.acts.clear();
+            hands.sent = Tally::default();
+        }
+        world
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// What each has spent since the last time; the counts begin anew.
+    pub fn take_spent(&mut self) -> Vec<Spent> {
+        self.service = Tally::default();
+        let take = |h: &mut Hollow| {
+            let mut spent = std::mem::take(&mut h.spent);
+            spent.sent.merge(&std::mem::take(&mut h.hands.sent));
+            spent.hints_taken = std::mem::take(&mut h.hands.hints);
+            spent
+        };
+        self.all.iter_mut().map(take).collect()
+    }
+
+    fn call(&mut self, to: usize, work: impl FnOnce(&mut Fleet, Time, &mut Hands)) {
+        let now = self.now;
+        let h = &mut self.all[to];
+        h.hands.now = now;
+        let ((), cpu) = self.meter.time(|| work(&mut h.fleet, now, &mut h.hands));
+        h.spent.cpu += cpu;
+        let acts = std::mem::take(&mut h.hands.acts);
+        for act in acts {
+            self.act(to, act);
+        }
+    }
+
+    fn act(&mut self, from: usize, act: Act) {
+        match act {
+            Act::Dial(link, address) => {
+                // A handshake there and back, and the hellos.
+                let far = self.addresses.get(&address).copied();
+                let way = far.map_or(Time(0), |far| place::way(from, far, link.0));
+                self.plan(Time(3 * way.0), from, What::Dialled(link, address));
+            }
+            Act::Close(link) => {
+                if let Some((peer, life, far)) = self.all[from].links.remove(&link) {
+                    let way = place::way(from, peer, link.0 ^ far.0);
+                    self.plan_for(way, peer, life, What::Down(far));
+                }
+            }
+            Act::Say(link, bytes) => {
+                let Some(&(peer, life, far)) = self.all[from].links.get(&link) else { return };
+                // What is sent into a cut is as good as lost, for the link is given up before it heals.
+                if self.sides[from] == self.sides[peer] {
+                    let way = place::way(from, peer, link.0 ^ far.0);
+                    self.plan_for(way, peer, life, What::Bytes(far, bytes));
+                }
+            }
+            Act::Watch(on) => {
+                let h = &mut self.all[from];
+                h.watching = on;
+                h.connection += 1;
+                let connection = h.connection;
+                if on {
+                    self.plan(SERVICE_WAY, from, What::ServiceUp(connection));
+                }
+            }
+            Act::AskService(bytes) => {
+                self.all[from].spent.service.add(Kind::WATCH, bytes.len());
+                let connection = self.all[from].connection;
+                self.plan(SERVICE_WAY, from, What::Asked(connection, bytes));
+            }
+        }
+    }
+
+    /// Lets so much time pass.
+    pub fn run(&mut self, span: Time) {
+        let until = self.now + span;
+        while self.events.peek().is_some_and(|Reverse(e)| e.at <= until) {
+            let Some(Reverse(event)) = self.events.pop() else { break };
+            self.now = event.at;
+            self.handled += 1;
+            self.step(event);
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, Event { to, life, what, .. }: Event) {
+        let h = &self.all[to];
+        if !h.alive || h.life != life {
+            if let What::In(_, dialler, their_life, theirs) = what {
+                self.plan_for(DIAL_LIMIT, dialler, their_life, What::Down(theirs));
+            }
+            return;
+        }
+        if h.stopped_until > self.now {
+            let wait = h.stopped_until - self.now;
+            return self.plan(wait, to, what);
+        }
+        match what {
+            What::Tick => {
+                self.call(to, |f, now, out| f.advance(now, out));
+                self.plan(TICK, to, What::Tick);
+            }
+            What::Dialled(link, address) => self.dialled(to, link, &address),
+            What::In(link, dialler, their_life, theirs) => {
+                self.all[to].links.insert(link, (dialler, their_life, theirs));
+                self.call(to, |f, now, out| f.link_in(now, out, link));
+            }
+            What::Up(link) => self.call(to, |f, now, out| f.link_up(now, out, link)),
+            What::Down(link) => {
+                self.all[to].links.remove(&link);
+                self.call(to, |f, now, out| f.link_down(now, out, link));
+            }
+            What::Bytes(link, bytes) => {
+                if self.all[to].links.contains_key(&link) {
+                    let got = self.hear(to, Some(link), bytes);
+                    self.all[to].spent.got.merge(&got);
+                }
+            }
+            What::ServiceUp(connection) => {
+                if self.service_up && self.all[to].connection == connection {
+                    self.call(to, |f, now, out| f.service_up(now, out));
+                }
+            }
+            What::Asked(connection, bytes) => self.asked(to, connection, bytes),
+            What::Service(connection, bytes) => {
+                if self.all[to].connection == connection && self.all[to].watching {
+                    let got = self.hear(to, None, bytes);
+                    self.all[to].spent.service.merge(&got);
+                }
+            }
+        }
+    }
+
+    /// Reads what has come, by the real decoder; what cannot be read ends the link.
+    fn hear(&mut self, to: usize, on: Option<LinkId>, mut bytes: BytesMut) -> Tally {
+        let mut got = Tally::default();
+        self.call(to, |fleet, now, out| {
+            let mut codec = Codec { most: MOST_FRAME };
+            loop {
+                let before = bytes.len();
+                let Ok(Some(f)) = codec.decode(&mut bytes) else { break };
+                got.add(f.kind, before - bytes.len());
+                let read = match on {
+                    Some(link) => frames::read(fleet, now, out, link, &f),
+                    None => frames::read_list(fleet, now, out, None, &f),
+                };
+                if let (Err(why), Some(link)) = (read, on) {
+                    out.refuse(link, &why.to_string());
+                    fleet.link_down(now, out, link);
+                    break;
+                }
+            }
+        });
+        got
+    }
+
+    fn dialled(&mut self, from: usize, link: LinkId, address: &str) {
+        let far = self.addresses.get(address).copied().filter(|far| {
+            let h = &self.all[*far];
+            h.alive && h.stopped_until <= self.now && self.sides[*far] == self.sides[from]
+        });
+        let Some(far) = far else {
+            return self.plan(DIAL_LIMIT, from, What::Down(link));
+        };
+        let h = &mut self.all[far];
+        h.serial += 1;
+        let theirs = LinkId(THEIRS | h.serial);
+        let far_life = h.life;
+        let life = self.all[from].life;
+        self.all[from].links.insert(link, (far, far_life, theirs));
+        // Both say hello; what the other says comes behind it on the same way.
+        for (a, b) in [(from, far), (far, from)] {
+            let hello =
+                Frame::new(Kind::HELLO).int(Field::VERSION, VERSION).text(Field::INSTANCE, &name_of(a));
+            let mut bytes = BytesMut::new();
+            Codec::front(&hello, &mut bytes);
+            self.all[a].spent.sent.add(Kind::HELLO, bytes.len());
+            self.all[b].spent.got.add(Kind::HELLO, bytes.len());
+        }
+        self.plan(Time(0), far, What::In(theirs, from, life, link));
+        self.plan(Time(0), from, What::Up(link));
+    }
+
+    // The list service.
+
+    fn asked(&mut self, from: usize, connection: u64, mut bytes: BytesMut) {
+        if !self.service_up || self.all[from].connection != connection {
+            return;
+        }
+        let mut codec = Codec { most: MOST_FRAME };
+        let Ok(Some(f)) = codec.decode(&mut bytes) else { return };
+        let held = f.maybe_int(Field::LIST_VERSION).ok().flatten();
+        self.tell(from, connection, held);
+    }
+
+    fn tell(&mut self, to: usize, connection: u64, held: Option<u64>) {
+        let (mut bytes, mut said) = (BytesMut::new(), Tally::default());
+        let mut say = |frame: Frame| {
+            let before = bytes.len();
+            Codec::front(&frame, &mut bytes);
+            said.add(frame.kind, bytes.len() - before);
+        };
+        say(frames::list_frame((EPOCH, self.version), held));
+        match held {
+            None => {
+                self.rows.iter().for_each(|(name, e)| say(frames::entry_frame(self.now, name, e)));
+            }
+            Some(held) => {
+                let newer = self.changes.iter().filter(|(v, _)| *v > held);
+                newer.for_each(|(_, row)| {
+                    say(frames::entry_frame(self.now, &self.rows[*row].0, &self.rows[*row].1));
+                });
+            }
+        }
+        say(frames::list_end_frame());
+        self.service.merge(&said);
+        self.plan(SERVICE_WAY, to, What::Service(connection, bytes));
+    }
+
+    /// One row of the list changes; all that watch are told.
+    pub fn change(&mut self) {
+        self.version += 1;
+        let row = self.rng.rand_range(0..self.rows.len().max(1) as u64) as usize;
+        let held = self.version - 1;
+        if let Some(at) = self.rows.get_mut(row) {
+            *at = row_of(row, self.version);
+            self.changes.push((self.version, row));
+        }
+        for no in 0..self.all.len() {
+            if self.all[no].alive && self.all[no].watching {
+                let connection = self.all[no].connection;
+                self.tell(no, connection, Some(held));
+            }
+        }
+    }
+
+    // Faults and load.
+
+    /// An instance's scheduler sees something.
+    pub fn saw(&mut self, no: usize, worker: WorkerId, function: FunctionId, hint: Hint) {
+        self.call(no, |f, now, out| f.saw(now, out, worker, function, hint, 1));
+    }
+
+    /// An instance's process ends at once.
+    pub fn kill(&mut self, no: usize) {
+        let h = &mut self.all[no];
+        (h.alive, h.watching) = (false, false);
+        h.connection += 1;
+        for (link, (peer, life, far)) in std::mem::take(&mut h.links) {
+            let way = place::way(no, peer, link.0 ^ far.0);
+            self.plan_for(way, peer, life, What::Down(far));
+        }
+    }
+
+    /// It starts anew, as another run that knows nothing.
+    pub fn restart(&mut self, no: usize) {
+        self.kill(no);
+        let fleet = self.begin(no);
+        let h = &mut self.all[no];
+        h.spent.sent.merge(&h.hands.sent);
+        h.fleet = fleet;
+        h.hands = Hands::default();
+        h.life += 1;
+        h.alive = true;
+        h.links.clear();
+        self.plan(Time(1), no, What::Tick);
+    }
+
+    /// Puts instances on sides that cannot reach each other; those of side 0 are together.
+    pub fn sides(&mut self, of: impl Fn(usize) -> u8) {
+        self.sides = (0..self.all.len()).map(of).collect();
+    }
+
+    // What is right.
+
+    fn living(&self) -> impl Iterator<Item = &Hollow> {
+        self.all.iter().filter(|h| h.alive)
+    }
+
+    /// Whether all hold the same records of members, and each of them as many as live at least.
+    pub fn alike(&self) -> bool {
+        let n = self.living().count();
+        let mut digests = self.living().map(|h| h.fleet.table().digest());
+        let first = digests.next();
+        digests.all(|d| Some(d) == first)
+            && self.living().next().is_none_or(|h| h.fleet.table().living().count() == n)
+    }
+
+    /// Whether all hold the newest list.
+    pub fn listed(&self) -> bool {
+        self.living().all(|h| h.fleet.book().held() == Some((EPOCH, self.version)))
+    }
+
+    /// Whether all are sure of the number of instances.
+    pub fn sure(&self) -> bool {
+        self.living().all(|h| h.fleet.number().is_sure())
+    }
+
+    pub fn watchers(&self) -> usize {
+        self.living().filter(|h| h.watching).count()
+    }
+
+    /// Links that are up, for each instance on the mean.
+    pub fn links(&self) -> f64 {
+        self.living().map(|h| h.fleet.links()).sum::<usize>() as f64 / self.living().count().max(1) as f64
+    }
+
+    pub fn refused(&self) -> u64 {
+        self.living().map(|h| h.hands.refused + h.fleet.refusals()).sum()
+    }
+
+    /// Lets time pass until `good`, looking every `step`, at most for `most`; none: it did not come.
+    pub fn until(&mut self, step: Time, most: Time, good: impl Fn(&World) -> bool) -> Option<Time> {
+        let began = self.now;
+        while self.now - began < most {
+            if good(self) {
+                return Some(self.now - began);
+            }
+            self.run(step);
+        }
+        good(self).then(|| self.now - began)
+    }
+}
