Play parts of the scale rig by themselves, with faults, fits, JSON and tests

One process played all sizes, so memory by resident size was wrong, nothing but the steady fleet was played, and no figure had a slope.

curlewpoint fleet scale now starts a process for each part and size and gathers what they tell: steady (nothing new, things seen, a changed row, one that starts, the module), start (all at once), faults (one, a rack, a zone lost and back, regions apart and healed) and worker (connections, dials, probes, orders and reports that a worker bears, with the real engine and pool, from a flat choice and from one within a zone).

--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -1,9 +1,12 @@
-use std::path::PathBuf;
+use std::fs::OpenOptions;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Instant;
 
 use bytes::Bytes;
 use clap::{Args, Subcommand, ValueEnum};
 use curlewpoint_link::{open, Bounds};
-use curlewpoint_rig::scale::{plan, steps, Table, LEAST_SIZE, MOST_SIZE};
+use curlewpoint_rig::scale::{play, Effort, Outcome, Part, Report, LEAST_SIZE, MOST_SIZE};
 use curlewpoint_rig::{folder, run, Bound, Figures, Plan, Play, Program, PLAYS};
 use curlewpoint_wire::{Frame, Kind};
 use tokio::net::TcpStream;
@@ -65,38 +68,122 @@
 #[derive(Args)]
 struct Scale {
     /// Schedulers, with workers and functions in step; from 16 to 4000 each, rising.
-    #[arg(long, value_delimiter = ',', default_values_t = [300, 600, 1_000, 2_000, 3_400])]
-    sizes: Vec<usize>,
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
+    #[arg(long, default_value = "100,300,600,1000,2000,3400")]
+    sizes: String,
+    /// Parts to play: steady, start, faults, worker.
+    #[arg(long, default_value = "steady")]
+    parts: String,
+    /// A whole number; the same gives the same counts and bytes again.
+    #[arg(long, default_value = "1")]
+    seed: String,
+    /// Counts and bytes alone, in seconds.
+    #[arg(long)]
+    small: bool,
+    /// Write all figures to this file, as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// One part at one size in this process, as JSON: what the others are started with, that the resident size of each
+    /// begins anew.
+    #[arg(long, hide = true)]
+    alone: bool,
 }
 
 impl Scale {
-    fn check(&self) -> Result<(), String> {
-        if self.sizes.is_empty() {
-            return Err("--sizes: none is named".into());
+    fn check(&self) -> Result<Plays, String> {
+        let size = |text: &str| {
+            let n = text.trim().parse().ok().filter(|n| (LEAST_SIZE..=MOST_SIZE).contains(n));
+            n.ok_or_else(|| format!("--sizes: '{text}' is no number from {LEAST_SIZE} to {MOST_SIZE}"))
+        };
+        let sizes: Vec<usize> = self.sizes.split(',').map(size).collect::<Result<_, _>>()?;
+        if let Some(pair) = sizes.windows(2).find(|p| p[0] >= p[1]) {
+            return Err(format!("--sizes: {} stands behind {}, and sizes rise", pair[1], pair[0]));
         }
-        if let Some(bad) = self.sizes.iter().find(|n| !(LEAST_SIZE..=MOST_SIZE).contains(n)) {
-            return Err(format!("--sizes: {bad} is not from {LEAST_SIZE} to {MOST_SIZE}"));
+        let names = Part::ALL.map(Part::name);
+        let part = |name: &str| {
+            let part = Part::ALL.into_iter().find(|p| p.name() == name.trim());
+            part.ok_or_else(|| format!("--parts: '{name}' is none of {}", names.join(", ")))
+        };
+        let parts = self.parts.split(',').map(part).collect::<Result<_, _>>()?;
+        let seed = self.seed.parse().map_err(|_| format!("--seed: '{}' is no whole number", self.seed))?;
+        if let Some(file) = &self.json {
+            // One that cannot be written is told before an hour is played.
+            let opened = OpenOptions::new().create(true).append(true).open(file);
+            opened.map_err(|e| format!("--json: {}: {e}", file.display()))?;
         }
-        if let Some(pair) = self.sizes.windows(2).find(|p| p[0] >= p[1]) {
-            return Err(format!("--sizes: {} stands after {}; sizes rise", pair[1], pair[0]));
+        Ok(Plays { sizes, parts, seed })
+    }
+
+    fn effort(&self, n: usize) -> Effort {
+        if self.small {
+            Effort::small()
+        } else {
+            Effort::of(n)
+        }
+    }
+
+    /// Plays a part at a size, in a process of its own.
+    fn apart(&self, program: &Path, part: Part, n: usize, seed: u64) -> Result<Outcome, String> {
+        let mut command = std::process::Command::new(program);
+        command.args(["fleet", "scale", "--alone", "--parts", part.name()]);
+        command.args(["--sizes", &n.to_string(), "--seed", &seed.to_string()]);
+        command.args(self.small.then_some("--small")).stderr(Stdio::inherit());
+        let out = command.output().map_err(|e| format!("it could not be started: {e}"))?;
+        if !out.status.success() {
+            return Err(format!("it ended with {}", out.status));
         }
-        Ok(())
+        let told = serde_json::from_slice(&out.stdout).ok().and_then(|v| Outcome::of_json(&v));
+        told.ok_or_else(|| "what it told cannot be read".to_owned())
+    }
+
+    fn play(&self, Plays { sizes, parts, seed }: &Plays) -> Result<Report, String> {
+        let program = std::env::current_exe().map_err(|e| format!("this program is not found: {e}"))?;
+        let mut report = Report { seed: *seed, outcomes: Vec::new() };
+        for n in sizes {
+            let mut all = Outcome::new(*n);
+            for part in parts {
+                let began = Instant::now();
+                let told = self.apart(&program, *part, *n, *seed);
+                all.merge(told.map_err(|e| format!("{} at {n}: {e}", part.name()))?);
+                eprintln!("{} at {n}: {:.0} s", part.name(), began.elapsed().as_secs_f64());
+            }
+            report.outcomes.push(all);
+        }
+        Ok(report)
     }
 
     fn run(&self) -> u8 {
-        if let Err(why) = self.check() {
-            return fail(AT_FAULT, &why);
+        let plays = match self.check() {
+            Ok(plays) => plays,
+            Err(why) => return fail(AT_FAULT, &why),
+        };
+        if self.alone {
+            for n in plays.sizes {
+                let mut all = Outcome::new(n);
+                plays.parts.iter().for_each(|p| all.merge(play(*p, plays.seed, n, &self.effort(n))));
+                println!("{}", all.to_json());
+            }
+            return DONE;
+        }
+        let report = match self.play(&plays) {
+            Ok(report) => report,
+            Err(why) => return fail(FAILED, &why),
+        };
+        print!("{}\n{}", report.draw(), report.table().draw());
+        let Some(file) = &self.json else { return DONE };
+        match std::fs::write(file, format!("{:#}\n", report.to_json())) {
+            Ok(()) => DONE,
+            Err(e) => fail(FAILED, &format!("--json: {}: {e}", file.display())),
         }
-        // Where all hear of all, an instance in thousands takes many rows a second.
-        let seen = |n: usize| if n <= 1_000 { plan::SEEN.to_vec() } else { plan::SEEN[..2].to_vec() };
-        let all = steps(self.seed, &self.sizes, seen, |step| print!("{}", step.draw()));
-        print!("\n{}", Table::of(&all).draw());
-        DONE
     }
 }
 
+/// What is to be played, checked.
+struct Plays {
+    sizes: Vec<usize>,
+    parts: Vec<Part>,
+    seed: u64,
+}
+
 async fn status(address: &str) -> Result<Bytes, String> {
     let stream = TcpStream::connect(address).await.map_err(|e| format!("{address}: {e}"))?;
     let mut link = open(stream, "status", Bounds::default()).await.map_err(|e| format!("{address}: {e}"))?;
--- a/crates/curlewpoint-rig/src/scale/fleet_part.rs
+++ b/crates/curlewpoint-rig/src/scale/fleet_part.rs
@@ -10,7 +10,7 @@
 use crate::scale::tally::{resident, Tally};
 use crate::scale::world::{row_of, Spent, World};
 
-const SECOND: Time = Time(10_000);
+pub const SECOND: Time = Time(10_000);
 /// Lists as long as the plan has them are held up to this many instances; beyond it rows are left out, as the bytes of a
 /// list grow with its rows alone: 3,400 books of 8,500 rows are 10 GB.
 pub const WHOLE_LISTS: usize = 1_000;
@@ -52,12 +52,12 @@
 pub struct Rate {
     pub sent: Tally,
     pub got: Tally,
-    /// What those that watch the list exchange with the service, all together.
+    /// What those that watch the list exchange with the service.
     pub service: Tally,
     pub cpu: Duration,
     pub instances: usize,
     pub span: Time,
-    pub hints_taken: u64,
+    hints_taken: u64,
 }
 
 impl Rate {
@@ -83,12 +83,55 @@
         (frames as f64 / self.seconds(), bytes as f64 / self.seconds())
     }
 
+    /// Rows of hints that one takes in a second.
+    pub fn hints_taken(&self) -> f64 {
+        self.hints_taken as f64 / self.seconds()
+    }
+
     /// Milliseconds of processor time that one uses in a second.
     pub fn cpu_ms(&self) -> f64 {
         self.cpu.as_secs_f64() * 1000.0 / self.seconds()
     }
 }
 
+/// Between two looks at whether all is right.
+const LOOK: Time = Time(1_000);
+
+/// What was spent second by second.
+#[derive(Default)]
+struct Seconds {
+    whole: Spent,
+    busiest: u64,
+    busiest_one: u64,
+}
+
+impl Seconds {
+    fn add(&mut self, all: Vec<Spent>) {
+        let mut bytes = 0;
+        for s in all {
+            let sent = s.sent.all().1;
+            bytes += sent;
+            self.busiest_one = self.busiest_one.max(sent);
+            self.whole.sent.merge(&s.sent);
+            self.whole.got.merge(&s.got);
+            self.whole.service.merge(&s.service);
+            self.whole.cpu += s.cpu;
+        }
+        self.busiest = self.busiest.max(bytes);
+    }
+}
+
+/// What a fault cost.
+pub struct Burst {
+    /// Bytes that one sent on the mean until all was right, and in the second with the most.
+    pub bytes_each: f64,
+    pub busiest_second: f64,
+    /// The most bytes that one alone sent in a second.
+    pub busiest_one: u64,
+    pub cpu_ms: f64,
+    pub right: Option<Time>,
+}
+
 /// A settled fleet.
 pub struct Settled {
     pub n: usize,
@@ -111,11 +154,41 @@
 }
 
 impl Settled {
-    /// So long with nothing new.
-    pub fn steady(&mut self, span: Time) -> Rate {
+    /// So long with nothing new: all, and those alone that watch the list.
+    pub fn steady(&mut self, span: Time) -> (Rate, Rate) {
         self.world.take_spent();
         self.world.run(span);
-        Rate::of(&self.world.take_spent(), span)
+        let all = self.world.take_spent();
+        let watching = (0..self.n).filter(|no| self.world.is_watching(*no));
+        let watching: Vec<Spent> = watching.map(|no| all[no].clone()).collect();
+        (Rate::of(&all, span), Rate::of(&watching, span))
+    }
+
+    /// Plays on for `least` at least, until all is right or `most` has passed.
+    pub fn burst(&mut self, least: Time, most: Time, right: impl Fn(&World) -> bool) -> Burst {
+        self.world.take_spent();
+        let began = self.world.now;
+        let (mut seconds, mut at) = (Seconds::default(), None);
+        while self.world.now - began < most && (at.is_none() || self.world.now - began < least) {
+            self.world.run(LOOK);
+            let so_far = self.world.now - began;
+            // What is right before the fault has been noticed is not yet right again.
+            if at.is_none() && so_far >= least && right(&self.world) {
+                at = Some(so_far);
+            }
+            if so_far.0.is_multiple_of(SECOND.0) {
+                seconds.add(self.world.take_spent());
+            }
+        }
+        seconds.add(self.world.take_spent());
+        let n = self.n as f64;
+        Burst {
+            bytes_each: seconds.whole.sent.all().1 as f64 / n,
+            busiest_second: seconds.busiest as f64 / n,
+            busiest_one: seconds.busiest_one,
+            cpu_ms: seconds.whole.cpu.as_secs_f64() * 1000.0 / n,
+            right: at,
+        }
     }
 
     /// So long while each sees `seen` new things a second, after a while of the same.
@@ -185,47 +258,47 @@
     pub alike: Option<Time>,
     pub sure: Option<Time>,
     /// In the first 6 s, and until all was right.
-    pub first: Rate,
-    pub whole: Rate,
-    pub memory: Option<f64>,
+    pub first: Spent,
+    pub whole: Spent,
+    /// Bytes that one sent on the mean in the second with the most, and the most that one alone sent in one.
+    pub busiest_second: f64,
+    pub busiest_one: u64,
 }
 
-/// All start within a second, knowing nothing.
+/// All start within a second, knowing nothing; ends when all is right, or `most` has passed.
 pub fn all_start(seed: u64, n: usize, most: Time) -> AllStart {
-    let before = resident();
+    const FIRST: Time = Time(60_000);
     let mut world = World::new(seed, n as u64, rows_held(n));
     let mut rng = Rand64::new(u128::from(seed) << 1);
     for _ in 0..n {
         world.add(Time(rng.rand_range(0..SECOND.0)));
     }
     let began = world.now;
-    let (mut listed, mut alike, mut sure, mut first) = (None, None, None, None);
-    let mut whole = vec![Spent::default(); n];
-    while world.now - began < most
-        && (listed.is_none() || alike.is_none() || sure.is_none() || first.is_none())
-    {
-        world.run(Time(1_000));
+    let (mut seconds, mut first) = (Seconds::default(), None);
+    let (mut listed, mut alike, mut sure) = (None, None, None);
+    let note = |at: &mut Option<Time>, so_far, good| *at = at.or(Some(so_far).filter(|_| good));
+    loop {
+        world.run(LOOK);
         let so_far = world.now - began;
-        if listed.is_none() && world.listed() {
-            listed = Some(so_far);
-        }
-        if alike.is_none() && world.alike() {
-            alike = Some(so_far);
-        }
-        if sure.is_none() && world.sure() {
-            sure = Some(so_far);
+        // Nobody has begun to know of another in the first second.
+        let begun = so_far >= SECOND;
+        note(&mut listed, so_far, begun && world.listed());
+        note(&mut alike, so_far, begun && world.alike());
+        note(&mut sure, so_far, begun && world.sure());
+        let right = listed.is_some() && alike.is_some() && sure.is_some();
+        let over = so_far >= most || (right && so_far >= FIRST);
+        if over || so_far.0.is_multiple_of(SECOND.0) {
+            seconds.add(world.take_spent());
         }
-        for (sum, s) in whole.iter_mut().zip(world.take_spent()) {
-            sum.sent.merge(&s.sent);
-            sum.got.merge(&s.got);
-            sum.service.merge(&s.service);
-            sum.cpu += s.cpu;
+        if so_far >= FIRST && first.is_none() {
+            first = Some(seconds.whole.clone());
         }
-        if so_far >= Time(60_000) && first.is_none() {
-            first = Some(Rate::of(&whole, so_far));
+        if over {
+            break;
         }
     }
-    let whole = Rate::of(&whole, world.now - began);
-    let memory = resident().zip(before).map(|(now, then)| now.saturating_sub(then) as f64 / n as f64);
-    AllStart { n, listed, alike, sure, first: first.unwrap_or_else(|| whole.clone()), whole, memory }
+    let first = first.unwrap_or_else(|| seconds.whole.clone());
+    let busiest_second = seconds.busiest as f64 / n as f64;
+    let busiest_one = seconds.busiest_one;
+    AllStart { n, listed, alike, sure, first, whole: seconds.whole, busiest_second, busiest_one }
 }
--- a/crates/curlewpoint-rig/src/scale/mod.rs
+++ b/crates/curlewpoint-rig/src/scale/mod.rs
@@ -1,20 +1,31 @@
 //! Hollow schedulers, many in one process: the real state machines and the real frames, a made-up network and time.
 //!
 //! Bytes are those of the frames that a real link would carry; processor time is that of the thread inside the state
-//! machine, the encoder and the decoder; memory is told by differences of the resident size.
+//! machine, the encoder and the decoder; memory is told by differences of the resident size. Counts and bytes are the
+//! same again from the same seed.
 
+mod fit;
 mod fleet_part;
+mod measure;
 mod module_part;
+mod parts;
 mod place;
 pub mod plan;
+mod report;
 mod steps;
 mod tally;
+mod worker_part;
 mod world;
 
-pub use fleet_part::{all_start, rows_held, settle, AllStart, Joined, Rate, Settled};
+pub use fit::{off, Fit, FITTED, OFF};
+pub use fleet_part::{all_start, settle, AllStart, Burst, Joined, Rate, Settled};
+pub use measure::{Ledger, Measure, Outcome};
 pub use module_part::{module_cost, Cost};
-pub use steps::{steps, Step, Table};
+pub use parts::{play, Effort, Part, FLEET, MODULE, SERVICE, WATCHER, WORKER};
+pub use report::Report;
+pub use steps::{Row, Table};
 pub use tally::{resident, Meter, Tally, GROUPS};
+pub use worker_part::{borne, Borne, Choice, Scene};
 pub use world::{Spent, World, BOUNDS};
 
 /// Sizes that can be played.
--- /dev/null
+++ b/crates/curlewpoint-rig/src/scale/parts.rs
@@ -0,0 +1,314 @@
+//! What is measured at one size, a part at a time.
+
+use curlewpoint::types::Time;
+use oorandom::Rand64;
+
+use crate::scale::fleet_part::{
+    all_start, book_bytes, rows_held, settle, Rate, Settled, SECOND, WHOLE_LISTS,
+};
+use crate::scale::measure::{Ledger, Outcome};
+use crate::scale::module_part::module_cost;
+use crate::scale::place::{region_of, zone_of};
+use crate::scale::plan;
+use crate::scale::tally::GROUPS;
+use crate::scale::worker_part::{borne, Choice, Scene};
+
+/// What can be measured by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Part {
+    /// A settled fleet: nothing new, things seen, a changed row, one that starts; and the module by workers and functions.
+    Steady,
+    /// All start within a second, knowing nothing.
+    Start,
+    /// A restart, a rack, a zone, regions apart.
+    Faults,
+    /// What one worker bears from all schedulers, with all workers to choose from and with those of a zone.
+    Worker,
+}
+
+impl Part {
+    pub const ALL: [Part; 4] = [Part::Steady, Part::Start, Part::Faults, Part::Worker];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Part::Steady => "steady",
+            Part::Start => "start",
+            Part::Faults => "faults",
+            Part::Worker => "worker",
+        }
+    }
+}
+
+/// How much of it is played.
+#[derive(Clone, Debug)]
+pub struct Effort {
+    /// Times are measured, or counts and bytes alone.
+    pub times: bool,
+    /// Calls that the module is driven with.
+    pub calls: u64,
+    /// Things seen a second by each, tried in turn.
+    pub seen: Vec<f64>,
+    /// How long regions are apart.
+    pub apart: Time,
+}
+
+impl Effort {
+    /// The whole, in some minutes at the largest size.
+    pub fn of(n: usize) -> Effort {
+        // Beyond, some of what a small fleet plays takes hours: what was played is said in the notes.
+        let (calls, seen) = if n <= 1_000 { (6_000, 3) } else { (3_000, 2) };
+        let apart = match n {
+            0..=100 => Time(36_000_000),
+            101..=300 => Time(6_600_000),
+            _ => Time(300_000),
+        };
+        Effort { times: true, calls, seen: plan::SEEN[..seen].to_vec(), apart }
+    }
+
+    /// Counts and bytes, in seconds.
+    pub fn small() -> Effort {
+        Effort { times: false, calls: 0, seen: vec![plan::SEEN[1]], apart: Time(200_000) }
+    }
+}
+
+/// The roles that figures are told for.
+pub const FLEET: &str = "fleet part";
+pub const WATCHER: &str = "list watcher";
+pub const SERVICE: &str = "list service";
+pub const MODULE: &str = "call path";
+pub const WORKER: &str = "worker";
+
+/// The zone that is lost, the racks of a zone, and the region that is left by itself.
+const LOST_ZONE: usize = 3;
+const RACKS: usize = 8;
+const LONE_REGION: usize = 1;
+
+/// Measures a part at one size.
+pub fn play(part: Part, seed: u64, n: usize, effort: &Effort) -> Outcome {
+    let mut outcome = Outcome::new(n);
+    match part {
+        Part::Steady => steady(seed, n, effort, &mut outcome),
+        Part::Start => start(seed, n, effort, &mut outcome),
+        Part::Faults => faults(seed, n, effort, &mut outcome),
+        Part::Worker => worker(seed, n, effort, &mut outcome),
+    }
+    outcome
+}
+
+/// A span in seconds, as the state machines' own time tells it.
+fn span(ledger: &mut Ledger<'_>, name: &str, t: Option<Time>) {
+    if let Some(t) = t {
+        ledger.count(name, "s", t.ms() / 1000.0);
+    }
+}
+
+fn rates(ledger: &mut Ledger<'_>, name: &str, rate: &Rate, times: bool) {
+    for (group, _) in GROUPS {
+        let (frames, bytes) = rate.sent(Some(group));
+        if frames > 0.0 {
+            ledger.count(&format!("{name}: {group} frames"), "/s", frames);
+            ledger.count(&format!("{name}: {group} bytes"), "B/s", bytes);
+        }
+    }
+    let (frames, bytes) = rate.sent(None);
+    ledger.count(&format!("{name}: frames sent"), "/s", frames);
+    ledger.count(&format!("{name}: bytes sent"), "B/s", bytes);
+    if times {
+        ledger.rough(&format!("{name}: processor"), "ms/s", Some(rate.cpu_ms()));
+    }
+}
+
+fn settled(seed: u64, n: usize, outcome: &mut Outcome) -> Settled {
+    let fleet = settle(seed, n);
+    if !fleet.good {
+        outcome.notes.push("the fleet had not settled in 6 s".into());
+    }
+    if fleet.rows < plan::workers(n) {
+        let (held, all) = (fleet.rows, plan::workers(n));
+        outcome
+            .notes
+            .push(format!("the list held has {held} rows of {all}; bytes and memory of the rest by row"));
+    }
+    fleet
+}
+
+fn steady(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
+    let mut rng = Rand64::new(u128::from(seed) + 7);
+    let (workers, functions) = (plan::workers(n), plan::functions(n));
+    let times = effort.times;
+    let left_out = if times { book_bytes(workers - rows_held(n)) } else { None };
+    if effort.calls > 0 {
+        let cost = module_cost(seed, n, workers, functions, effort.calls);
+        let calls = cost.calls.max(1) as f64;
+        let mut ledger = outcome.of(MODULE);
+        if times {
+            let (with, without) = cost.us();
+            ledger.rough("a call, choice counted in", "us", Some(with));
+            ledger.rough("a call, choice counted out", "us", Some(without));
+            ledger.rough("memory of the module", "B", cost.memory.map(|b| b as f64));
+        }
+        ledger.count("probes a call", "", cost.probes as f64 / calls);
+        ledger.count("load orders a call", "", cost.loads as f64 / calls);
+        ledger.count("sights a call", "", cost.seen as f64 / calls);
+    }
+    let mut fleet = settled(seed, n, outcome);
+    if times {
+        let per_row = fleet.memory.zip(left_out).map(|(held, left)| held + left);
+        outcome.of(FLEET).rough("memory of records, list and links", "B", per_row);
+    }
+    let (all, watch) = fleet.steady(Time(3 * SECOND.0));
+    rates(&mut outcome.of(FLEET), "steady", &all, times);
+    outcome.of(FLEET).count("links", "", fleet.world.links());
+    rates(&mut outcome.of(WATCHER), "steady", &watch, times);
+    let service = watch.service.all().1 as f64 / (watch.span.ms() / 1000.0);
+    let each = watch.instances.max(1) as f64;
+    outcome.of(WATCHER).count("steady: bytes to and from the service", "B/s", service / each);
+    outcome.of(SERVICE).count("steady: bytes to and from all", "B/s", service);
+    outcome.of(SERVICE).count("connections", "", fleet.world.watchers() as f64);
+    let (with_all, each) = fleet.change();
+    span(&mut outcome.of(FLEET), "a changed row: with all after", with_all);
+    outcome.of(FLEET).count("a changed row: bytes sent", "B", each);
+    joined(n, &mut fleet, outcome);
+    for seen in &effort.seen {
+        let rate = fleet.hinted(*seen, SECOND, Time(2 * SECOND.0), &mut rng);
+        let name = format!("{seen} seen a second");
+        let mut ledger = outcome.of(FLEET);
+        rates(&mut ledger, &name, &rate, times);
+        ledger.count(&format!("{name}: rows taken"), "/s", rate.hints_taken());
+    }
+}
+
+fn joined(n: usize, fleet: &mut Settled, outcome: &mut Outcome) {
+    // Whom it meets is drawn, and with it whether it is told the list once or more often.
+    const STARTS: usize = 3;
+    let (mut got, mut list, mut records, mut others) = (0.0, 0.0, 0.0, 0.0);
+    let (mut listed, mut alike) = (Some(Time(0)), Some(Time(0)));
+    for _ in 0..STARTS {
+        let joined = fleet.joins();
+        let of = |g| joined.one.got.group(g).1 as f64;
+        got += joined.one.got.all().1 as f64;
+        list += of("list");
+        records += of("members");
+        others += joined.others.sent.group("members").1 as f64 / joined.others.instances.max(1) as f64;
+        listed = listed.zip(joined.listed).map(|(a, b)| a.max(b));
+        alike = alike.zip(joined.alike).map(|(a, b)| a.max(b));
+    }
+    let mean = |x: f64| x / STARTS as f64;
+    let whole = mean(list) * plan::workers(n) as f64 / fleet.rows.max(1) as f64;
+    let mut ledger = outcome.of(FLEET);
+    ledger.count("one starts: bytes it gets", "B", mean(got - list) + whole);
+    ledger.count("one starts: of them list", "B", whole);
+    ledger.count("one starts: of them records", "B", mean(records));
+    ledger.count("one starts: record bytes of each other", "B", mean(others));
+    span(&mut ledger, "one starts: it holds the list after", listed);
+    span(&mut ledger, "one starts: all alike after", alike);
+    if alike.is_none() {
+        outcome.notes.push("one started: not all alike in 40 s".into());
+    }
+}
+
+fn start(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
+    let all = all_start(seed, n, Time(900_000));
+    if n > WHOLE_LISTS {
+        let (held, whole) = (rows_held(n), plan::workers(n));
+        outcome.notes.push(format!("start of all: the list held has {held} rows of {whole}"));
+    }
+    let mut ledger = outcome.of(FLEET);
+    let each = |x: u64| x as f64 / n as f64;
+    let (frames, bytes) = all.first.sent.all();
+    ledger.count("all start: frames in 6 s", "", each(frames));
+    ledger.count("all start: bytes in 6 s", "B", each(bytes));
+    ledger.count("all start: list bytes in 6 s", "B", each(all.first.sent.group("list").1));
+    ledger.count("all start: record bytes in 6 s", "B", each(all.first.sent.group("members").1));
+    let (frames, bytes) = all.whole.sent.all();
+    ledger.count("all start: frames until right", "", each(frames));
+    ledger.count("all start: bytes until right", "B", each(bytes));
+    ledger.count("all start: busiest second", "B/s", all.busiest_second);
+    ledger.count("all start: busiest instance", "B/s", all.busiest_one as f64);
+    span(&mut ledger, "all start: list with all after", all.listed);
+    span(&mut ledger, "all start: records alike after", all.alike);
+    span(&mut ledger, "all start: all sure of the number after", all.sure);
+    if effort.times {
+        let ms = all.whole.cpu.as_secs_f64() * 1000.0 / n as f64;
+        ledger.rough("all start: processor until right", "ms", Some(ms));
+    }
+    outcome.of(SERVICE).count("all start: bytes to and from all", "B", all.whole.service.all().1 as f64);
+    for (what, at) in [("list", all.listed), ("records", all.alike), ("number", all.sure)] {
+        if at.is_none() {
+            outcome.notes.push(format!("start of all: {what} not right in 90 s"));
+        }
+    }
+}
+
+/// Plays on after a fault until all is right again.
+fn after(name: &str, fleet: &mut Settled, times: bool, outcome: &mut Outcome) {
+    const MOST: Time = Time(400_000);
+    let burst = fleet.burst(SECOND, MOST, |w| w.alike() && w.listed());
+    let mut ledger = outcome.of(FLEET);
+    ledger.count(&format!("{name}: bytes until right"), "B", burst.bytes_each);
+    ledger.count(&format!("{name}: busiest second"), "B/s", burst.busiest_second);
+    ledger.count(&format!("{name}: busiest instance"), "B/s", burst.busiest_one as f64);
+    span(&mut ledger, &format!("{name}: all alike after"), burst.right);
+    if times {
+        ledger.rough(&format!("{name}: processor until right"), "ms", Some(burst.cpu_ms));
+    }
+    if burst.right.is_none() {
+        outcome.notes.push(format!("{name}: not alike in {:.0} s", MOST.ms() / 1000.0));
+    }
+}
+
+fn faults(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
+    let (mut fleet, times) = (settled(seed, n, outcome), effort.times);
+    let zone: Vec<usize> = (0..n).filter(|i| zone_of(*i) == LOST_ZONE).collect();
+    let rack = zone[..zone.len().div_ceil(RACKS)].to_vec();
+    // One of those that stand nowhere in particular; the first three are everybody's peers to begin with.
+    for (name, gone) in [("one", vec![n - 1]), ("a rack", rack), ("a zone", zone)] {
+        gone.iter().for_each(|no| fleet.world.kill(*no));
+        after(&format!("{name} is lost"), &mut fleet, times, outcome);
+        gone.iter().for_each(|no| fleet.world.restart(*no));
+        after(&format!("{name} comes back"), &mut fleet, times, outcome);
+    }
+    fleet.world.sides(|i| u8::from(region_of(zone_of(i)) == LONE_REGION));
+    let apart = fleet.burst(effort.apart, effort.apart, |_| true);
+    let seconds = effort.apart.ms() / 1000.0;
+    let mut ledger = outcome.of(FLEET);
+    ledger.count("regions apart: bytes sent", "B/s", apart.bytes_each / seconds);
+    ledger.count("regions apart: busiest second", "B/s", apart.busiest_second);
+    outcome.notes.push(format!("regions were apart for {seconds:.0} s"));
+    fleet.world.sides(|_| 0);
+    after("regions heal", &mut fleet, times, outcome);
+}
+
+fn worker(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
+    for (name, choice) in [("flat", Choice::Flat), ("zone", Choice::Zone)] {
+        let mut scene = Scene::of(choice, n);
+        if !effort.times {
+            (scene.warm, scene.span) = (Time(SECOND.0 * 2), Time(SECOND.0 * 2));
+        }
+        if !scene.is_whole() {
+            let (played, sharing) = (scene.played, scene.sharing);
+            let note = format!(
+                "worker, {name}: {played} of {sharing} schedulers played, every copy warm; no word of loads"
+            );
+            outcome.notes.push(note);
+        }
+        let borne = borne(scene, seed);
+        let mut ledger = outcome.of(WORKER);
+        let mut put =
+            |what: &str, unit: &str, value: f64| ledger.count(&format!("{name}: {what}"), unit, value);
+        put("connections", "", borne.connections);
+        put("dials", "/s", borne.dials);
+        put("attempts", "/s", borne.attempts);
+        put("probes", "/s", borne.probes);
+        put("reports", "/s", borne.reports);
+        put("bytes of probes and orders", "B/s", borne.bytes);
+        if scene.is_whole() {
+            put("load orders", "/s", borne.loads);
+            put("attempts that met no warm copy", "", borne.cold);
+        }
+        let mut ledger = outcome.of(MODULE);
+        ledger.count(&format!("{name}: connections of a scheduler"), "", borne.open);
+        ledger.count(&format!("{name}: sights it would tell, alone"), "/s", borne.sights);
+        ledger.count(&format!("{name}: calls not ok"), "/s", borne.denied);
+    }
+}
--- a/crates/curlewpoint-rig/src/scale/world.rs
+++ b/crates/curlewpoint-rig/src/scale/world.rs
@@ -23,7 +23,7 @@
 const PEERS: usize = 3;
 const TICK: Time = Time(1_000);
 /// As the gateway's `dial-limit`.
-const DIAL_LIMIT: Time = Time(20_000);
+const DIAL_LIMIT: Time = Time(2_500);
 /// One way to the list service.
 const SERVICE_WAY: Time = Time(20);
 const EPOCH: u64 = 1;
@@ -627,6 +627,11 @@
         self.living().all(|h| h.fleet.number().is_sure())
     }
 
+    /// Whether an instance watches the list.
+    pub fn is_watching(&self, no: usize) -> bool {
+        self.all[no].alive && self.all[no].watching
+    }
+
     pub fn watchers(&self) -> usize {
         self.living().filter(|h| h.watching).count()
     }
