Measure the module in a process of its own, and the fleet before its books

Memory by growth of the resident size came out too small where a part before it had freed some: the module's state was taken up again by the fleet. The module is a part of its own now (--parts module), and the rows that are left out are measured while the fleet stands.

--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -70,8 +70,8 @@
     /// Schedulers, with workers and functions in step; from 16 to 4000 each, rising.
     #[arg(long, default_value = "100,300,600,1000,2000,3400")]
     sizes: String,
-    /// Parts to play: steady, start, faults, worker.
-    #[arg(long, default_value = "steady")]
+    /// Parts to play: steady, module, start, faults, worker.
+    #[arg(long, default_value = "steady,module")]
     parts: String,
     /// A whole number; the same gives the same counts and bytes again.
     #[arg(long, default_value = "1")]
--- a/crates/curlewpoint-rig/src/scale/parts.rs
+++ b/crates/curlewpoint-rig/src/scale/parts.rs
@@ -16,8 +16,10 @@
 /// What can be measured by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Part {
-    /// A settled fleet: nothing new, things seen, a changed row, one that starts; and the module by workers and functions.
+    /// A settled fleet: nothing new, things seen, a changed row, one that starts.
     Steady,
+    /// What a call costs the module, by workers and functions.
+    Module,
     /// All start within a second, knowing nothing.
     Start,
     /// A restart, a rack, a zone, regions apart.
@@ -27,11 +29,12 @@
 }
 
 impl Part {
-    pub const ALL: [Part; 4] = [Part::Steady, Part::Start, Part::Faults, Part::Worker];
+    pub const ALL: [Part; 5] = [Part::Steady, Part::Module, Part::Start, Part::Faults, Part::Worker];
 
     pub fn name(self) -> &'static str {
         match self {
             Part::Steady => "steady",
+            Part::Module => "module",
             Part::Start => "start",
             Part::Faults => "faults",
             Part::Worker => "worker",
@@ -67,7 +70,7 @@
 
     /// Counts and bytes, in seconds.
     pub fn small() -> Effort {
-        Effort { times: false, calls: 0, seen: vec![plan::SEEN[1]], apart: Time(200_000) }
+        Effort { times: false, calls: 200, seen: vec![plan::SEEN[1]], apart: Time(200_000) }
     }
 }
 
@@ -88,6 +91,7 @@
     let mut outcome = Outcome::new(n);
     match part {
         Part::Steady => steady(seed, n, effort, &mut outcome),
+        Part::Module => module(seed, n, effort, &mut outcome),
         Part::Start => start(seed, n, effort, &mut outcome),
         Part::Faults => faults(seed, n, effort, &mut outcome),
         Part::Worker => worker(seed, n, effort, &mut outcome),
@@ -134,25 +138,11 @@
 
 fn steady(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
     let mut rng = Rand64::new(u128::from(seed) + 7);
-    let (workers, functions) = (plan::workers(n), plan::functions(n));
     let times = effort.times;
-    let left_out = if times { book_bytes(workers - rows_held(n)) } else { None };
-    if effort.calls > 0 {
-        let cost = module_cost(seed, n, workers, functions, effort.calls);
-        let calls = cost.calls.max(1) as f64;
-        let mut ledger = outcome.of(MODULE);
-        if times {
-            let (with, without) = cost.us();
-            ledger.rough("a call, choice counted in", "us", Some(with));
-            ledger.rough("a call, choice counted out", "us", Some(without));
-            ledger.rough("memory of the module", "B", cost.memory.map(|b| b as f64));
-        }
-        ledger.count("probes a call", "", cost.probes as f64 / calls);
-        ledger.count("load orders a call", "", cost.loads as f64 / calls);
-        ledger.count("sights a call", "", cost.seen as f64 / calls);
-    }
     let mut fleet = settled(seed, n, outcome);
     if times {
+        // While the fleet stands: what has been freed before would be taken up again, and grow nothing.
+        let left_out = book_bytes(plan::workers(n) - fleet.rows);
         let per_row = fleet.memory.zip(left_out).map(|(held, left)| held + left);
         outcome.of(FLEET).rough("memory of records, list and links", "B", per_row);
     }
@@ -178,6 +168,21 @@
     }
 }
 
+fn module(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
+    let cost = module_cost(seed, n, plan::workers(n), plan::functions(n), effort.calls);
+    let calls = cost.calls.max(1) as f64;
+    let mut ledger = outcome.of(MODULE);
+    if effort.times {
+        let (with, without) = cost.us();
+        ledger.rough("a call, choice counted in", "us", Some(with));
+        ledger.rough("a call, choice counted out", "us", Some(without));
+        ledger.rough("memory of the module", "B", cost.memory.map(|b| b as f64));
+    }
+    ledger.count("probes a call", "", cost.probes as f64 / calls);
+    ledger.count("load orders a call", "", cost.loads as f64 / calls);
+    ledger.count("sights a call", "", cost.seen as f64 / calls);
+}
+
 fn joined(n: usize, fleet: &mut Settled, outcome: &mut Outcome) {
     // Whom it meets is drawn, and with it whether it is told the list once or more often.
     const STARTS: usize = 3;
