Leave out of the scale rig's world what no part plays, and tell what a start refuses

Stopped instances and a list service that is away had a field each and no play. A start of all now tells how many links and lists were not taken.

--- a/crates/curlewpoint-rig/src/scale/fleet_part.rs
+++ b/crates/curlewpoint-rig/src/scale/fleet_part.rs
@@ -263,6 +263,8 @@
     /// Bytes that one sent on the mean in the second with the most, and the most that one alone sent in one.
     pub busiest_second: f64,
     pub busiest_one: u64,
+    /// Links, records and lists that were not taken.
+    pub refused: u64,
 }
 
 /// All start within a second, knowing nothing; ends when all is right, or `most` has passed.
@@ -300,5 +302,6 @@
     let first = first.unwrap_or_else(|| seconds.whole.clone());
     let busiest_second = seconds.busiest as f64 / n as f64;
     let busiest_one = seconds.busiest_one;
-    AllStart { n, listed, alike, sure, first, whole: seconds.whole, busiest_second, busiest_one }
+    let refused = world.refused();
+    AllStart { n, listed, alike, sure, first, whole: seconds.whole, busiest_second, busiest_one, refused }
 }
--- a/crates/curlewpoint-rig/src/scale/parts.rs
+++ b/crates/curlewpoint-rig/src/scale/parts.rs
@@ -230,6 +230,7 @@
     ledger.count("all start: bytes until right", "B", each(bytes));
     ledger.count("all start: busiest second", "B/s", all.busiest_second);
     ledger.count("all start: busiest instance", "B/s", all.busiest_one as f64);
+    ledger.count("all start: refused, in all", "", all.refused as f64);
     span(&mut ledger, "all start: list with all after", all.listed);
     span(&mut ledger, "all start: records alike after", all.alike);
     span(&mut ledger, "all start: all sure of the number after", all.sure);
--- a/crates/curlewpoint-rig/src/scale/world.rs
+++ b/crates/curlewpoint-rig/src/scale/world.rs
@@ -56,7 +56,6 @@
     list: Option<(u64, u64)>,
     rows: u64,
     hints: u64,
-    refused: u64,
 }
 
 impl Hands {
@@ -79,7 +78,6 @@
         self.acts.push(Act::Close(link));
     }
     fn refuse(&mut self, link: LinkId, why: &str) {
-        self.refused += 1;
         self.say(link, &Frame::new(Kind::FAULT).text(Field::WHY, why));
         self.close(link);
     }
@@ -149,7 +147,6 @@
     /// Another for each start.
     life: u64,
     alive: bool,
-    stopped_until: Time,
     /// The far ends: instance, its life, its link.
     links: BTreeMap<LinkId, (usize, u64, LinkId)>,
     serial: u64,
@@ -211,10 +208,8 @@
     rows: Vec<(String, Entry)>,
     version: u64,
     changes: Vec<(u64, usize)>,
-    pub service_up: bool,
     pub service: Tally,
     meter: Meter,
-    pub handled: u64,
 }
 
 fn name_of(instance: usize) -> String {
@@ -256,10 +251,8 @@
             rows: (0..rows).map(|w| row_of(w, 1)).collect(),
             version: 1,
             changes: Vec::new(),
-            service_up: true,
             service: Tally::default(),
             meter: Meter::new(),
-            handled: 0,
         }
     }
 
@@ -290,7 +283,6 @@
             hands,
             life: 1,
             alive: true,
-            stopped_until: Time(0),
             links,
             serial: 0,
             watching: false,
@@ -408,7 +400,6 @@
         while self.events.peek().is_some_and(|Reverse(e)| e.at <= until) {
             let Some(Reverse(event)) = self.events.pop() else { break };
             self.now = event.at;
-            self.handled += 1;
             self.step(event);
         }
         self.now = until;
@@ -422,10 +413,6 @@
             }
             return;
         }
-        if h.stopped_until > self.now {
-            let wait = h.stopped_until - self.now;
-            return self.plan(wait, to, what);
-        }
         match what {
             What::Tick => {
                 self.call(to, |f, now, out| f.advance(now, out));
@@ -448,7 +435,7 @@
                 }
             }
             What::ServiceUp(connection) => {
-                if self.service_up && self.all[to].connection == connection {
+                if self.all[to].connection == connection {
                     self.call(to, |f, now, out| f.service_up(now, out));
                 }
             }
@@ -488,7 +475,7 @@
     fn dialled(&mut self, from: usize, link: LinkId, address: &str) {
         let far = self.addresses.get(address).copied().filter(|far| {
             let h = &self.all[*far];
-            h.alive && h.stopped_until <= self.now && self.sides[*far] == self.sides[from]
+            h.alive && self.sides[*far] == self.sides[from]
         });
         let Some(far) = far else {
             return self.plan(DIAL_LIMIT, from, What::Down(link));
@@ -515,7 +502,7 @@
     // The list service.
 
     fn asked(&mut self, from: usize, connection: u64, mut bytes: BytesMut) {
-        if !self.service_up || self.all[from].connection != connection {
+        if self.all[from].connection != connection {
             return;
         }
         let mut codec = Codec { most: MOST_FRAME };
@@ -641,8 +628,9 @@
         self.living().map(|h| h.fleet.links()).sum::<usize>() as f64 / self.living().count().max(1) as f64
     }
 
+    /// Links, records and lists that were not taken.
     pub fn refused(&self) -> u64 {
-        self.living().map(|h| h.hands.refused + h.fleet.refusals()).sum()
+        self.living().map(|h| h.fleet.refusals()).sum()
     }
 
     /// Lets time pass until `good`, looking every `step`, at most for `most`; none: it did not come.
