Tell what an instance costs over a part of a play: frames, bytes, processor time, memory

Plans for thousands of instances need what a real process costs while all is well and while some are restarted. A play told one mean of bytes between peers over its last third, and processor time and memory over its whole life, so that the start hid the rest.

`measure NAME at TIME for TIME` names a span of a play. Over it the report tells, for each instance: frames and bytes between peers by kind, sent and taken, mean and worst, and the worst second; rows of hints, and how many of them were new sights; links opened; frames with workers by kind; part of a core (user and system time of the process) and resident memory at its end, over those that ran through it; processor time of those that began within it; what one worker bore; and the machine's load beside it. The play `wave` measures 12 s of calm and 8 s in which 15 in 100 are restarted.

Tests: a span by hand over a made-up tape, rows of hints through two relays, the grammar's faults, and the play with twelve processes judged by counts. Processor time is told by the system in steps of 10 ms, too coarse for less.

--- a/crates/curlewpoint-cli/tests/fleet.rs
+++ b/crates/curlewpoint-cli/tests/fleet.rs
@@ -51,6 +51,44 @@
     assert!(cells[1] < 12 && cells[3] >= 12, "{line}");
 }
 
+/// Numbers of the row that begins so, in the part of the report that tells of a span.
+fn of_span(told: &str, span: &str, row: &str) -> Vec<f64> {
+    let part = told.split(&format!("\n{span}, ")).nth(1).unwrap_or_else(|| panic!("no {span}: {told}"));
+    let line =
+        part.lines().find(|l| l.trim_start().starts_with(row)).unwrap_or_else(|| panic!("no {row}: {told}"));
+    let cells = line.trim_start().trim_start_matches(row);
+    cells.split([' ', ';', ':', '%']).filter_map(|w| w.parse().ok()).collect()
+}
+
+/// What an instance costs is told while all is well and while some are restarted; counts, as times hang on the machine.
+#[test]
+fn a_wave_tells_what_an_instance_costs() {
+    let (code, told) = play("wave", &[]);
+    assert_eq!(code, Some(0), "{told}");
+    // Beats go over eight links at most, and over some at least, every 0.3 s.
+    let [beats, bytes] = of_span(&told, "steady", "sent BEAT: frames; bytes")[..] else { panic!("{told}") };
+    assert!((10.0..30.0).contains(&beats) && bytes > 20.0 * beats && bytes < 100.0 * beats, "{told}");
+    let frames = of_span(&told, "steady", "frames sent: mean; worst");
+    let sent = of_span(&told, "steady", "bytes sent: mean; worst");
+    let taken = of_span(&told, "steady", "bytes taken: mean; worst");
+    assert!(frames[0] >= beats - 0.1 && frames[1] >= frames[0] && sent[0] >= bytes - 1.0, "{told}");
+    // What one sends another takes.
+    assert!((sent[0] - taken[0]).abs() <= 1.0, "{told}");
+    let sights = of_span(&told, "steady", "sights an instance told, rows it sent");
+    assert!(sights[0] > 0.0 && sights[1] >= sights[0], "{told}");
+    // 430 RPCs a second, drawn, over twelve.
+    let rpcs = of_span(&told, "steady", "RPCs asked of an instance a second")[0];
+    assert!((25.0..47.0).contains(&rpcs), "{told}");
+    assert_eq!(of_span(&told, "steady", "part of a core: mean; worst; of").last(), Some(&12.0), "{told}");
+    assert!(of_span(&told, "steady", "MB resident: mean; worst")[0] > 1.0, "{told}");
+    // Two of twelve are restarted, and tell that they leave and join.
+    assert_eq!(of_span(&told, "wave", "part of a core: mean; worst; of").last(), Some(&10.0), "{told}");
+    assert_eq!(of_span(&told, "wave", "begun within, ms used: mean; worst; of").last(), Some(&2.0), "{told}");
+    assert!(of_span(&told, "wave", "sent MEMBER: frames; bytes")[0] > 0.0, "{told}");
+    assert!(of_span(&told, "wave", "links opened to peers")[0] > 0.0, "{told}");
+    assert!(of_span(&told, "wave", "at a worker: attempts: mean; worst")[0] > 0.0, "{told}");
+}
+
 #[test]
 fn a_play_that_is_not_there_starts_nothing() {
     let (code, told) = play("no-such.play", &[]);
--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -9,6 +9,10 @@
 
 use crate::relay::{Passed, Taped};
 
+mod spans;
+
+pub use spans::{Cost, Look, Spread};
+
 /// A line of the report: what it is, and how it is told.
 type Row = (&'static str, fn(&Figures) -> String);
 
@@ -51,6 +55,8 @@
     /// Fetches that the store was asked for, and that it turned away.
     pub fetches: u64,
     pub turned_away: u64,
+    /// Over each span that the play measures.
+    pub spans: Vec<Cost>,
 }
 
 /// The most of these moments that lie within one window.
@@ -214,7 +220,8 @@
                 let _ = write!(out, "{:>24}", cell(f));
             }
         }
-        out + "\n"
+        let spans: Vec<&[Cost]> = columns.iter().map(|(_, f)| f.spans.as_slice()).collect();
+        out + "\n" + &Cost::draw(&spans)
     }
 }
 
--- a/crates/curlewpoint-rig/src/lib.rs
+++ b/crates/curlewpoint-rig/src/lib.rs
@@ -13,8 +13,8 @@
 mod run;
 
 pub use bound::Bound;
-pub use figures::{Figures, WINDOW};
-pub use play::{Action, At, Limit, Play, Who, PLAYS};
-pub use process::{Process, Program};
+pub use figures::{Cost, Figures, Look, Spread, WINDOW};
+pub use play::{Action, At, Limit, Play, Span, Who, PLAYS};
+pub use process::{Process, Program, Usage};
 pub use relay::{Effect, Passed, Relay, Rules, Shared, Tape, Taped};
 pub use run::{folder, run, Outcome, Plan};
--- a/crates/curlewpoint-rig/src/play.rs
+++ b/crates/curlewpoint-rig/src/play.rs
@@ -9,7 +9,7 @@
     };
 }
 
-plays! { "start" "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" }
+plays! { "start" "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" "wave" }
 
 const BASE: &str = include_str!("../plays/base.part");
 /// What schedulers run with.
@@ -79,6 +79,14 @@
     pub one_way: bool,
 }
 
+/// A part of a play over which the cost of an instance is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Span {
+    pub name: String,
+    pub at: Time,
+    pub len: Time,
+}
+
 /// A fleet, its load, what happens to it, and what is expected of it.
 #[derive(Clone, Debug)]
 pub struct Play {
@@ -88,6 +96,7 @@
     /// Connections that the list service takes in a second; none: all.
     pub list_takes: Option<f64>,
     pub events: Vec<At>,
+    pub spans: Vec<Span>,
     pub expects: Vec<(Limit, f64)>,
 }
 
@@ -134,6 +143,19 @@
     Ok(e)
 }
 
+/// `measure NAME at TIME for TIME`.
+fn span(line: &Line) -> Result<Span, (usize, String)> {
+    let word = |no: usize| line.words.get(no).map_or("", |w| w.text.as_str());
+    if line.words.len() != 6 || word(2) != "at" || word(4) != "for" {
+        return Err((0, "it is written `measure NAME at TIME for TIME`".to_owned()));
+    }
+    let (at, len) = (time(word(3)).map_err(|e| (3, e))?, time(word(5)).map_err(|e| (5, e))?);
+    if len == Time(0) {
+        return Err((5, "it must be longer than nothing".to_owned()));
+    }
+    Ok(Span { name: word(1).to_owned(), at, len })
+}
+
 fn expect(line: &Line) -> Result<(Limit, f64), (usize, String)> {
     let word = |no: usize| line.words.get(no).map_or("", |w| w.text.as_str());
     let limit = Limit::read(word(1)).map_err(|e| (1, e))?;
@@ -149,11 +171,12 @@
         })?;
         read_lines(name, text, |lines, fault| {
             let (mut cold, mut list_takes) = (false, None);
-            let (mut events, mut expects) = (Vec::new(), Vec::new());
+            let (mut events, mut spans, mut expects) = (Vec::new(), Vec::new(), Vec::new());
             let script = Script::of_lines(base, lines, fault, &mut |line: &Line, fault: &mut Complain| {
                 let value = line.words.get(1).map_or("", |w| w.text.as_str());
                 let read = match line.name() {
                     "at" => event(line).map(|e| events.push(e)),
+                    "measure" => span(line).map(|s| spans.push(s)),
                     "expect" => expect(line).map(|e| expects.push(e)),
                     "cold" => match value {
                         "yes" | "no" => {
@@ -171,7 +194,14 @@
                 true
             });
             events.sort_by_key(|e: &At| e.at);
-            Play { script, cold, list_takes, events, expects }
+            spans.sort_by_key(|s: &Span| s.at);
+            if let Some(late) = spans.iter().find(|s| s.at + s.len >= script.length) {
+                let measures =
+                    |l: &&Line| l.name() == "measure" && l.words.get(1).is_some_and(|w| w.text == late.name);
+                let line = lines.iter().find(measures).or(lines.first());
+                line.into_iter().for_each(|l| fault(l, 0, "the play ends before it is over".to_owned()));
+            }
+            Play { script, cold, list_takes, events, spans, expects }
         })
     }
 
@@ -193,6 +223,7 @@
             let play = Play::parse(name, text).unwrap_or_else(|f| panic!("{f}"));
             assert!(!play.events.is_empty() && !play.expects.is_empty(), "{name}");
             assert!(play.events.iter().all(|e| e.at + e.len < play.script.length), "{name}");
+            assert!(play.spans.iter().all(|s| s.at + s.len < play.script.length), "{name}");
         }
     }
 
@@ -202,6 +233,9 @@
     #[test_case("at 5s kill schedulrs", "'schedulrs' is none of schedulers" ; "an unknown party")]
     #[test_case("expect tolld 5ms", "'tolld' is none of list-connections" ; "an unknown limit")]
     #[test_case("cold maybe", "neither yes nor no" ; "nonsense")]
+    #[test_case("measure all at 5s", "measure NAME at TIME for TIME" ; "a span without its length")]
+    #[test_case("measure all at 5s for 0s", "longer than nothing" ; "an empty span")]
+    #[test_case("length 10s\nmeasure all at 5s for 5s", "the play ends before it is over" ; "a span beyond the end")]
     #[test_case("lenth 5s", "no directive 'lenth'" ; "an unknown directive")]
     fn faults_are_told(line: &str, want: &str) {
         let told = Play::parse("x.play", line).unwrap_err();
--- a/crates/curlewpoint-rig/src/process.rs
+++ b/crates/curlewpoint-rig/src/process.rs
@@ -73,8 +73,8 @@
         }
     }
 
-    /// Processor time used, and the most memory that was resident, in KiB, as the system tells them.
-    pub fn costs(&self) -> Option<(Duration, u64)> {
+    /// What it has used, as the system tells it; none: it has ended.
+    pub fn usage(&self) -> Option<Usage> {
         let id = self.child.id()?;
         let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
         let after: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
@@ -82,7 +82,22 @@
         let ticks = |no: usize| after.get(no).and_then(|t| t.parse::<u64>().ok());
         let used = Duration::from_millis(10 * (ticks(11)? + ticks(12)?));
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
-        Some((used, peak.split_whitespace().next()?.parse().ok()?))
+        let row = |name: &str| {
+            let row = status.lines().find_map(|l| l.strip_prefix(name))?;
+            row.split_whitespace().next()?.parse().ok()
+        };
+        Some(Usage { id, used, resident: row("VmRSS:")?, peak: row("VmHWM:")? })
     }
 }
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// The process.
+    pub id: u32,
+    /// Processor time since it began, in its own code and the system's; told in steps of 10 ms.
+    pub used: Duration,
+    /// Memory that is resident, now and at most so far, in KiB.
+    pub resident: u64,
+    pub peak: u64,
+}
--- a/crates/curlewpoint-rig/src/relay.rs
+++ b/crates/curlewpoint-rig/src/relay.rs
@@ -107,6 +107,9 @@
         whole: bool,
         /// A beat: of all records of members.
         digest: Option<u64>,
+        /// Rows of hints, and those of them that passed a relay for the first time.
+        rows: usize,
+        new: usize,
     },
     Ended,
 }
@@ -177,6 +180,34 @@
     }
 }
 
+/// The last number of a hint that any relay saw of each run: whoever sees something counts up.
+#[derive(Clone, Default)]
+struct Sights(Arc<Mutex<BTreeMap<u64, u64>>>);
+
+/// Numbers that a row of hints takes, and where in it the run and its number stand.
+const HINT: usize = 7;
+const HINT_RUN: usize = 5;
+const HINT_NO: usize = 6;
+
+impl Sights {
+    /// Rows of this frame, and those that no relay has seen before.
+    fn pass(&self, f: &Frame) -> (usize, usize) {
+        if f.kind != Kind::HINTS {
+            return (0, 0);
+        }
+        let rows = f.get_ints(Field::ROWS).unwrap_or_default();
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut new = 0;
+        for row in rows.chunks_exact(HINT) {
+            let last = known.entry(row[HINT_RUN]).or_default();
+            // Each is told on several ways at once, so one may come before those before it: they count with it.
+            new += row[HINT_NO].saturating_sub(*last);
+            *last = row[HINT_NO].max(*last);
+        }
+        (rows.len() / HINT, new as usize)
+    }
+}
+
 /// What all relays of a rig share.
 #[derive(Clone)]
 pub struct Shared {
@@ -184,11 +215,13 @@
     pub tape: Tape,
     pub record: Record,
     lists: Lists,
+    sights: Sights,
 }
 
 impl Shared {
     pub fn new(rules: Rules, record: Record) -> Shared {
-        Shared { rules, tape: Tape::default(), record, lists: Lists::default() }
+        let (tape, lists, sights) = Default::default();
+        Shared { rules, tape, record, lists, sights }
     }
 }
 
@@ -325,7 +358,8 @@
                 let bytes = frame.head().len() + frame.body.len() + curlewpoint_wire::HEAD_BYTES;
                 let whole = frame.kind == Kind::LIST && !frame.has(Field::FROM);
                 let digest = frame.get_int(Field::DIGEST).ok().filter(|_| frame.kind == Kind::BEAT);
-                let taped = Taped::Frame { kind: frame.kind, bytes, whole, digest };
+                let (rows, new) = shared.sights.pass(&frame);
+                let taped = Taped::Frame { kind: frame.kind, bytes, whole, digest, rows, new };
                 shared.tape.add(shared.record.now(), from, to, taped);
                 // What a made-up peer tells is no word of a drain.
                 if from.starts_with("front-") {
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep_until;
 
-use crate::figures::{cost, Figures};
+use crate::figures::{cost, Cost, Figures, Look};
 use crate::forge::forge;
 use crate::play::{Action, At, Limit, Play, Who, CONFIG};
 use crate::process::{Process, Program};
@@ -71,6 +71,8 @@
     KillOld(Box<Process>, String),
     Worker(usize),
     Tell(usize, Standing),
+    /// A span begins, or ends.
+    Look(usize),
 }
 
 struct Stage {
@@ -98,6 +100,8 @@
     over: Time,
     forging: JoinSet<()>,
     more_relays: Vec<Relay>,
+    /// At the beginning of each span of the play, and at its end.
+    looks: BTreeMap<usize, Vec<Look>>,
 }
 
 /// Ports that nobody listens on, below those that the system hands out by itself.
@@ -134,6 +138,10 @@
         stage.over = stage.over.max(up + over);
         stage.plan(event.at, Deed::Begin(event));
     }
+    for (no, span) in stage.plan.play.spans.clone().into_iter().enumerate() {
+        stage.plan(span.at, Deed::Look(no));
+        stage.plan(span.at + span.len, Deed::Look(no));
+    }
     let length = stage.plan.play.script.length;
     stage.go(up, length).await?;
     stage.finish(began, clients).await
@@ -212,6 +220,7 @@
             over: Time(0),
             forging: JoinSet::new(),
             more_relays: Vec::new(),
+            looks: BTreeMap::new(),
             plan,
         };
         for no in 0..stage.workers.len() {
@@ -371,10 +380,22 @@
                 self.tell(no, Standing::Ready, Some(self.shared.record.now()));
             }
             Deed::Tell(no, standing) => self.list.standing(&self.workers[no].name, standing),
+            Deed::Look(no) => {
+                let look = self.look();
+                self.looks.entry(no).or_default().push(look);
+            }
         }
         Ok(())
     }
 
+    /// What the system tells of all instances now.
+    fn look(&self) -> Look {
+        let usage = self.instances.iter().map(|i| i.process.as_ref().and_then(Process::usage)).collect();
+        let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+        let load = load.split(' ').next().and_then(|l| l.parse().ok()).unwrap_or_default();
+        Look { at: self.shared.record.now(), usage, load }
+    }
+
     fn signal(&self, no: usize, signal: Signal) {
         if let Some(process) = &self.instances[no].process {
             process.signal(signal);
@@ -504,7 +525,7 @@
         let (mut costs, mut ends) = (Vec::new(), JoinSet::new());
         for i in &mut self.instances {
             let Some(mut process) = i.process.take() else { continue };
-            costs.extend(process.costs());
+            costs.extend(process.usage().map(|u| (u.used, u.peak)));
             let name = i.name.clone();
             ends.spawn(async move {
                 process.signal(Signal::TERM);
@@ -536,6 +557,11 @@
         let mut figures = Figures::of(&tape, &seen, began, self.over, end, n, &self.gone);
         let lived = Duration::from_micros((end - began).0 * 100);
         figures.cost = cost(&costs, lived);
+        for (no, span) in self.plan.play.spans.iter().enumerate() {
+            if let Some([from, to]) = self.looks.get(&no).map(Vec::as_slice) {
+                figures.spans.push(Cost::of(&span.name, from, to, &tape, &seen, self.workers.len()));
+            }
+        }
         (figures.turned_away, figures.fetches) = (self.store.turned_away(), self.store.asked());
         for (limit, most) in &self.plan.play.expects {
             missed.extend(miss(*limit, *most, &figures, self.plan.peers));
--- a/crates/curlewpoint-rig/tests/relay.rs
+++ b/crates/curlewpoint-rig/tests/relay.rs
@@ -155,3 +155,34 @@
     let dials = shared.tape.all().iter().filter(|t| t.3 == Taped::Dialled && t.0 > Time(0)).count();
     assert_eq!(dials, 4);
 }
+
+/// A row of hints that passes a second relay is a row, and no new sight; one that overtook others counts with them.
+#[tokio::test]
+async fn rows_of_hints_are_counted_and_new_sights_once() {
+    let (_, shared) = shared();
+    let mut first = pair(&shared, "front-0", "front-1").await;
+    let mut second = pair(&shared, "front-0", "front-2").await;
+    let rows =
+        |run: u64, nos: &[u64]| -> Vec<u64> { nos.iter().flat_map(|no| [1, 2, 0, 1, 5, run, *no]).collect() };
+    let say = |link: &Link, rows: &[u64]| {
+        link.outbox.send(Frame::new(Kind::HINTS).ints(Field::ROWS, rows), None).unwrap();
+    };
+    let taped = || {
+        let all = shared.tape.all();
+        let hints = all.iter().filter_map(|t| match t.3 {
+            Taped::Frame { kind: Kind::HINTS, rows, new, .. } => Some((rows, new)),
+            _ => None,
+        });
+        hints.collect::<Vec<_>>()
+    };
+    for (of_second, run, nos) in [(false, 8, vec![1, 3]), (true, 8, vec![1, 2, 3]), (false, 9, vec![1])] {
+        let (p, before) = (if of_second { &mut second } else { &mut first }, taped().len());
+        say(&p.near, &rows(run, &nos));
+        assert_eq!(p.far.reader.next().await.unwrap().unwrap().kind, Kind::HINTS);
+        // A frame is taped just after it has been handed on.
+        while taped().len() == before {
+            tokio::task::yield_now().await;
+        }
+    }
+    assert_eq!(taped(), [(2, 3), (3, 0), (1, 1)]);
+}
