Let node and gateway share what is read ahead, and look at what is there without a timer

The gateway's native door came with what node's door had of its own: commands read ahead, and a last look at what has come. Both use link's now.

--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -3,12 +3,11 @@
 
 use curlewpoint_catalogue::Catalogue;
 use curlewpoint_engine::ClientId;
-use curlewpoint_link::{linger, next_at_once, open, Ahead, Bounds, Link, LINGER};
+use curlewpoint_link::{at_once, linger, next_at_once, open, Ahead, Bounds, Link, LINGER};
 use curlewpoint_wire::{Field, Frame, Kind};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::yield_now;
-use tokio::time::timeout;
 use tokio_stream::StreamExt;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -88,7 +87,7 @@
     }
     // What the machine has accepted is asked for once more after the driver has looked.
     yield_now().await;
-    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+    while let Some(Ok((stream, _))) = at_once(listener.accept()).await {
         doors.let_in(stream);
     }
 }
--- a/crates/curlewpoint-gateway/src/clients/tests.rs
+++ b/crates/curlewpoint-gateway/src/clients/tests.rs
@@ -5,6 +5,7 @@
 use curlewpoint::types::Time;
 use curlewpoint_catalogue::Releases;
 use curlewpoint_link::Outbox;
+use tokio::time::timeout;
 
 /// A door whose calls nobody takes: what is told of endings comes out here, and calls behind one that fills their
 /// channel.
--- a/crates/curlewpoint-link/src/ahead.rs
+++ b/crates/curlewpoint-link/src/ahead.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::future::Future;
 
 use tokio::task::yield_now;
 use tokio_stream::{Stream, StreamExt};
@@ -50,8 +51,17 @@
     }
 }
 
+/// What there is without waiting. A time-out of nought would wait for the next tick of the timers, a millisecond.
+pub async fn at_once<T>(what: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        what = what => Some(what),
+        () = std::future::ready(()) => None,
+    }
+}
+
 /// The next that has come already, asked for once the driver has looked; none: nothing has, or it has ended.
 pub async fn next_at_once<S: Stream + Unpin>(from: &mut S) -> Option<S::Item> {
     yield_now().await;
-    tokio::time::timeout(std::time::Duration::ZERO, from.next()).await.unwrap_or_default()
+    at_once(from.next()).await.flatten()
 }
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -10,7 +10,7 @@
 mod outbox;
 mod turn;
 
-pub use ahead::{next_at_once, Ahead};
+pub use ahead::{at_once, next_at_once, Ahead};
 pub use clock::Clock;
 pub use ending::{is_ours, linger, LINGER};
 pub use link::{listen, open, outbox, Bounds, Link, LinkError, Reader};
--- a/crates/curlewpoint-link/tests/ahead.rs
+++ b/crates/curlewpoint-link/tests/ahead.rs
@@ -1,6 +1,6 @@
 //! What is read ahead of the one task that owns a scheduler.
 
-use curlewpoint_link::Ahead;
+use curlewpoint_link::{at_once, Ahead};
 
 #[test]
 fn what_is_read_ahead_is_bounded_in_number_and_in_bytes() {
@@ -28,3 +28,12 @@
     assert!(ahead.has_room() && ahead.withdraw(|(what, _)| *what == "c").is_none());
     assert_eq!(ahead.iter().collect::<Vec<_>>(), [&("a", 1), &("b", 2)]);
 }
+
+/// Guards against a look that waits for a tick of the timers: here their clock stands still.
+#[tokio::test(start_paused = true)]
+async fn a_look_at_what_is_there_takes_no_time() {
+    let begun = tokio::time::Instant::now();
+    assert_eq!(at_once(std::future::pending::<()>()).await, None);
+    assert_eq!(at_once(async { 7 }).await, Some(7));
+    assert_eq!(begun.elapsed(), std::time::Duration::ZERO);
+}
--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -1,14 +1,11 @@
-use std::collections::VecDeque;
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use curlewpoint_engine::ClientId;
-use curlewpoint_link::{linger, outbox, Bounds, Clock};
+use curlewpoint_link::{at_once, linger, next_at_once, outbox, Ahead, Bounds, Clock, LINGER};
 use curlewpoint_platform::asked::CANCEL;
 use curlewpoint_platform::resp::{Commands, RespError};
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
@@ -28,8 +25,6 @@
 /// Commands, and their bytes, read from one client ahead of what the engine has taken: with them its going is seen
 /// behind all that a client may have open.
 const AHEAD: (usize, usize) = (64, 32 * 1024);
-/// What is still read, and for how long, from a client that was answered and shut off.
-const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
 /// Where a connection could not be accepted, so long until the next try.
 const AGAIN: Duration = Duration::from_millis(20);
 
@@ -137,57 +132,9 @@
     }
 }
 
-/// What there is without waiting. A time-out of nought would wait for the next tick of the timers, a millisecond.
-async fn at_once<T>(what: impl Future<Output = T>) -> Option<T> {
-    tokio::select! {
-        biased;
-        what = what => Some(what),
-        () = std::future::ready(()) => None,
-    }
-}
-
-/// Commands that were read and not yet taken by the engine.
-#[derive(Default)]
-struct Ahead {
-    calls: VecDeque<Vec<Bytes>>,
-    bytes: usize,
-}
-
-impl Ahead {
-    fn has_room(&self) -> bool {
-        self.calls.len() < AHEAD.0 && self.bytes < AHEAD.1
-    }
-
-    fn size(words: &[Bytes]) -> usize {
-        words.iter().map(Bytes::len).sum()
-    }
-
-    fn push(&mut self, words: Vec<Bytes>) {
-        self.bytes += Self::size(&words);
-        self.calls.push_back(words);
-    }
-
-    fn pop(&mut self) -> Option<Vec<Bytes>> {
-        let words = self.calls.pop_front()?;
-        self.bytes -= Self::size(&words);
-        Some(words)
-    }
-
-    /// Drops the call that this withdraws, if it is still here.
-    fn withdraw(&mut self, cancel: &[Bytes]) -> bool {
-        let at = self.calls.iter().position(|call| call.get(1) == cancel.get(1));
-        let call = at.and_then(|at| self.calls.remove(at));
-        self.bytes -= call.as_deref().map_or(0, Self::size);
-        call.is_some()
-    }
-}
-
-type Reader = FramedRead<OwnedReadHalf, Commands>;
-
-/// Whether all that has come has been read: asked once more after the driver has looked.
-async fn next_at_once(reader: &mut Reader) -> Option<Result<Vec<Bytes>, RespError>> {
-    yield_now().await;
-    at_once(reader.next()).await.flatten()
+/// How much of the row of commands read ahead one takes up.
+fn size(words: &[Bytes]) -> usize {
+    words.iter().map(Bytes::len).sum()
 }
 
 /// It has said something whole, or part of something; whoever asked it to leave looks for another.
@@ -232,7 +179,7 @@
     if desk.endings.send(Note::ClientIn(id, client)).await.is_err() {
         return;
     }
-    let (mut ahead, mut half, mut why) = (Ahead::default(), false, None);
+    let (mut ahead, mut half, mut why) = (Ahead::new(AHEAD), false, None);
     let (mut writing, mut lingers) = (true, true);
     let mut came = Some(first);
     let mut silent_at = Instant::now() + QUIET;
@@ -242,7 +189,7 @@
             presence.reads();
             stays(&presence, &desk, &place, false);
             if words.first().is_some_and(|w| w == CANCEL) {
-                if ahead.withdraw(&words) {
+                if ahead.withdraw(|call: &Vec<Bytes>| call.get(1) == words.get(1)).is_some() {
                     // Neither was heard of elsewhere.
                     presence.dealt_with(presence.open());
                     presence.dealt_with(presence.open());
@@ -250,7 +197,8 @@
                     break;
                 }
             } else {
-                ahead.push(words);
+                let bytes = size(&words);
+                ahead.push(words, bytes);
             }
         }
         // What has come is read before what was read is passed on, so that a client that has gone meanwhile is seen.
@@ -271,7 +219,7 @@
                 None => break,
             },
             // A full channel holds back this client alone.
-            room = desk.asks.reserve(), if !ahead.calls.is_empty() => match (room, ahead.pop()) {
+            room = desk.asks.reserve(), if !ahead.is_empty() => match (room, ahead.pop()) {
                 (Ok(room), Some(words)) => room.send(Note::Client(id, words)),
                 _ => break,
             },
@@ -293,11 +241,11 @@
                     (None, None) => {}
                 }
             }
-            () = desk.closing.cancelled(), if ahead.calls.is_empty() => match next_at_once(&mut reader).await {
+            () = desk.closing.cancelled(), if ahead.is_empty() => match next_at_once(&mut reader).await {
                 Some(Ok(words)) => came = Some(words),
                 _ => break,
             },
-            () = tokio::time::sleep_until(silent_at), if ahead.calls.is_empty() => {
+            () = tokio::time::sleep_until(silent_at), if ahead.is_empty() => {
                 let begun = !reader.read_buffer().is_empty();
                 if half && begun {
                     why = Some(RespError::CutShort);
--- a/crates/curlewpoint-node/src/clients/tests.rs
+++ b/crates/curlewpoint-node/src/clients/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use curlewpoint_platform::resp::row;
+use test_case::test_case;
 use tokio::io::AsyncWriteExt;
 
 /// A door whose calls nobody takes: what is told of endings comes out here.
@@ -64,16 +65,15 @@
     assert_eq!(words[1], "2");
 }
 
-/// What a client may have the scheduler hold ahead of the engine is bounded.
-#[test]
-fn what_is_read_ahead_is_bounded_in_commands_and_in_bytes() {
-    for (size, most) in [(1, AHEAD.0), (AHEAD.1 / 2, 2)] {
-        let mut ahead = Ahead::default();
-        while ahead.has_room() {
-            ahead.push(vec![Bytes::from(vec![0; size])]);
-        }
-        assert_eq!(ahead.calls.len(), most);
-        while ahead.pop().is_some() {}
-        assert_eq!(ahead.bytes, 0);
+/// What a client may have the scheduler hold ahead of the engine is bounded in commands and in bytes.
+#[test_case(1, 64 ; "commands")]
+#[test_case(16 * 1024, 2 ; "bytes")]
+fn what_is_read_ahead_is_bounded(bytes: usize, most: usize) {
+    let mut ahead = Ahead::new(AHEAD);
+    while ahead.has_room() {
+        let words = vec![Bytes::from(vec![0; bytes])];
+        let bytes = size(&words);
+        ahead.push(words, bytes);
     }
+    assert_eq!(ahead.iter().count(), most);
 }
