--- a/crates/curlewpoint-node/tests/crossings.rs
+++ b/crates/curlewpoint-node/tests/crossings.rs
@@ -44,16 +44,6 @@
     of.settled().await;
 }
 
-/// A worker that takes no connection until it is let: its queue of one is held by another.
-async fn unreachable() -> (String, TcpListener, Vec<tokio::net::TcpStream>) {
-    let socket = tokio::net::TcpSocket::new_v4().unwrap();
-    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let listener = socket.listen(0).unwrap();
-    let at = listener.local_addr().unwrap();
-    let held = vec![tokio::net::TcpStream::connect(at).await.unwrap()];
-    (at.to_string(), listener, held)
-}
-
 /// Guards against an attempt that waits for a connection and goes out when it comes up, its client long gone.
 #[tokio::test]
 async fn what_waits_for_a_dial_does_not_outlive_its_client() {
--- a/crates/curlewpoint-node/tests/stand/mod.rs
+++ b/crates/curlewpoint-node/tests/stand/mod.rs
@@ -275,10 +275,9 @@
                             went_out(&row);
                             if seen(|s| s.settling) {
                                 drop(say.send(answer(&row, "OK", "")));
-                            } else {
-                                seen(|s| s.asked.push((row.clone(), say.downgrade())));
-                                drop(told.send((row, say.clone())));
                             }
+                            seen(|s| s.asked.push((row.clone(), say.downgrade())));
+                            drop(told.send((row, say.clone())));
                         }
                         Some("gauges") => drop(say.send(answer(&row, "UP", ""))),
                         _ => {}
@@ -417,7 +416,14 @@
 pub const NOWHERE: &str = "127.0.0.1:9";
 
 /// The directory's answer to a question: these workers, as records of DNS: (id, address, priority).
-pub fn listed(query: &[u8], serial: u32, workers: &[(&'static str, String, u16)]) -> Message {
+pub fn listed<S: AsRef<str>>(query: &[u8], serial: u32, workers: &[(S, String, u16)]) -> Message {
+    listed_since(query, serial, workers, 0)
+}
+
+/// The same, of workers that started at this Unix millisecond.
+pub fn listed_since<S: AsRef<str>>(
+    query: &[u8], serial: u32, workers: &[(S, String, u16)], started: u64,
+) -> Message {
     let name = |n: &str| Name::from_ascii(n).unwrap();
     let mut m = Message::from_vec(query).unwrap();
     m.set_message_type(MessageType::Response);
@@ -425,16 +431,58 @@
     let soa = SOA::new(name("a."), name("b."), serial, 1, 1, 1, 1);
     m.add_name_server(Record::from_rdata(list.clone(), 0, RData::SOA(soa)));
     for (id, address, priority) in workers {
-        let (target, port) = (name(&format!("{id}.z.hosts.")), address.rsplit_once(':').unwrap().1);
+        let (target, port) =
+            (name(&format!("{}.z.hosts.", id.as_ref())), address.rsplit_once(':').unwrap().1);
         let srv = SRV::new(*priority, 40, port.parse().unwrap(), target.clone());
         m.add_answer(Record::from_rdata(list.clone(), 0, RData::SRV(srv)));
         m.add_additional(Record::from_rdata(target.clone(), 0, RData::A(A(Ipv4Addr::LOCALHOST))));
-        let text = TXT::new(vec!["kind=std".into(), "cell=0".into(), "started=0".into()]);
+        let text = TXT::new(vec!["kind=std".into(), "cell=0".into(), format!("started={started}")]);
         m.add_additional(Record::from_rdata(target, 0, RData::TXT(text)));
     }
     m
 }
 
+/// A worker that takes no connection until it is let: its queue of one is held by another.
+pub async fn unreachable() -> (String, TcpListener, Vec<TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let at = listener.local_addr().unwrap();
+    let held = vec![TcpStream::connect(at).await.unwrap()];
+    (at.to_string(), listener, held)
+}
+
+/// A directory that answers when its test says so.
+pub struct Directory {
+    socket: UdpSocket,
+    /// The last question, and who has put it.
+    asked: Option<(Vec<u8>, SocketAddr)>,
+}
+
+impl Directory {
+    pub async fn new() -> Directory {
+        Directory { socket: UdpSocket::bind("127.0.0.1:0").await.unwrap(), asked: None }
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap()
+    }
+
+    /// Waits for the next question.
+    pub async fn is_asked(&mut self) {
+        let mut query = [0; 512];
+        let (n, from) = soon(self.socket.recv_from(&mut query)).await.unwrap();
+        self.asked = Some((query[..n].to_vec(), from));
+    }
+
+    /// Answers the last question, before a scheduler on the same thread looks again.
+    pub fn answers<S: AsRef<str>>(&self, serial: u32, workers: &[(S, String, u16)], started: u64) -> usize {
+        let (query, from) = self.asked.as_ref().expect("it was asked");
+        let answer = listed_since(query, serial, workers, started).to_vec().unwrap();
+        self.socket.try_send_to(&answer, *from).unwrap_or(0)
+    }
+}
+
 /// A directory that answers with these workers.
 pub async fn directory(serial: u32, workers: Vec<(&'static str, String, u16)>) -> String {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
