Kill and stop a node right after an accept, start it on the same port, and keep a record

Cause: the moment between the machine's accepting a connection and the node's first reading was forced by no test, nor a start on the port of one that has just ended.

Change: nodes.rs holds a node by SIGSTOP while clients connect and say nothing, a byte, half a request, all of it; then SIGKILL, or SIGTERM and SIGCONT. What came whole is answered at a stop, nothing ran at a kill; a new node binds the same port, is fit at its first CHECK, and the repeat runs once. The clients and workers of nodes.rs keep the record that the tests on sockets keep, and it is judged. The usual clients of the idle crowds' test go by it; what it expects is as before.

--- a/crates/curlewpoint-cli/tests/nodes.rs
+++ b/crates/curlewpoint-cli/tests/nodes.rs
@@ -1,4 +1,8 @@
-//! Nodes as processes of their own, on loopback, at moments that cross.
+//! Nodes as processes of their own, on loopback, at moments that cross. What clients wrote and read, and what workers
+//! heard and said, is judged by the checker that the tests on sockets use.
+
+#[path = "../../curlewpoint-node/tests/stand/record.rs"]
+mod record;
 
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -12,6 +16,7 @@
 use hickory_proto::op::{Message, MessageType};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
+use record::{Conn, End};
 use serde_json::{json, Value};
 
 /// No step of a story takes longer; one that does has failed.
@@ -41,6 +46,81 @@
     std::env::temp_dir().join(format!("curlewpoint-{name}-{}.json", std::process::id()))
 }
 
+/// What a test's clients and workers have on record.
+#[derive(Clone, Default)]
+struct Book(Arc<Mutex<record::Record>>);
+
+impl Book {
+    fn look<T>(&self, look: impl FnOnce(&mut record::Record) -> T) -> T {
+        look(&mut self.0.lock().unwrap())
+    }
+
+    /// Every request written whole has one answer, or its connection ended with nothing passed on.
+    fn keeps_the_rule(&self) {
+        let faults = self.look(|r| r.faults());
+        assert!(faults.is_empty(), "{faults:#?}");
+    }
+}
+
+/// A client whose words and answers go on record.
+struct Client {
+    stream: TcpStream,
+    no: usize,
+    book: Book,
+    was_reset: bool,
+}
+
+impl Client {
+    fn new(address: &str, book: &Book) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(STEP)).unwrap();
+        let no = book.look(|r| {
+            r.conns.push(Conn::default());
+            r.conns.len() - 1
+        });
+        Client { stream, no, book: book.clone(), was_reset: false }
+    }
+
+    fn conn<T>(&self, look: impl FnOnce(&mut Conn) -> T) -> T {
+        self.book.look(|r| look(&mut r.conns[self.no]))
+    }
+
+    /// On record first: an answer may be there before this returns.
+    fn says(&mut self, bytes: &[u8]) {
+        self.conn(|c| c.sent.extend_from_slice(bytes));
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Reads what has come; false: the connection has ended.
+    fn reads(&mut self) -> bool {
+        let mut some = [0; 4096];
+        let got = self.stream.read(&mut some);
+        assert!(!got.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock), "it never came");
+        self.was_reset = got.is_err();
+        let n = got.unwrap_or(0);
+        self.conn(|c| match n {
+            0 => c.end = End::Closed,
+            n => c.got.extend_from_slice(&some[..n]),
+        });
+        n > 0
+    }
+
+    /// Reads until all that it asked is answered; false: the connection ended before.
+    fn has_all(&mut self) -> bool {
+        while self.conn(|c| c.is_owed()) {
+            if !self.reads() {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn told(&self) -> String {
+        self.conn(|c| String::from_utf8_lossy(&c.got).into_owned())
+    }
+}
+
 /// Runs a node within so many descriptors.
 fn run(file: &Path, descriptors: usize) -> Child {
     let mut shell = Command::new("sh");
@@ -95,14 +175,15 @@
 const FALL: f64 = 1_000.0;
 
 /// A worker that answers all that it is asked; it tells when each call came.
-fn worker() -> (String, Arc<Mutex<Vec<Instant>>>) {
+fn worker(book: &Book) -> (String, Arc<Mutex<Vec<Instant>>>) {
+    let book = book.clone();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (address, calls) =
         (listener.local_addr().unwrap().to_string(), Arc::<Mutex<Vec<Instant>>>::default());
     let came = Arc::clone(&calls);
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let came = Arc::clone(&came);
+            let (came, book) = (Arc::clone(&came), book.clone());
             std::thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
                 for line in BufReader::new(&stream).lines().map_while(Result::ok) {
@@ -110,6 +191,10 @@
                     let word = match row["type"].as_str() {
                         Some("invoke") => {
                             came.lock().unwrap().push(Instant::now());
+                            book.look(|r| {
+                                r.hears(row["req"].as_str().expect("an id"));
+                                r.says(row["req"].as_str().expect("an id"), b"");
+                            });
                             "OK"
                         }
                         Some("gauges") => "UP",
@@ -158,26 +243,26 @@
 /// say nothing, or ask once and stay, while the directory says nothing either.
 #[test]
 fn idle_crowds_leave_room_for_dials_the_directory_and_usual_clients() {
-    let (at, calls) = worker();
+    let book = Book::default();
+    let (at, calls) = worker(&book);
     let silent = UdpSocket::bind("127.0.0.1:0").unwrap();
     let first = told(7, &silent.local_addr().unwrap().to_string(), &[at], 64, settings(1));
     let node = Node::start("crowd", &first, 64);
-    let crowd: Vec<TcpStream> = (0..120)
+    let crowd: Vec<Client> = (0..120)
         .map(|no| {
-            let mut idle = TcpStream::connect(&node.address).unwrap();
+            let mut idle = Client::new(&node.address, &book);
             if no % 2 == 0 {
-                let _ = idle.write_all(&row(&["CHECK", "1", ""]));
+                // Some of the crowd may be turned away with this unread.
+                let _ = idle.stream.write_all(&row(&["CHECK", "1", ""]));
             }
             idle
         })
         .collect();
     for no in 1..=8 {
-        let mut usual = TcpStream::connect(&node.address).unwrap();
-        usual.set_read_timeout(Some(STEP)).unwrap();
-        usual.write_all(&call(1, no)).unwrap();
-        let mut answer = vec![0; row(&["1", "good", "", ""]).len()];
-        usual.read_exact(&mut answer).unwrap();
-        assert_eq!(answer, row(&["1", "good", "", ""]));
+        let mut usual = Client::new(&node.address, &book);
+        usual.says(&call(1, no));
+        assert!(usual.has_all());
+        assert_eq!(usual.told().as_bytes(), row(&["1", "good", "", ""]));
     }
     assert_eq!(calls.lock().unwrap().len(), 8);
     let moved = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -188,6 +273,86 @@
     signal(&node.child, "HUP");
     moved.recv(&mut [0; 512]).expect("the directory is asked at its new place");
     drop(crowd);
+    book.keeps_the_rule();
+}
+
+/// What has connected, and said nothing, a part of a request or all of it, while the node is held before it reads.
+fn unread(node: &Node, book: &Book) -> Vec<Client> {
+    signal(&node.child, "STOP");
+    let bytes = call(1, 100);
+    [0, 1, bytes.len() / 2, bytes.len()]
+        .map(|cut| {
+            let mut client = Client::new(&node.address, book);
+            client.says(&bytes[..cut]);
+            client
+        })
+        .into()
+}
+
+/// A node on the same port as the one that has ended. It is ready at once, and the request that was not answered is
+/// served, under an id of its own as a client's retry has, once.
+fn starts_again(name: &str, told: &Value, before: &str, book: &Book) -> Node {
+    let mut told = told.clone();
+    told["listen"] = json!(before);
+    let node = Node::start(name, &told, 256);
+    assert_eq!(node.address, before, "on the same port");
+    let mut client = Client::new(before, book);
+    client.says(&row(&["CHECK", "1", ""]));
+    assert!(client.has_all());
+    assert_eq!(client.told().as_bytes(), row(&["1", "fit", "", ""]));
+    client.says(&call(2, 200));
+    assert!(client.has_all());
+    assert!(client.told().ends_with(&String::from_utf8(row(&["2", "good", "", ""])).unwrap()));
+    node
+}
+
+/// Guards against requests that are lost without a trace, or run twice, where a node is killed between the machine's
+/// accepting a connection and its own first reading; and against a port that is not to be had after it.
+#[test]
+fn killed_right_after_an_accept() {
+    let book = Book::default();
+    let (at, calls) = worker(&book);
+    let first = told(7, "127.0.0.1:9", &[at], 256, settings(1));
+    let mut node = Node::start("killed", &first, 256);
+    // Served before, so that connections to the worker and of clients are open.
+    let mut served = Client::new(&node.address, &book);
+    served.says(&call(1, 1));
+    assert!(served.has_all());
+    let mut clients = unread(&node, &book);
+    signal(&node.child, "KILL");
+    node.child.wait().unwrap();
+    for client in &mut clients {
+        while client.reads() {}
+        assert_eq!(client.told(), "", "a dead node has said something");
+    }
+    assert_eq!(calls.lock().unwrap().len(), 1, "nothing of what it had not read");
+    let again = starts_again("killed-again", &first, &node.address, &book);
+    assert_eq!(calls.lock().unwrap().len(), 2, "each once");
+    drop((again, served));
+    book.keeps_the_rule();
+}
+
+/// The twin: it is told to stop in that instant. What came whole is answered, all else closed in order, and it exits 0.
+#[test]
+fn stopped_right_after_an_accept() {
+    let book = Book::default();
+    let (at, calls) = worker(&book);
+    let first = told(7, "127.0.0.1:9", &[at], 256, settings(1));
+    let mut node = Node::start("stopped", &first, 256);
+    let mut clients = unread(&node, &book);
+    signal(&node.child, "TERM");
+    signal(&node.child, "CONT");
+    for (no, client) in clients.iter_mut().enumerate() {
+        while client.reads() {}
+        let want = if no == 3 { row(&["1", "good", "", ""]) } else { vec![] };
+        assert_eq!(client.told().as_bytes(), want);
+        assert!(!client.was_reset, "closed, not reset");
+    }
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    let again = starts_again("stopped-again", &first, &node.address, &book);
+    assert_eq!(calls.lock().unwrap().len(), 2, "each once");
+    drop(again);
+    book.keeps_the_rule();
 }
 
 /// A directory of two lists: that of the start, and from a moment on one with a worker that has just started, while the
@@ -231,7 +396,8 @@
 fn twenty_four_processes_keep_to_a_cold_workers_budget() {
     const NODES: usize = 24;
     const WARM: usize = 3;
-    let workers: Vec<_> = (0..=WARM).map(|_| worker()).collect();
+    let book = Book::default();
+    let workers: Vec<_> = (0..=WARM).map(|_| worker(&book)).collect();
     let addresses: Vec<String> = workers.iter().map(|(at, _)| at.clone()).collect();
     let since = Arc::<AtomicU64>::default();
     let resolver = directory(addresses.clone(), Arc::clone(&since));
