Say in one line that a node serves nobody, and that it serves again

Cause: a node that is up, fit, and turns down all that comes, as with an empty list at its start and a directory that never answers, said so nowhere: the directory's one line tells that the list held goes on to be used, not that it names nobody.

Change: each second the engine's figures are looked at; after three looks in a row at which RPCs had ended and none was served one line tells list, connections and number, and one says when it serves again. Nothing else follows from it: the node asks its directory on, as before, and serves once that answers.

--- a/crates/curlewpoint-cli/tests/nodes.rs
+++ b/crates/curlewpoint-cli/tests/nodes.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -27,6 +27,7 @@
     child: Child,
     file: PathBuf,
     address: String,
+    log: mpsc::Receiver<String>,
 }
 
 impl Drop for Node {
@@ -129,10 +130,18 @@
         env!("CARGO_BIN_EXE_curlewpoint"),
         file.display()
     );
-    shell.args(["-c", &line]).stdout(Stdio::piped()).stderr(Stdio::null());
+    shell.args(["-c", &line]).stdout(Stdio::piped()).stderr(Stdio::piped());
     shell.spawn().expect("it starts")
 }
 
+/// The lines of its log.
+fn log(child: &mut Child) -> mpsc::Receiver<String> {
+    let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+    let (tell, log) = mpsc::channel();
+    std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| drop(tell.send(l))));
+    log
+}
+
 impl Node {
     fn start(name: &str, told: &Value, descriptors: usize) -> Node {
         let file = file(name);
@@ -141,7 +150,20 @@
         let mut first = String::new();
         BufReader::new(child.stdout.take().expect("piped")).read_line(&mut first).expect("a line");
         let address = first.trim().rsplit(' ').next().expect("an address").to_owned();
-        Node { child, file, address }
+        let log = log(&mut child);
+        Node { child, file, address, log }
+    }
+
+    /// Waits for a line in its log, and gives those before it.
+    fn logs(&self, what: &str) -> Vec<String> {
+        let mut before = Vec::new();
+        loop {
+            let line = self.log.recv_timeout(STEP).expect(what);
+            if line.contains(what) {
+                return before;
+            }
+            before.push(line);
+        }
     }
 }
 
@@ -233,8 +255,9 @@
     let file = file("early");
     let _ = std::fs::remove_file(&file);
     assert!(Command::new("mkfifo").arg(&file).status().expect("mkfifo runs").success());
-    let child = run(&file, 256);
-    let mut node = Node { child, file, address: String::new() };
+    let mut child = run(&file, 256);
+    let log = log(&mut child);
+    let mut node = Node { child, file, address: String::new(), log };
     // Opened from here once it is open over there.
     let mut pipe = File::options().write(true).open(&node.file).unwrap();
     signal(&node.child, "TERM");
@@ -359,6 +382,51 @@
     book.keeps_the_rule();
 }
 
+/// Guards against a process that is up and serves nobody, unnoticed: here its list names nobody and the directory says
+/// nothing. Each request is answered, one line says what is wrong, and once the directory answers it serves.
+#[test]
+fn one_that_serves_nobody_says_so_and_gets_out() {
+    let book = Book::default();
+    let (at, calls) = worker(&book);
+    let (tell, events) = mpsc::channel();
+    let since = Arc::<AtomicU64>::default();
+    let silent = Arc::new(AtomicBool::new(true));
+    let asked = move |no| {
+        let _ = tell.send(no);
+    };
+    let resolver = directory(0, vec![at], Arc::clone(&since), Arc::clone(&silent), asked);
+    let node = Node::start("nobody", &told(7, &resolver, &[], 256, settings(1)), 256);
+    let mut client = Client::new(&node.address, &book);
+    client.says(&row(&["CHECK", "1", ""]));
+    assert!(client.has_all());
+    // Two calls for each question that is put to the directory in vain, for four seconds by the node's own clock.
+    let mut tag = 1;
+    for _ in 0..20 {
+        events.recv_timeout(STEP).expect("it asks on");
+        for _ in 0..2 {
+            tag += 1;
+            client.says(&call(tag, tag));
+        }
+    }
+    assert!(client.has_all(), "it goes on answering");
+    assert!(!client.told().contains("good"));
+    let before = node.logs("serves nobody");
+    assert_eq!(before.iter().filter(|l| l.contains("gives no good answer")).count(), 1, "{before:#?}");
+    since.store(1, Ordering::Release);
+    silent.store(false, Ordering::Release);
+    let mut between = node.logs("the directory answers again");
+    while !client.told().contains("good") {
+        events.recv_timeout(STEP).expect("it asks on");
+        tag += 1;
+        client.says(&call(tag, tag));
+        assert!(client.has_all());
+    }
+    between.extend(node.logs("serves again"));
+    assert!(!between.iter().any(|l| l.contains("serves nobody")), "said twice: {between:#?}");
+    assert!(!calls.lock().unwrap().is_empty());
+    book.keeps_the_rule();
+}
+
 /// What the main thread of a story waits for: a node asks its directory, or has answered so many calls.
 enum Event {
     Asked(usize),
@@ -368,7 +436,8 @@
 /// The directory of one node, of two lists: that of the start, and from a moment on one with a worker that has just
 /// started, while the others drain. Each question is told.
 fn directory(
-    node: usize, workers: Vec<String>, cold: Arc<AtomicU64>, asked: impl Fn(usize) + Send + 'static,
+    node: usize, workers: Vec<String>, cold: Arc<AtomicU64>, silent: Arc<AtomicBool>,
+    asked: impl Fn(usize) + Send + 'static,
 ) -> String {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let at = socket.local_addr().unwrap().to_string();
@@ -396,7 +465,9 @@
                 let text = TXT::new(vec!["cell=0".into(), format!("started={started}")]);
                 m.add_additional(Record::from_rdata(target, 0, RData::TXT(text)));
             }
-            let _ = socket.send_to(&m.to_vec().unwrap(), from);
+            if !silent.load(Ordering::Acquire) {
+                let _ = socket.send_to(&m.to_vec().unwrap(), from);
+            }
             asked(node);
         }
     });
@@ -424,7 +495,7 @@
         .map(|no| {
             let tell = tell.clone();
             let asked = move |no| drop(tell.send(Event::Asked(no)));
-            let resolver = directory(no, addresses.clone(), Arc::clone(&since), asked);
+            let resolver = directory(no, addresses.clone(), Arc::clone(&since), Arc::default(), asked);
             let told = told(no as u64 + 1, &resolver, &addresses[..WARM], 256, settings(NODES));
             Node::start(&format!("cold-{no}"), &told, 256)
         })
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -50,6 +50,8 @@
 const COMING: Duration = Duration::from_millis(1_000);
 const KILLED: (Duration, Duration) = (Duration::from_millis(3_000), Duration::from_millis(700));
 const LAST_WORDS: Duration = Duration::from_millis(200);
+/// Looks, a second apart, at which RPCs had ended and none of them was served, after which one line says so.
+const NOBODY: u32 = 3;
 /// Descriptors that are neither clients' nor workers': listener, directory, signals and the like.
 const OWN: usize = 16;
 /// Tells a scheduler to stop.
@@ -159,8 +161,8 @@
     let (resolver, at) = watch::channel(resolver);
     let following = tokio::spawn(directory::follow(at, endings.clone(), Rand64::new(seed))).abort_handle();
     let (begun, ending) = (Instant::now(), None);
-    let turn =
-        Turn { engine, clock, report, killed, begun, ending, mismatched: false, listed: 0, checked: false };
+    let (mismatched, listed, checked, service) = (false, 0, false, Service::default());
+    let turn = Turn { engine, clock, report, killed, begun, ending, mismatched, listed, checked, service };
     let end = tokio::spawn(async move {
         let figures = turn.run(Turns::new(ended, asks, ASKS), tasks, closing).await;
         following.abort();
@@ -170,6 +172,37 @@
     Ok(Running { address, notes: Stopper(endings), resolver, end })
 }
 
+/// Whether anybody is served.
+#[derive(Default)]
+struct Service {
+    /// RPCs served, and ended otherwise, at the last look.
+    ok: u64,
+    not: u64,
+    /// Looks in a row at which some had ended and none was served.
+    none: u32,
+}
+
+impl Service {
+    /// Tells in one line of a scheduler that is up and answers nobody well, as with a list that names nobody and a
+    /// directory that says nothing; and in one that it serves again. Nothing else is done: it goes on asking, dialling and
+    /// refusing. Where clients alone are at fault it says so as well.
+    fn look(&mut self, f: Figures, listed: u64, conns: usize) {
+        let not = f.denied + f.aborted + f.refused;
+        if f.ok > self.ok {
+            if self.none >= NOBODY {
+                info!("serves again");
+            }
+            self.none = 0;
+        } else if not > self.not {
+            self.none = self.none.saturating_add(1);
+            if self.none == NOBODY {
+                info!(listed, conns, not, "serves nobody: all RPCs are turned down or fail");
+            }
+        }
+        (self.ok, self.not) = (f.ok, not);
+    }
+}
+
 /// The task that owns the engine.
 struct Turn {
     engine: Engine<Outside>,
@@ -185,6 +218,7 @@
     mismatched: bool,
     /// The newest list heard of.
     listed: u64,
+    service: Service,
     /// It was asked whether it is fit, and it was said when.
     checked: bool,
 }
@@ -201,6 +235,8 @@
                 let now = self.clock.now();
                 self.engine.world().sweep(now);
                 self.look_into_books();
+                let conns = self.engine.world().conns();
+                self.service.look(self.engine.figures(), self.listed, conns);
             }
         }
         // From here on all that comes is refused. What has come is read to its last word, answered, flushed; then each
