--- a/crates/curlewpoint-lab/src/record.rs
+++ b/crates/curlewpoint-lab/src/record.rs
@@ -3,6 +3,7 @@
 
 use curlewpoint::types::{Standing, Time};
 use curlewpoint_engine::Answer;
+use tokio::time::sleep_until;
 
 /// What a stand-in or a client saw pass on its sockets.
 #[derive(Clone, Debug, PartialEq)]
@@ -68,6 +69,11 @@
         who: String,
         until: Time,
     },
+    /// The machine gave no turn since then: to this scheduler, or (none) to clients and stand-ins. Measured, never scripted.
+    Stalled {
+        scheduler: Option<String>,
+        since: Time,
+    },
     /// The script did something.
     Scripted {
         what: String,
@@ -84,6 +90,9 @@
 /// The record's clock starts so far on that nothing in it is "long ago".
 const START: Time = Time(36_000_000);
 
+/// Between two looks at whether the machine gives turns; less than this late counts as none.
+const PULSE: Time = Time(100);
+
 impl Default for Record {
     fn default() -> Self {
         Record { began: Instant::now(), seen: Arc::default() }
@@ -112,6 +121,35 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner).push((at, seen));
     }
 
+    /// Looks again and again how late the runtime of clients and stand-ins wakes, and writes it down. Guards against taking
+    /// a machine that is busy with other things for a scheduler that is late: while these get no turn, an answer lies in
+    /// a socket.
+    pub async fn feel_the_pulse(self) {
+        loop {
+            let due = self.now() + PULSE;
+            sleep_until(self.instant(due).into()).await;
+            if self.now() - due >= PULSE {
+                self.add(Seen::Stalled { scheduler: None, since: due });
+            }
+        }
+    }
+
+    /// Writes down how long this thread, a scheduler's own, was ready to run and not let. Only the system's account of that
+    /// counts: what the scheduler itself takes, or waits for, is its own fault.
+    pub async fn watch_turns(self, scheduler: String) {
+        let mut before = kept_waiting();
+        loop {
+            sleep_until(self.instant(self.now() + PULSE).into()).await;
+            let waited = kept_waiting();
+            let more = waited - before;
+            if more >= PULSE {
+                before = waited;
+                let (scheduler, since) = (Some(scheduler.clone()), self.now() - more);
+                self.add(Seen::Stalled { scheduler, since });
+            }
+        }
+    }
+
     /// Everything so far, in order of time.
     pub fn all(&self) -> Vec<(Time, Seen)> {
         let mut all = self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -119,3 +157,10 @@
         all
     }
 }
+
+/// How long this thread has waited for a processor in all, as the system tells; nought where it does not.
+fn kept_waiting() -> Time {
+    let told = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanoseconds = told.split(' ').nth(1).and_then(|w| w.parse::<u64>().ok()).unwrap_or(0);
+    Time(nanoseconds / 100_000)
+}
--- a/crates/curlewpoint-lab/tests/caught.rs
+++ b/crates/curlewpoint-lab/tests/caught.rs
@@ -287,3 +287,63 @@
     let want: Vec<usize> = (rule > 0).then_some(rule).into_iter().collect();
     assert_eq!(broken, want, "{breaks:?}: {:?}", verdict.breaks);
 }
+
+/// An answer 300 ms late is late, unless the machine gave no turn for all of that: to this scheduler or to its clients,
+/// and while the RPC was open.
+#[test_case(&[], 1 ; "no stall")]
+#[test_case(&[(None, 2_800, 3_150)], 0 ; "clients had no turn for longer")]
+#[test_case(&[(Some("front"), 1_000, 1_350)], 0 ; "the scheduler had none for longer")]
+#[test_case(&[(None, 2_800, 3_050)], 1 ; "clients had no turn for less")]
+#[test_case(&[(None, 1_500, 1_700), (Some("front"), 1_600, 1_760)], 1 ; "both had none in the same time")]
+#[test_case(&[(None, 1_500, 1_700), (Some("front"), 1_690, 1_810)], 0 ; "one had none after the other")]
+#[test_case(&[(Some("other"), 1_000, 2_000)], 1 ; "another scheduler had none")]
+#[test_case(&[(None, 0, 1_000), (None, 3_300, 4_000)], 1 ; "before it was asked and after it was answered")]
+fn an_answer_is_late_by_what_the_machine_did_not_take(stalls: &[(Option<&str>, u64, u64)], broken: usize) {
+    let ms = |ms: u64| Time(36_000_000 + ms * 10);
+    let (key, scheduler, method) = (1, "front".to_owned(), "read-fields".to_owned());
+    let mut seen = vec![
+        (ms(1_000), Seen::Asked { key, scheduler, method, left: Time(20_000) }),
+        (ms(3_300), Seen::Final { key, answer: Answer::Denied }),
+    ];
+    for (who, since, until) in stalls {
+        let scheduler = who.map(str::to_owned);
+        seen.push((ms(*until), Seen::Stalled { scheduler, since: ms(*since) }));
+    }
+    seen.sort_by_key(|(at, _)| *at);
+    let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).unwrap();
+    let verdict = judge(&Terms::of(&config), &seen);
+    assert_eq!(verdict.breaks.len(), broken, "{verdict}");
+}
+
+/// A runtime whose threads are kept from turning says so, by its own clock.
+#[tokio::test]
+async fn a_thread_that_gets_no_turn_is_seen() {
+    let record = Record::default();
+    let began = record.now();
+    tokio::spawn(record.clone().feel_the_pulse());
+    // What a scheduler's own thread sleeps away is no fault of the machine.
+    tokio::spawn(record.clone().watch_turns("front".to_owned()));
+    tokio::task::yield_now().await;
+    let from = record.now();
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    let until = record.now();
+    let of_clients = |(at, seen): (Time, Seen)| match seen {
+        Seen::Stalled { scheduler: None, since } => Some((at, since)),
+        _ => None,
+    };
+    let (at, since) = loop {
+        if let Some(stall) = record.all().into_iter().find_map(of_clients) {
+            break stall;
+        }
+        tokio::task::yield_now().await;
+    };
+    let all = record.all();
+    let front = all.iter().filter_map(|(at, seen)| match seen {
+        Seen::Stalled { scheduler: Some(_), since } => Some((*at - *since).0),
+        _ => None,
+    });
+    // All but the time slept may have been spent in waiting for a processor.
+    let most = (record.now() - began).0 - 2_000;
+    assert!(front.sum::<u64>() <= most, "{all:?}");
+    assert!(since <= from + Time(100) && at >= until, "{since:?} to {at:?}, not {from:?} to {until:?}");
+}
