Let a stand-in worker listen from its start, on the port that it was told of

Cause: WorkerStand::start bound a port to learn its number, let go of it, and its task bound it anew in its first turn. In between a connect was refused (caught.rs, a_broken_rule_is_caught, once of three at a load of 34: ConnectionRefused), and another process could take the port: then the worker was never there. Change: its first life takes the listener that found the port. Left: between two lives the port is free, as a dead worker's has to refuse connections.

--- a/crates/curlewpoint-lab/src/stand/worker.rs
+++ b/crates/curlewpoint-lab/src/stand/worker.rs
@@ -75,11 +75,11 @@
     ) -> std::io::Result<WorkerStand> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        drop(listener);
         let (faults, given) = mpsc::unbounded_channel();
         let stand = Stand {
             name: name.to_owned(),
             address,
+            first: Some(listener),
             record: record.clone(),
             spec,
             trades,
@@ -133,6 +133,8 @@
 struct Stand {
     name: String,
     address: SocketAddr,
+    /// For its first life: it can be reached from its start, and nobody else takes its port meanwhile.
+    first: Option<TcpListener>,
     record: Record,
     spec: WorkerSpec,
     trades: Arc<BTreeMap<String, Trade>>,
@@ -267,13 +269,15 @@
     }
 
     async fn start(&mut self, cold: bool, faults: Faults) -> Option<Life> {
-        // The sockets of the life before may take a moment to close.
-        let mut bound = TcpListener::bind(self.address).await;
-        while bound.is_err() {
-            sleep(Duration::from_millis(5)).await;
-            bound = TcpListener::bind(self.address).await;
+        let mut bound = self.first.take();
+        while bound.is_none() {
+            bound = TcpListener::bind(self.address).await.ok();
+            if bound.is_none() {
+                // The sockets of the life before may take a moment to close.
+                sleep(Duration::from_millis(5)).await;
+            }
         }
-        let listener = bound.ok()?;
+        let listener = bound?;
         let now = self.record.now();
         if cold {
             self.record.add_at(now, Seen::Started { worker: self.name.clone() });
--- a/crates/curlewpoint-lab/tests/caught.rs
+++ b/crates/curlewpoint-lab/tests/caught.rs
@@ -7,7 +7,7 @@
 use curlewpoint_engine::Answer;
 use curlewpoint_gateway::answer_code;
 use curlewpoint_lab::stand::{ListStand, StoreStand, Trade, WorkerStand};
-use curlewpoint_lab::{judge, Office, Record, Seen, Terms, Verdict, CONFIG};
+use curlewpoint_lab::{judge, Office, Record, Script, Seen, Terms, Verdict, CONFIG};
 use curlewpoint_link::{open, Bounds, Link};
 use curlewpoint_wire::{Field, Frame, Kind};
 use std::collections::BTreeMap;
@@ -288,6 +288,20 @@
     assert_eq!(broken, want, "{breaks:?}: {:?}", verdict.breaks);
 }
 
+/// Guards against a worker that nobody reaches, or whose port another takes, between its start and its first turn.
+#[tokio::test]
+async fn a_worker_can_be_reached_from_its_start() {
+    let record = Record::default();
+    let any = "127.0.0.1:0";
+    let store =
+        StoreStand::start(any, &record, StoreSpec { lines: 1.0, thrash: 0.0, most: 1 }).await.unwrap();
+    let config = curlewpoint_config::parse("rehearsal.conf", CONFIG).unwrap();
+    let spec = Script::parse("x", "").unwrap().worker_spec(&config);
+    let worker = WorkerStand::start(any, "w", &record, spec, Arc::default(), store.address, 1).await.unwrap();
+    // By a blocking socket: no task has had a turn since.
+    std::net::TcpStream::connect(worker.address).expect("it is there");
+}
+
 /// An answer 300 ms late is late, unless the machine gave no turn for all of that: to this scheduler or to its clients,
 /// and while the RPC was open.
 #[test_case(&[], 1 ; "no stall")]
