--- a/crates/curlewpoint-node/tests/stand/mod.rs
+++ b/crates/curlewpoint-node/tests/stand/mod.rs
@@ -386,6 +386,12 @@
 
 /// One that is told something else than the others at its start.
 pub async fn scheduler_with(workers: &[&str], resolver: &str, change: impl Fn(&mut Value)) -> Scheduler {
+    let running = start(told(workers, resolver, change)).await.unwrap();
+    seen(|s| s.schedulers += 1);
+    Scheduler { running, settled: false }
+}
+
+pub fn told(workers: &[&str], resolver: &str, change: impl Fn(&mut Value)) -> told::Told {
     let nodes: Vec<Value> = workers
         .iter()
         .enumerate()
@@ -407,9 +413,7 @@
         },
     });
     change(&mut told);
-    let running = start(told::read(&told.to_string()).unwrap()).await.unwrap();
-    seen(|s| s.schedulers += 1);
-    Scheduler { running, settled: false }
+    told::read(&told.to_string()).unwrap()
 }
 
 /// No directory answers there.
