Keep the tags of a connection as runs, so that they may be counted from anywhere

Cause: tags above the first gap were kept one by one, 256 at most. A client whose tags begin at another number than one was cut off after 256 requests, as with 'a tag for the second time'; the protocol asks of a tag that it is a number from 1 up and new on its connection, no more.

Change: runs, by the first of each; 256 scattered runs are the bound now.

The unit test looked into the field that is gone: it counts runs now, from three beginnings, with its former bounds, and fills gaps besides.

--- a/crates/curlewpoint-node/tests/sockets.rs
+++ b/crates/curlewpoint-node/tests/sockets.rs
@@ -118,6 +118,22 @@
     of.settled().await;
 }
 
+/// Guards against a connection that ends because its client counts from another number than one, as one that counts on over
+/// all its connections; tags that are scattered are bounded.
+#[tokio::test]
+async fn tags_may_be_counted_from_anywhere() {
+    let (at, _) = gives_back().await;
+    let of = scheduler(&[&at], NOWHERE).await;
+    let mut client = Client::new(&of).await;
+    let mut tag = 70_000;
+    for _ in 0..600 {
+        client.looks(&mut tag, "fit").await;
+    }
+    client.0.write_all(&call(tag + 1, IDS[0])).await.unwrap();
+    client.hears(&[&(tag + 1).to_string(), "good", "", "body"]).await;
+    of.settled().await;
+}
+
 /// Calls one after the other until one comes to a worker at which all that come are counted as heard.
 async fn calls_until_heard(client: &mut Client, heard: &mut mpsc::UnboundedReceiver<Heard>, tag: &mut u64) {
     soon(async {
--- a/crates/curlewpoint-platform/src/asked.rs
+++ b/crates/curlewpoint-platform/src/asked.rs
@@ -62,26 +62,33 @@
     }
 }
 
-/// The tags used on a connection: each is new there. Those below a mark are known by it, so that a long connection's
-/// tags take no room; more than `most` above it are none that a client counts.
+/// The tags used on a connection: each is new there. They are kept as runs, by the first of each, so that a long
+/// connection's tags take no room wherever its client begins to count; more than `most` runs are none that a client counts.
 #[derive(Debug, Default)]
 pub struct Tags {
-    below: u64,
-    above: std::collections::BTreeSet<u64>,
+    /// The last of each run, by its first.
+    runs: std::collections::BTreeMap<u64, u64>,
 }
 
 impl Tags {
     pub fn was_used(&self, tag: u64) -> bool {
-        tag <= self.below || self.above.contains(&tag)
+        self.runs.range(..=tag).next_back().is_some_and(|(_, last)| tag <= *last)
     }
 
     /// False: it was used before, or too many lie scattered to tell.
     pub fn is_new(&mut self, tag: u64, most: usize) -> bool {
-        let new = tag > self.below && self.above.len() < most && self.above.insert(tag);
-        while self.above.remove(&(self.below + 1)) {
-            self.below += 1;
+        if self.was_used(tag) {
+            return false;
         }
-        new
+        let before =
+            self.runs.range(..tag).next_back().filter(|(_, last)| **last == tag - 1).map(|(first, _)| *first);
+        let after = tag.checked_add(1).filter(|next| self.runs.contains_key(next));
+        if before.is_none() && after.is_none() && self.runs.len() >= most {
+            return false;
+        }
+        let last = after.and_then(|next| self.runs.remove(&next)).unwrap_or(tag);
+        self.runs.insert(before.unwrap_or(tag), last);
+        true
     }
 }
 
--- a/crates/curlewpoint-platform/src/asked/tests.rs
+++ b/crates/curlewpoint-platform/src/asked/tests.rs
@@ -25,10 +25,16 @@
 
 #[test]
 fn a_tag_is_new_once_and_counted_ones_take_no_room() {
-    let mut tags = Tags::default();
-    assert!((1..=1000).all(|tag| tags.is_new(tag, 4)) && tags.above.is_empty());
-    assert!(!tags.is_new(7, 4) && tags.is_new(1002, 4) && tags.is_new(1001, 4) && !tags.is_new(1002, 4));
-    assert!((0..4).all(|n| tags.is_new(2000 + n, 4)) && !tags.is_new(3000, 4));
+    for from in [1, 100, u64::MAX - 3000] {
+        let mut tags = Tags::default();
+        assert!((from..from + 1000).all(|tag| tags.is_new(tag, 4)) && tags.runs.len() == 1);
+        assert!(!tags.is_new(from + 6, 4) && tags.is_new(from + 1001, 4) && tags.is_new(from + 1000, 4));
+        assert!(!tags.is_new(from + 1001, 4) && tags.runs.len() == 1);
+        // One run and three scattered: that is all.
+        assert!([1999, 2003, 2001].iter().all(|n| tags.is_new(from + n, 4)) && !tags.is_new(from + 2500, 4));
+        assert!(tags.is_new(from + 2000, 4) && tags.is_new(from + 2002, 4) && tags.runs.len() == 2);
+        assert!((1999..=2003).all(|n| tags.was_used(from + n)) && !tags.was_used(from + 2004));
+    }
 }
 
 #[test]
