Let the directory's stories meet the holder that is really asked, and try its bounds alone

The stories of a holder that dies or stands still passed without the code they are for: they killed another than the one that was asked, for a question goes to the next in turn. No story met the bound on subscribers, the order in an answer, repeats of a row, or what lay in a socket.

Change: these stories find out whom the question went to, over a link that is up, and end before another rule could help; the rest are new stories of the state machine alone, and a property: rows end alike in any order with repeats. One guard that stood twice is gone. asked_for tells who is being asked.

Replaced stories: a_holder_that_dies_while_it_is_asked_is_passed_over, a_holder_that_stands_still_is_passed_over, a_holder_that_stood_still_returns_with_old_knowledge; each is stricter than it was.

--- a/crates/curlewpoint-fleet/src/directory.rs
+++ b/crates/curlewpoint-fleet/src/directory.rs
@@ -55,7 +55,7 @@
     pub bytes: u64,
     /// How long what was seen counts for anything.
     pub keep: Time,
-    /// Whether this instance tells what it sees and asks; it holds and hands on for others all the same.
+    /// Whether this instance asks and takes what it is told; it holds and hands on for others all the same.
     pub hinted: bool,
 }
 
@@ -157,6 +157,11 @@
         self.subscribed
     }
 
+    /// Who is being asked for a function.
+    pub fn asked_for(&self, function: FunctionId) -> Option<MemberId> {
+        self.open.get(&function).map(|o| o.to)
+    }
+
     pub fn open_questions(&self) -> usize {
         self.open.len()
     }
@@ -237,9 +242,6 @@
 
     /// The scheduler here has seen something of a function at a worker.
     pub fn saw(&mut self, now: Time, worker: WorkerId, function: FunctionId, hint: Hint, held: u64) {
-        if !self.terms.hinted {
-            return;
-        }
         let known = self.copies.get(function, worker);
         // That nothing is there is news only to those who think that something is.
         let news = known.map_or(hint != Hint::Gone, |k| {
--- a/crates/curlewpoint-fleet/tests/directory.rs
+++ b/crates/curlewpoint-fleet/tests/directory.rs
@@ -6,8 +6,9 @@
 
 use common::Net;
 use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
-use curlewpoint_fleet::{directory_frames, MemberId, Run, Seen};
+use curlewpoint_fleet::{directory_frames, Directory, InstanceId, MemberId, Run, Seen, Terms};
 use curlewpoint_wire::{Field, Frame, Kind};
+use proptest::prelude::*;
 use test_case::test_case;
 
 const W: WorkerId = WorkerId(1);
@@ -133,36 +134,47 @@
     assert_eq!((d.counts().questions, d.counts().answers, d.open_questions()), (1, 1, 0));
 }
 
+/// A question for a copy that somebody has seen, over a link that is up: who asks, for what, and whom.
+fn asked_over_a_link(net: &mut Net, ids: &[u64]) -> (u64, FunctionId, u64) {
+    let functions: Vec<FunctionId> = (100..140).map(FunctionId).collect();
+    functions.iter().for_each(|f| net.saw(ids[0], W, *f, Hint::Warm));
+    net.run(2_500);
+    for f in functions {
+        let held = holders(net, f);
+        let asker = *ids[1..].iter().find(|id| !held.contains(id)).expect("some do not hold it");
+        net.wanted(asker, f);
+        let asked = net.nodes[&asker].fleet.directory().and_then(|d| d.asked_for(f)).expect("it asks");
+        let asked = *ids.iter().find(|id| member(net, **id) == asked).expect("it lives");
+        if asked != ids[0] && net.linked(asker, asked) {
+            return (asker, f, asked);
+        }
+        net.run(300);
+    }
+    panic!("no link was ever up");
+}
+
+fn is_told(net: &Net, id: u64, function: FunctionId) -> bool {
+    hints(net, id).iter().any(|h| (h.0, h.1) == (W, function))
+}
+
 #[test]
 fn a_holder_that_dies_while_it_is_asked_is_passed_over() {
     let (mut net, ids) = fleet(4, 12);
-    net.saw(ids[0], W, F, Hint::Warm);
-    net.run(1_000);
-    let held = holders(&net, F);
-    let asker = *ids[1..].iter().find(|id| !held.contains(id)).expect("some do not hold it");
-    let first = net.nodes[&asker].fleet.directory().expect("it takes part").towards(F)[0];
-    let first = *held.iter().find(|h| member(&net, **h) == first).expect("a holder");
-    net.wanted(asker, F);
-    net.kill(first);
-    net.run(1_500);
-    assert!(knows(&net, asker, Hint::Warm), "another was asked");
+    let (asker, f, asked) = asked_over_a_link(&mut net, &ids);
+    net.kill(asked);
+    net.run(150);
+    assert!(is_told(&net, asker, f), "another was asked as soon as the link ended");
 }
 
 /// One that says nothing though its links stand is not waited for, and not asked first for a while.
 #[test]
 fn a_holder_that_stands_still_is_passed_over() {
     let (mut net, ids) = fleet(5, 12);
-    net.saw(ids[0], W, F, Hint::Warm);
-    net.run(1_000);
-    let held = holders(&net, F);
-    let asker = *ids[1..].iter().find(|id| !held.contains(id)).expect("some do not hold it");
-    let first = net.nodes[&asker].fleet.directory().expect("it takes part").towards(F)[0];
-    let first = *held.iter().find(|h| member(&net, **h) == first).expect("a holder");
-    net.pause(first, 4_000);
-    net.wanted(asker, F);
-    net.run(2_500);
-    assert!(knows(&net, asker, Hint::Warm));
-    assert!(net.nodes[&asker].fleet.directory().expect("it takes part").counts().unanswered <= 2);
+    let (asker, f, asked) = asked_over_a_link(&mut net, &ids);
+    net.pause(asked, 4_000);
+    net.run(600);
+    assert!(is_told(&net, asker, f));
+    assert_eq!(net.nodes[&asker].fleet.directory().map(|d| d.counts().unanswered), Some(1));
 }
 
 /// It comes back with what it held before, and with what lay in its sockets meanwhile: a copy that is gone is not told as
@@ -181,7 +193,13 @@
     net.saw(seer, W, F, Hint::Loading);
     net.run(600);
     net.saw(seer, W, F, Hint::Gone);
-    net.run(3_500);
+    net.run(1_950);
+    assert_eq!(
+        net.nodes[&stopped].fleet.directory().map(|d| d.len()),
+        Some(0),
+        "it has missed what others heard"
+    );
+    net.run(1_500);
     for asker in ids.iter().filter(|id| !held.contains(id) && **id != seer) {
         net.wanted(*asker, F);
         net.run(200);
@@ -193,6 +211,19 @@
     }
 }
 
+/// It reads what lay in a socket before it has noticed that it stood still.
+#[test]
+fn what_lay_in_a_socket_is_not_taken_for_young() {
+    let (mut net, ids) = fleet(22, 6);
+    let (to, from) =
+        (ids[0], *ids[1..].iter().find(|id| net.linked(ids[0], **id)).expect("it has neighbours"));
+    net.pause(to, 2_000);
+    net.run(1_900);
+    let frame = directory_frames::sights_frame(net.now, &[row(1, F.0, 5, 1, net.now)]);
+    net.forge(from, to, &frame);
+    assert_eq!(net.nodes[&to].fleet.directory().map(|d| d.len()), Some(0));
+}
+
 /// While members change two views name other holders: whoever asks is told as soon as what is seen is told again.
 #[test]
 fn two_views_of_who_holds_it_while_members_change() {
@@ -511,3 +542,95 @@
     let counts = net.nodes[&ids[0]].fleet.directory().expect("it takes part").counts();
     assert!(counts.left_out > 0 && counts.bytes <= 1_000 * 13, "{counts:?}");
 }
+
+// The state machine alone.
+
+fn alone(n: u64) -> (Directory, Vec<MemberId>) {
+    let id = |no: u64| MemberId { instance: InstanceId::of(&format!("n{no}")), run: Run(no << 48) };
+    let all: Vec<MemberId> = (1..=n).map(id).collect();
+    let terms = Terms { bytes: 1 << 20, keep: Time(80_000), hinted: true };
+    let mut d = Directory::new(Time(1_000_000), all[0], terms);
+    d.members(all[0], all.iter().copied());
+    (d, all)
+}
+
+/// What it would send now to whom it is linked with.
+fn sent(d: &mut Directory, now: Time) -> Vec<(MemberId, Vec<Seen>, Vec<Seen>)> {
+    let (parcels, _) = d.parcels(now, |_| true);
+    parcels.into_iter().map(|(to, p)| (to, p.copies, p.sights)).collect()
+}
+
+#[test]
+fn those_who_are_told_of_changes_are_bounded_and_forgotten() {
+    let (mut d, all) = alone(400);
+    let now = Time(1_000_000);
+    all[1..].iter().for_each(|m| d.asked(now, *m, &[F]));
+    assert_eq!(d.subscribers(), 128, "of 399");
+    for k in 0..1_000 {
+        let many: Vec<FunctionId> = (0..100).map(|f| FunctionId(k * 100 + f)).collect();
+        d.asked(now, all[1], &many);
+    }
+    assert_eq!(d.subscribers(), 16_384, "of a hundred thousand");
+    assert!(d.open_questions() <= 256);
+    d.advance(now + Time(310_000));
+    assert_eq!(d.subscribers(), 0);
+}
+
+#[test]
+fn an_answer_holds_the_latest_rows_and_no_more_than_eight() {
+    let (mut d, all) = alone(3);
+    let now = Time(1_000_000);
+    let rows = (0..40).map(|k| row(k, F.0, 4_000 - 100 * k, k + 1, now)).collect();
+    d.sighted(now, all[1], rows);
+    d.asked(now, all[2], &[F]);
+    let told = sent(&mut d, now).into_iter().find(|(to, ..)| *to == all[2]).expect("an answer").1;
+    let workers: Vec<u64> = told.iter().map(|s| s.worker.0).collect();
+    assert_eq!(workers, (32..40).rev().collect::<Vec<u64>>());
+}
+
+/// A row that comes back by another way looks younger by the time on links, and is known by its number.
+#[test]
+fn a_row_that_comes_again_is_not_told_again() {
+    let (mut d, all) = alone(3);
+    let now = Time(1_000_000);
+    d.asked(now, all[2], &[F]);
+    d.sighted(now, all[1], vec![row(1, F.0, 50, 7, now)]);
+    assert!(!sent(&mut d, now).is_empty());
+    d.sighted(now, all[1], vec![row(1, F.0, 20, 7, now)]);
+    assert!(sent(&mut d, now).is_empty());
+}
+
+#[test]
+fn one_that_takes_no_part_is_neither_asked_nor_told() {
+    let (mut d, all) = alone(3);
+    assert!(d.stranger(all[1]));
+    d.members(all[0], all.iter().copied());
+    assert_eq!(d.towards(F), [all[2]]);
+    assert_eq!(d.holders(F).map(|h| h.len()), Some(2));
+}
+
+proptest! {
+    /// Rows in any order and repeated end alike: the latest sight of each function at each worker.
+    #[test]
+    fn rows_end_alike_whatever_way_they_came(
+        rows in proptest::collection::vec((0u64..3, 0u64..3, 0u64..50), 1..40), rotate in 0usize..40
+    ) {
+        let now = Time(1_000_000);
+        // Each of a run of its own: the numbers of one run come in its order.
+        let seen = |(no, (w, f, age)): (usize, (u64, u64, u64))| Seen { run: Run(100 + no as u64), ..row(w, f, age, 1, now) };
+        let mut numbered: Vec<Seen> = rows.into_iter().enumerate().map(seen).collect();
+        let told = |order: &[Seen]| {
+            let (mut d, all) = alone(3);
+            order.iter().for_each(|s| drop(d.sighted(now, all[1], vec![*s, *s])));
+            d.asked(now, all[2], &[FunctionId(0), FunctionId(1), FunctionId(2)]);
+            let mut all: Vec<(WorkerId, FunctionId, Time)> = sent(&mut d, now).into_iter().filter(|(to, ..)| *to == all[2])
+                .flat_map(|(_, copies, _)| copies).map(|s| (s.worker, s.function, s.at)).collect();
+            all.sort();
+            all
+        };
+        let first = told(&numbered);
+        let by = rotate % numbered.len();
+        numbered.rotate_left(by);
+        prop_assert_eq!(told(&numbered), first);
+    }
+}
