--- a/crates/curlewpoint-fleet/src/fleet/asks.rs
+++ b/crates/curlewpoint-fleet/src/fleet/asks.rs
@@ -22,8 +22,8 @@
 const INTAKE: (f64, f64) = (500.0, 1_000.0);
 /// Rows wait so long for others, a question and its answer never.
 const GATHER: Time = Time(200);
-/// What a frame that tells who speaks takes beside its texts, about.
-const JOIN: usize = 80;
+/// What the frames that tell of a link's end who speaks and that it takes part take beside their texts, about.
+const JOIN: usize = 90;
 
 /// A number a second, and so many at once.
 #[derive(Clone, Copy)]
@@ -130,6 +130,8 @@
             return self.refuse(out, link, "as many peers ask as are answered: try another");
         }
         self.links.remove(&link);
+        // This instance has said who it is by now.
+        asks.directory.spent(JOIN + self.fleet.len() + self.name.len() + self.address.len());
         asks.links.insert(link, ask_link(now, None));
     }
 
