--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -1,4 +1,5 @@
 use std::fs::OpenOptions;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Instant;
@@ -6,7 +7,9 @@
 use bytes::Bytes;
 use clap::{Args, Subcommand, ValueEnum};
 use curlewpoint_link::{open, Bounds};
-use curlewpoint_rig::scale::{play, Effort, Outcome, Part, Report, LEAST_SIZE, MOST_SIZE, PACES};
+use curlewpoint_rig::scale::{
+    play, Effort, Outcome, Part, Report, Terms, BUDGETS, LEAST_SIZE, MOST_SIZE, PACES,
+};
 use curlewpoint_rig::{folder, run, Bound, Figures, Plan, Play, Program, PLAYS};
 use curlewpoint_wire::{Frame, Kind};
 use tokio::net::TcpStream;
@@ -79,6 +82,9 @@
     /// Bytes that one link carries in a second, one way; from 1000 to 1000000000.
     #[arg(long, default_value = "12500000")]
     pace: String,
+    /// Keep a directory of copies, with so many bytes a second for each; from 100 to 1000000. Without it hints go round.
+    #[arg(long)]
+    directory: Option<String>,
     /// Counts and bytes alone, in seconds.
     #[arg(long)]
     small: bool,
@@ -108,21 +114,25 @@
         };
         let parts = self.parts.split(',').map(part).collect::<Result<_, _>>()?;
         let seed = self.seed.parse().map_err(|_| format!("--seed: '{}' is no whole number", self.seed))?;
-        let pace = self.pace.parse().ok().filter(|p| PACES.contains(p));
-        let (least, most) = (PACES.start(), PACES.end());
-        let pace =
-            pace.ok_or_else(|| format!("--pace: '{}' is no number from {least} to {most}", self.pace))?;
+        let number = |name: &str, text: &str, range: &RangeInclusive<u64>| {
+            let n = text.parse().ok().filter(|n| range.contains(n));
+            n.ok_or_else(|| {
+                format!("--{name}: '{text}' is no number from {} to {}", range.start(), range.end())
+            })
+        };
+        let directory = self.directory.as_ref().map(|d| number("directory", d, &BUDGETS)).transpose()?;
+        let terms = Terms { pace: number("pace", &self.pace, &PACES)?, directory };
         if let Some(file) = &self.json {
             // One that cannot be written is told before an hour is played.
             let opened = OpenOptions::new().create(true).append(true).open(file);
             opened.map_err(|e| format!("--json: {}: {e}", file.display()))?;
         }
-        Ok(Plays { sizes, parts, seed, pace })
+        Ok(Plays { sizes, parts, seed, terms })
     }
 
-    fn effort(&self, n: usize, pace: u64) -> Effort {
+    fn effort(&self, n: usize, terms: Terms) -> Effort {
         let effort = if self.small { Effort::small() } else { Effort::of(n) };
-        Effort { pace, ..effort }
+        Effort { terms, ..effort }
     }
 
     /// Plays a part at a size, in a process of its own.
@@ -130,6 +140,7 @@
         let mut command = std::process::Command::new(program);
         command.args(["fleet", "scale", "--alone", "--parts", part.name()]);
         command.args(["--sizes", &n.to_string(), "--seed", &self.seed, "--pace", &self.pace]);
+        command.args(self.directory.iter().flat_map(|d| ["--directory", d]));
         command.args(self.small.then_some("--small")).stderr(Stdio::inherit());
         let out = command.output().map_err(|e| format!("it could not be started: {e}"))?;
         if !out.status.success() {
@@ -166,7 +177,7 @@
                 plays
                     .parts
                     .iter()
-                    .for_each(|p| all.merge(play(*p, plays.seed, n, &self.effort(n, plays.pace))));
+                    .for_each(|p| all.merge(play(*p, plays.seed, n, &self.effort(n, plays.terms))));
                 println!("{}", all.to_json());
             }
             return DONE;
@@ -189,7 +200,7 @@
     sizes: Vec<usize>,
     parts: Vec<Part>,
     seed: u64,
-    pace: u64,
+    terms: Terms,
 }
 
 async fn status(address: &str) -> Result<Bytes, String> {
--- a/crates/curlewpoint-cli/tests/scale.rs
+++ b/crates/curlewpoint-cli/tests/scale.rs
@@ -20,6 +20,7 @@
 #[test_case(&["--parts", "steady,herd"], "--parts: 'herd' is none of steady, module, start, faults, worker"; "no part")]
 #[test_case(&["--seed", "-1"], "--seed: '-1' is no whole number"; "no seed")]
 #[test_case(&["--pace", "999"], "--pace: '999' is no number from 1000 to 1000000000"; "too slow")]
+#[test_case(&["--directory", "no"], "--directory: 'no' is no number from 100 to 1000000"; "no budget")]
 #[test_case(&["--json", "/nowhere/figures.json"], "--json: /nowhere/figures.json: No such file"; "no folder")]
 fn bad_input_ends_in_one_line_that_names_it(args: &[&str], told: &str) {
     // A value that begins with a dash is one all the same.
--- a/crates/curlewpoint-rig/src/scale/fleet_part.rs
+++ b/crates/curlewpoint-rig/src/scale/fleet_part.rs
@@ -8,7 +8,7 @@
 
 use crate::scale::plan;
 use crate::scale::tally::{resident, Tally};
-use crate::scale::world::{row_of, Spent, World};
+use crate::scale::world::{row_of, Spent, Terms, World};
 
 pub const SECOND: Time = Time(10_000);
 /// Lists as long as the plan has them are held up to this many instances; beyond it rows are left out, as the bytes of a
@@ -143,10 +143,10 @@
 }
 
 /// Builds one and lets it come to rest.
-pub fn settle(seed: u64, n: usize, pace: u64) -> Settled {
+pub fn settle(seed: u64, n: usize, terms: Terms) -> Settled {
     let rows = rows_held(n);
     let before = resident();
-    let mut world = World::settled(seed, n, rows, pace);
+    let mut world = World::settled(seed, n, rows, terms);
     let good = world.until(Time(2_500), Time(60_000), |w| w.alike() && w.listed() && w.sure()).is_some();
     world.run(SECOND);
     let grown = resident().zip(before).map(|(now, then)| now.saturating_sub(then) as f64 / n as f64);
@@ -199,20 +199,32 @@
         Rate::of(&self.world.take_spent(), span)
     }
 
+    /// Lets so much time pass while each sees so much. Where a directory of copies is kept, each has its RPCs as well, at the
+    /// plan's rate and of functions by a power law: it asks for those of which it knows no copy.
     fn see(&mut self, seen: f64, span: Time, rng: &mut Rand64) {
         const STEP: Time = Time(100);
         let (workers, functions) = (plan::workers(self.n).max(1), plan::functions(self.n).max(1));
-        let (until, mut due) = (self.world.now + span, 0.0);
+        // Names' ids are hashes: they fill eight bytes on the wire.
+        let mixed = |x: u64| x.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let function = |rank: u64| FunctionId(mixed(rank << 20));
+        let calls = if self.world.keeps_directory() { plan::calls_each() } else { 0.0 };
+        let (until, mut due, mut calling) = (self.world.now + span, 0.0, 0.0);
         while self.world.now < until {
+            calling += calls * self.n as f64 * STEP.ms() / 1000.0;
+            while calling >= 1.0 {
+                calling -= 1.0;
+                let no = rng.rand_range(0..self.n as u64) as usize;
+                let rank = (functions as f64).powf(rng.rand_float()) as u64;
+                self.world.wants(no, function(rank));
+            }
             due += seen * self.n as f64 * STEP.ms() / 1000.0;
             while due >= 1.0 {
                 due -= 1.0;
                 let no = rng.rand_range(0..self.n as u64) as usize;
-                // Names' ids are hashes: they fill eight bytes on the wire.
-                let mixed = |x: u64| x.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
                 let worker = WorkerId(mixed(rng.rand_range(0..workers as u64)));
-                let function = FunctionId(mixed(rng.rand_range(0..functions as u64) << 20));
-                self.world.saw(no, worker, function, Hint::Loading);
+                let rare = function(rng.rand_range(0..functions as u64));
+                self.world.wants(no, rare);
+                self.world.saw(no, worker, rare, Hint::Loading);
             }
             self.world.run(STEP);
         }
@@ -268,9 +280,9 @@
 }
 
 /// All start within a second, knowing nothing; ends when all is right, or `most` has passed.
-pub fn all_start(seed: u64, n: usize, pace: u64, most: Time) -> AllStart {
+pub fn all_start(seed: u64, n: usize, terms: Terms, most: Time) -> AllStart {
     const FIRST: Time = Time(60_000);
-    let mut world = World::new(seed, n as u64, rows_held(n), pace);
+    let mut world = World::new(seed, n as u64, rows_held(n), terms);
     let mut rng = Rand64::new(u128::from(seed) << 1);
     for _ in 0..n {
         world.add(Time(rng.rand_range(0..SECOND.0)));
--- a/crates/curlewpoint-rig/src/scale/mod.rs
+++ b/crates/curlewpoint-rig/src/scale/mod.rs
@@ -26,10 +26,12 @@
 pub use steps::{Row, Table};
 pub use tally::{resident, Meter, Tally, GROUPS};
 pub use worker_part::{borne, Borne, Choice, Scene};
-pub use world::{Spent, World, BOUNDS, PACE};
+pub use world::{Spent, Terms, World, BOUNDS, PACE};
 
 /// Sizes that can be played.
 pub const LEAST_SIZE: usize = 16;
 pub const MOST_SIZE: usize = 4_000;
 /// Bytes a second of a link that can be played.
 pub const PACES: std::ops::RangeInclusive<u64> = 1_000..=1_000_000_000;
+/// Bytes a second of a directory of copies that can be played.
+pub const BUDGETS: std::ops::RangeInclusive<u64> = 100..=1_000_000;
--- a/crates/curlewpoint-rig/src/scale/parts.rs
+++ b/crates/curlewpoint-rig/src/scale/parts.rs
@@ -12,7 +12,7 @@
 use crate::scale::plan;
 use crate::scale::tally::GROUPS;
 use crate::scale::worker_part::{borne, Choice, Scene};
-use crate::scale::world::PACE;
+use crate::scale::world::Terms;
 
 /// What can be measured by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,8 +54,7 @@
     pub seen: Vec<f64>,
     /// How long regions are apart.
     pub apart: Time,
-    /// Bytes that one link carries in a second, one way.
-    pub pace: u64,
+    pub terms: Terms,
 }
 
 impl Effort {
@@ -68,12 +67,18 @@
             101..=300 => Time(6_600_000),
             _ => Time(300_000),
         };
-        Effort { times: true, calls, seen: plan::SEEN[..seen].to_vec(), apart, pace: PACE }
+        Effort { times: true, calls, seen: plan::SEEN[..seen].to_vec(), apart, terms: Terms::default() }
     }
 
     /// Counts and bytes, in seconds.
     pub fn small() -> Effort {
-        Effort { times: false, calls: 200, seen: vec![plan::SEEN[1]], apart: Time(200_000), pace: PACE }
+        Effort {
+            times: false,
+            calls: 200,
+            seen: vec![plan::SEEN[1]],
+            apart: Time(200_000),
+            terms: Terms::default(),
+        }
     }
 }
 
@@ -125,8 +130,8 @@
     }
 }
 
-fn settled(seed: u64, n: usize, pace: u64, outcome: &mut Outcome) -> Settled {
-    let fleet = settle(seed, n, pace);
+fn settled(seed: u64, n: usize, terms: Terms, outcome: &mut Outcome) -> Settled {
+    let fleet = settle(seed, n, terms);
     if !fleet.good {
         outcome.notes.push("the fleet had not settled in 6 s".into());
     }
@@ -142,7 +147,7 @@
 fn steady(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
     let mut rng = Rand64::new(u128::from(seed) + 7);
     let times = effort.times;
-    let mut fleet = settled(seed, n, effort.pace, outcome);
+    let mut fleet = settled(seed, n, effort.terms, outcome);
     if times {
         // While the fleet stands: what has been freed before would be taken up again, and grow nothing.
         let left_out = book_bytes(plan::workers(n) - fleet.rows);
@@ -216,7 +221,7 @@
 }
 
 fn start(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
-    let all = all_start(seed, n, effort.pace, Time(900_000));
+    let all = all_start(seed, n, effort.terms, Time(900_000));
     if n > WHOLE_LISTS {
         let (held, whole) = (rows_held(n), plan::workers(n));
         outcome.notes.push(format!("start of all: the list held has {held} rows of {whole}"));
@@ -267,7 +272,7 @@
 }
 
 fn faults(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
-    let (mut fleet, times) = (settled(seed, n, effort.pace, outcome), effort.times);
+    let (mut fleet, times) = (settled(seed, n, effort.terms, outcome), effort.times);
     let zone: Vec<usize> = (0..n).filter(|i| zone_of(*i) == LOST_ZONE).collect();
     let rack = zone[..zone.len().div_ceil(RACKS)].to_vec();
     // One of those that stand nowhere in particular; the first three are everybody's peers to begin with.
--- a/crates/curlewpoint-rig/src/scale/tally.rs
+++ b/crates/curlewpoint-rig/src/scale/tally.rs
@@ -11,11 +11,12 @@
 }
 
 /// Kinds as they are reported together.
-pub const GROUPS: [(&str, &[Kind]); 5] = [
+pub const GROUPS: [(&str, &[Kind]); 6] = [
     ("beats", &[Kind::BEAT]),
     ("members", &[Kind::MEMBER]),
     ("list", &[Kind::LIST, Kind::CHANGE, Kind::LIST_END, Kind::WATCH]),
     ("hints", &[Kind::HINTS]),
+    ("directory", &[Kind::DIRECTORY, Kind::ASK, Kind::COPIES, Kind::SIGHTS]),
     ("links", &[Kind::HELLO, Kind::JOIN, Kind::FAULT]),
 ];
 
--- a/crates/curlewpoint-rig/src/scale/world.rs
+++ b/crates/curlewpoint-rig/src/scale/world.rs
@@ -127,6 +127,9 @@
     fn hints(&mut self, link: LinkId, seen: &[Seen]) {
         self.say(link, &frames::hints_frame(self.now, seen));
     }
+    fn directory(&mut self, link: LinkId, frame: Frame) {
+        self.say(link, &frame);
+    }
     fn take_hint(&mut self, _: WorkerId, _: FunctionId, _: Hint, _: u64, _: Time) {
         self.hints += 1;
     }
@@ -215,11 +218,25 @@
     version: u64,
     changes: Vec<(u64, usize)>,
     pub service: Tally,
-    /// Bytes that one link carries in a second, one way.
-    pace: u64,
+    terms: Terms,
     meter: Meter,
 }
 
+/// What a world is played with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Bytes that one link carries in a second, one way.
+    pub pace: u64,
+    /// Bytes a second that the directory of copies may send at each instance; none: hints go round the rings.
+    pub directory: Option<u64>,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms { pace: PACE, directory: None }
+    }
+}
+
 fn name_of(instance: usize) -> String {
     format!("sched-{:02}-{instance:04}", place::zone_of(instance))
 }
@@ -245,9 +262,8 @@
 }
 
 impl World {
-    /// No instance yet; a list of so many workers at the service. `told`: the number of instances in the files; `pace`:
-    /// bytes that one link carries in a second, one way.
-    pub fn new(seed: u64, told: u64, rows: usize, pace: u64) -> World {
+    /// No instance yet; a list of so many workers at the service. `told`: the number of instances in the files.
+    pub fn new(seed: u64, told: u64, rows: usize, terms: Terms) -> World {
         World {
             now: Time(10_000_000),
             all: Vec::new(),
@@ -261,7 +277,7 @@
             version: 1,
             changes: Vec::new(),
             service: Tally::default(),
-            pace: pace.max(1),
+            terms,
             meter: Meter::new(),
         }
     }
@@ -280,7 +296,11 @@
         let peers: Vec<String> = (0..PEERS).map(address_of).collect();
         let (run, seed) = (Run(self.rng.rand_u64()), u128::from(self.rng.rand_u64()));
         let (name, address) = (name_of(instance), address_of(instance));
-        Fleet::start(self.now, FLEET, (&name, run), &address, peers, self.told, BOUNDS, seed)
+        let mut fleet = Fleet::start(self.now, FLEET, (&name, run), &address, peers, self.told, BOUNDS, seed);
+        if let Some(bytes) = self.terms.directory {
+            fleet.keep_directory(self.now, bytes);
+        }
+        fleet
     }
 
     /// One more instance, which knows nothing, from `delay` on.
@@ -307,8 +327,8 @@
     }
 
     /// So many instances that know each other from the start, as after hours; links are not open yet.
-    pub fn settled(seed: u64, n: usize, rows: usize, pace: u64) -> World {
-        let mut world = World::new(seed, n as u64, rows, pace);
+    pub fn settled(seed: u64, n: usize, rows: usize, terms: Terms) -> World {
+        let mut world = World::new(seed, n as u64, rows, terms);
         for _ in 0..n {
             let delay = Time(world.rng.rand_range(0..TICK.0));
             world.add(delay);
@@ -323,6 +343,9 @@
             fleet.link_in(now, hands, link);
             // Another instance has told it of all, on a link that is gone by now.
             let (id, name, address) = &all[(no + 1) % n];
+            if world.terms.directory.is_some() {
+                fleet.takes_part(now, hands, link, false);
+            }
             fleet.joined(now, hands, link, FLEET, *id, name, address, Standing::default(), known);
             for (id, name, address) in &all {
                 fleet.member(now, hands, link, *id, name, address, Standing::default());
@@ -368,7 +391,7 @@
 
     /// When so many bytes more have left on a link.
     fn out_by(&mut self, from: usize, link: LinkId, bytes: usize) -> Time {
-        let (now, span) = (self.now, bytes as u64 * SECOND / self.pace);
+        let (now, span) = (self.now, bytes as u64 * SECOND / self.terms.pace.max(1));
         let busy = self.all[from].busy.entry(link).or_insert(now);
         *busy = (*busy).max(now) + Time(span);
         *busy
@@ -583,6 +606,17 @@
         self.call(no, |f, now, out| f.saw(now, out, worker, function, hint, 1));
     }
 
+    pub fn keeps_directory(&self) -> bool {
+        self.terms.directory.is_some()
+    }
+
+    /// An instance's scheduler has an RPC of a function.
+    pub fn wants(&mut self, no: usize, function: FunctionId) {
+        if self.terms.directory.is_some() {
+            self.call(no, |f, now, out| f.wanted(now, out, function));
+        }
+    }
+
     /// An instance's process ends at once.
     pub fn kill(&mut self, no: usize) {
         let h = &mut self.all[no];
--- a/crates/curlewpoint-rig/tests/scale.rs
+++ b/crates/curlewpoint-rig/tests/scale.rs
@@ -2,7 +2,7 @@
 
 use curlewpoint::types::Time;
 use curlewpoint_rig::scale::{
-    off, play, settle, Effort, Fit, Outcome, Part, Report, FLEET, PACE, SERVICE, WATCHER, WORKER,
+    off, play, settle, Effort, Fit, Outcome, Part, Report, Terms, FLEET, PACE, SERVICE, WATCHER, WORKER,
 };
 use test_case::test_case;
 
@@ -64,10 +64,28 @@
     assert!(get(&b, "all start: bytes in 6 s") / get(&a, "all start: bytes in 6 s") < 2.3);
 }
 
+#[test]
+fn a_directory_of_copies_stays_within_its_bytes_and_takes_the_place_of_hints() {
+    let at = |n, directory| {
+        let effort = Effort { terms: Terms { directory, ..Terms::default() }, ..Effort::small() };
+        play(Part::Steady, 1, n, &effort)
+    };
+    let budget = 3_000;
+    for n in [60, 120] {
+        let kept = at(n, Some(budget));
+        let sent = get(&kept, "0.3 seen a second: directory bytes");
+        // Over two seconds, one burst of a second on top.
+        assert!(sent > 0.0 && sent <= 1.5 * budget as f64, "{sent} B a second at {n}");
+        assert_eq!(kept.get(FLEET, "0.3 seen a second: hints bytes"), None);
+        assert_eq!(at(n, None).get(FLEET, "0.3 seen a second: directory bytes"), None);
+    }
+}
+
 #[test]
 fn over_slow_links_one_that_starts_waits_for_its_list_and_takes_no_fewer_bytes() {
     let at = |pace| {
-        let joined = settle(1, 40, pace).joins();
+        let terms = Terms { pace, ..Terms::default() };
+        let joined = settle(1, 40, terms).joins();
         (joined.listed.expect("it holds the list"), joined.one.got.group("list").1)
     };
     let ((quick, few), (slow, many)) = (at(PACE), at(20_000));
