--- a/crates/curlewpoint-rig/src/scale/world.rs
+++ b/crates/curlewpoint-rig/src/scale/world.rs
@@ -22,6 +22,10 @@
 /// Peers to begin with.
 const PEERS: usize = 3;
 const TICK: Time = Time(1_000);
+/// Tenths of a millisecond in a second.
+const SECOND: u64 = 10_000;
+/// Assumed of a link where nothing else is told: 100 Mbit/s.
+pub const PACE: u64 = 12_500_000;
 /// As the gateway's `dial-limit`.
 const DIAL_LIMIT: Time = Time(2_500);
 /// One way to the list service.
@@ -123,6 +127,9 @@
     fn hints(&mut self, link: LinkId, seen: &[Seen]) {
         self.say(link, &frames::hints_frame(self.now, seen));
     }
+    fn directory(&mut self, link: LinkId, frame: Frame) {
+        self.say(link, &frame);
+    }
     fn take_hint(&mut self, _: WorkerId, _: FunctionId, _: Hint, _: u64, _: Time) {
         self.hints += 1;
     }
@@ -149,6 +156,8 @@
     alive: bool,
     /// The far ends: instance, its life, its link.
     links: BTreeMap<LinkId, (usize, u64, LinkId)>,
+    /// Until when what was said on a link is on its way out.
+    busy: BTreeMap<LinkId, Time>,
     serial: u64,
     watching: bool,
     connection: u64,
@@ -209,9 +218,25 @@
     version: u64,
     changes: Vec<(u64, usize)>,
     pub service: Tally,
+    terms: Terms,
     meter: Meter,
 }
 
+/// What a world is played with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Bytes that one link carries in a second, one way.
+    pub pace: u64,
+    /// Bytes a second that the directory of copies may send at each instance; none: hints go round the rings.
+    pub directory: Option<u64>,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms { pace: PACE, directory: None }
+    }
+}
+
 fn name_of(instance: usize) -> String {
     format!("sched-{:02}-{instance:04}", place::zone_of(instance))
 }
@@ -238,7 +263,7 @@
 
 impl World {
     /// No instance yet; a list of so many workers at the service. `told`: the number of instances in the files.
-    pub fn new(seed: u64, told: u64, rows: usize) -> World {
+    pub fn new(seed: u64, told: u64, rows: usize, terms: Terms) -> World {
         World {
             now: Time(10_000_000),
             all: Vec::new(),
@@ -252,6 +277,7 @@
             version: 1,
             changes: Vec::new(),
             service: Tally::default(),
+            terms,
             meter: Meter::new(),
         }
     }
@@ -270,20 +296,25 @@
         let peers: Vec<String> = (0..PEERS).map(address_of).collect();
         let (run, seed) = (Run(self.rng.rand_u64()), u128::from(self.rng.rand_u64()));
         let (name, address) = (name_of(instance), address_of(instance));
-        Fleet::start(self.now, FLEET, (&name, run), &address, peers, self.told, BOUNDS, seed)
+        let mut fleet = Fleet::start(self.now, FLEET, (&name, run), &address, peers, self.told, BOUNDS, seed);
+        if let Some(bytes) = self.terms.directory {
+            fleet.keep_directory(self.now, bytes);
+        }
+        fleet
     }
 
     /// One more instance, which knows nothing, from `delay` on.
     pub fn add(&mut self, delay: Time) -> usize {
         let no = self.all.len();
         let fleet = self.begin(no);
-        let (hands, links, spent) = Default::default();
+        let (hands, links, busy, spent) = Default::default();
         self.all.push(Hollow {
             fleet,
             hands,
             life: 1,
             alive: true,
             links,
+            busy,
             serial: 0,
             watching: false,
             connection: 0,
@@ -296,8 +327,8 @@
     }
 
     /// So many instances that know each other from the start, as after hours; links are not open yet.
-    pub fn settled(seed: u64, n: usize, rows: usize) -> World {
-        let mut world = World::new(seed, n as u64, rows);
+    pub fn settled(seed: u64, n: usize, rows: usize, terms: Terms) -> World {
+        let mut world = World::new(seed, n as u64, rows, terms);
         for _ in 0..n {
             let delay = Time(world.rng.rand_range(0..TICK.0));
             world.add(delay);
@@ -312,6 +343,9 @@
             fleet.link_in(now, hands, link);
             // Another instance has told it of all, on a link that is gone by now.
             let (id, name, address) = &all[(no + 1) % n];
+            if world.terms.directory.is_some() {
+                fleet.takes_part(now, hands, link, false);
+            }
             fleet.joined(now, hands, link, FLEET, *id, name, address, Standing::default(), known);
             for (id, name, address) in &all {
                 fleet.member(now, hands, link, *id, name, address, Standing::default());
@@ -355,6 +389,14 @@
         }
     }
 
+    /// When so many bytes more have left on a link.
+    fn out_by(&mut self, from: usize, link: LinkId, bytes: usize) -> Time {
+        let (now, span) = (self.now, bytes as u64 * SECOND / self.terms.pace.max(1));
+        let busy = self.all[from].busy.entry(link).or_insert(now);
+        *busy = (*busy).max(now) + Time(span);
+        *busy
+    }
+
     fn act(&mut self, from: usize, act: Act) {
         match act {
             Act::Dial(link, address) => {
@@ -365,16 +407,20 @@
             }
             Act::Close(link) => {
                 if let Some((peer, life, far)) = self.all[from].links.remove(&link) {
+                    // Behind all that was said on it.
+                    let out = self.out_by(from, link, 0) - self.now;
+                    self.all[from].busy.remove(&link);
                     let way = place::way(from, peer, link.0 ^ far.0);
-                    self.plan_for(way, peer, life, What::Down(far));
+                    self.plan_for(out + way, peer, life, What::Down(far));
                 }
             }
             Act::Say(link, bytes) => {
                 let Some(&(peer, life, far)) = self.all[from].links.get(&link) else { return };
                 // What is sent into a cut is as good as lost, for the link is given up before it heals.
                 if self.sides[from] == self.sides[peer] {
+                    let out = self.out_by(from, link, bytes.len()) - self.now;
                     let way = place::way(from, peer, link.0 ^ far.0);
-                    self.plan_for(way, peer, life, What::Bytes(far, bytes));
+                    self.plan_for(out + way, peer, life, What::Bytes(far, bytes));
                 }
             }
             Act::Watch(on) => {
@@ -426,6 +472,7 @@
             What::Up(link) => self.call(to, |f, now, out| f.link_up(now, out, link)),
             What::Down(link) => {
                 self.all[to].links.remove(&link);
+                self.all[to].busy.remove(&link);
                 self.call(to, |f, now, out| f.link_down(now, out, link));
             }
             What::Bytes(link, bytes) => {
@@ -559,6 +606,17 @@
         self.call(no, |f, now, out| f.saw(now, out, worker, function, hint, 1));
     }
 
+    pub fn keeps_directory(&self) -> bool {
+        self.terms.directory.is_some()
+    }
+
+    /// An instance's scheduler has an RPC of a function.
+    pub fn wants(&mut self, no: usize, function: FunctionId) {
+        if self.terms.directory.is_some() {
+            self.call(no, |f, now, out| f.wanted(now, out, function));
+        }
+    }
+
     /// An instance's process ends at once.
     pub fn kill(&mut self, no: usize) {
         let h = &mut self.all[no];
@@ -581,6 +639,7 @@
         h.life += 1;
         h.alive = true;
         h.links.clear();
+        h.busy.clear();
         self.plan(Time(1), no, What::Tick);
     }
 
