Time calls from their asking to a worker, and let a play's list have rows as a larger fleet's

What schedulers and network take of it could not be told from the load: a span now tells, for what clients asked within it, the time to the first attempt's arrival at a worker and to the work's effect (half, 99 in 100, worst), and how many reached none. The play `rare` asks each of 4,000 functions so seldom that nearly every call begins a load.

`idle-rows N` adds N draining workers that are not there to a play's list, with names as long as a deployment's, so that real processes hold a list of the planned size.

Tests: calls by hand, the grammar's fault, `rare` with twelve processes.

--- a/crates/curlewpoint-cli/tests/fleet.rs
+++ b/crates/curlewpoint-cli/tests/fleet.rs
@@ -35,6 +35,7 @@
 #[test_case("stall" ; "the list service says nothing and its connections stay up")]
 #[test_case("again" ; "some start again while their old runs breathe")]
 #[test_case("forged" ; "a peer sends what no peer should")]
+#[test_case("rare" ; "nearly every call begins a load")]
 fn a_play_is_clean(name: &str) {
     let (code, told) = play(name, &[]);
     assert_eq!(code, Some(0), "{told}");
--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -7,6 +7,7 @@
 use curlewpoint_lab::Seen;
 use curlewpoint_wire::Kind;
 
+use crate::play::IDLE;
 use crate::relay::{Passed, Taped};
 
 mod spans;
@@ -258,6 +259,9 @@
     let mut said: BTreeMap<&str, usize> = BTreeMap::new();
     for (at, seen) in seen {
         let Seen::Told { scheduler, worker, standing } = seen else { continue };
+        if worker.starts_with(IDLE) {
+            continue;
+        }
         if *standing == Standing::Ready {
             said.remove(worker.as_str());
             continue;
--- a/crates/curlewpoint-rig/src/figures/spans.rs
+++ b/crates/curlewpoint-rig/src/figures/spans.rs
@@ -63,6 +63,12 @@
     pub links: f64,
     /// RPCs that an instance was asked, a second.
     pub rpcs: f64,
+    /// Of those that a client asked within it and that reached a worker: from there to the first attempt's arrival, which is
+    /// what schedulers and network take of a call's time; and to the work's effect. Half, 99 in 100 and all had it by then.
+    pub reached: Option<[Time; 3]>,
+    pub ran: Option<[Time; 3]>,
+    /// Those that reached none.
+    pub unreached: usize,
     /// Processes that ran from its beginning to its end, what part of a core they used, and their memory at its end in MB.
     pub stayed: usize,
     pub core: Spread,
@@ -136,8 +142,7 @@
             let most = most.entry(who).or_default();
             *most = bytes.max(*most);
         }
-        let asked = seen.iter().filter(|(at, s)| within(*at) && matches!(s, Seen::Asked { .. })).count();
-        f.rpcs = each * asked as f64 / n as f64;
+        f.rpcs = each * f.of_calls(from.at, to.at, seen) as f64 / n as f64;
         let of = |all: Counts, n: usize| Spread::of(all.into_values(), n);
         (f.frames, f.sent, f.taken, f.burst) = (of(frames, n), of(sent, n), of(taken, n), of(most, n));
         (f.dials, f.worker_frames) = (of(dials, workers), of(worker_frames, workers));
@@ -146,6 +151,30 @@
         f
     }
 
+    /// How many were asked.
+    fn of_calls(&mut self, from: Time, to: Time, seen: &[(Time, Seen)]) -> usize {
+        let (mut asked, mut reached, mut ran) =
+            <(BTreeMap<u64, Time>, BTreeMap<_, _>, BTreeMap<_, _>)>::default();
+        for (at, seen) in seen {
+            match seen {
+                Seen::Asked { key, .. } if from <= *at && *at < to => drop(asked.insert(*key, *at)),
+                Seen::Arrived { key, .. } => drop(reached.entry(*key).or_insert(*at)),
+                Seen::Ran { key, .. } => drop(ran.entry(*key).or_insert(*at)),
+                _ => {}
+            }
+        }
+        let took = |ends: &BTreeMap<u64, Time>| {
+            let mut all: Vec<Time> =
+                asked.iter().filter_map(|(key, at)| Some(*ends.get(key)? - *at)).collect();
+            all.sort();
+            let at = |part: usize| all.get((all.len() * part).div_ceil(100).max(1) - 1).copied();
+            Some([at(50)?, at(99)?, at(100)?])
+        };
+        (self.reached, self.ran) = (took(&reached), took(&ran));
+        self.unreached = asked.keys().filter(|key| !reached.contains_key(key)).count();
+        asked.len()
+    }
+
     fn of_processes(&mut self, from: &Look, to: &Look) {
         let (mut cores, mut resident, mut begun) = (Vec::new(), Vec::new(), Vec::new());
         for (before, after) in from.usage.iter().zip(&to.usage) {
@@ -171,6 +200,9 @@
         type Kinds = fn(&Cost) -> &BTreeMap<Kind, (f64, f64)>;
         let rows: &[Row] = &[
             ("RPCs asked of an instance a second", |c| format!("{:.2}", c.rpcs)),
+            ("ms to a worker: half; 99 in 100; worst", |c| ms(c.reached)),
+            ("ms to the effect: half; 99 in 100; worst", |c| ms(c.ran)),
+            ("RPCs that reached no worker, in all", |c| c.unreached.to_string()),
             ("sights an instance told, rows it sent", |c| format!("{:.2}; {:.1}", c.sights, c.rows)),
             ("frames sent: mean; worst", |c| c.frames.told(1)),
             ("bytes sent: mean; worst", |c| c.sent.told(0)),
@@ -224,6 +256,10 @@
     }
 }
 
+fn ms(all: Option<[Time; 3]>) -> String {
+    all.map_or("-".to_owned(), |all| all.map(|t| format!("{:.1}", t.ms())).join("; "))
+}
+
 /// Kinds that pass between peers and to workers, as the protocol's page calls them.
 fn kind_name(kind: Kind) -> String {
     let known = [
--- a/crates/curlewpoint-rig/src/figures/spans/tests.rs
+++ b/crates/curlewpoint-rig/src/figures/spans/tests.rs
@@ -50,3 +50,34 @@
     let c = Cost::of("x", &from, &to, &[], &[], 1);
     assert_eq!((c.stayed, c.begun, c.resident.mean), (1, 0, 2.0));
 }
+
+/// From the asking to the first arrival and to the first effect; what was asked outside of the span, or reached nobody,
+/// takes no part.
+#[test]
+fn a_call_is_timed_from_its_asking_to_a_worker_and_to_its_effect() {
+    let asked =
+        |key: u64| Seen::Asked { key, scheduler: "front-0".into(), method: "m".into(), left: Time(9) };
+    let arrived = |key: u64| Seen::Arrived {
+        key,
+        scheduler: "front-0".into(),
+        worker: "w-000".into(),
+        method: "m".into(),
+    };
+    let ran = |key: u64| Seen::Ran { key, worker: "w-000".into() };
+    let seen = [
+        (Time(90), asked(1)),
+        (Time(100), asked(2)),
+        (Time(105), asked(3)),
+        (Time(110), arrived(2)),
+        (Time(120), arrived(1)),
+        (Time(130), arrived(2)),
+        (Time(150), asked(4)),
+        (Time(180), arrived(4)),
+        (Time(900), ran(2)),
+        (Time(950), asked(5)),
+    ];
+    let look = |at: u64| Look { at: Time(at), usage: vec![None], load: 0.0 };
+    let c = Cost::of("x", &look(100), &look(900), &[], &seen, 1);
+    assert_eq!(c.reached, Some([Time(10), Time(30), Time(30)]));
+    assert_eq!((c.ran, c.unreached), (Some([Time(800); 3]), 1));
+}
--- a/crates/curlewpoint-rig/src/play.rs
+++ b/crates/curlewpoint-rig/src/play.rs
@@ -9,7 +9,7 @@
     };
 }
 
-plays! { "start" "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" "wave" }
+plays! { "start" "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" "wave" "rare" }
 
 const BASE: &str = include_str!("../plays/base.part");
 /// What schedulers run with.
@@ -95,6 +95,8 @@
     pub cold: bool,
     /// Connections that the list service takes in a second; none: all.
     pub list_takes: Option<f64>,
+    /// Workers that the list tells as draining, and that are not there: rows as a larger fleet has them.
+    pub idle_rows: usize,
     pub events: Vec<At>,
     pub spans: Vec<Span>,
     pub expects: Vec<(Limit, f64)>,
@@ -143,6 +145,11 @@
     Ok(e)
 }
 
+/// As many rows as a scheduler takes of a list.
+const MOST_ROWS: usize = 100_000;
+/// What the names of workers that are only rows begin with.
+pub const IDLE: &str = "idle-";
+
 /// `measure NAME at TIME for TIME`.
 fn span(line: &Line) -> Result<Span, (usize, String)> {
     let word = |no: usize| line.words.get(no).map_or("", |w| w.text.as_str());
@@ -170,7 +177,7 @@
             Script::of_lines(Script::default(), lines, fault, &mut |_, _| false)
         })?;
         read_lines(name, text, |lines, fault| {
-            let (mut cold, mut list_takes) = (false, None);
+            let (mut cold, mut list_takes, mut idle_rows) = (false, None, 0);
             let (mut events, mut spans, mut expects) = (Vec::new(), Vec::new(), Vec::new());
             let script = Script::of_lines(base, lines, fault, &mut |line: &Line, fault: &mut Complain| {
                 let value = line.words.get(1).map_or("", |w| w.text.as_str());
@@ -186,6 +193,13 @@
                         _ => Err((1, format!("'{value}' is neither yes nor no"))),
                     },
                     "list-takes" => number(value).map(|n| list_takes = Some(n)).map_err(|e| (1, e)),
+                    "idle-rows" => match value.parse() {
+                        Ok(n) if n <= MOST_ROWS => {
+                            idle_rows = n;
+                            Ok(())
+                        }
+                        _ => Err((1, format!("'{value}' is no whole number up to {MOST_ROWS}"))),
+                    },
                     _ => return false,
                 };
                 if let Err((word, what)) = read {
@@ -201,7 +215,7 @@
                 let line = lines.iter().find(measures).or(lines.first());
                 line.into_iter().for_each(|l| fault(l, 0, "the play ends before it is over".to_owned()));
             }
-            Play { script, cold, list_takes, events, spans, expects }
+            Play { script, cold, list_takes, idle_rows, events, spans, expects }
         })
     }
 
@@ -236,6 +250,7 @@
     #[test_case("measure all at 5s", "measure NAME at TIME for TIME" ; "a span without its length")]
     #[test_case("measure all at 5s for 0s", "longer than nothing" ; "an empty span")]
     #[test_case("length 10s\nmeasure all at 5s for 5s", "the play ends before it is over" ; "a span beyond the end")]
+    #[test_case("idle-rows 100001", "no whole number up to 100000" ; "more rows than a list may have")]
     #[test_case("lenth 5s", "no directive 'lenth'" ; "an unknown directive")]
     fn faults_are_told(line: &str, want: &str) {
         let told = Play::parse("x.play", line).unwrap_err();
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -17,7 +17,7 @@
 
 use crate::figures::{cost, Cost, Figures, Look};
 use crate::forge::forge;
-use crate::play::{Action, At, Limit, Play, Who, CONFIG};
+use crate::play::{Action, At, Limit, Play, Who, CONFIG, IDLE};
 use crate::process::{Process, Program};
 use crate::relay::{Effect, Relay, Rules, Shared, Taped};
 
@@ -227,6 +227,14 @@
             let since = stage.plan.play.cold.then(|| stage.shared.record.now());
             stage.tell(no, Standing::Ready, since);
         }
+        for no in 0..stage.plan.play.idle_rows {
+            // Names and addresses as long as a deployment's.
+            let (name, address) =
+                (format!("{IDLE}{no:06}.zone-{:02}", no % 16), "10.111.122.133:7100".to_owned());
+            let (zone, cell) = (format!("zone-{:02}", no % 16), format!("cell-{:02}", no % 64));
+            let standing = Standing::Draining;
+            stage.list.set(&name, Row { address, standing, start: 1, since: None, zone, cell, size: 1.0 });
+        }
         Ok(stage)
     }
 
