Try a node whose descriptors a crowd holds, and an older list behind the new one

Cause: the old directory's late list came to a socket that was closed by then, so that its number was never looked at: with the number's check taken out all passed. And a process whose descriptors are gone was tried on sockets alone, not that it says so.

Change: the new directory's answer is followed by a second one with the list before. one_whose_descriptors_are_gone: 60 clients that have each sent one byte before a node with 48 descriptors that was told 256; one line says that there is no room, and a client that comes behind them is served.

Seen to fail, one line broken and restored: roster.rs, an older list taken: the three moves; clients.rs, half a first command not closed in its time: one_whose.

--- a/crates/curlewpoint-cli/tests/nodes.rs
+++ b/crates/curlewpoint-cli/tests/nodes.rs
@@ -427,6 +427,33 @@
     book.keeps_the_rule();
 }
 
+/// The same of one whose descriptors are gone, fewer than it was told it has: a crowd that has sent a part of a request
+/// each holds them all. One line says so; who has a request is served once the crowd's time is up.
+#[test]
+fn one_whose_descriptors_are_gone_says_so_and_gets_out() {
+    let book = Book::default();
+    let (at, calls) = worker(&book);
+    let node = Node::start("gone", &told(7, "127.0.0.1:9", &[at], 256, settings(1)), 48);
+    // So that there is a connection to the worker.
+    let mut first = Client::new(&node.address, &book);
+    first.says(&call(1, 1));
+    assert!(first.has_all());
+    let mut crowd: Vec<Client> = (0..60).map(|_| Client::new(&node.address, &book)).collect();
+    crowd.iter_mut().for_each(|client| client.says(b"*"));
+    let before = node.logs("no room for clients");
+    assert!(!before.iter().any(|l| l.contains("no room")));
+    let mut usual = Client::new(&node.address, &book);
+    usual.says(&call(1, 2));
+    assert!(usual.has_all());
+    assert_eq!(usual.told().as_bytes(), row(&["1", "good", "", ""]));
+    for client in &mut crowd {
+        while client.reads() {}
+        assert_eq!(client.told(), "");
+    }
+    assert_eq!(calls.lock().unwrap().len(), 2);
+    book.keeps_the_rule();
+}
+
 /// What the main thread of a story waits for: a node asks its directory, or has answered so many calls.
 enum Event {
     Asked(usize),
--- a/crates/curlewpoint-node/tests/lists.rs
+++ b/crates/curlewpoint-node/tests/lists.rs
@@ -27,7 +27,8 @@
 // A reload, then a drain.
 
 /// A directory moves while the answer of the old one is out; the first list of the new one drains worker `s-0` and names
-/// another. The old one's list, of a lower number, comes in the moment of the move and again behind the new one's.
+/// another. The old one's list, of a lower number, comes in the moment of the move and again behind the new one's, from the
+/// old place and from the new.
 struct Moves {
     old: Directory,
     new: Directory,
@@ -48,6 +49,8 @@
     /// Before the scheduler looks again.
     fn drains(&self) {
         self.new.answers(3, &[one("s-0", &self.drained, 1), one("s-1", &self.next, 0)], 0);
+        // A second answer to the same question, with the list before: it is read, and passed over by its number.
+        self.new.answers(2, &[one("s-0", &self.drained, 0)], 0);
         self.old.answers(2, &[one("s-0", &self.drained, 0)], 0);
     }
 }
