Force a call that still waits for a dial when the platform is about to kill

Cause: the row of crossings.md was known by reading alone.

Change: a worker that cannot be reached, a stop, the clock moved by hand to 0.2 s ahead of the kill: the call is answered 'broken', its connection closed and not reset, counted as cut off.

Seen to fail, one line broken and restored: run.rs, what is open not aborted at the end; run.rs, the time of the kill passed over. Failed try, taken out: a client that reads no answers.

--- a/crates/curlewpoint-node/tests/crossings.rs
+++ b/crates/curlewpoint-node/tests/crossings.rs
@@ -216,6 +216,31 @@
     of.settled().await;
 }
 
+/// A call that still waits for a dial when the platform is about to kill is aborted with all that is open, answered and
+/// flushed; its dial, where it comes up later, carries nothing.
+#[tokio::test]
+async fn a_call_that_waits_for_a_dial_at_the_end_is_answered() {
+    let (at, listener, held) = unreachable().await;
+    let mut of =
+        scheduler_with(&[&at], NOWHERE, |told| told["settings"]["limits"]["dialTimeout"] = json!(8000)).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "read", IDS[0]).await;
+    let mut tag = 1;
+    client.looks(&mut tag, "fit").await;
+    of.notes.stop().await;
+    client.looks(&mut tag, "unfit").await;
+    // The platform kills 3.7 s after the stop here; 0.2 s before that are for last words.
+    tokio::time::pause();
+    tokio::time::advance(Duration::from_millis(3_501)).await;
+    tokio::time::resume();
+    assert_eq!(rest(&mut client).await, String::from_utf8(say(&["1", "broken", "", ""])).unwrap());
+    let figures = soon(&mut of.end).await.unwrap();
+    assert_eq!((figures.taken, figures.aborted, figures.cut_off), (1, 1, 1));
+    drop(soon(listener.accept()).await.unwrap());
+    drop(held);
+    of.settled().await;
+}
+
 /// A second stop, and a directory that moves just before or after one, change nothing for what is open.
 #[tokio::test]
 async fn a_second_stop_and_a_move_beside_it_change_nothing() {
