Take no word of the list from a peer that stood still as well, after standing still

It is the code; load only decides which word comes first.

That peer had been stopped with it. Those that lived had given up their links to both after 1.2 s (SILENT), so the link between the two is the first on which anything is told, and Fleet::beaten took the fellow's answer with the same old list for what is new, where the word of the list service or of one that lived came later.

Lines to blame: fleet.rs, beaten: `l.answered` was set whatever age the peer told; and stood_still left the tags of beats sent before, so an echo that had lain in the connection gave the list an age though nothing had been heard since. Change: an answer counts only with an age, and tags of before are forgotten.

Forced: stories.rs, those_that_stood_still_together_do_not_vouch_for_each_others_old_list: half of twelve stand still, the list changes, the list service is silent. Without the change it fails (list (1, 1) on a peer's word), with the first half of the change alone it fails too (the age by an old echo), with both it passes; so do the other 27 stories and the properties. Not mended: the hold is 75 ms at most (half of the slack); where neither a peer nor the list service can tell within it, it goes on with the old list, as its comment says.

--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -798,7 +798,9 @@
                 self.fresh_at = self.fresh_at.max(Some(asked - age));
             }
         }
-        l.answered |= asked.is_some_and(|at| self.woke.is_some_and(|woke| at >= woke));
+        // One that tells no age has not heard itself how old its list is. Guards against the word of one that stood still
+        // as well. Harms where nobody knows: then the time for it runs out.
+        l.answered |= age.is_some() && asked.is_some_and(|at| self.woke.is_some_and(|woke| at >= woke));
         let (answered, behind) = (l.answered, held > self.book.held());
         if behind && now - l.asked_list >= BEAT {
             l.asked_list = now;
@@ -1106,7 +1108,11 @@
         self.fresh_at = None;
         let peers = self.links.values().any(|l| l.peer.is_some());
         self.woke = (peers || self.watching).then_some(now);
-        self.links.values_mut().for_each(|l| (l.heard, l.answered) = (now, false));
+        for l in self.links.values_mut() {
+            (l.heard, l.answered) = (now, false);
+            // What answers a beat of before may lie in the connection: it tells nothing of the time since.
+            l.tags.clear();
+        }
         let all: Vec<LinkId> = self.links.keys().copied().collect();
         for link in all {
             self.beat(now, out, link, true);
--- a/crates/curlewpoint-fleet/tests/stories.rs
+++ b/crates/curlewpoint-fleet/tests/stories.rs
@@ -145,6 +145,34 @@
     assert!(!net.nodes[&ids[4]].fleet.holds(net.now));
 }
 
+/// Guards against the word of one that stood still as well: those that lived have given up their links to both, the link
+/// between the two is the first on which anything is told, and what it tells is as old. The list service is slow, so that
+/// its word comes after theirs.
+#[test]
+fn those_that_stood_still_together_do_not_vouch_for_each_others_old_list() {
+    let (mut net, ids) = fleet(17, 12, 12);
+    net.run(6_000);
+    // Half of a fleet: however the rings lie, some of them look after each other.
+    let stopped = &ids[..6];
+    stopped.iter().for_each(|id| net.pause(*id, 10_000));
+    net.run(5_000);
+    net.change();
+    net.run(3_000);
+    assert!(ids[6..].iter().all(|id| net.nodes[id].acts.list == Some((1, 2))), "those that live are told");
+    net.run(1_999);
+    net.service_up = false;
+    let told = |net: &Net, id: &u64| {
+        let said = "fleet: going on after standing still: a peer has told what is new";
+        net.nodes[id].acts.log.iter().any(|line| line == said)
+    };
+    for _ in 0..200 {
+        net.run(1);
+        for id in stopped.iter().filter(|id| told(&net, id)) {
+            assert_eq!(net.nodes[id].acts.list, Some((1, 2)), "it goes on with an old list on a peer's word");
+        }
+    }
+}
+
 #[test]
 fn one_that_starts_again_under_its_name_counts_beside_its_old_run_while_that_breathes() {
     let (mut net, ids) = fleet(19, 8, 8);
