Let the test of a worker that started anew fail without what it is for

Cause: a_worker_that_started_anew_is_dialled_anew asks with something out on the only connection, where the pool opens a second one in any case (streams of two). It passed on with a shim for the start, and passes with `line.start != start` taken out of Pool::worker_at at: it proved nothing. Change: what is out is answered first; the old connection then closes as its last answer has come, and the next attempt dials. Strictly more is asked than before: nothing is closed while something is out, it is closed after, and a dial is made where none would be.

--- a/crates/curlewpoint-engine/tests/pool.rs
+++ b/crates/curlewpoint-engine/tests/pool.rs
@@ -269,9 +269,12 @@
     ask(&mut p, &mut w, 11, 2..=2);
     assert_eq!(w.dialled.len(), 1, "the same start told again is no restart");
     p.worker_at(Time(20), &mut w, W, "here", Time(15));
-    ask(&mut p, &mut w, 21, 3..=3);
-    assert_eq!(w.dialled.len(), 2);
     assert!(w.closed.is_empty(), "what is out on the old one may still be answered");
+    p.answered(Time(21), &mut w, RequestId(2));
+    assert_eq!(w.closed, [first], "it was the last");
+    // One alone, as with more out a second one is opened in any case.
+    ask(&mut p, &mut w, 22, 3..=3);
+    assert_eq!(w.dialled.len(), 2);
 }
 
 /// Guards against judging a worker by what lacks here, as descriptors do: nothing proves that it cannot be reached.
