Measure in plays too when the machine gave clients and stand-ins no turn

Cause: rule 1 of a play was judged by the wall clock of the process that holds clients, relays and stand-ins. At a load of 46 a play called an Ok 59 ms late, before any fault of the play.

--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -126,6 +126,8 @@
 pub async fn run(plan: Plan) -> std::io::Result<Outcome> {
     let mut stage = Stage::set(plan).await?;
     let began = stage.shared.record.now();
+    let mut pulse = JoinSet::new();
+    pulse.spawn(stage.shared.record.clone().feel_the_pulse());
     let clients = stage.begin().await?;
     let up = stage.shared.record.now();
     stage.over = up;
