Measure rows left out of the list before the fleet that stands beside them

In the run of 2,000 and 3,400 schedulers the ten books took up what the settled fleet had freed and seemed to take nothing: 0.76 and 1.09 MB of records, list and links, less than 1.77 MB at 1,000, where all rows are held. They are measured first now, in a fresh process. Not run again at these sizes: 240 bytes a record and some 600 a row, from the differences between sizes, make about 6 MB at 3,400.

--- a/crates/curlewpoint-rig/src/scale/parts.rs
+++ b/crates/curlewpoint-rig/src/scale/parts.rs
@@ -147,10 +147,11 @@
 fn steady(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
     let mut rng = Rand64::new(u128::from(seed) + 7);
     let times = effort.times;
+    // First of all: what a fleet has freed would be taken up again by the books, and grow nothing. What they free is a
+    // hundredth of what the fleet takes.
+    let left_out = if times { book_bytes(plan::workers(n) - rows_held(n)) } else { None };
     let mut fleet = settled(seed, n, effort.terms, outcome);
     if times {
-        // While the fleet stands: what has been freed before would be taken up again, and grow nothing.
-        let left_out = book_bytes(plan::workers(n) - fleet.rows);
         let per_row = fleet.memory.zip(left_out).map(|(held, left)| held + left);
         outcome.of(FLEET).rough("memory of records, list and links", "B", per_row);
     }
