--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -243,7 +243,11 @@
             }
             () = desk.closing.cancelled(), if ahead.is_empty() => match next_at_once(&mut reader).await {
                 Some(Ok(words)) => came = Some(words),
-                _ => break,
+                Some(Err(e)) => {
+                    why = Some(e);
+                    break;
+                }
+                None => break,
             },
             () = tokio::time::sleep_until(silent_at), if ahead.is_empty() => {
                 let begun = !reader.read_buffer().is_empty();
