Tell one that starts some of the latest copies, and the module all that its directory holds

Cause: with the directory, the first RPC of a function at an instance is placed before anybody has answered.

Change: the frame that tells that an instance takes part also tells that it has just started (5 s); whoever meets it tells 64 of its latest rows, after all else. Rows held for others go to the module as hints, as on the rings.

--- a/crates/curlewpoint-fleet/src/directory.rs
+++ b/crates/curlewpoint-fleet/src/directory.rs
@@ -26,6 +26,8 @@
 const ROWS_EACH: usize = 64;
 /// Rows in one answer.
 const ANSWER_ROWS: usize = 8;
+/// Rows that one is told that has just started, by each that it meets.
+const NEWCOMER_ROWS: usize = 64;
 /// Those who are told of changes, of one function and in all: beyond it an answer is all that one gets.
 const SUBSCRIBERS_EACH: usize = 128;
 const SUBSCRIBERS: usize = 16_384;
@@ -69,8 +71,6 @@
 
 struct Interest {
     asked: Time,
-    /// Whether the scheduler here has RPCs of it; else it is asked for others.
-    wanted: bool,
     /// Questions so far: the next goes to another, where the last one knew nothing.
     turn: usize,
 }
@@ -259,19 +259,10 @@
         self.tell_subscribers(now, &seen, changed, None);
     }
 
-    /// The scheduler here has an RPC of a function. Returns what is known of it, if that is news to the scheduler.
-    pub fn wanted(&mut self, now: Time, function: FunctionId) -> Vec<Seen> {
-        if !self.terms.hinted {
-            return Vec::new();
-        }
-        self.ask(now, function);
-        let Some(interest) = self.interests.get_mut(&function) else { return Vec::new() };
-        let new = !std::mem::replace(&mut interest.wanted, true);
-        let mine = mark(self.me.run);
-        if new {
-            self.copies.of(function).filter(|s| s.run != mine).copied().collect()
-        } else {
-            Vec::new()
+    /// The scheduler here has an RPC of a function.
+    pub fn wanted(&mut self, now: Time, function: FunctionId) {
+        if self.terms.hinted {
+            self.ask(now, function);
         }
     }
 
@@ -290,7 +281,7 @@
             self.counts.left_out += 1;
             return;
         }
-        let first = Interest { asked: now, wanted: false, turn: 0 };
+        let first = Interest { asked: now, turn: 0 };
         let i = self.interests.entry(function).or_insert(first);
         i.asked = now;
         if !known {
@@ -346,6 +337,15 @@
         all.insert(who, now);
     }
 
+    /// A member knows few others: it has just started, and is told some of the latest that is known here, where the budget
+    /// allows. Guards against one that finds each copy anew, one RPC after the other. Harms nobody: it leaves last.
+    pub fn newcomer(&mut self, now: Time, who: MemberId) {
+        let latest: Vec<(FunctionId, WorkerId)> = self.copies.latest(NEWCOMER_ROWS);
+        for (f, w) in latest {
+            self.queue.push(now, REFRESH, who, Item::Down(f, w));
+        }
+    }
+
     /// A peer answers for some functions, and tells rows of these and of others. Returns those for the scheduler here.
     pub fn told(&mut self, now: Time, from: MemberId, answered: &[FunctionId], rows: Vec<Seen>) -> Vec<Seen> {
         self.heard(from);
@@ -378,7 +378,7 @@
                 self.tell_up(now, &seen, changed, Some(from));
             }
             self.tell_subscribers(now, &seen, changed, Some(from));
-            if self.interests.get(&seen.function).is_some_and(|i| i.wanted) {
+            if self.terms.hinted {
                 news.push(seen);
             }
         }
--- a/crates/curlewpoint-fleet/src/directory/copies.rs
+++ b/crates/curlewpoint-fleet/src/directory/copies.rs
@@ -81,6 +81,14 @@
         self.by_age.remove(&(at, function, worker));
     }
 
+    /// The latest rows of copies and of loads under way, of whatever function.
+    pub fn latest(&self, most: usize) -> Vec<(FunctionId, WorkerId)> {
+        let stands = |key: &(FunctionId, WorkerId)| {
+            self.rows.get(key).is_some_and(|s| matches!(s.hint, Hint::Warm | Hint::Loading))
+        };
+        self.by_age.iter().rev().map(|(_, f, w)| (*f, *w)).filter(stands).take(most).collect()
+    }
+
     pub fn clear(&mut self) {
         self.rows.clear();
         self.by_age.clear();
--- a/crates/curlewpoint-fleet/src/directory/frames.rs
+++ b/crates/curlewpoint-fleet/src/directory/frames.rs
@@ -14,9 +14,10 @@
 /// Rows or names in one frame at most.
 const MOST: usize = 1_024;
 
-/// Before the frame that tells who speaks: this instance takes part; `only`: the link is for nothing else.
-pub fn part_frame(only: bool) -> Frame {
-    Frame::new(Kind::DIRECTORY).int(Field::ONLY, u64::from(only))
+/// Before the frame that tells who speaks: this instance takes part; `only`: the link is for nothing else; `starts`: it
+/// has just started, and knows nothing.
+pub fn part_frame(only: bool, starts: bool) -> Frame {
+    Frame::new(Kind::DIRECTORY).int(Field::ONLY, u64::from(only)).int(Field::STARTS, u64::from(starts))
 }
 
 /// A question for what is known of functions.
@@ -74,8 +75,8 @@
 ) -> Result<bool, WireError> {
     match f.kind {
         Kind::DIRECTORY => {
-            let only = f.get_int(Field::ONLY)? == 1;
-            fleet.takes_part(now, out, link, only);
+            let (only, starts) = (f.get_int(Field::ONLY)? == 1, f.get_int(Field::STARTS)? == 1);
+            fleet.takes_part(now, out, link, only, starts);
         }
         Kind::ASK => {
             let functions = read_names(f)?;
--- a/crates/curlewpoint-fleet/src/fleet.rs
+++ b/crates/curlewpoint-fleet/src/fleet.rs
@@ -105,6 +105,8 @@
     synced: Time,
     /// It takes part in the directory of copies.
     takes: bool,
+    /// It has just started.
+    starts: bool,
     intake: asks::Meter,
 }
 
@@ -412,6 +414,7 @@
         hinted_at: Time(0),
         synced: Time(0),
         takes: false,
+        starts: false,
         intake: asks::intake(now),
     }
 }
--- a/crates/curlewpoint-fleet/src/fleet/asks.rs
+++ b/crates/curlewpoint-fleet/src/fleet/asks.rs
@@ -22,6 +22,8 @@
 const INTAKE: (f64, f64) = (500.0, 1_000.0);
 /// Rows wait so long for others, a question and its answer never.
 const GATHER: Time = Time(200);
+/// So long an instance says that it has just started, and is told what it may need.
+const STARTS: Time = Time(50_000);
 /// What the frames that tell of a link's end who speaks and that it takes part take beside their texts, about.
 const JOIN: usize = 90;
 
@@ -53,6 +55,7 @@
     to: Option<MemberId>,
     peer: Option<MemberId>,
     takes: bool,
+    starts: bool,
     since: Time,
     used: Time,
     intake: Meter,
@@ -60,7 +63,7 @@
 
 fn ask_link(now: Time, to: Option<MemberId>) -> AskLink {
     let intake = Meter::new(now, INTAKE);
-    AskLink { to, peer: None, takes: to.is_none(), since: now, used: now, intake }
+    AskLink { to, peer: None, takes: to.is_none(), starts: false, since: now, used: now, intake }
 }
 
 /// The directory and its links.
@@ -69,6 +72,8 @@
     pub links: BTreeMap<LinkId, AskLink>,
     dials: Meter,
     gathered: Time,
+    /// When this instance began to take part.
+    began: Time,
     /// The records by which it was reckoned who speaks to whom.
     viewed: Option<u64>,
 }
@@ -84,7 +89,8 @@
         let terms = Terms { bytes, keep: self.bounds.hints, hinted: self.bounds.hinted };
         let directory = Directory::new(now, self.me, terms);
         let dials = Meter::new(now, DIALS);
-        self.asks = Some(Asks { directory, links: BTreeMap::new(), dials, gathered: now, viewed: None });
+        self.asks =
+            Some(Asks { directory, links: BTreeMap::new(), dials, gathered: now, began: now, viewed: None });
     }
 
     /// This instance's part of the directory of copies; none: it takes none.
@@ -100,9 +106,7 @@
     /// The scheduler here has an RPC of a function: a copy of it is asked for where none is known. Nothing waits for it.
     pub fn wanted(&mut self, now: Time, out: &mut impl Outside, function: FunctionId) {
         let Some(asks) = &mut self.asks else { return };
-        for s in asks.directory.wanted(now, function) {
-            out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
-        }
+        asks.directory.wanted(now, function);
         self.send_parcels(now, out, true);
     }
 
@@ -113,15 +117,15 @@
 
     // What peers say.
 
-    /// A peer takes part; `only`: it has opened the link for nothing else.
-    pub fn takes_part(&mut self, now: Time, out: &mut impl Outside, link: LinkId, only: bool) {
+    /// A peer takes part; `only`: it has opened the link for nothing else; `starts`: it has just started.
+    pub fn takes_part(&mut self, now: Time, out: &mut impl Outside, link: LinkId, only: bool, starts: bool) {
         let Some(asks) = &mut self.asks else { return };
         if let Some(l) = asks.links.get_mut(&link) {
             l.takes = true;
             return;
         }
         let Some(l) = self.links.get_mut(&link) else { return };
-        l.takes = true;
+        (l.takes, l.starts) = (true, starts);
         if !only || l.peer.is_some() || !matches!(l.purpose, Purpose::Theirs) {
             return;
         }
@@ -132,7 +136,7 @@
         self.links.remove(&link);
         // This instance has said who it is by now.
         asks.directory.spent(JOIN + self.fleet.len() + self.name.len() + self.address.len());
-        asks.links.insert(link, ask_link(now, None));
+        asks.links.insert(link, AskLink { starts, ..ask_link(now, None) });
     }
 
     /// Whether a link is one for the directory alone; if so, who is at its other end has been taken.
@@ -150,6 +154,9 @@
         let Some(l) = asks.links.get_mut(&link) else { return true };
         (l.peer, l.used) = (Some(id), now);
         let (other, takes) = (l.to.filter(|to| *to != id), l.takes);
+        if l.starts {
+            asks.directory.newcomer(now, id);
+        }
         if !takes {
             // An earlier release, or a configuration without it: it would not answer.
             asks.directory.stranger(id);
@@ -165,6 +172,13 @@
         true
     }
 
+    /// A neighbour that takes part knows few others.
+    pub(super) fn newcomer(&mut self, now: Time, id: MemberId) {
+        if let Some(asks) = &mut self.asks {
+            asks.directory.newcomer(now, id);
+        }
+    }
+
     /// A neighbour has said who it is without saying that it takes part.
     pub(super) fn stranger(&mut self, id: MemberId) {
         if let Some(asks) = &mut self.asks {
@@ -241,13 +255,13 @@
     // Links.
 
     /// Tells that this instance takes part, before it tells who it is.
-    pub(super) fn tell_part(&mut self, out: &mut impl Outside, link: LinkId) {
+    pub(super) fn tell_part(&mut self, now: Time, out: &mut impl Outside, link: LinkId) {
         let Some(asks) = &mut self.asks else { return };
         let own = asks.links.get(&link).is_some_and(|l| l.to.is_some());
         if own {
             asks.directory.spent(JOIN + self.fleet.len() + self.name.len() + self.address.len());
         }
-        out.directory(link, frames::part_frame(own));
+        out.directory(link, frames::part_frame(own, now - asks.began < STARTS));
     }
 
     /// A link for the directory alone has ended, or could not be opened; false: it is another.
--- a/crates/curlewpoint-fleet/src/fleet/links.rs
+++ b/crates/curlewpoint-fleet/src/fleet/links.rs
@@ -6,11 +6,11 @@
     /// A link that was opened from here is up.
     pub fn link_up(&mut self, now: Time, out: &mut impl Outside, link: LinkId) {
         if self.asks.as_ref().is_some_and(|a| a.links.contains_key(&link)) {
-            return self.join(out, link);
+            return self.join(now, out, link);
         }
         let Some(l) = self.links.get_mut(&link) else { return out.close(link) };
         (l.up, l.heard, l.since) = (true, now, now);
-        self.join(out, link);
+        self.join(now, out, link);
     }
 
     /// A peer has opened a link.
@@ -22,11 +22,11 @@
         }
         self.links.insert(link, new_link(now, Purpose::Theirs));
         self.links.get_mut(&link).into_iter().for_each(|l| l.up = true);
-        self.join(out, link);
+        self.join(now, out, link);
     }
 
-    pub(super) fn join(&mut self, out: &mut impl Outside, link: LinkId) {
-        self.tell_part(out, link);
+    pub(super) fn join(&mut self, now: Time, out: &mut impl Outside, link: LinkId) {
+        self.tell_part(now, out, link);
         if let Some(me) = self.table.get(self.me) {
             out.join(link, &self.fleet, self.me, me, self.table.len() as u64);
         }
--- a/crates/curlewpoint-fleet/src/fleet/records.rs
+++ b/crates/curlewpoint-fleet/src/fleet/records.rs
@@ -39,6 +39,7 @@
             l.untold.extend(self.table.spoken_of().map(|(id, _)| id));
             self.hints.whole().into_iter().for_each(|seen| l.hints.push(seen));
         }
+        let starts = l.starts;
         self.unheard.remove(&id);
         if looked_for.is_some_and(|m| m != id) {
             // Another run answers where that one was: it is not there any more.
@@ -58,6 +59,9 @@
             let wait = if place < few { Time(0) } else { stretch(&mut self.rng, most) };
             self.watch_from.0 = Some(now + wait);
         }
+        if starts {
+            self.newcomer(now, id);
+        }
         self.number.linked(now);
         if known <= 1 {
             // One that has just started can serve by the list; records of members, hundreds of them, come behind it.
--- a/crates/curlewpoint-wire/src/frame.rs
+++ b/crates/curlewpoint-wire/src/frame.rs
@@ -128,6 +128,8 @@
     pub const ROWS: Field = Field(42);
     /// Whether a link is for the directory of copies alone: 1.
     pub const ONLY: Field = Field(43);
+    /// Whether the sender has just started: 1.
+    pub const STARTS: Field = Field(45);
     /// Functions by their ids.
     pub const FUNCTIONS: Field = Field(44);
 }
