--- /dev/null
+++ b/crates/curlewpoint-rig/src/scale/mod.rs
@@ -0,0 +1,37 @@
+//! Hollow schedulers, many in one process: the real state machines and the real frames, a made-up network and time.
+//!
+//! Bytes are those of the frames that a real link would carry; processor time is that of the thread inside the state
+//! machine, the encoder and the decoder; memory is told by differences of the resident size. Counts and bytes are the
+//! same again from the same seed.
+
+mod fit;
+mod fleet_part;
+mod measure;
+mod module_part;
+mod parts;
+mod place;
+pub mod plan;
+mod report;
+mod steps;
+mod tally;
+mod worker_part;
+mod world;
+
+pub use fit::{off, Fit, FITTED, OFF};
+pub use fleet_part::{all_start, settle, AllStart, Burst, Joined, Rate, Settled};
+pub use measure::{Ledger, Measure, Outcome};
+pub use module_part::{module_cost, Cost};
+pub use parts::{play, Effort, Part, FLEET, MODULE, SERVICE, WATCHER, WORKER};
+pub use report::Report;
+pub use steps::{Row, Table};
+pub use tally::{resident, Meter, Tally, GROUPS};
+pub use worker_part::{borne, Borne, Choice, Scene};
+pub use world::{Spent, Terms, World, BOUNDS, PACE};
+
+/// Sizes that can be played.
+pub const LEAST_SIZE: usize = 16;
+pub const MOST_SIZE: usize = 4_000;
+/// Bytes a second of a link that can be played.
+pub const PACES: std::ops::RangeInclusive<u64> = 1_000..=1_000_000_000;
+/// Bytes a second of a directory of copies that can be played.
+pub const BUDGETS: std::ops::RangeInclusive<u64> = 100..=1_000_000;
