Keep takes_part as the scale rig calls it, and tell of a start by a call of its own

Cause: the scale rig was joined, and calls takes_part with the four arguments that it had before newcomers were told.

Change: just_started is called where the frame says so.

--- a/crates/curlewpoint-fleet/src/directory/frames.rs
+++ b/crates/curlewpoint-fleet/src/directory/frames.rs
@@ -76,7 +76,10 @@
     match f.kind {
         Kind::DIRECTORY => {
             let (only, starts) = (f.get_int(Field::ONLY)? == 1, f.get_int(Field::STARTS)? == 1);
-            fleet.takes_part(now, out, link, only, starts);
+            fleet.takes_part(now, out, link, only);
+            if starts {
+                fleet.just_started(link);
+            }
         }
         Kind::ASK => {
             let functions = read_names(f)?;
--- a/crates/curlewpoint-fleet/src/fleet/asks.rs
+++ b/crates/curlewpoint-fleet/src/fleet/asks.rs
@@ -117,15 +117,15 @@
 
     // What peers say.
 
-    /// A peer takes part; `only`: it has opened the link for nothing else; `starts`: it has just started.
-    pub fn takes_part(&mut self, now: Time, out: &mut impl Outside, link: LinkId, only: bool, starts: bool) {
+    /// A peer takes part; `only`: it has opened the link for nothing else.
+    pub fn takes_part(&mut self, now: Time, out: &mut impl Outside, link: LinkId, only: bool) {
         let Some(asks) = &mut self.asks else { return };
         if let Some(l) = asks.links.get_mut(&link) {
             l.takes = true;
             return;
         }
         let Some(l) = self.links.get_mut(&link) else { return };
-        (l.takes, l.starts) = (true, starts);
+        l.takes = true;
         if !only || l.peer.is_some() || !matches!(l.purpose, Purpose::Theirs) {
             return;
         }
@@ -136,7 +136,14 @@
         self.links.remove(&link);
         // This instance has said who it is by now.
         asks.directory.spent(JOIN + self.fleet.len() + self.name.len() + self.address.len());
-        asks.links.insert(link, AskLink { starts, ..ask_link(now, None) });
+        asks.links.insert(link, ask_link(now, None));
+    }
+
+    /// A peer that takes part says that it has just started.
+    pub fn just_started(&mut self, link: LinkId) {
+        let asks = self.asks.as_mut().and_then(|a| a.links.get_mut(&link));
+        asks.into_iter().for_each(|l| l.starts = true);
+        self.links.get_mut(&link).into_iter().for_each(|l| l.starts = true);
     }
 
     /// Whether a link is one for the directory alone; if so, who is at its other end has been taken.
