Play real processes with a directory of copies, beside hints round the rings in one command

The directory of copies could be played on hollow schedulers alone. A value out of bounds ends in one line before a process is started.

Tests: `rare` with twelve processes and both columns; its first form asked for a row of a kind that had not been sent in the span, and failed for that.

--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -46,6 +46,8 @@
 enum Against {
     /// As many schedulers that know nothing of each other.
     Off,
+    /// As many that tell hints round the rings, without a directory.
+    Rings,
     /// As many that know who lives and share the list, and tell each other nothing of functions at workers.
     Mute,
     /// One scheduler that takes all the traffic.
@@ -63,6 +65,9 @@
     /// Play it with this too; may be given again.
     #[arg(long, value_enum)]
     against: Vec<Against>,
+    /// Let the schedulers keep a directory of copies, and send so many bytes a second for it at most, as `3KiB`.
+    #[arg(long)]
+    directory: Option<String>,
     /// Keep configurations and logs in this folder.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -239,7 +244,8 @@
         let against: Vec<String> =
             self.against.iter().map(|a| format!(" --against {a:?}").to_lowercase()).collect();
         let (play, n, seed) = (&self.play, self.schedulers, self.seed);
-        format!("curlewpoint fleet play {play} --schedulers {n} --seed {seed}{}", against.concat())
+        let directory = self.directory.iter().map(|d| format!(" --directory {d}")).collect::<String>();
+        format!("curlewpoint fleet play {play} --schedulers {n} --seed {seed}{directory}{}", against.concat())
     }
 
     async fn play(&self, program: Program, play: Play) -> u8 {
@@ -250,6 +256,7 @@
             let (name, schedulers) = match kind {
                 None => ("on", self.schedulers),
                 Some(Against::Off) => ("off", self.schedulers),
+                Some(Against::Rings) => ("rings", self.schedulers),
                 Some(Against::Mute) => ("mute", self.schedulers),
                 Some(Against::One) => ("one", 1),
             };
@@ -258,8 +265,9 @@
                 play: play.clone(),
                 schedulers,
                 seed: self.seed,
-                peers: matches!(kind, None | Some(Against::Mute)),
-                hints: kind.is_none(),
+                peers: matches!(kind, None | Some(Against::Mute | Against::Rings)),
+                hints: matches!(kind, None | Some(Against::Rings)),
+                directory: self.directory.clone().filter(|_| kind.is_none()),
                 folder: root.join(name),
             };
             let outcome = match run(plan).await {
--- a/crates/curlewpoint-cli/tests/fleet.rs
+++ b/crates/curlewpoint-cli/tests/fleet.rs
@@ -90,6 +90,29 @@
     assert!(of_span(&told, "wave", "at a worker: attempts: mean; worst")[0] > 0.0, "{told}");
 }
 
+/// With a directory of copies the same play keeps the rules, and beside it hints go round the rings.
+#[test]
+fn a_play_with_a_directory_tells_rings_from_it() {
+    let (code, told) = play("rare", &["--directory", "3KiB", "--against", "rings"]);
+    assert_eq!(code, Some(0), "{told}");
+    let [directory, rings] = [0, 1].map(|column| {
+        let cells = of_span(&told, "cold", "sent HINTS: frames; bytes");
+        cells.chunks(2).nth(column).map(|c| c[1]).unwrap_or_else(|| panic!("{told}"))
+    });
+    assert!(directory < rings / 10.0, "{told}");
+    assert!(of_span(&told, "cold", "sent SIGHTS: frames; bytes")[0] > 0.0, "{told}");
+    // A second's burst and 3 KiB each second, over 20 s; what was not sent in that time has no row.
+    let kinds = ["DIRECTORY", "ASK", "COPIES", "SIGHTS"].map(|k| format!("sent {k}: frames; bytes"));
+    let sent = kinds.iter().filter(|k| told.contains(*k)).map(|k| of_span(&told, "cold", k)[1]);
+    assert!(sent.sum::<f64>() <= 3_072.0 * 21.0 / 20.0, "{told}");
+}
+
+#[test]
+fn a_directory_out_of_bounds_is_named_and_starts_nothing() {
+    let (code, told) = play("rare", &["--directory", "1B"]);
+    assert!(code == Some(1) && told.contains("directory must be from 1KiB to 1MiB"), "{told}");
+}
+
 #[test]
 fn a_play_that_is_not_there_starts_nothing() {
     let (code, told) = play("no-such.play", &[]);
--- a/crates/curlewpoint-rig/src/relay.rs
+++ b/crates/curlewpoint-rig/src/relay.rs
@@ -192,7 +192,7 @@
 impl Sights {
     /// Rows of this frame, and those that no relay has seen before.
     fn pass(&self, f: &Frame) -> (usize, usize) {
-        if f.kind != Kind::HINTS {
+        if ![Kind::HINTS, Kind::SIGHTS].contains(&f.kind) {
             return (0, 0);
         }
         let rows = f.get_ints(Field::ROWS).unwrap_or_default();
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -32,6 +32,8 @@
     pub peers: bool,
     /// Whether those that do tell each other what they see of functions at workers.
     pub hints: bool,
+    /// What `directory` is set to in their fleet's block; none: hints go round the rings.
+    pub directory: Option<String>,
     /// Where configurations and logs go.
     pub folder: PathBuf,
 }
@@ -190,7 +192,12 @@
             let fleet = (at(ports[n + no]), i.relay.address.to_string(), peers.clone());
             let list = list_relay.address.to_string();
             let fleet = plan.peers.then_some(fleet);
-            std::fs::write(&i.config, text(&plan, no, &at(ports[no]), &i.name, &list, fleet))?;
+            let text = text(&plan, no, &at(ports[no]), &i.name, &list, fleet);
+            // What a play is told to set may be at fault; all instances have the same.
+            if no == 0 {
+                parsed(&text)?;
+            }
+            std::fs::write(&i.config, text)?;
         }
         let load = Traffic {
             times: 1.0,
@@ -607,8 +614,9 @@
     if let Some((listen, reached, peers)) = fleet {
         let _ = write!(
             out,
-            "fleet {{\n  name {FLEET}\n  listen {listen}\n  reached-at {reached}\n  peers {peers}\n  hints {}\n}}\n",
-            if plan.hints { "yes" } else { "no" }
+            "fleet {{\n  name {FLEET}\n  listen {listen}\n  reached-at {reached}\n  peers {peers}\n  hints {}\n{}}}\n",
+            if plan.hints { "yes" } else { "no" },
+            plan.directory.iter().map(|d| format!("  directory {d}\n")).collect::<String>()
         );
     }
     out
