--- /dev/null
+++ b/crates/curlewpoint-gateway/src/snapshot/tests.rs
@@ -0,0 +1,62 @@
+use super::*;
+use curlewpoint::types::Standing;
+use curlewpoint_fleet::{Bounds, Run};
+
+const NOW: Time = Time(864_000_000);
+
+fn fleet() -> Fleet {
+    let bounds = Bounds {
+        instances: 10,
+        links: 10,
+        watchers: 3,
+        slack: Time(1_500),
+        hints: Time(80_000),
+        hinted: true,
+    };
+    Fleet::start(NOW, "f", ("n", Run(1)), "a", vec!["b".into()], 1, bounds, 1)
+}
+
+fn drawn() -> BytesMut {
+    let mut out = BytesMut::from(FIRST_LINE);
+    let head = Frame::new(Kind::SNAPSHOT).text(Field::FLEET, "f").int(Field::WALL, wall() - 60);
+    let head = head.int(Field::EPOCH, 3).int(Field::LIST_VERSION, 9);
+    let (zone, cell) = Default::default();
+    let since = Some(NOW - Time(50_000));
+    let row =
+        Entry { address: "w".into(), standing: Standing::Draining, start: 7, since, zone, cell, size: 1.0 };
+    for frame in [head, entry_frame(NOW, "w-1", &row), Frame::new(Kind::MEMBER).text(Field::ADDRESS, "c")] {
+        CODEC.clone().encode(frame, &mut out).unwrap();
+    }
+    let sum = xxh3_64(&out);
+    out.put_u64(sum);
+    out
+}
+
+fn file(name: &str, bytes: &[u8]) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("curlewpoint-snapshot-{name}-{}", std::process::id()));
+    write(&path, bytes).unwrap();
+    path
+}
+
+#[test]
+fn what_was_left_is_remembered_and_nothing_of_what_is_damaged() {
+    let whole = drawn();
+    let path = file("whole", &whole);
+    let most = Duration::from_secs(600);
+    assert_eq!(read(&path, "f", most, NOW, &mut fleet()).unwrap().as_secs() / 10, 6);
+    assert!(
+        matches!(read(&path, "g", most, NOW, &mut fleet()), Err(SnapshotError::OtherFleet(f)) if f == "f")
+    );
+    let young = Duration::from_secs(30);
+    assert!(matches!(read(&path, "f", young, NOW, &mut fleet()), Err(SnapshotError::TooOld(_))));
+    for at in 0..whole.len() {
+        let mut bytes = whole.clone();
+        bytes[at] ^= 1;
+        write(&path, &bytes).unwrap();
+        assert!(read(&path, "f", most, NOW, &mut fleet()).is_err(), "a bit at {at}");
+        write(&path, &whole[..at]).unwrap();
+        assert!(read(&path, "f", most, NOW, &mut fleet()).is_err(), "cut at {at}");
+    }
+    std::fs::remove_file(&path).unwrap();
+    assert!(matches!(read(&path, "f", most, NOW, &mut fleet()), Err(SnapshotError::Io(_))));
+}
