Reckon who holds what as soon as members change, not with the next tick

Who holds a function was reckoned with the tick, each 100 ms; what was seen within that time after members met went to those alone who were known before, and as nobody calls the function again nobody is told again.

Change: reckoned anew before each use where members differ, no sooner than 0.1 ms for each member and at the latest with the tick.

--- a/crates/curlewpoint-fleet/src/fleet/asks.rs
+++ b/crates/curlewpoint-fleet/src/fleet/asks.rs
@@ -22,6 +22,9 @@
 const INTAKE: (f64, f64) = (500.0, 1_000.0);
 /// Rows wait so long for others, a question and its answer never.
 const GATHER: Time = Time(200);
+/// Who speaks to whom is reckoned anew as soon as members have changed, but no sooner than this for each of them: it
+/// costs by members, and in a large fleet's start each moment changes some. At the latest with the next tick.
+const RECKON_EACH: Time = Time(1);
 /// So long an instance says that it has just started, and is told what it may need.
 const STARTS: Time = Time(50_000);
 /// What the frames that tell of a link's end who speaks and that it takes part take beside their texts, about.
@@ -74,8 +77,9 @@
     gathered: Time,
     /// When this instance began to take part.
     began: Time,
-    /// The records by which it was reckoned who speaks to whom.
+    /// The records by which it was reckoned who speaks to whom, and when.
     viewed: Option<u64>,
+    viewed_at: Time,
 }
 
 pub(super) fn intake(now: Time) -> Meter {
@@ -89,8 +93,15 @@
         let terms = Terms { bytes, keep: self.bounds.hints, hinted: self.bounds.hinted };
         let directory = Directory::new(now, self.me, terms);
         let dials = Meter::new(now, DIALS);
-        self.asks =
-            Some(Asks { directory, links: BTreeMap::new(), dials, gathered: now, began: now, viewed: None });
+        self.asks = Some(Asks {
+            directory,
+            links: BTreeMap::new(),
+            dials,
+            gathered: now,
+            began: now,
+            viewed: None,
+            viewed_at: now,
+        });
     }
 
     /// This instance's part of the directory of copies; none: it takes none.
@@ -105,6 +116,7 @@
 
     /// The scheduler here has an RPC of a function: a copy of it is asked for where none is known. Nothing waits for it.
     pub fn wanted(&mut self, now: Time, out: &mut impl Outside, function: FunctionId) {
+        self.reckon(now);
         let Some(asks) = &mut self.asks else { return };
         asks.directory.wanted(now, function);
         self.send_parcels(now, out, true);
@@ -228,6 +240,7 @@
     ) {
         let Some((peer, may)) = self.speaker(now, link, functions.len()) else { return };
         functions.truncate(may);
+        self.reckon(now);
         if let Some(asks) = &mut self.asks {
             asks.directory.asked(now, peer, &functions);
         }
@@ -241,6 +254,7 @@
     ) {
         let Some((peer, may)) = self.speaker(now, link, rows.len()) else { return };
         rows.truncate(may);
+        self.reckon(now);
         let Some(asks) = &mut self.asks else { return };
         for s in asks.directory.told(now, peer, &answered, rows) {
             out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
@@ -252,6 +266,7 @@
     pub fn copies_sighted(&mut self, now: Time, out: &mut impl Outside, link: LinkId, mut rows: Vec<Seen>) {
         let Some((peer, may)) = self.speaker(now, link, rows.len()) else { return };
         rows.truncate(may);
+        self.reckon(now);
         let Some(asks) = &mut self.asks else { return };
         for s in asks.directory.sighted(now, peer, rows) {
             out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
@@ -299,15 +314,25 @@
         }
     }
 
+    /// Reckons anew who speaks to whom, where members have changed.
+    ///
+    /// Guards against what is seen in the moment after members met being told to those alone who were known before: nobody
+    /// says it again. Harms nobody: how often is bounded by the number of members.
+    pub(super) fn reckon(&mut self, now: Time) {
+        let (Some(asks), table) = (&mut self.asks, &self.table) else { return };
+        let pause = Time(RECKON_EACH.0 * table.len() as u64).min(TICK);
+        if asks.viewed == Some(table.digest()) || (asks.viewed.is_some() && now - asks.viewed_at < pause) {
+            return;
+        }
+        (asks.viewed, asks.viewed_at) = (Some(table.digest()), now);
+        asks.directory.forget_strangers(|m| table.get(m).is_some_and(|m| m.standing.lives()));
+        asks.directory.members(self.me, table.living().map(|(id, _)| id));
+    }
+
     /// Looks at what time has changed.
     pub(super) fn settle_asks(&mut self, now: Time, out: &mut impl Outside) {
+        self.reckon(now);
         let Some(asks) = &mut self.asks else { return };
-        if asks.viewed != Some(self.table.digest()) {
-            let table = &self.table;
-            asks.viewed = Some(table.digest());
-            asks.directory.forget_strangers(|m| table.get(m).is_some_and(|m| m.standing.lives()));
-            asks.directory.members(self.me, table.living().map(|(id, _)| id));
-        }
         asks.directory.advance(now);
         let over = |l: &AskLink| {
             let idle = if l.to.is_some() { IDLE.0 } else { IDLE.1 };
--- a/crates/curlewpoint-fleet/src/fleet/sights.rs
+++ b/crates/curlewpoint-fleet/src/fleet/sights.rs
@@ -16,6 +16,7 @@
                 self.spread_hints(now, out, None, &[seen]);
             }
         }
+        self.reckon(now);
         if let Some(asks) = &mut self.asks {
             asks.directory.saw(now, worker, function, hint, held);
             self.send_parcels(now, out, false);
--- a/crates/curlewpoint-fleet/tests/directory.rs
+++ b/crates/curlewpoint-fleet/tests/directory.rs
@@ -97,6 +97,27 @@
     assert_eq!(holders(&net, F).len(), n.min(3));
 }
 
+/// What is seen as soon as members know of each other reaches all who hold it: it does not wait for the next tick. Nobody
+/// says it again until its function is called anew.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+fn what_is_seen_the_moment_members_meet_is_held_by_all_three(seed: u64) {
+    let mut net = Net::new(seed, 3);
+    net.directory = Some(BUDGET);
+    let ids: Vec<u64> = (0..3).map(|name| net.start(name, &[0, 1, 2])).collect();
+    while net.counts() != BTreeSet::from([3]) {
+        net.run(1);
+    }
+    net.saw(ids[0], W, F, Hint::Warm);
+    net.run(1_000);
+    for id in &ids {
+        assert_eq!(net.nodes[id].fleet.directory().map(|d| d.len()), Some(1), "{id}");
+    }
+}
+
 /// The way of a question, where links are up: it does not wait for the ticks.
 #[test]
 fn an_answer_comes_within_a_few_ways() {
