Make the directory cost by what leaves, and gather what nobody waits for

Cause: each RPC and each row that came built a map of all links and walked all that waited, also what waited for a link or for the budget; and a budget that is used up was spent by the byte, a frame for each row.

Change: what waits stands by member, and members stand in a line for each class; one without a link stands apart until a link is up, and is dialled again with the tick. Links over which members were met are kept and looked up in the links themselves when they are used, so no way of ending one has to be told here. A load or a refusal waits 100 ms for others, a copy that came up 20 ms, the same again 300 ms, each only behind an earlier one; a question and its answer go at once and take along what waits for that member. While less is left than a tenth of a second brings, all leaves together each tenth. What becomes news while it waits leaves as news (it stayed with the same again before). One call in records.rs tells that a neighbour was met.

Tests: five new ones.

--- a/crates/curlewpoint-fleet/src/directory.rs
+++ b/crates/curlewpoint-fleet/src/directory.rs
@@ -49,6 +49,9 @@
 const AGAIN: Time = Time(20_000);
 /// Between two looks for what is over.
 const SWEEP: Time = Time(10_000);
+/// While less may be sent than this time brings, what there is leaves together, once in so long: by the byte it would be a
+/// frame for each row.
+const TOGETHER: Time = Time(1_000);
 
 /// On what terms an instance takes part.
 #[derive(Clone, Copy, Debug)]
@@ -107,6 +110,7 @@
     /// Bytes that may be sent now; below nought after a frame that took more.
     allowance: f64,
     filled: Time,
+    gathered: Time,
     next: u64,
     swept: Time,
     counts: Counts,
@@ -133,6 +137,7 @@
             queue: Queue::default(),
             allowance: terms.bytes as f64,
             filled: now,
+            gathered: Time(0),
             next: 0,
             swept: now,
             counts: Counts::default(),
@@ -435,6 +440,7 @@
             (*n, *at) = (n.saturating_add(1), now);
             self.ask_next(now, f);
         }
+        self.queue.expire(now);
         if now - self.swept < SWEEP {
             return;
         }
@@ -468,13 +474,21 @@
     /// waits and to whom no link is up. `linked`: to whom one is.
     pub fn parcels(
         &mut self, now: Time, linked: impl Fn(MemberId) -> bool,
-    ) -> (BTreeMap<MemberId, Parcel>, BTreeSet<MemberId>) {
+    ) -> (BTreeMap<MemberId, Parcel>, Vec<MemberId>) {
+        if self.queue.is_empty() {
+            return Default::default();
+        }
         self.refill(now);
+        let little = self.allowance < self.terms.bytes as f64 * TOGETHER.ms() / 1000.0;
+        if self.allowance <= 0.0 || (little && now - self.gathered < TOGETHER) {
+            return Default::default();
+        }
         let (copies, open) = (&self.copies, &mut self.open);
         let rows = |f: FunctionId| copies.best(now, f, ANSWER_ROWS);
         let one = |f: FunctionId, w: WorkerId| copies.get(f, w).copied();
         let (parcels, unlinked) = self.queue.gather(now, self.allowance, linked, rows, one);
         for (to, parcel) in &parcels {
+            self.gathered = now;
             for f in &parcel.asked {
                 self.counts.questions += 1;
                 open.get_mut(f).filter(|o| o.to == *to).into_iter().for_each(|o| o.sent = Some(now));
@@ -495,7 +509,13 @@
         self.allowance > 0.0
     }
 
-    pub fn is_idle(&self) -> bool {
-        self.queue.is_empty()
+    /// A link to a member is up.
+    pub fn linked(&mut self, member: MemberId) {
+        self.queue.linked(member, true);
+    }
+
+    /// Those for whom something waits and to whom no link is up, the most useful first.
+    pub fn apart(&self) -> Vec<MemberId> {
+        self.queue.apart()
     }
 }
--- a/crates/curlewpoint-fleet/src/fleet/asks.rs
+++ b/crates/curlewpoint-fleet/src/fleet/asks.rs
@@ -20,8 +20,8 @@
 const SAID_BY: Time = Time(30_000);
 /// Rows and questions that are read of one peer in a second, and at once: what is beyond is passed over.
 const INTAKE: (f64, f64) = (500.0, 1_000.0);
-/// Rows wait so long for others, a question and its answer never.
-const GATHER: Time = Time(200);
+/// Between two looks for links that have gone.
+const SWEEP: Time = Time(10_000);
 /// Who speaks to whom is reckoned anew as soon as members have changed, but no sooner than this for each of them: it
 /// costs by members, and in a large fleet's start each moment changes some. At the latest with the next tick.
 const RECKON_EACH: Time = Time(1);
@@ -69,12 +69,99 @@
     AskLink { to, peer: None, takes: to.is_none(), starts: false, since: now, used: now, intake }
 }
 
+/// Links for the directory alone, and whom they were opened to from here.
+#[derive(Default)]
+pub(super) struct AskLinks {
+    all: BTreeMap<LinkId, AskLink>,
+    opened: BTreeMap<MemberId, LinkId>,
+}
+
+impl AskLinks {
+    pub fn contains_key(&self, link: &LinkId) -> bool {
+        self.all.contains_key(link)
+    }
+
+    fn get(&self, link: &LinkId) -> Option<&AskLink> {
+        self.all.get(link)
+    }
+
+    fn get_mut(&mut self, link: &LinkId) -> Option<&mut AskLink> {
+        self.all.get_mut(link)
+    }
+
+    fn insert(&mut self, id: LinkId, link: AskLink) {
+        if let Some(to) = link.to {
+            self.opened.insert(to, id);
+        }
+        self.all.insert(id, link);
+    }
+
+    pub fn remove(&mut self, id: &LinkId) -> Option<AskLink> {
+        let link = self.all.remove(id)?;
+        if let Some(to) = link.to.filter(|to| self.opened.get(to) == Some(id)) {
+            self.opened.remove(&to);
+        }
+        Some(link)
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (&LinkId, &AskLink)> {
+        self.all.iter()
+    }
+
+    fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Links that peers have opened.
+    fn theirs(&self) -> usize {
+        self.all.len() - self.opened.len()
+    }
+}
+
+/// The links over which members were met. Whether one stands is looked up in the links themselves when it is used, so
+/// nothing has to be told of it here when it ends, whichever way.
+#[derive(Default)]
+struct Met(BTreeMap<MemberId, BTreeSet<LinkId>>);
+
+/// Who is at the other end of a link, if the directory's frames may go over it.
+fn peer_of(of_rings: &BTreeMap<LinkId, Link>, alone: &AskLinks, link: LinkId) -> Option<MemberId> {
+    match of_rings.get(&link) {
+        Some(l) => l.peer.filter(|_| l.takes),
+        None => alone.get(&link).and_then(|l| l.peer),
+    }
+}
+
+impl Met {
+    fn add(&mut self, member: MemberId, link: LinkId) {
+        self.0.entry(member).or_default().insert(link);
+    }
+
+    /// A link to a member that stands: one of the rings, where there is one.
+    fn link_to(
+        &self, of_rings: &BTreeMap<LinkId, Link>, alone: &AskLinks, member: MemberId,
+    ) -> Option<LinkId> {
+        let stands = |link: &&LinkId| peer_of(of_rings, alone, **link) == Some(member);
+        let all = self.0.get(&member)?.iter().filter(stands);
+        all.max_by_key(|link| (of_rings.contains_key(link), **link)).copied()
+    }
+
+    /// Forgets what has ended.
+    fn sweep(&mut self, of_rings: &BTreeMap<LinkId, Link>, alone: &AskLinks) {
+        let ring = |link: &LinkId| of_rings.get(link).and_then(|l| l.peer);
+        self.0.retain(|member, links| {
+            links.retain(|l| ring(l).or(peer_of(of_rings, alone, *l)) == Some(*member));
+            !links.is_empty()
+        });
+    }
+}
+
 /// The directory and its links.
 pub(super) struct Asks {
     pub directory: Directory,
-    pub links: BTreeMap<LinkId, AskLink>,
+    pub links: AskLinks,
+    met: Met,
+    swept: Time,
     dials: Meter,
-    gathered: Time,
     /// When this instance began to take part.
     began: Time,
     /// The records by which it was reckoned who speaks to whom, and when.
@@ -95,9 +182,10 @@
         let dials = Meter::new(now, DIALS);
         self.asks = Some(Asks {
             directory,
-            links: BTreeMap::new(),
+            links: AskLinks::default(),
+            met: Met::default(),
+            swept: now,
             dials,
-            gathered: now,
             began: now,
             viewed: None,
             viewed_at: now,
@@ -114,12 +202,24 @@
         self.asks.as_ref().map_or(0, |a| a.links.len())
     }
 
+    /// The link over which a member is told what waits for it; none: no link to it is up.
+    pub fn reaches(&self, member: MemberId) -> Option<LinkId> {
+        let asks = self.asks.as_ref()?;
+        asks.met.link_to(&self.links, &asks.links, member)
+    }
+
+    /// Who is at the other end of each link for the directory alone.
+    pub fn ask_peers(&self) -> impl Iterator<Item = (LinkId, MemberId)> + '_ {
+        let all = self.asks.iter().flat_map(|a| a.links.iter());
+        all.filter_map(|(id, l)| Some((*id, l.peer?)))
+    }
+
     /// The scheduler here has an RPC of a function: a copy of it is asked for where none is known. Nothing waits for it.
     pub fn wanted(&mut self, now: Time, out: &mut impl Outside, function: FunctionId) {
         self.reckon(now);
         let Some(asks) = &mut self.asks else { return };
         asks.directory.wanted(now, function);
-        self.send_parcels(now, out, true);
+        self.send_parcels(now, out);
     }
 
     /// Whether a neighbour on the rings takes no part: it is told as before.
@@ -138,11 +238,11 @@
         }
         let Some(l) = self.links.get_mut(&link) else { return };
         l.takes = true;
+        l.peer.into_iter().for_each(|peer| asks.directory.linked(peer));
         if !only || l.peer.is_some() || !matches!(l.purpose, Purpose::Theirs) {
             return;
         }
-        let theirs = asks.links.values().filter(|l| l.to.is_none()).count();
-        if theirs >= ASK_LINKS_IN {
+        if asks.links.theirs() >= ASK_LINKS_IN {
             return self.refuse(out, link, "as many peers ask as are answered: try another");
         }
         self.links.remove(&link);
@@ -172,6 +272,8 @@
         let Some(asks) = &mut self.asks else { return true };
         let Some(l) = asks.links.get_mut(&link) else { return true };
         (l.peer, l.used) = (Some(id), now);
+        asks.met.add(id, link);
+        asks.directory.linked(id);
         let (other, takes) = (l.to.filter(|to| *to != id), l.takes);
         if l.starts {
             asks.directory.newcomer(now, id);
@@ -187,13 +289,16 @@
             asks.links.remove(&link);
             out.close(link);
         }
-        self.send_parcels(now, out, true);
+        self.send_parcels(now, out);
         true
     }
 
-    /// A neighbour that takes part knows few others.
-    pub(super) fn newcomer(&mut self, now: Time, id: MemberId) {
-        if let Some(asks) = &mut self.asks {
+    /// A neighbour has said who it is; `starts`: it has just started, and knows few others.
+    pub(super) fn met(&mut self, now: Time, link: LinkId, id: MemberId, starts: bool) {
+        let Some(asks) = &mut self.asks else { return };
+        asks.met.add(id, link);
+        asks.directory.linked(id);
+        if starts {
             asks.directory.newcomer(now, id);
         }
     }
@@ -244,7 +349,7 @@
         if let Some(asks) = &mut self.asks {
             asks.directory.asked(now, peer, &functions);
         }
-        self.send_parcels(now, out, true);
+        self.send_parcels(now, out);
     }
 
     /// A peer answers for some functions, and tells what it knows of them and of others that were asked for.
@@ -259,7 +364,7 @@
         for s in asks.directory.told(now, peer, &answered, rows) {
             out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
         }
-        self.send_parcels(now, out, !answered.is_empty());
+        self.send_parcels(now, out);
     }
 
     /// A peer tells what was seen of functions that are held here, or for which this instance is the contact.
@@ -271,7 +376,7 @@
         for s in asks.directory.sighted(now, peer, rows) {
             out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
         }
-        self.send_parcels(now, out, false);
+        self.send_parcels(now, out);
     }
 
     // Links.
@@ -309,7 +414,7 @@
     pub(super) fn drop_ask_links(&mut self, out: &mut impl Outside) {
         let Some(asks) = &mut self.asks else { return };
         asks.directory.stood_still();
-        for link in std::mem::take(&mut asks.links).into_keys() {
+        for link in std::mem::take(&mut asks.links).all.into_keys() {
             out.close(link);
         }
     }
@@ -343,28 +448,34 @@
             out.close(link);
             self.ask_link_down(now, link);
         }
-        self.send_parcels(now, out, true);
+        self.send_parcels(now, out);
+        let Some(asks) = &mut self.asks else { return };
+        if now - asks.swept >= SWEEP {
+            asks.swept = now;
+            asks.met.sweep(&self.links, &asks.links);
+        }
+        for member in asks.directory.apart() {
+            if !self.dial_to_ask(now, out, member) {
+                break;
+            }
+        }
     }
 
-    /// Sends what the budget allows, and opens links to those for whom something waits. `urgent`: without waiting for
-    /// more.
-    pub(super) fn send_parcels(&mut self, now: Time, out: &mut impl Outside, urgent: bool) {
-        let Some(asks) = &mut self.asks else { return };
-        if self.left || asks.directory.is_idle() || (!urgent && now - asks.gathered < GATHER) {
+    /// Sends what is due and the budget allows, and opens links to those for whom something waits.
+    pub(super) fn send_parcels(&mut self, now: Time, out: &mut impl Outside) {
+        let (Some(asks), of_rings) = (&mut self.asks, &self.links) else { return };
+        if self.left {
             return;
         }
-        asks.gathered = now;
-        let of_rings = self.links.iter().filter(|(_, l)| l.takes).filter_map(|(id, l)| Some((l.peer?, *id)));
-        let alone = asks.links.iter().filter_map(|(id, l)| Some((l.peer?, *id)));
-        let linked: BTreeMap<MemberId, LinkId> = alone.chain(of_rings).collect();
-        let (parcels, unlinked) = asks.directory.parcels(now, |m| linked.contains_key(&m));
+        let Asks { directory, links, met, .. } = asks;
+        let (parcels, unlinked) = directory.parcels(now, |m| met.link_to(of_rings, links, m).is_some());
         for (to, parcel) in parcels {
-            let link = linked[&to];
-            if let Some(l) = asks.links.get_mut(&link) {
+            let Some(link) = met.link_to(of_rings, links, to) else { continue };
+            if let Some(l) = links.get_mut(&link) {
                 l.used = now;
             }
             let mut send = |frame: Frame| {
-                asks.directory.spent(HEAD_BYTES + frame.head().len());
+                directory.spent(HEAD_BYTES + frame.head().len());
                 out.directory(link, frame);
             };
             if !parcel.asked.is_empty() {
@@ -377,30 +488,33 @@
                 send(frames::sights_frame(now, &parcel.sights));
             }
         }
-        unlinked.into_iter().for_each(|member| self.dial_to_ask(now, out, member));
+        for member in unlinked {
+            self.dial_to_ask(now, out, member);
+        }
     }
 
-    fn dial_to_ask(&mut self, now: Time, out: &mut impl Outside, member: MemberId) {
-        let Some(asks) = &mut self.asks else { return };
+    /// Opens a link to a member for the directory alone; false: as many were opened as may be now.
+    fn dial_to_ask(&mut self, now: Time, out: &mut impl Outside, member: MemberId) -> bool {
+        let Some(asks) = &mut self.asks else { return false };
+        if asks.links.opened.contains_key(&member) || asks.directory.is_avoided(now, member) {
+            return true;
+        }
         let known = self.table.get(member).filter(|m| m.standing.lives()).map(|m| m.address.clone());
-        let dialling = asks.links.values().any(|l| l.to == Some(member));
-        let Some(address) = known.filter(|_| !dialling && !asks.directory.is_avoided(now, member)) else {
-            return;
-        };
-        let own = |l: &&AskLink| l.to.is_some();
-        if asks.links.values().filter(own).count() >= ASK_LINKS {
+        let Some(address) = known else { return true };
+        if asks.links.opened.len() >= ASK_LINKS {
             let idle = |l: &AskLink| l.to.is_some() && now - l.used >= ROOM;
             let longest = asks.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| l.used);
-            let Some(link) = longest.map(|(id, _)| *id) else { return };
+            let Some(link) = longest.map(|(id, _)| *id) else { return false };
             asks.links.remove(&link);
             out.close(link);
         }
         if !asks.directory.may_send(now) || asks.dials.take(now, DIALS, 1) == 0 {
-            return;
+            return false;
         }
         self.next_link += 1;
         let link = LinkId(self.next_link);
         asks.links.insert(link, ask_link(now, Some(member)));
         out.dial(link, &address);
+        true
     }
 }
--- a/crates/curlewpoint-fleet/src/fleet/records.rs
+++ b/crates/curlewpoint-fleet/src/fleet/records.rs
@@ -59,9 +59,7 @@
             let wait = if place < few { Time(0) } else { stretch(&mut self.rng, most) };
             self.watch_from.0 = Some(now + wait);
         }
-        if starts {
-            self.newcomer(now, id);
-        }
+        self.met(now, link, id, starts);
         self.number.linked(now);
         if known <= 1 {
             // One that has just started can serve by the list; records of members, hundreds of them, come behind it.
--- a/crates/curlewpoint-fleet/src/fleet/sights.rs
+++ b/crates/curlewpoint-fleet/src/fleet/sights.rs
@@ -19,7 +19,7 @@
         self.reckon(now);
         if let Some(asks) = &mut self.asks {
             asks.directory.saw(now, worker, function, hint, held);
-            self.send_parcels(now, out, false);
+            self.send_parcels(now, out);
         }
     }
 
--- a/crates/curlewpoint-fleet/tests/directory.rs
+++ b/crates/curlewpoint-fleet/tests/directory.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::Net;
 use curlewpoint::types::{FunctionId, Hint, Time, WorkerId};
-use curlewpoint_fleet::{directory_frames, Directory, InstanceId, MemberId, Run, Seen, Terms};
+use curlewpoint_fleet::{directory_frames, Directory, InstanceId, LinkId, MemberId, Run, Seen, Terms};
 use curlewpoint_wire::{Field, Frame, Kind};
 use proptest::prelude::*;
 use test_case::test_case;
@@ -533,6 +534,49 @@
     assert_eq!((left, net.counts()), (0, BTreeSet::from([60])));
 }
 
+/// Whichever way links come and go: members die, stand still, are cut off and start anew, others ask, links idle out.
+#[test_case(31)]
+#[test_case(32)]
+#[test_case(33)]
+fn whom_a_link_reaches_is_known_however_links_come_and_go(seed: u64) {
+    let (mut net, _) = fleet(seed, 24);
+    let mut checked = 0;
+    for round in 0..60_u64 {
+        let ids = net.living();
+        let one = ids[net.rng.rand_range(0..ids.len() as u64) as usize];
+        let name = net.nodes[&one].name;
+        match round % 6 {
+            0 => net.kill(one),
+            1 => net.pause(one, 900 + 40 * round),
+            2 => net.cut_apart(&[name], &(0..24).filter(|n| *n != name).collect::<Vec<usize>>()),
+            3 => net.cut.clear(),
+            4 => drop(net.start(24 + round as usize, &[0, 1, 2])),
+            _ => net.run(if round % 18 == 5 { 70_000 } else { 3_000 }),
+        }
+        for id in net.living() {
+            let f = FunctionId(net.rng.rand_range(0..50));
+            net.wanted(id, f);
+            net.saw(id, WorkerId(round), f, Hint::Warm);
+        }
+        net.run(700);
+        let all: Vec<MemberId> = net.nodes.values().map(|n| n.fleet.me()).collect();
+        for node in net.nodes.values() {
+            let mut stand: BTreeMap<MemberId, BTreeSet<LinkId>> = BTreeMap::new();
+            for (link, member) in node.fleet.peers().chain(node.fleet.ask_peers()) {
+                stand.entry(member).or_default().insert(link);
+            }
+            for member in &all {
+                let kept = node.fleet.reaches(*member);
+                let there = stand.get(member);
+                assert_eq!(kept.is_some(), there.is_some(), "round {round}: {kept:?} of {there:?}");
+                assert!(kept.is_none_or(|link| there.is_some_and(|all| all.contains(&link))));
+                checked += usize::from(kept.is_some());
+            }
+        }
+    }
+    assert!(checked > 5_000, "{checked} links looked at");
+}
+
 #[test]
 fn one_that_keeps_out_of_it_holds_for_others_and_neither_tells_nor_asks() {
     let mut net = Net::new(20, 3);
@@ -579,9 +623,13 @@
 // The state machine alone.
 
 fn alone(n: u64) -> (Directory, Vec<MemberId>) {
+    alone_with(n, 1 << 20)
+}
+
+fn alone_with(n: u64, bytes: u64) -> (Directory, Vec<MemberId>) {
     let id = |no: u64| MemberId { instance: InstanceId::of(&format!("n{no}")), run: Run(no << 48) };
     let all: Vec<MemberId> = (1..=n).map(id).collect();
-    let terms = Terms { bytes: 1 << 20, keep: Time(80_000), hinted: true };
+    let terms = Terms { bytes, keep: Time(80_000), hinted: true };
     let mut d = Directory::new(Time(1_000_000), all[0], terms);
     d.members(all[0], all.iter().copied());
     (d, all)
@@ -633,6 +681,95 @@
     assert!(sent(&mut d, now).is_empty());
 }
 
+/// A call costs by what leaves with it, not by what waits for a link, for others or for the budget.
+#[test]
+fn what_waits_is_not_looked_through_at_each_call() {
+    let (mut d, _) = alone(400);
+    let mut now = Time(1_000_000);
+    let looks = Cell::new(0);
+    let far = |_: MemberId| {
+        looks.set(looks.get() + 1);
+        false
+    };
+    (0..2_000).for_each(|f| d.saw(now, W, FunctionId(f), Hint::Warm, 0));
+    let (_, unlinked) = d.parcels(now, far);
+    let first = looks.replace(0);
+    assert!(first <= 100 && unlinked.len() == first, "{first} members are spoken to, each looked for once");
+    assert_eq!(d.apart().iter().collect::<BTreeSet<_>>(), unlinked.iter().collect());
+    for _ in 0..500 {
+        now = now + Time(10);
+        d.parcels(now, far);
+    }
+    assert_eq!(looks.get(), 0, "nothing has changed");
+    d.linked(unlinked[0]);
+    let (parcels, _) = d.parcels(now + Time(300), |m| m == unlinked[0]);
+    assert_eq!(parcels.into_keys().collect::<Vec<_>>(), [unlinked[0]]);
+}
+
+/// While the budget is used up nothing is looked at, and then what waits for one leaves together.
+#[test]
+fn what_waits_for_the_budget_leaves_in_few_frames() {
+    let (mut d, all) = alone_with(3, 3_000);
+    let (mut now, mut frames, mut rows) = (Time(1_000_000), 0, 0);
+    for call in 0..2_000_u64 {
+        now = now + Time(50);
+        d.saw(now, W, FunctionId(call), Hint::Warm, 0);
+        for (to, _, sights) in sent(&mut d, now) {
+            assert!(all[1..].contains(&to));
+            (frames, rows) = (frames + 1, rows + sights.len());
+            d.spent(16 + 32 * sights.len());
+        }
+    }
+    // Ten seconds: ten times at two members, and a frame more as it begins.
+    assert!(frames <= 202, "{frames} frames");
+    assert!(rows >= 800, "{rows} rows of 32 bytes out of 3,000 bytes a second");
+}
+
+/// A question and its answer wait for nothing and take along what waits; a load waits a tenth of a second for others, the
+/// same again longer.
+#[test]
+fn what_nobody_waits_for_is_gathered() {
+    let (mut d, all) = alone(3);
+    let t0 = Time(1_000_000);
+    d.saw(t0, W, F, Hint::Loading, 0);
+    assert_eq!(sent(&mut d, t0).len(), 2, "the first after a while goes at once");
+    let row_of = |worker: u64, now: Time| row(worker, F.0, 0, worker, now);
+    (2..5).for_each(|w| d.saw(t0 + Time(w * 100), WorkerId(w), F, Hint::Loading, 0));
+    assert!(sent(&mut d, t0 + Time(900)).is_empty());
+    assert_eq!(sent(&mut d, t0 + Time(1_000)).iter().map(|(.., s)| s.len()).collect::<Vec<_>>(), [3, 3]);
+    d.saw(t0 + Time(1_100), WorkerId(6), F, Hint::Loading, 0);
+    d.sighted(t0 + Time(1_100), all[1], vec![row_of(7, t0 + Time(1_100))]);
+    d.asked(t0 + Time(1_100), all[2], &[F]);
+    let told = sent(&mut d, t0 + Time(1_100));
+    assert_eq!(told.len(), 1, "one that asked is answered at once, another not told for it");
+    assert_eq!((told[0].0, told[0].2.len()), (all[2], 1), "and what waits goes along");
+    // The same again, two seconds on.
+    let t1 = t0 + Time(30_000);
+    d.saw(t1, WorkerId(6), F, Hint::Loading, 0);
+    assert!(!sent(&mut d, t1).is_empty());
+    d.saw(t1 + Time(100), WorkerId(4), F, Hint::Loading, 0);
+    assert!(sent(&mut d, t1 + Time(2_900)).is_empty());
+    assert!(!sent(&mut d, t1 + Time(3_000)).is_empty());
+}
+
+/// A copy that was told of as the same again goes with those that came up, if that is what it has become.
+#[test]
+fn what_becomes_news_while_it_waits_leaves_as_news() {
+    let (mut d, _) = alone(3);
+    let t0 = Time(1_000_000);
+    (1..3).for_each(|w| d.saw(t0, WorkerId(w), F, Hint::Loading, 0));
+    assert!(!sent(&mut d, t0).is_empty());
+    let t1 = t0 + Time(20_000);
+    d.saw(t1, WorkerId(2), F, Hint::Loading, 0);
+    assert!(!sent(&mut d, t1).is_empty());
+    d.saw(t1 + Time(10), WorkerId(1), F, Hint::Loading, 0);
+    assert!(sent(&mut d, t1 + Time(10)).is_empty(), "it waits for more of the kind");
+    d.saw(t1 + Time(20), WorkerId(1), F, Hint::Warm, 0);
+    let told = sent(&mut d, t1 + Time(20));
+    assert!(told.iter().all(|(.., s)| s.len() == 1 && s[0].hint == Hint::Warm) && told.len() == 2);
+    assert!(sent(&mut d, t1 + Time(9_000)).is_empty(), "once");
+}
+
 #[test]
 fn one_that_takes_no_part_is_neither_asked_nor_told() {
     let (mut d, all) = alone(3);
