Wait for events, not clocks, in the three lab tests that failed under load

Cause: all three faults were the tests' own, each shown by a delay forced at one point, not by more runs. - a_worker_that_never_reads..: the client asks for 40 MiB in one go, its own outbox holds 32 MiB. Where its writer got no turn meanwhile, frames over that were never sent, and the test waited 30 s for their answers.

--- a/crates/curlewpoint-lab/src/record.rs
+++ b/crates/curlewpoint-lab/src/record.rs
@@ -3,6 +3,7 @@
 
 use curlewpoint::types::{Standing, Time};
 use curlewpoint_engine::Answer;
+use tokio::sync::watch;
 use tokio::time::sleep_until;
 
 /// What a stand-in or a client saw pass on its sockets.
@@ -85,6 +86,8 @@
 pub struct Record {
     began: Instant,
     seen: Arc<Mutex<Vec<(Time, Seen)>>>,
+    /// Something was written down.
+    added: watch::Sender<()>,
 }
 
 /// The record's clock starts so far on that nothing in it is "long ago".
@@ -95,7 +98,7 @@
 
 impl Default for Record {
     fn default() -> Self {
-        Record { began: Instant::now(), seen: Arc::default() }
+        Record { began: Instant::now(), seen: Arc::default(), added: watch::Sender::default() }
     }
 }
 
@@ -119,6 +122,19 @@
 
     pub fn add_at(&self, at: Time, seen: Seen) {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner).push((at, seen));
+        self.added.send_replace(());
+    }
+
+    /// Waits until `look` finds what it wants in all that was seen, and gives that.
+    pub async fn until<T>(&self, look: impl Fn(Vec<(Time, Seen)>) -> Option<T>) -> T {
+        let mut added = self.added.subscribe();
+        loop {
+            if let Some(found) = look(self.all()) {
+                return found;
+            }
+            // The sender is the record's own: it cannot have gone.
+            let _ = added.changed().await;
+        }
     }
 
     /// Looks again and again how late the runtime of clients and stand-ins wakes, and writes it down. Guards against taking
