Tell all round the rings with what the directory leaves of its bytes

Cause: with a directory nearly every RPC after a start is the first of its function at that instance, placed before anybody has answered, so small fleets denied more than with hints on the rings, though they had bytes left over.

Change: what is seen also goes round the hint rings, out of what the directory leaves of BYTES above half of a second's worth: loads and refusals first, then copies, then the same again, within each what is handed on before what is seen here, and the newest first. A row left out on its way has cost all before it, one left out where it begins nothing, and its holders are told all the same. What has waited a second, or is beyond 256 on a link, is left out and counted (not_spread). Neighbours that take no part are told first, out of the same bytes. The frames of hints are charged as encoded, so hints and directory together keep to BYTES and a second's burst. What was heard round the rings in the last 4 s is not asked for, what came both ways is told to the scheduler once, and what the rings told within 2 s is not told to its holders again. As the newest go first, a run's numbers may now come in any order within 128 (hints.rs). A Directory can be kept without it (keep_directory_on), so that its own stories claim what they did.

Tests changed: 'told <= 6' stands as it was for a directory that leaves nothing to the rings; beside it all are told and nobody asks where there is room. Budgets are claimed both ways. The rig's claim that there are no hint bytes beside a directory does not hold any more: hints and directory together are held to the same bound, and hints to half of the flood's.

First tries: a story with 4,000 bytes as the scarce budget told all (60 rows a second fit), so it has 2,000; one for old neighbours passed without their being first, and was made to look at the first frame.

--- a/crates/curlewpoint-fleet/src/directory.rs
+++ b/crates/curlewpoint-fleet/src/directory.rs
@@ -8,6 +8,7 @@
 mod copies;
 pub mod frames;
 mod queue;
+mod round;
 mod view;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
 use copies::Copies;
 pub use queue::Parcel;
 use queue::{Item, Queue, ANSWERS, NEWS, REFRESH, WARM};
+pub(crate) use round::{Rank, Round};
 use view::View;
 
 /// Rows held for all functions, and of one: beyond it the oldest go.
@@ -49,6 +51,12 @@
 const AGAIN: Time = Time(20_000);
 /// Between two looks for what is over.
 const SWEEP: Time = Time(10_000);
+/// Of the bytes that may be saved up so many are the directory's alone: what goes round the rings leaves them.
+const RESERVE: f64 = 0.5;
+/// What was heard of a function round the rings so lately is heard on: it need not be asked for.
+const HEARD: Time = Time(40_000);
+/// Functions of which is known when they were heard of so.
+const HEARD_OF: usize = 8_192;
 /// While less may be sent than this time brings, what there is leaves together, once in so long: by the byte it would be a
 /// frame for each row.
 const TOGETHER: Time = Time(1_000);
@@ -62,6 +70,8 @@
     pub keep: Time,
     /// Whether this instance asks and takes what it is told; it holds and hands on for others all the same.
     pub hinted: bool,
+    /// Whether what the directory leaves of the bytes is used to tell all, round the rings.
+    pub spreads: bool,
 }
 
 /// Whom to speak to is asked; where its answer is awaited since it was sent.
@@ -90,6 +100,8 @@
     pub left_out: u64,
     /// What peers sent beyond what is read of one.
     pub passed_over: u64,
+    /// Rows that were not sent on round a ring, as the directory left no room for them.
+    pub not_spread: u64,
 }
 
 /// One instance's part of it.
@@ -104,6 +116,8 @@
     subscribed: usize,
     interests: BTreeMap<FunctionId, Interest>,
     open: BTreeMap<FunctionId, Open>,
+    /// When a copy or a load of a function was last told of round the rings.
+    heard_of: BTreeMap<FunctionId, Time>,
     /// Members that did not answer, how often in a row, and when last.
     strikes: BTreeMap<MemberId, (u8, Time)>,
     queue: Queue,
@@ -133,6 +147,7 @@
             subscribed: 0,
             interests: BTreeMap::new(),
             open: BTreeMap::new(),
+            heard_of: BTreeMap::new(),
             strikes: BTreeMap::new(),
             queue: Queue::default(),
             allowance: terms.bytes as f64,
@@ -157,6 +172,11 @@
         self.copies.len() == 0
     }
 
+    /// The row held of a function at a worker.
+    pub fn copy(&self, function: FunctionId, worker: WorkerId) -> Option<&Seen> {
+        self.copies.get(function, worker)
+    }
+
     /// Those who are told of changes, over all functions.
     pub fn subscribers(&self) -> usize {
         self.subscribed
@@ -229,6 +249,7 @@
         self.copies.clear();
         self.open.clear();
         self.interests.clear();
+        self.heard_of.clear();
     }
 
     /// A member said nothing when it had to, a while ago at most.
@@ -266,11 +287,21 @@
 
     /// The scheduler here has an RPC of a function.
     pub fn wanted(&mut self, now: Time, function: FunctionId) {
-        if self.terms.hinted {
+        let heard = self.heard_of.get(&function).is_some_and(|at| now - *at < HEARD);
+        if self.terms.hinted && !heard {
             self.ask(now, function);
         }
     }
 
+    /// A row has come round a ring.
+    pub fn heard_round(&mut self, now: Time, seen: &Seen) {
+        let stands = matches!(seen.hint, Hint::Warm | Hint::Loading);
+        let fits = self.heard_of.len() < HEARD_OF || self.heard_of.contains_key(&seen.function);
+        if stands && fits {
+            self.heard_of.insert(seen.function, now);
+        }
+    }
+
     /// Asks for a function, one question at a time, where nothing is known of it or what is known is old.
     fn ask(&mut self, now: Time, function: FunctionId) {
         let known = self.copies.is_known(now, function);
@@ -447,6 +478,7 @@
         self.swept = now;
         self.copies.sweep(now);
         self.interests.retain(|_, i| now - i.asked < SUBSCRIBED);
+        self.heard_of.retain(|_, at| now - *at < HEARD);
         self.strikes.retain(|_, (_, at)| now - *at < AVOIDED);
         let mut left = 0;
         self.subscribers.retain(|_, all| {
@@ -503,6 +535,22 @@
         self.allowance -= bytes as f64;
     }
 
+    /// Whether what the directory leaves is used to tell all, round the rings.
+    pub fn spreads(&self) -> bool {
+        self.terms.spreads
+    }
+
+    /// Bytes that may go round the rings now.
+    pub fn spare(&mut self, now: Time) -> usize {
+        self.refill(now);
+        (self.allowance - RESERVE * self.terms.bytes as f64).max(0.0) as usize
+    }
+
+    /// So many rows were not sent on round a ring.
+    pub fn not_spread(&mut self, rows: u64) {
+        self.counts.not_spread += rows;
+    }
+
     /// Whether anything may be sent now.
     pub fn may_send(&mut self, now: Time) -> bool {
         self.refill(now);
--- a/crates/curlewpoint-fleet/src/fleet/asks.rs
+++ b/crates/curlewpoint-fleet/src/fleet/asks.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 use crate::directory::frames;
-use crate::directory::{Directory, Terms};
+use crate::directory::{Directory, Round, Terms};
 
 /// Links opened from here for the directory alone, and such links that peers have opened; beyond the first the one idle
 /// longest goes, beyond the second a peer is refused, and asks another.
@@ -160,6 +160,9 @@
     pub directory: Directory,
     pub links: AskLinks,
     met: Met,
+    /// What waits to go round the rings, by link, and when some of it last went.
+    pub(super) rounds: BTreeMap<LinkId, Round>,
+    pub(super) rounded: Time,
     swept: Time,
     dials: Meter,
     /// When this instance began to take part.
@@ -177,13 +180,21 @@
     /// Takes part in the directory of copies from here on, with so many bytes a second: see [`Directory`]. To be called
     /// once, before any link is up.
     pub fn keep_directory(&mut self, now: Time, bytes: u64) {
-        let terms = Terms { bytes, keep: self.bounds.hints, hinted: self.bounds.hinted };
+        self.keep_directory_on(now, bytes, true);
+    }
+
+    /// The same; `spreads`: what it leaves of the bytes is used to tell all, round the rings. Without, it can be looked at
+    /// by itself.
+    pub fn keep_directory_on(&mut self, now: Time, bytes: u64, spreads: bool) {
+        let terms = Terms { bytes, keep: self.bounds.hints, hinted: self.bounds.hinted, spreads };
         let directory = Directory::new(now, self.me, terms);
         let dials = Meter::new(now, DIALS);
         self.asks = Some(Asks {
             directory,
             links: AskLinks::default(),
             met: Met::default(),
+            rounds: BTreeMap::new(),
+            rounded: Time(0),
             swept: now,
             dials,
             began: now,
@@ -222,11 +233,6 @@
         self.send_parcels(now, out);
     }
 
-    /// Whether a neighbour on the rings takes no part: it is told as before.
-    pub(super) fn has_strangers(&self) -> bool {
-        self.links.values().any(|l| l.peer.is_some() && !l.takes)
-    }
-
     // What peers say.
 
     /// A peer takes part; `only`: it has opened the link for nothing else.
@@ -361,9 +367,8 @@
         rows.truncate(may);
         self.reckon(now);
         let Some(asks) = &mut self.asks else { return };
-        for s in asks.directory.told(now, peer, &answered, rows) {
-            out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
-        }
+        let news = asks.directory.told(now, peer, &answered, rows);
+        self.take_copies(now, out, &news);
         self.send_parcels(now, out);
     }
 
@@ -373,9 +378,8 @@
         rows.truncate(may);
         self.reckon(now);
         let Some(asks) = &mut self.asks else { return };
-        for s in asks.directory.sighted(now, peer, rows) {
-            out.take_hint(s.worker, s.function, s.hint, s.held, now - s.at);
-        }
+        let news = asks.directory.sighted(now, peer, rows);
+        self.take_copies(now, out, &news);
         self.send_parcels(now, out);
     }
 
@@ -449,6 +453,7 @@
             self.ask_link_down(now, link);
         }
         self.send_parcels(now, out);
+        self.send_rounds(now, out);
         let Some(asks) = &mut self.asks else { return };
         if now - asks.swept >= SWEEP {
             asks.swept = now;
--- a/crates/curlewpoint-fleet/src/hints.rs
+++ b/crates/curlewpoint-fleet/src/hints.rs
@@ -27,6 +27,34 @@
 const RATE: f64 = 100.0;
 const BURST: f64 = 200.0;
 
+/// The numbers that came from a run: the last, and which of those before it.
+#[derive(Clone, Copy, Default)]
+struct Numbers {
+    last: u64,
+    before: u128,
+}
+
+impl Numbers {
+    /// Whether a number is new. One too far before the last is taken for one that came.
+    fn add(&mut self, no: u64) -> bool {
+        if no > self.last {
+            let by = no - self.last;
+            let shifted = u32::try_from(by).ok().and_then(|by| self.before.checked_shl(by)).unwrap_or(0);
+            let last = if self.last > 0 && by <= 128 { 1 << (by - 1) } else { 0 };
+            (self.last, self.before) = (no, shifted | last);
+            return true;
+        }
+        let back = self.last - no;
+        if back == 0 || back > 128 {
+            return false;
+        }
+        let bit = 1 << (back - 1);
+        let new = self.before & bit == 0;
+        self.before |= bit;
+        new
+    }
+}
+
 /// The newest that was seen of each function at each worker, by anybody.
 ///
 /// The later sight holds, whoever tells it and however often: any order, grouping and repeats end alike. What has come
@@ -35,8 +63,8 @@
     keep: Time,
     most: usize,
     all: BTreeMap<(WorkerId, FunctionId), Seen>,
-    /// The last number that came from each run, and when.
-    heard: BTreeMap<Run, (u64, Time)>,
+    /// The numbers that came from each run, and when the last of them did.
+    heard: BTreeMap<Run, (Numbers, Time)>,
     next: u64,
     may: (f64, Time),
     swept: Time,
@@ -64,17 +92,26 @@
         all
     }
 
-    /// This instance has seen something; the row, if others are to be told.
-    pub fn saw(
-        &mut self, now: Time, run: Run, worker: WorkerId, function: FunctionId, hint: Hint, held: u64,
-    ) -> Option<Seen> {
-        let known = self.all.get(&(worker, function));
+    /// The latest of a function at a worker.
+    pub fn get(&self, worker: WorkerId, function: FunctionId) -> Option<&Seen> {
+        self.all.get(&(worker, function))
+    }
+
+    /// Whether what is seen is news to others, by what they have told.
+    pub fn is_news(&self, now: Time, worker: WorkerId, function: FunctionId, hint: Hint, held: u64) -> bool {
         // That nothing is there is news only to those who think that something is.
-        let news = known.map_or(hint != Hint::Gone, |k| {
+        self.get(worker, function).map_or(hint != Hint::Gone, |k| {
             let (age, far) = (now - k.at, held.abs_diff(k.held) >= 2 + k.held / 2);
             let differs = k.hint != hint && (hint == Hint::Warm || age >= MOVED);
             differs || age >= AGAIN || (far && age >= MOVED)
-        });
+        })
+    }
+
+    /// This instance has seen something; the row, if others are to be told.
+    pub fn saw(
+        &mut self, now: Time, run: Run, worker: WorkerId, function: FunctionId, hint: Hint, held: u64,
+    ) -> Option<Seen> {
+        let news = self.is_news(now, worker, function, hint, held);
         let (left, since) = self.may;
         self.may = ((left + RATE * (now - since).ms() / 1000.0).min(BURST), now);
         if !news || self.may.0 < 1.0 {
@@ -94,11 +131,12 @@
         if self.heard.len() >= self.most && !self.heard.contains_key(&seen.run) {
             return false;
         }
-        let last = self.heard.entry(seen.run).or_insert((0, now));
-        if seen.no <= last.0 {
+        // Where there is little room the newest go first, so the earlier may come behind them.
+        let (numbers, at) = self.heard.entry(seen.run).or_default();
+        if !numbers.add(seen.no) {
             return false;
         }
-        *last = (seen.no, now);
+        *at = now;
         self.put(seen)
     }
 
--- a/crates/curlewpoint-fleet/src/outside.rs
+++ b/crates/curlewpoint-fleet/src/outside.rs
@@ -40,7 +40,8 @@
     fn take_ends(&mut self);
     /// Tells a peer what some instances have seen of functions at workers, some hundreds of rows at most.
     fn hints(&mut self, link: LinkId, seen: &[Seen]);
-    /// Sends a frame of the directory of copies. One that takes part in none need not do so.
+    /// Sends a frame of the directory of copies, or of hints that go round the rings with what it leaves of its bytes. One that
+    /// takes part in none need not do so.
     fn directory(&mut self, _link: LinkId, _frame: Frame) {}
     /// For the scheduler: another one has seen this.
     fn take_hint(&mut self, worker: WorkerId, function: FunctionId, hint: Hint, held: u64, age: Time);
--- a/crates/curlewpoint-fleet/tests/properties.rs
+++ b/crates/curlewpoint-fleet/tests/properties.rs
@@ -105,6 +105,31 @@
     }
 }
 
+proptest! {
+    /// Rows of one run may come in any order within a hundred: each counts once.
+    #[test]
+    fn hints_of_a_run_count_once_in_any_order(
+        mut order in Just((1u64..=100).collect::<Vec<u64>>()).prop_shuffle(), from in 0u64..1_000, again in 0usize..100
+    ) {
+        let (now, keep) = (Time(1_000_000), Time(80_000));
+        let seen = |no: u64| Seen {
+            worker: WorkerId(no % 7), function: FunctionId(no % 5), hint: Hint::Warm, held: 0,
+            at: now - Time(1_000 - no), run: Run(1), no: from + no,
+        };
+        let (mut plain, mut mixed) = (Hints::new(now, keep, 100), Hints::new(now, keep, 100));
+        for (in_order, no) in (1..=100).zip(&order) {
+            plain.told(now, seen(in_order));
+            mixed.told(now, seen(*no));
+        }
+        prop_assert_eq!(mixed.whole(), plain.whole());
+        // Known by their numbers, also where they look younger by now.
+        order.rotate_left(again);
+        for no in order {
+            prop_assert!(!mixed.told(now, Seen { at: now, ..seen(no) }), "{}", no);
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Start(usize),
