Judge the directory's bytes second by second, and play its hard cases as processes

Cause: the directory of copies had its hard cases only as stories on a made-up network, and its budget was checked by means over 20 s.

Change: what passes a relay is kept with the time it came there (what lies in a cut was sent by then), what questions and answers are for, and by how much a row looks younger than its sight is. Hints are told apart. New in the grammar: call, flood, lie, deaf; expect serves, called, unanswered, younger. New plays: holders, returned, split, zone, called, newcomer, misled. Ports are locked in blocks, as plays side by side could draw the same.

--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -7,11 +7,14 @@
 use curlewpoint_lab::Seen;
 use curlewpoint_wire::Kind;
 
+use crate::calls::CALLED;
 use crate::play::IDLE;
 use crate::relay::{Passed, Taped};
 
+mod directory;
 mod spans;
 
+pub use directory::{Directory, Second, Waits};
 pub use spans::{Cost, Look, Spread};
 
 /// A line of the report: what it is, and how it is told.
@@ -56,6 +59,13 @@
     /// Fetches that the store was asked for, and that it turned away.
     pub fetches: u64,
     pub turned_away: u64,
+    /// What was sent for the directory of copies, and what came of it.
+    pub directory: Directory,
+    /// Of those that were started anew: from the ready line to the first ok answer, the machine's stalls not counted, the least
+    /// first; none: none came.
+    pub serves: Option<Vec<Option<Time>>>,
+    /// From the first call of a function that is called everywhere until half and all of those asked for it had answered ok.
+    pub called: Option<[Option<Time>; 2]>,
     /// Over each span that the play measures.
     pub spans: Vec<Cost>,
 }
@@ -181,6 +191,55 @@
         self.steady = steady.map(|(half, _)| Time((half + 1) * 5_000));
     }
 
+    /// `ready`: who was started anew, and when it was ready.
+    pub fn served(&mut self, seen: &[(Time, Seen)], ready: &[(String, Time)], waits: &Waits) {
+        let stalls = directory::stalls(seen);
+        let first_ok = |(who, at): &(String, Time)| {
+            let mut asked: BTreeSet<u64> = BTreeSet::new();
+            for (then, seen) in seen.iter().filter(|(then, _)| then >= at) {
+                match seen {
+                    Seen::Asked { key, scheduler, .. } if scheduler == who => drop(asked.insert(*key)),
+                    Seen::Final { key, answer: Answer::Ok } if asked.contains(key) => {
+                        let held = directory::held_between(&stalls, waits.get(who), *at, *then);
+                        return Some(*then - *at - held);
+                    }
+                    _ => {}
+                }
+            }
+            None
+        };
+        let mut all: Vec<Option<Time>> = ready.iter().map(first_ok).collect();
+        // Those that never answered come last.
+        all.sort_by_key(|t| t.unwrap_or(Time(u64::MAX)));
+        self.serves = (!all.is_empty()).then_some(all);
+    }
+
+    /// What became of calls of a function that is called everywhere.
+    pub fn called(&mut self, seen: &[(Time, Seen)]) {
+        let mut who: BTreeMap<u64, &str> = BTreeMap::new();
+        let mut first: BTreeMap<&str, Option<Time>> = BTreeMap::new();
+        let mut began = None;
+        for (at, seen) in seen {
+            match seen {
+                Seen::Asked { key, scheduler, .. } if key & CALLED != 0 => {
+                    began = began.or(Some(*at));
+                    who.insert(*key, scheduler);
+                    first.entry(scheduler).or_insert(None);
+                }
+                Seen::Final { key, answer: Answer::Ok } => {
+                    let first = who.get(key).and_then(|who| first.get_mut(who));
+                    first.into_iter().for_each(|t| *t = t.or(Some(*at)));
+                }
+                _ => {}
+            }
+        }
+        let Some(began) = began else { return };
+        let mut all: Vec<Option<Time>> = first.into_values().collect();
+        all.sort_by_key(|t| t.unwrap_or(Time(u64::MAX)));
+        let at = |part: usize| all[(all.len() * part).div_ceil(100).max(1) - 1].map(|t| t - began);
+        self.called = Some([at(50), at(100)]);
+    }
+
     /// The figures of several plays, side by side.
     pub fn draw(columns: &[(String, Figures)]) -> String {
         let mut out = String::new();
@@ -205,6 +264,25 @@
             ("a drain told to 99 in 100 after", |f| ms(f.told)),
             ("beats alike after the last fault", |f| ms(f.alike)),
             ("gossip of an instance, bytes a second", |f| format!("{:.0}", f.gossip)),
+            ("directory: worst second; at most; held up", |f| {
+                let of = |s: &Second| format!("{}; {:.0}; {:.0} ms", s.bytes, s.most, s.late.ms());
+                f.directory.worst.as_ref().map_or("-".into(), of)
+            }),
+            ("hints: bytes in the worst second", |f| f.directory.hints.to_string()),
+            ("questions: put; in 0.6 s; not in 3 s", |f| {
+                format!("{}; {}; {}", f.directory.asked, f.directory.soon, f.directory.unanswered)
+            }),
+            ("rows look younger than they are by", |f| ms(Some(f.directory.younger))),
+            ("started anew: ok after, half; worst; of", |f| {
+                let of = |all: &Vec<Option<Time>>| {
+                    let (half, worst) = (all[(all.len() - 1) / 2], all[all.len() - 1]);
+                    format!("{}; {}; {}", ms(half), ms(worst), all.len())
+                };
+                f.serves.as_ref().map_or("-".into(), of)
+            }),
+            ("called everywhere: ok at half; at all", |f| {
+                f.called.map_or("-".into(), |[half, all]| format!("{}; {}", ms(half), ms(all)))
+            }),
             ("an instance: part of a core; MB at most", |f| {
                 f.cost.map_or("-".into(), |(core, mb)| format!("{:.2}%; {mb:.1}", core * 100.0))
             }),
--- a/crates/curlewpoint-rig/src/figures/spans/tests.rs
+++ b/crates/curlewpoint-rig/src/figures/spans/tests.rs
@@ -7,7 +7,8 @@
 }
 
 fn frame(at: u64, from: &str, to: &str, kind: Kind, bytes: usize, rows: usize, new: usize) -> Passed {
-    let what = Taped::Frame { kind, bytes, whole: false, digest: None, rows, new };
+    let (came, functions, younger) = (Time(at), Vec::new(), Time(0));
+    let what = Taped::Frame { kind, bytes, whole: false, digest: None, rows, new, came, functions, younger };
     (Time(at), from.into(), to.into(), what)
 }
 
--- a/crates/curlewpoint-rig/src/lib.rs
+++ b/crates/curlewpoint-rig/src/lib.rs
@@ -7,16 +7,18 @@
 //! [`scale`] is the other kind: hollow schedulers by the thousand in one process, without sockets.
 
 mod bound;
+mod calls;
 mod figures;
 mod forge;
 mod play;
+mod ports;
 mod process;
 mod relay;
 mod run;
 pub mod scale;
 
 pub use bound::Bound;
-pub use figures::{Cost, Figures, Look, Spread, WINDOW};
+pub use figures::{Cost, Directory, Figures, Look, Second, Spread, Waits, WINDOW};
 pub use play::{Action, At, Limit, Play, Span, Who, PLAYS};
 pub use process::{Process, Program, Usage};
 pub use relay::{Effect, Passed, Relay, Rules, Shared, Tape, Taped};
--- a/crates/curlewpoint-rig/src/play.rs
+++ b/crates/curlewpoint-rig/src/play.rs
@@ -9,7 +9,8 @@
     };
 }
 
-plays! { "start" "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" "wave" "rare" }
+plays! { "start" "cold" "herd" "deploy" "halves" "apart" "stopped" "stall" "again" "forged" "wave" "rare"
+"holders" "returned" "split" "zone" "called" "newcomer" "misled" }
 
 const BASE: &str = include_str!("../plays/base.part");
 /// What schedulers run with.
@@ -43,6 +44,10 @@
     Term "term" "SIGTERM and started again, `size` of all at a time, `every` so long"
     Again "again" "a second run under the same name; the first is killed after the time"
     Forge "forge" "a made-up peer sends what no peer should"
+    Flood "flood" "a made-up peer tells and asks the directory `size` rows a second for the time, and then too many in a frame"
+    Lie "lie" "a made-up peer tells the directory `size` copies a second that are not there, for the time"
+    Deaf "deaf" "a made-up peer asks the directory `size` questions a second for the time, and reads nothing"
+    Call "call" "schedulers are each asked `every` so long, for the time, for one function that nobody has asked for"
     Drain "drain" "workers are told to drain"
     Die "die" "workers die; started cold after the time"
     Restart "restart" "workers die and start cold after the time"
@@ -62,6 +67,10 @@
     WholeLists "whole-lists" "whole lists that the list service sent"
     Told "told" "the time from the first who was told that a worker drains to 99 in 100, in ms"
     Alike "alike" "from the last fault's end until all beats tell the same of the fleet, in ms"
+    Serves "serves" "from the ready line of one that starts anew to its first ok answer, in ms"
+    Called "called" "from the first call of a function that is called everywhere until each scheduler has answered ok, in ms"
+    Unanswered "unanswered" "of the directory's questions those without an answer in 3 s, in 100"
+    Younger "younger" "by how much a row of the directory looks younger than it is, in ms"
 }
 
 /// One thing that happens, at a time.
--- a/crates/curlewpoint-rig/src/process.rs
+++ b/crates/curlewpoint-rig/src/process.rs
@@ -73,6 +73,17 @@
         }
     }
 
+    /// How long its threads have been ready to run and not let, in all; none: it has ended, or the system does not tell.
+    pub fn waited(&self) -> Option<Duration> {
+        let id = self.child.id()?;
+        let threads = std::fs::read_dir(format!("/proc/{id}/task")).ok()?;
+        let of = |thread: std::fs::DirEntry| {
+            let told = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+            Some(Duration::from_nanos(told.split(' ').nth(1)?.parse().ok()?))
+        };
+        Some(threads.flatten().filter_map(of).sum())
+    }
+
     /// What it has used, as the system tells it; none: it has ended.
     pub fn usage(&self) -> Option<Usage> {
         let id = self.child.id()?;
--- a/crates/curlewpoint-rig/src/relay.rs
+++ b/crates/curlewpoint-rig/src/relay.rs
@@ -110,6 +110,13 @@
         /// Rows of hints, and those of them that passed a relay for the first time.
         rows: usize,
         new: usize,
+        /// When its last byte came to the relay: what lay there while a cut lasted had been sent by then.
+        came: Time,
+        /// A question: what for. An answer: for what.
+        functions: Vec<u64>,
+        /// Of its rows of the directory, by how much the one looked younger that did most so, beside when a relay saw that
+        /// sight first.
+        younger: Time,
     },
     Ended,
 }
@@ -180,12 +187,23 @@
     }
 }
 
-/// The last number of a hint that any relay saw of each run: whoever sees something counts up.
+/// What any relay saw of sights.
+#[derive(Default)]
+struct Known {
+    /// The last number of a hint of each run: whoever sees something counts up.
+    last: BTreeMap<u64, u64>,
+    /// When each sight was made, as the first frame of the directory told that brought it: worker, function, run, number.
+    made: BTreeMap<[u64; 4], Time>,
+}
+
 #[derive(Clone, Default)]
-struct Sights(Arc<Mutex<BTreeMap<u64, u64>>>);
+struct Sights(Arc<Mutex<Known>>);
 
-/// Numbers that a row of hints takes, and where in it the run and its number stand.
+/// Numbers that a row of hints takes, and where in it worker, function, age, the run and its number stand.
 const HINT: usize = 7;
+const HINT_WORKER: usize = 0;
+const HINT_FUNCTION: usize = 1;
+const HINT_AGE: usize = 4;
 const HINT_RUN: usize = 5;
 const HINT_NO: usize = 6;
 
@@ -197,15 +215,30 @@
         }
         let rows = f.get_ints(Field::ROWS).unwrap_or_default();
         let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut new = 0;
+        let mut new = 0_u64;
         for row in rows.chunks_exact(HINT) {
-            let last = known.entry(row[HINT_RUN]).or_default();
+            let last = known.last.entry(row[HINT_RUN]).or_default();
             // Each is told on several ways at once, so one may come before those before it: they count with it.
-            new += row[HINT_NO].saturating_sub(*last);
+            new = row[HINT_NO].saturating_sub(*last).saturating_add(new);
             *last = row[HINT_NO].max(*last);
         }
         (rows.len() / HINT, new as usize)
     }
+
+    /// By how much rows of the directory that came then look younger than they are, at most.
+    fn younger(&self, came: Time, f: &Frame) -> Time {
+        let mut most = Time(0);
+        if [Kind::COPIES, Kind::SIGHTS].contains(&f.kind) {
+            let rows = f.get_ints(Field::ROWS).unwrap_or_default();
+            let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+            for row in rows.chunks_exact(HINT) {
+                let made = came - Time(row[HINT_AGE]);
+                let key = [HINT_WORKER, HINT_FUNCTION, HINT_RUN, HINT_NO].map(|no| row[no]);
+                most = most.max(made - *known.made.entry(key).or_insert(made));
+            }
+        }
+        most
+    }
 }
 
 /// What all relays of a rig share.
@@ -359,7 +392,13 @@
                 let whole = frame.kind == Kind::LIST && !frame.has(Field::FROM);
                 let digest = frame.get_int(Field::DIGEST).ok().filter(|_| frame.kind == Kind::BEAT);
                 let (rows, new) = shared.sights.pass(&frame);
-                let taped = Taped::Frame { kind: frame.kind, bytes, whole, digest, rows, new };
+                let came = shared.record.now() - Time((came.elapsed().as_micros() / 100) as u64);
+                let asks = [Kind::ASK, Kind::COPIES].contains(&frame.kind) && frame.has(Field::FUNCTIONS);
+                let functions =
+                    if asks { frame.get_ints(Field::FUNCTIONS).unwrap_or_default() } else { Vec::new() };
+                let younger = shared.sights.younger(came, &frame);
+                let kind = frame.kind;
+                let taped = Taped::Frame { kind, bytes, whole, digest, rows, new, came, functions, younger };
                 shared.tape.add(shared.record.now(), from, to, taped);
                 // What a made-up peer tells is no word of a drain.
                 if from.starts_with("front-") {
--- a/crates/curlewpoint-rig/src/run.rs
+++ b/crates/curlewpoint-rig/src/run.rs
@@ -1,13 +1,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use curlewpoint::types::{Standing, Time};
-use curlewpoint_config::Config;
+use curlewpoint_config::{bytes, Config};
 use curlewpoint_emulator::{Row, StoreSpec};
+use curlewpoint_engine::id_of;
 use curlewpoint_lab::stand::{ListStand, StoreStand, WorkerStand};
 use curlewpoint_lab::{client, judge, Entrance, Record, Seen, Shared as Load, Terms, Traffic, Verdict};
 use oorandom::Rand64;
@@ -15,9 +16,11 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep_until;
 
-use crate::figures::{cost, Cost, Figures, Look};
-use crate::forge::forge;
+use crate::calls::{call_one, CALLED};
+use crate::figures::{cost, Cost, Directory, Figures, Look, Waits};
+use crate::forge::{self, forge, misuse, Misuse};
 use crate::play::{Action, At, Limit, Play, Who, CONFIG, IDLE};
+use crate::ports::Ports;
 use crate::process::{Process, Program};
 use crate::relay::{Effect, Relay, Rules, Shared, Taped};
 
@@ -53,6 +56,7 @@
 const STOP: Duration = Duration::from_secs(12);
 /// A scheduler that was killed or stopped is not asked for what it owed until so long after it is back.
 const BACK: Time = Time(20_000);
+const SECOND: Time = Time(10_000);
 
 /// One scheduler of the play.
 struct Instance {
@@ -75,10 +79,13 @@
     Tell(usize, Standing),
     /// A span begins, or ends.
     Look(usize),
+    /// How long the schedulers were kept waiting by the machine.
+    Waits,
 }
 
 struct Stage {
     plan: Plan,
+    ports: Ports,
     shared: Shared,
     rng: Rand64,
     list: ListStand,
@@ -100,30 +107,22 @@
     dying: BTreeMap<usize, Process>,
     gone: Vec<(String, Time, Time)>,
     over: Time,
+    /// Made-up peers, and calls of functions that all are asked for.
     forging: JoinSet<()>,
+    calling: JoinSet<()>,
+    /// Made-up peers whose links the schedulers have to end.
+    flooding: JoinSet<()>,
+    /// How long each was kept waiting by the machine, second by second; and in all, as last told by a process.
+    waits: Waits,
+    waited: BTreeMap<usize, (Option<u32>, Duration)>,
+    /// Those that were started anew, and when they were ready.
+    ready: Vec<(String, Time)>,
+    begun: bool,
     more_relays: Vec<Relay>,
     /// At the beginning of each span of the play, and at its end.
     looks: BTreeMap<usize, Vec<Look>>,
 }
 
-/// Ports that nobody listens on, below those that the system hands out by itself.
-fn free_ports(n: usize, seed: u64) -> std::io::Result<Vec<u16>> {
-    let mut rng = Rand64::new(u128::from(seed) << 32 | u128::from(std::process::id()));
-    let mut found = BTreeSet::new();
-    for _ in 0..n * 100 {
-        let port = 10_000 + rng.rand_range(0..22_000) as u16;
-        if !found.contains(&port) && TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            found.insert(port);
-        }
-        if found.len() == n {
-            let mut all: Vec<u16> = found.into_iter().collect();
-            all.sort_by_cached_key(|_| rng.rand_u64());
-            return Ok(all);
-        }
-    }
-    Err(std::io::Error::other("too few ports are free"))
-}
-
 fn traffic(load: &Load) -> MutexGuard<'_, Traffic> {
     load.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -147,6 +146,7 @@
         stage.plan(span.at + span.len, Deed::Look(no));
     }
     let length = stage.plan.play.script.length;
+    stage.plan(Time(0), Deed::Waits);
     stage.go(up, length).await?;
     stage.finish(began, clients).await
 }
@@ -178,7 +178,8 @@
             workers.push(worker);
         }
         let n = plan.schedulers;
-        let ports = free_ports(2 * n, plan.seed)?;
+        let mut free = Ports::new(plan.seed);
+        let ports = free.take(2 * n)?;
         let mut instances = Vec::new();
         for no in 0..n {
             let name = format!("front-{no}");
@@ -228,8 +229,15 @@
             gone: Vec::new(),
             over: Time(0),
             forging: JoinSet::new(),
+            calling: JoinSet::new(),
+            flooding: JoinSet::new(),
+            waits: Waits::new(),
+            waited: BTreeMap::new(),
+            ready: Vec::new(),
+            begun: false,
             more_relays: Vec::new(),
             looks: BTreeMap::new(),
+            ports: free,
             plan,
         };
         for no in 0..stage.workers.len() {
@@ -269,6 +277,7 @@
         while let Some(started) = self.starting.join_next().await {
             self.started(started)?;
         }
+        self.begun = true;
         Ok(clients)
     }
 
@@ -292,6 +301,9 @@
         let at = process.map_err(|e| std::io::Error::other(format!("{}: {e}", self.instances[no].name)))?;
         traffic(&self.load).addresses[no] = at.address;
         self.instances[no].process = Some(at);
+        if self.begun {
+            self.ready.push((self.instances[no].name.clone(), self.shared.record.now()));
+        }
         Ok(())
     }
 
@@ -401,10 +413,27 @@
                 let look = self.look();
                 self.looks.entry(no).or_default().push(look);
             }
+            Deed::Waits => {
+                self.look_at_waits();
+                self.plan(at + SECOND, Deed::Waits);
+            }
         }
         Ok(())
     }
 
+    /// How long each scheduler was kept waiting since the last look.
+    fn look_at_waits(&mut self) {
+        let now = self.shared.record.now();
+        for (no, i) in self.instances.iter().enumerate() {
+            let Some((id, all)) = i.process.as_ref().and_then(|p| Some((p.usage()?.id, p.waited()?))) else {
+                continue;
+            };
+            let (before, waited) = self.waited.insert(no, (Some(id), all)).unwrap_or_default();
+            let more = if before == Some(id) { all.saturating_sub(waited) } else { all };
+            self.waits.entry(i.name.clone()).or_default().push((now, more));
+        }
+    }
+
     /// What the system tells of all instances now.
     fn look(&self) -> Look {
         let usage = self.instances.iter().map(|i| i.process.as_ref().and_then(Process::usage)).collect();
@@ -493,6 +522,35 @@
                     self.forging.spawn(forge(at, FLEET));
                 }
             }
+            Action::Flood | Action::Lie | Action::Deaf => {
+                let what = match e.action {
+                    Action::Flood => Misuse::Flood,
+                    Action::Lie => Misuse::Lie,
+                    _ => Misuse::Deaf,
+                };
+                for no in self.schedulers(e.who, e.part) {
+                    self.next += 1;
+                    let (at, terms) = (self.instances[no].relay.address, self.misuse_terms(&e));
+                    let name = format!("forger-{}", self.next);
+                    let set = if what == Misuse::Flood { &mut self.flooding } else { &mut self.forging };
+                    set.spawn(async move { misuse(at, FLEET, &name, what, terms).await });
+                }
+            }
+            Action::Call => {
+                let method = self.plan.play.script.methods.iter().max_by(|a, b| a.1 .0.total_cmp(&b.1 .0));
+                let method = method.map_or(String::new(), |m| m.0.clone());
+                for no in self.schedulers(e.who, e.part) {
+                    self.next += 1;
+                    let (key, every) = (CALLED | self.next << 32, e.every);
+                    let (load, record) = (Arc::clone(&self.load), self.shared.record.clone());
+                    let (name, method) = (self.instances[no].name.clone(), method.clone());
+                    let model = format!("called-{}", at.0);
+                    self.calling.spawn(async move {
+                        let address = || traffic(&load).addresses[no];
+                        call_one(record, address, &name, (&method, &model), key, every, e.len).await;
+                    });
+                }
+            }
             Action::Drain | Action::Die | Action::Restart => {
                 let left = (0..self.workers.len()).filter(|no| !self.drained.contains(no)).collect();
                 for no in self.draw(left, e.part) {
@@ -511,10 +569,18 @@
         Ok(())
     }
 
+    /// Functions and workers of this play, and how much is said of them.
+    fn misuse_terms(&mut self, e: &At) -> forge::Terms {
+        let functions = (0..self.plan.play.script.models).map(|no| id_of(&format!("model-{no}"))).collect();
+        let workers = self.workers.iter().map(|w| id_of(&w.name)).collect();
+        let len = Duration::from_micros(e.len.0 * 100);
+        forge::Terms { functions, workers, rate: e.size, len, seed: self.rng.rand_u64() }
+    }
+
     /// A second run under one name, elsewhere; the first goes on, and is killed later.
     async fn again(&mut self, no: usize, end: Time) -> std::io::Result<()> {
         let Some(old) = self.instances[no].process.take() else { return Ok(()) };
-        let ports = free_ports(2, self.plan.seed + 1_000 + no as u64)?;
+        let ports = self.ports.take(2)?;
         let at = |port: u16| format!("127.0.0.1:{port}");
         let name = self.instances[no].name.clone();
         let target = SocketAddr::from(([127, 0, 0, 1], ports[1]));
@@ -539,6 +605,8 @@
         while let Some(started) = self.starting.join_next().await {
             self.started(started)?;
         }
+        while self.flooding.try_join_next().is_some() {}
+        let flooding = self.flooding.len();
         let (mut costs, mut ends) = (Vec::new(), JoinSet::new());
         for i in &mut self.instances {
             let Some(mut process) = i.process.take() else { continue };
@@ -550,6 +618,9 @@
             });
         }
         let mut missed = Vec::new();
+        if flooding > 0 {
+            missed.push(format!("{flooding} links with too many rows in a frame were not ended"));
+        }
         while let Some(ended) = ends.join_next().await {
             match ended {
                 Ok((name, Some((code, last)))) if code != 0 => {
@@ -560,6 +631,7 @@
             }
         }
         while clients.join_next().await.is_some() {}
+        while self.calling.join_next().await.is_some() {}
         let s = &self.plan.play.script;
         let mut terms = Terms::of(&parsed(&std::fs::read_to_string(&self.instances[0].config)?)?);
         for (no, w) in self.workers.iter().enumerate() {
@@ -572,6 +644,10 @@
         let verdict = judge(&terms, &seen);
         let n = self.instances.len();
         let mut figures = Figures::of(&tape, &seen, began, self.over, end, n, &self.gone);
+        let budget = self.plan.directory.as_deref().map(bytes).transpose().map_err(std::io::Error::other)?;
+        figures.directory = Directory::of(&tape, &seen, budget, &self.waits, end, &self.gone);
+        figures.served(&seen, &self.ready, &self.waits);
+        figures.called(&seen);
         let lived = Duration::from_micros((end - began).0 * 100);
         figures.cost = cost(&costs, lived);
         for (no, span) in self.plan.play.spans.iter().enumerate() {
@@ -580,6 +656,7 @@
             }
         }
         (figures.turned_away, figures.fetches) = (self.store.turned_away(), self.store.asked());
+        missed.extend(figures.directory.over.as_ref().map(|s| s.told(began)));
         for (limit, most) in &self.plan.play.expects {
             missed.extend(miss(*limit, *most, &figures, self.plan.peers));
         }
@@ -595,6 +672,10 @@
         Limit::WholeLists => f.whole_lists as f64,
         Limit::Told => ms(f.told),
         Limit::Alike => ms(f.alike),
+        Limit::Serves => f.serves.as_ref().map_or(0.0, |all| all.last().map_or(0.0, |t| ms(*t))),
+        Limit::Called => f.called.map_or(0.0, |at| ms(at[1])),
+        Limit::Unanswered => f.directory.unanswered_share() * 100.0,
+        Limit::Younger => f.directory.younger.ms(),
     };
     let name = Limit::ALL.iter().find(|l| l.1 == limit).map_or("", |l| l.0);
     let was_told = if was == f64::MAX { "never".to_owned() } else { format!("{was:.0}") };
--- a/crates/curlewpoint-rig/tests/relay.rs
+++ b/crates/curlewpoint-rig/tests/relay.rs
@@ -186,3 +186,64 @@
     }
     assert_eq!(taped(), [(2, 3), (3, 0), (1, 1)]);
 }
+
+/// What lies in a cut has come when it was sent, not when it passes; a question and an answer tell what for.
+#[tokio::test]
+async fn what_lay_in_a_cut_counts_from_when_it_was_sent() {
+    let (rules, shared) = shared();
+    let mut p = pair(&shared, "front-0", "front-1").await;
+    rules.set(1, names(&["front-0"]), names(&["front-1"]), Effect::Cut);
+    let before = shared.record.now();
+    p.near.outbox.send(Frame::new(Kind::ASK).ints(Field::FUNCTIONS, &[7, 8]), None).unwrap();
+    let lay = Duration::from_millis(100);
+    tokio::time::sleep(lay).await;
+    rules.lift(1);
+    assert_eq!(p.far.reader.next().await.unwrap().unwrap().kind, Kind::ASK);
+    let told = loop {
+        let all = shared.tape.all();
+        let ask = all.into_iter().find_map(|t| match t.3 {
+            Taped::Frame { kind: Kind::ASK, came, functions, .. } => Some((t.0, came, functions)),
+            _ => None,
+        });
+        match ask {
+            Some(told) => break told,
+            None => tokio::task::yield_now().await,
+        }
+    };
+    let (passed, came, functions) = told;
+    assert!(passed >= before + Time(1_000) && came < passed - Time(900), "{came:?} of {passed:?}");
+    assert_eq!(functions, [7, 8]);
+}
+
+/// A row whose age was not counted on a way looks younger by that way than when a relay saw the sight first.
+#[tokio::test]
+async fn a_row_that_looks_younger_than_it_is_is_seen() {
+    let (_, shared) = shared();
+    let mut p = pair(&shared, "front-0", "front-1").await;
+    let mut younger = Vec::new();
+    // Another sight, run or function is another row.
+    for (worker, function, age, run, no) in [
+        (1, 2, 5_000, 8, 1),
+        (1, 2, 60_000, 8, 1),
+        (1, 2, 0, 8, 1),
+        (1, 2, 0, 8, 2),
+        (1, 3, 0, 8, 1),
+        (1, 2, 0, 9, 1),
+    ] {
+        let row = [worker, function, 3, 1, age, run, no];
+        p.near.outbox.send(Frame::new(Kind::SIGHTS).ints(Field::ROWS, &row), None).unwrap();
+        assert_eq!(p.far.reader.next().await.unwrap().unwrap().kind, Kind::SIGHTS);
+        let before = younger.len();
+        while younger.len() == before {
+            let all = shared.tape.all();
+            let of = all.iter().filter_map(|t| match t.3 {
+                Taped::Frame { kind: Kind::SIGHTS, younger, .. } => Some(younger),
+                _ => None,
+            });
+            younger = of.collect();
+            tokio::task::yield_now().await;
+        }
+    }
+    assert!(younger[2] >= Time(5_000) && younger[2] < Time(60_000), "{younger:?}");
+    assert!([0, 1, 3, 4, 5].iter().all(|no| younger[*no] == Time(0)), "{younger:?}");
+}
