Test the directory's hard cases as processes, two plays side by side

Cause: as real processes only a dead holder was tested.

What both files need to call the program stands in tests/common.

--- a/crates/curlewpoint-cli/tests/fleet.rs
+++ b/crates/curlewpoint-cli/tests/fleet.rs
@@ -1,28 +1,23 @@
 //! Many processes of the program with faults between them, in small form: each play that is shipped, judged by what
 //! passed through its relays; and what `fleet status` tells.
 
+mod common;
+
 use std::io::{BufRead, BufReader, Read};
 use std::net::UdpSocket;
 use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Stdio};
 use std::sync::{Mutex, PoisonError};
 
+use common::program;
 use test_case::test_case;
 
-fn program() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_curlewpoint"))
-}
-
 /// Plays want the machine for themselves: one at a time, whatever else runs.
 static STAGE: Mutex<()> = Mutex::new(());
 
 fn play(name: &str, more: &[&str]) -> (Option<i32>, String) {
     let _alone = STAGE.lock().unwrap_or_else(PoisonError::into_inner);
-    let mut c = program();
-    c.args(["fleet", "play", name, "--schedulers", "12", "--seed", "7"]).args(more);
-    let Output { status, stdout, stderr } = c.output().expect("it runs");
-    let told = String::from_utf8_lossy(&stdout).into_owned() + &String::from_utf8_lossy(&stderr);
-    (status.code(), told)
+    common::play(name, "12", more)
 }
 
 #[test_case("start" ; "all start in the same second before warm workers that hold nothing")]
