Force a move, then a drain, on attempts that lie in an outbox untouched

Cause: known from the tests of outbox and pool alone, as the machine's buffers took all that the module sent. Two things stood in the way: the module has no more than some 16 out at a worker that has answered little, and the machine takes 3 MB for a connection, however small the worker's window (its sender's buffer grows by the loopback's segment).

Change: the module is shown 120 quick answers from a warm copy under a soft deadline of 50 s, so that it has hundreds out; then the worker reads nothing more, with the smallest receive window, and clients ask with bodies of 16,000 bytes until two rounds of 16 leave the machine's queues as they were (read from /proc/net/tcp): what came since lies in outboxes. Then the directory moves, and the first list of the new one drains the worker. Asserted, beside the record's rule: each has one answer and all are served, none at both; the drained worker hears no more than the machine had taken by then (one begun line a connection over it at most); those that went elsewhere had each been attempted before, by the count of attempts. The stand-in that holds now reads nothing at all while it is held; before, it read a line or 8 KiB first.

--- a/crates/curlewpoint-node/tests/lists.rs
+++ b/crates/curlewpoint-node/tests/lists.rs
@@ -96,12 +96,19 @@
             tokio::spawn(async move {
                 let (read, mut write) = stream.into_split();
                 let mut lines = BufReader::new(read).lines();
-                while let Ok(Some(line)) = lines.next_line().await {
+                while held.wait_for(|held| !held).await.is_ok() {
+                    let line = tokio::select! {
+                        biased;
+                        _ = held.changed() => continue,
+                        line = lines.next_line() => line,
+                    };
+                    let Ok(Some(line)) = line else { return };
                     let row: Value = serde_json::from_str(&line).unwrap();
-                    if held.wait_for(|held| !held).await.is_err() {
-                        return;
-                    }
-                    let word = if row["type"] == "invoke" { "OK" } else { "UP" };
+                    let word = match row["type"].as_str() {
+                        Some("invoke") => "OK",
+                        Some("gauges") => "UP",
+                        _ => continue,
+                    };
                     if word == "OK" {
                         went_out(&row);
                         let _ = told.send(row["req"].as_str().unwrap().to_owned());
@@ -114,17 +121,22 @@
     (hold, read)
 }
 
+/// A listener whose connections take as little ahead of their reader as the machine lets them.
+fn narrow() -> (String, TcpListener) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(16).unwrap();
+    (listener.local_addr().unwrap().to_string(), listener)
+}
+
 /// The same of many that wait for a worker that does not read: what the machine has taken a byte of stays there, and is
 /// answered there; all the rest goes to the other worker, and nothing to both.
 #[tokio::test]
 async fn a_move_then_a_drain_and_requests_that_wait_for_a_worker() {
     const ALL: usize = 256;
     let old = Directory::new().await;
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.set_recv_buffer_size(4096).unwrap();
-    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let listener = socket.listen(16).unwrap();
-    let at = listener.local_addr().unwrap().to_string();
+    let (at, listener) = narrow();
     let (hold, mut begun) = holds(listener);
     let (next, mut at_next) = worker().await;
     let mut of = scheduler_with(&[&at], &old.at().to_string(), |told| {
@@ -176,6 +188,111 @@
     assert!((1..=16).contains(&here.len()) && elsewhere.len() > 16, "what waits goes on to be sent here");
 }
 
+/// Bytes that the machine has taken of those who wrote to this address, and that nobody there has read.
+fn taken_by_the_machine(at: &str) -> usize {
+    let port: u16 = at.rsplit_once(':').unwrap().1.parse().unwrap();
+    let port = format!(":{port:04X}");
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let bytes = |row: &str| {
+        let words: Vec<&str> = row.split_whitespace().collect();
+        let (local, remote, state) = (words[1], words[2], words[3]);
+        let (unsent, unread) = words[4].split_once(':').unwrap();
+        let queue = match state {
+            "01" if remote.ends_with(&port) => unsent,
+            "01" if local.ends_with(&port) => unread,
+            _ => "0",
+        };
+        usize::from_str_radix(queue, 16).unwrap()
+    };
+    table.lines().skip(1).map(bytes).sum()
+}
+
+/// The same of attempts that lie in an outbox, no byte of them begun: the worker reads nothing, and the machine takes no
+/// more for it. They are taken back and go elsewhere; the drained worker hears what the machine had taken by then, and
+/// nothing more.
+#[tokio::test]
+async fn a_move_then_a_drain_and_attempts_in_an_outbox() {
+    const CLIENTS: usize = 16;
+    const ANSWERS: u64 = 120;
+    let old = Directory::new().await;
+    let (at, listener) = narrow();
+    let (hold, mut begun) = holds(listener);
+    let (next, mut at_next) = worker().await;
+    let mut of = scheduler_with(&[&at], &old.at().to_string(), |told| {
+        // Two connections to a worker.
+        told["limits"]["sockets"] = json!(64);
+        told["settings"]["limits"]["streamsPerConn"] = json!(1_000);
+        for method in told["settings"]["requestClasses"].as_array_mut().unwrap() {
+            (method["aim"], method["giveUp"]) = (json!(50_000), json!(60_000));
+        }
+    })
+    .await;
+    let fields =
+        |id| format!("req={id:016x},timeout=50000,subject=00000000000000aa,info=memory_mb:1;lanes:500");
+    let (mut clients, mut other, mut looks) = (Vec::new(), Client::new(&of).await, 1_000);
+    // Many quick answers from a warm copy: by their rate the module has thousands out within the soft deadline.
+    for id in 1..=ANSWERS {
+        let tag = id.to_string();
+        other.say(&["CALL", &tag, "read", &fields(id), ""]).await;
+        other.hears(&[&tag, "good", "", ""]).await;
+        soon(begun.recv()).await.unwrap();
+    }
+    for _ in 0..CLIENTS {
+        clients.push(Client::new(&of).await);
+    }
+    hold.send(true).unwrap();
+    let body = "x".repeat(16_000);
+    let (mut id, mut taken, mut stood) = (ANSWERS, 0, 0);
+    for tag in 1..=32 {
+        for client in &mut clients {
+            id += 1;
+            let ask = say(&["CALL", &tag.to_string(), "issue", &fields(id), &body]);
+            client.0.write_all(&ask).await.unwrap();
+        }
+        other.looks(&mut looks, "fit").await;
+        // Two rounds of which the machine has taken nothing: they lie in outboxes.
+        let before = std::mem::replace(&mut taken, taken_by_the_machine(&at));
+        stood = if taken == before { stood + 1 } else { 0 };
+        if stood == 2 {
+            break;
+        }
+    }
+    assert_eq!(stood, 2, "the machine goes on taking: {taken} bytes of {id} requests");
+    let moves = Moves::new(&of, old, &at, &next).await;
+    assert_eq!(taken_by_the_machine(&at), taken);
+    moves.drains();
+    other.looks(&mut looks, "fit").await;
+    hold.send(false).unwrap();
+    let elsewhere = Arc::<Mutex<BTreeMap<String, usize>>>::default();
+    let came = Arc::clone(&elsewhere);
+    tokio::spawn(async move {
+        while let Some((asked, say)) = at_next.recv().await {
+            let line = asked.to_string().len() + 1;
+            let before = came.lock().unwrap().insert(asked["req"].as_str().unwrap().to_owned(), line);
+            assert_eq!(before, None, "twice");
+            say.send(answer(&asked, "OK", "")).unwrap();
+        }
+    });
+    of.settles().await;
+    let mut here = BTreeSet::new();
+    while let Ok(id) = begun.try_recv() {
+        assert!(here.insert(id), "twice");
+    }
+    of.notes.stop().await;
+    let figures = soon(&mut of.end).await.unwrap();
+    let elsewhere = elsewhere.lock().unwrap();
+    let (all, line) = ((id - ANSWERS) as usize, *elsewhere.values().max().expect("nothing was taken back"));
+    println!("{} of {all} were begun, {} went elsewhere; {taken} bytes taken", here.len(), elsewhere.len());
+    assert!(elsewhere.keys().all(|id| !here.contains(id)));
+    // Each has one answer, and all were served.
+    assert_eq!((here.len() + elsewhere.len(), figures.ok), (all, ANSWERS + all as u64));
+    // On each of the two connections the machine may have begun one line and not taken all of it.
+    assert!(here.len() * line <= taken + 2 * line, "more than the machine had taken");
+    // Those that went elsewhere had all been attempted here: they were taken back out of an outbox.
+    assert_eq!(figures.attempts, ANSWERS + (all + elsewhere.len()) as u64);
+    assert!(elsewhere.len() >= 2 * CLIENTS);
+}
+
 /// The same of a retry that is due: the worker's 'full', which proves that the attempt never ran, comes in the moment of
 /// the list that drains it; the next attempt goes to the other.
 #[tokio::test]
