Force the four crossings of node that were known by reading alone

Cause: four rows of the table said "by reading".

Seen to fail with the code broken, each by its own break: the connection given up at the writer's end (an_answer_lies_unread..: 'broken'); a full outbox passed over in tell (a_client_that_does_not_read..: 200 answers and not cut off); cancels by try_send (more_endings..: clients closed); the place kept where a first word cannot be read (three cases of a_place_..: resets before and in a word count as that); no Broken after a line that cannot be read (three cases of the_end_of_a_connection_..); no Down (both of the_end_of_a_dial_..). First forms: lost.push left out in tell did not fail the second, as the client's own task tells of its end as well; a place's test held more places at once than there are, as a first word that cannot be read lingers 0.3 s.

--- a/crates/curlewpoint-node/tests/crossings.rs
+++ b/crates/curlewpoint-node/tests/crossings.rs
@@ -20,6 +20,17 @@
     String::from_utf8(rest).unwrap()
 }
 
+/// The next line on a worker's connection.
+async fn asked_on(stream: &mut tokio::net::TcpStream) -> serde_json::Value {
+    let mut line = Vec::new();
+    while !line.ends_with(b"\n") {
+        line.push(soon(stream.read_u8()).await.unwrap());
+    }
+    let asked = serde_json::from_slice(&line).unwrap();
+    went_out(&asked);
+    asked
+}
+
 // Departed clients.
 
 /// Guards against attempts that begin for a client that has gone: what came together with its going is never sent on.
@@ -61,12 +72,7 @@
     let (first, _) = soon(listener.accept()).await.unwrap();
     drop((first, held));
     let (mut second, _) = soon(listener.accept()).await.unwrap();
-    let mut line = Vec::new();
-    while !line.ends_with(b"\n") {
-        line.push(soon(second.read_u8()).await.unwrap());
-    }
-    let asked: serde_json::Value = serde_json::from_slice(&line).unwrap();
-    went_out(&asked);
+    let asked = asked_on(&mut second).await;
     assert_eq!(asked["req"], json!(IDS[1]), "the one whose client is there");
     second.write_all(answer(&asked, "OK", "").as_bytes()).await.unwrap();
     client.hears(&["1", "good", "", ""]).await;
@@ -146,6 +152,75 @@
     of.settled().await;
 }
 
+/// Guards against an answer that lies unread where writing on its connection fails: the writer finds the break before
+/// the reader has been told that anything came. What the worker said counts, and what was to be written goes elsewhere.
+#[tokio::test]
+async fn an_answer_lies_unread_and_writing_fails() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let of = scheduler(&[&listener.local_addr().unwrap().to_string()], NOWHERE).await;
+    let mut client = Client::new(&of).await;
+    client.call("1", "issue", IDS[0]).await;
+    let (mut stream, _) = soon(listener.accept()).await.unwrap();
+    assert_eq!(asked_on(&mut stream).await["req"], json!(IDS[0]));
+    let stream = stream.into_std().unwrap();
+    // The driver looks once, and finds the second call. This task goes on first, on the scheduler's thread: the answer and
+    // the reset are there before the second call is written to the connection, and the driver has not seen them.
+    client.0.try_write(&call(2, IDS[1])).unwrap();
+    tokio::task::yield_now().await;
+    (&stream).write_all(answer(&json!({"req": IDS[0]}), "OK", "ZG9uZQ==").as_bytes()).unwrap();
+    rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+    drop(stream);
+    client.hears(&["1", "good", "", "done"]).await;
+    // Not a byte of the second was taken: it goes out again.
+    let (mut stream, _) = soon(listener.accept()).await.unwrap();
+    let asked = asked_on(&mut stream).await;
+    assert_eq!(asked["req"], json!(IDS[1]));
+    stream.write_all(answer(&asked, "OK", "").as_bytes()).await.unwrap();
+    client.hears(&["2", "good", "", ""]).await;
+    of.settled().await;
+}
+
+/// Guards the engine against a client that does not read: with its outbox full it is cut off, what it has open is let go,
+/// and others are served meanwhile.
+#[tokio::test]
+async fn a_client_that_does_not_read_its_answers_is_cut_off() {
+    let (at, mut heard) = worker_that_tells(&["abort"]).await;
+    let mut of = scheduler(&[&at], NOWHERE).await;
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    let (mut deaf, mut other) =
+        (Client::of(socket.connect(of.address).await.unwrap()), Client::new(&of).await);
+    // The answer to the first is kept.
+    deaf.call("1", "issue", IDS[0]).await;
+    let (kept, _say) = soon(heard.recv()).await.unwrap();
+    let body = "A".repeat(60_000);
+    let (mut tag, mut answered) = (1, 0);
+    // The machine takes some 3 MB, the outbox 1 MB.
+    let let_go = loop {
+        tag += 1;
+        deaf.0.try_write(&call(tag, &format!("{tag:016x}"))).unwrap();
+        let (row, say) = soon(heard.recv()).await.unwrap();
+        if row["type"] == "abort" {
+            break row;
+        }
+        say.send(answer(&row, "OK", &body)).unwrap();
+        answered += 1;
+        assert!(answered < 200, "it is not cut off");
+        // One at a time: another is served, and the answer before was told.
+        other.call(&tag.to_string(), "read", &format!("{:016x}", 1000 + tag)).await;
+        let (row, say) = soon(heard.recv()).await.unwrap();
+        assert_eq!(row["type"], "invoke");
+        say.send(answer(&row, "OK", "")).unwrap();
+        other.hears(&[&tag.to_string(), "good", "", ""]).await;
+    };
+    assert_eq!(let_go["req"], kept["req"]);
+    deaf.0.reset();
+    of.settles().await;
+    of.notes.stop().await;
+    let figures = soon(&mut of.end).await.unwrap();
+    assert_eq!((figures.left, figures.ok + figures.left), (1, figures.taken));
+}
+
 /// Guards the descriptors against clients that ask once and stay: the longest idle makes room, and none that is owed an
 /// answer or has said something unread.
 #[tokio::test]
@@ -184,6 +259,144 @@
     of.settled().await;
 }
 
+/// A connection's last word, and how it ends.
+type Ends = fn(tokio::net::TcpStream);
+
+fn spoils(stream: &tokio::net::TcpStream, bytes: &[u8]) {
+    assert_eq!(stream.try_write(bytes).unwrap(), bytes.len());
+}
+
+fn resets(stream: tokio::net::TcpStream) {
+    rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+}
+
+/// Waits, by its own, until the other side has closed.
+fn stays(mut stream: tokio::net::TcpStream) {
+    tokio::spawn(async move { drop(stream.read_to_end(&mut Vec::new()).await) });
+}
+
+/// What a client does last; it stays until the scheduler has closed its connection where it is given back.
+type Leaves = fn(Client) -> Option<Client>;
+
+fn says(client: &Client, bytes: &[u8]) {
+    assert_eq!(client.0.try_write(bytes).unwrap(), bytes.len());
+}
+
+fn resets_client(client: Client) -> Option<Client> {
+    client.0.reset();
+    None
+}
+
+/// Guards against a place whose client has gone and that nobody gives back: in whatever way its task ends, as many are
+/// let in afterwards as there are places, and nobody is asked to leave for them.
+#[test_case(|_| None ; "closes before a word")]
+#[test_case(resets_client ; "resets before a word")]
+#[test_case(|c| { says(&c, &say(&["CHECK", "1", ""])[..9]); resets_client(c) } ; "resets in its first word")]
+#[test_case(|c| { says(&c, b"no command at all "); Some(c) } ; "begins with what cannot be read")]
+#[test_case(|c| { says(&c, &say(&["CHECK", "1", ""])); None } ; "asks and closes")]
+#[test_case(|c| { says(&c, &call(1, IDS[0])); resets_client(c) } ; "calls and resets")]
+#[test_case(|c| { says(&c, &[say(&["CHECK", "1", ""]), b"no command".to_vec()].concat()); Some(c) } ; "asks and spoils it")]
+#[test_case(|c| { says(&c, &say(&["CHECK", "x", ""])); Some(c) } ; "is closed by the engine")]
+#[tokio::test]
+async fn a_place_is_given_back_however_its_client_leaves(leaves: Leaves) {
+    const PLACES: u64 = 32;
+    let (at, _heard) = worker().await;
+    let of = scheduler_with(&[&at], NOWHERE, |told| told["limits"]["sockets"] = json!(2 * PLACES)).await;
+    let mut other = Client::new(&of).await;
+    for round in 0..2 {
+        let mut stay = Vec::new();
+        for tag in 1..PLACES {
+            stay.extend(leaves(Client::new(&of).await));
+            other.looks(&mut (round * PLACES + tag), "fit").await;
+        }
+        for mut client in stay {
+            soon(client.0.read_to_end(&mut Vec::new())).await.unwrap();
+        }
+    }
+    let mut clients = vec![other];
+    for _ in 1..PLACES {
+        let mut client = Client::new(&of).await;
+        client.looks(&mut 0, "fit").await;
+        clients.push(client);
+    }
+    for client in &mut clients {
+        client.looks(&mut 1_000, "fit").await;
+    }
+    of.settled().await;
+}
+
+/// Guards against a connection to a worker whose end nobody hears of: what was asked on it would wait for ever, and it
+/// would hold one of the worker's few. However it ends, what may have run is answered as that at once, and the next
+/// connection serves.
+#[test_case(drop ; "closes")]
+#[test_case(resets ; "resets")]
+#[test_case(|s| { spoils(&s, b"no object\n"); stays(s) } ; "says what cannot be read")]
+#[test_case(|s| spoils(&s, b"{\"type\":\"OK\",") ; "closes in a line")]
+#[test_case(|s| { spoils(&s, b"{\"type\":\"OK\","); stays(s) } ; "does not end a line")]
+#[test_case(|s| { spoils(&s, &[b'x'; 70_000]); stays(s) } ; "says too long a line")]
+#[test_case(|mut s| drop(tokio::spawn(async move { drop(s.shutdown().await); stays(s) })) ; "says nothing more")]
+#[tokio::test]
+async fn the_end_of_a_connection_to_a_worker_is_told_however_it_ends(ends: Ends) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap().to_string();
+    let of = scheduler_with(&[&at], NOWHERE, |told| {
+        // Two connections to a worker; and nothing else ends what is asked.
+        told["limits"]["sockets"] = json!(64);
+        for method in told["settings"]["requestClasses"].as_array_mut().unwrap() {
+            (method["aim"], method["giveUp"]) = (json!(50_000), json!(60_000));
+        }
+    })
+    .await;
+    let mut client = Client::new(&of).await;
+    let ask = |tag: u64| {
+        let fields =
+            format!("req={tag:016x},timeout=50000,subject=00000000000000aa,info=memory_mb:1;lanes:2");
+        say(&["CALL", &tag.to_string(), "issue", &fields, ""])
+    };
+    for tag in 1..=3 {
+        client.0.write_all(&ask(tag)).await.unwrap();
+        let (mut stream, _) = soon(listener.accept()).await.unwrap();
+        asked_on(&mut stream).await;
+        ends(stream);
+        client.hears(&[&tag.to_string(), "broken", "", ""]).await;
+    }
+    client.0.write_all(&ask(4)).await.unwrap();
+    let (mut stream, _) = soon(listener.accept()).await.unwrap();
+    let asked = asked_on(&mut stream).await;
+    stream.write_all(answer(&asked, "OK", "").as_bytes()).await.unwrap();
+    client.hears(&["4", "good", "", ""]).await;
+    of.settled().await;
+}
+
+/// The same of a dial: what waits for it goes elsewhere once it has ended, long before its own time is up.
+#[test_case(false ; "refused")]
+#[test_case(true ; "without an answer")]
+#[tokio::test]
+async fn the_end_of_a_dial_is_told_however_it_ends(hangs: bool) {
+    let held = unreachable().await;
+    let refuses = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string();
+    let at = if hangs { held.0.clone() } else { refuses };
+    let (good, mut heard) = worker().await;
+    let mut directory = Directory::new().await;
+    let of = scheduler_with(&[&at], &directory.at().to_string(), |told| {
+        for method in told["settings"]["requestClasses"].as_array_mut().unwrap() {
+            (method["aim"], method["giveUp"]) = (json!(50_000), json!(60_000));
+        }
+    })
+    .await;
+    let mut client = Client::new(&of).await;
+    let fields = format!("req={},timeout=50000,subject=00000000000000aa,info=memory_mb:1;lanes:2", IDS[0]);
+    client.say(&["CALL", "1", "issue", &fields, ""]).await;
+    client.looks(&mut 1, "fit").await;
+    // It is dialling; only now is there another.
+    directory.is_asked().await;
+    directory.answers(2, &[("s-0", at, 0), ("s-1", good, 0)], 0);
+    let (asked, say) = soon(heard.recv()).await.unwrap();
+    say.send(answer(&asked, "OK", "")).unwrap();
+    client.hears(&["1", "good", "", ""]).await;
+    of.settled().await;
+}
+
 // Shutdown.
 
 /// Guards against requests that lie in the machine's queues when serving ends: on a connection not yet accepted, on one
@@ -262,6 +475,48 @@
     of.settled().await;
 }
 
+// Hand-overs.
+
+/// More is told at once of what ends something than its channel holds, 1024: those who tell wait, and the engine, which
+/// waits for nobody, takes all of it. Here 40 clients withdraw all that they have open in one go.
+#[tokio::test]
+async fn more_endings_at_once_than_their_channel_holds() {
+    const CLIENTS: u64 = 40;
+    const OPEN: u64 = 32;
+    let mut of = scheduler_with(&[], NOWHERE, |told| {
+        for method in told["settings"]["requestClasses"].as_array_mut().unwrap() {
+            (method["aim"], method["giveUp"]) = (json!(50_000), json!(60_000));
+        }
+    })
+    .await;
+    let mut clients = Vec::new();
+    for no in 0..CLIENTS {
+        let mut client = Client::new(&of).await;
+        for tag in 1..=OPEN {
+            let fields = format!(
+                "req={:016x},timeout=50000,subject=00000000000000aa,info=memory_mb:1;lanes:2",
+                no * OPEN + tag
+            );
+            client.say(&["CALL", &tag.to_string(), "issue", &fields, ""]).await;
+        }
+        client.looks(&mut OPEN.clone(), "fit").await;
+        clients.push(client);
+    }
+    let mut all: Vec<u8> = (1..=OPEN).flat_map(|tag| say(&["CANCEL", &tag.to_string()])).collect();
+    all.extend(say(&["CHECK", "99", ""]));
+    // All of it is there before the scheduler, on this thread, reads a byte.
+    for client in &clients {
+        assert_eq!(client.0.try_write(&all).unwrap(), all.len());
+    }
+    for client in &mut clients {
+        client.hears(&["99", "fit", "", ""]).await;
+    }
+    of.settles().await;
+    of.notes.stop().await;
+    let figures = soon(&mut of.end).await.unwrap();
+    assert_eq!((figures.taken, figures.aborted, figures.cut_off), (CLIENTS * OPEN, CLIENTS * OPEN, 0));
+}
+
 // Retries.
 
 /// Guards against a second copy of one attempt's answer that is taken for the next attempt's: here it would prove that
--- a/crates/curlewpoint-node/tests/stand/mod.rs
+++ b/crates/curlewpoint-node/tests/stand/mod.rs
@@ -257,6 +257,11 @@
 /// A worker that does nothing by itself: what it hears is told, what it is given is written; an empty line ends the
 /// connection.
 pub async fn worker() -> (String, mpsc::UnboundedReceiver<Heard>) {
+    worker_that_tells(&[]).await
+}
+
+/// The same, which tells lines of these types as well.
+pub async fn worker_that_tells(types: &'static [&'static str]) -> (String, mpsc::UnboundedReceiver<Heard>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (address, (told, heard)) = (listener.local_addr().unwrap().to_string(), mpsc::unbounded_channel());
     tokio::spawn(async move {
@@ -280,6 +285,7 @@
                             drop(told.send((row, say.clone())));
                         }
                         Some("gauges") => drop(say.send(answer(&row, "UP", ""))),
+                        Some(other) if types.contains(&other) => drop(told.send((row, say.clone()))),
                         _ => {}
                     }
                 }
