Answer the directory's last question, not the oldest that lies there

Cause: the stand-in for a directory took one question at a time; after a test that let it lie for over six seconds, as the one with attempts in an outbox does on a busy machine (8.5 s at a load of 16, 2.7 s alone), the oldest is none of the 32 whose answers still count, and the late list of the old directory would be passed over for that in place of its number.

--- a/crates/curlewpoint-node/tests/stand/mod.rs
+++ b/crates/curlewpoint-node/tests/stand/mod.rs
@@ -478,11 +478,14 @@
         self.socket.local_addr().unwrap()
     }
 
-    /// Waits for the next question.
+    /// Waits for the next question; of several that lie there already the last one counts.
     pub async fn is_asked(&mut self) {
         let mut query = [0; 512];
         let (n, from) = soon(self.socket.recv_from(&mut query)).await.unwrap();
         self.asked = Some((query[..n].to_vec(), from));
+        while let Ok((n, from)) = self.socket.try_recv_from(&mut query) {
+            self.asked = Some((query[..n].to_vec(), from));
+        }
     }
 
     /// Answers the last question, before a scheduler on the same thread looks again.
