Play faults and starts of hollow schedulers under load where a directory is kept

For each fault the directory's bytes in the busiest second of the busiest are told, and a note whenever one sent more than the formula of the plays allows, without what the machine holds up. Without a directory nothing differs.

--- a/crates/curlewpoint-rig/src/figures.rs
+++ b/crates/curlewpoint-rig/src/figures.rs
@@ -14,6 +14,7 @@
 mod directory;
 mod spans;
 
+pub(crate) use directory::most;
 pub use directory::{Directory, Second, Waits};
 pub use spans::{Cost, Look, Spread};
 
--- a/crates/curlewpoint-rig/src/scale/fleet_part.rs
+++ b/crates/curlewpoint-rig/src/scale/fleet_part.rs
@@ -6,6 +6,7 @@
 use curlewpoint_fleet::{Book, Source};
 use oorandom::Rand64;
 
+use crate::figures::most;
 use crate::scale::plan;
 use crate::scale::tally::{resident, Tally};
 use crate::scale::world::{row_of, Spent, Terms, World};
@@ -96,6 +97,8 @@
 
 /// Between two looks at whether all is right.
 const LOOK: Time = Time(1_000);
+/// A fault is played under load for so long at its beginning and before its end: an hour's calls would take hours.
+const LOADED: Time = Time(150_000);
 
 /// What was spent second by second.
 #[derive(Default)]
@@ -103,15 +106,36 @@
     whole: Spent,
     busiest: u64,
     busiest_one: u64,
+    directory: OneSecond,
+}
+
+/// What one instance sent for the directory of copies in a second: the most that one did, and how many times one sent more than
+/// it may.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct OneSecond {
+    pub bytes: u64,
+    /// What it might have sent in that second.
+    pub most: f64,
+    pub over: usize,
 }
 
 impl Seconds {
-    fn add(&mut self, all: Vec<Spent>) {
+    /// `budget`: bytes a second that each may send for the directory of copies.
+    fn add(&mut self, all: Vec<Spent>, budget: Option<u64>) {
         let mut bytes = 0;
         for s in all {
             let sent = s.sent.all().1;
             bytes += sent;
             self.busiest_one = self.busiest_one.max(sent);
+            if let Some(budget) = budget {
+                let sent = s.sent.group("directory").1;
+                let most = most(budget as f64, Time(0), s.directory_peers);
+                let d = &mut self.directory;
+                d.over += usize::from(sent as f64 > most);
+                if sent > d.bytes {
+                    (d.bytes, d.most) = (sent, most);
+                }
+            }
             self.whole.sent.merge(&s.sent);
             self.whole.got.merge(&s.got);
             self.whole.service.merge(&s.service);
@@ -121,6 +145,58 @@
     }
 }
 
+/// What schedulers see and are asked while something else is played.
+pub struct Load {
+    rng: Rand64,
+    /// Things seen and calls of each in a second.
+    seen: f64,
+    calls: f64,
+    due: f64,
+    calling: f64,
+}
+
+impl Load {
+    pub fn new(seed: u64, seen: f64, calls: f64) -> Load {
+        Load { rng: Rand64::new(u128::from(seed) + 7), seen, calls, due: 0.0, calling: 0.0 }
+    }
+
+    /// From here on each sees so much.
+    pub fn now_seen(&mut self, seen: f64) {
+        (self.seen, self.due, self.calling) = (seen, 0.0, 0.0);
+    }
+
+    /// Lets so much time pass while each of `n` sees so much. Where a directory of copies is kept, each has its RPCs as well, of
+    /// functions by a power law: it asks for those of which it knows no copy.
+    fn pass(&mut self, world: &mut World, n: usize, span: Time) {
+        const STEP: Time = Time(100);
+        let (workers, functions) = (plan::workers(n).max(1), plan::functions(n).max(1));
+        // Names' ids are hashes: they fill eight bytes on the wire.
+        let mixed = |x: u64| x.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let function = |rank: u64| FunctionId(mixed(rank << 20));
+        let calls = if world.keeps_directory() { self.calls } else { 0.0 };
+        let until = world.now + span;
+        while world.now < until {
+            self.calling += calls * n as f64 * STEP.ms() / 1000.0;
+            while self.calling >= 1.0 {
+                self.calling -= 1.0;
+                let no = self.rng.rand_range(0..n as u64) as usize;
+                let rank = (functions as f64).powf(self.rng.rand_float()) as u64;
+                world.wants(no, function(rank));
+            }
+            self.due += self.seen * n as f64 * STEP.ms() / 1000.0;
+            while self.due >= 1.0 {
+                self.due -= 1.0;
+                let no = self.rng.rand_range(0..n as u64) as usize;
+                let worker = WorkerId(mixed(self.rng.rand_range(0..workers as u64)));
+                let rare = function(self.rng.rand_range(0..functions as u64));
+                world.wants(no, rare);
+                world.saw(no, worker, rare, Hint::Loading);
+            }
+            world.run(STEP);
+        }
+    }
+}
+
 /// What a fault cost.
 pub struct Burst {
     /// Bytes that one sent on the mean until all was right, and in the second with the most.
@@ -128,6 +204,7 @@
     pub busiest_second: f64,
     /// The most bytes that one alone sent in a second.
     pub busiest_one: u64,
+    pub directory: OneSecond,
     pub cpu_ms: f64,
     pub right: Option<Time>,
 }
@@ -164,72 +241,51 @@
         (Rate::of(&all, span), Rate::of(&watching, span))
     }
 
-    /// Plays on for `least` at least, until all is right or `most` has passed.
-    pub fn burst(&mut self, least: Time, most: Time, right: impl Fn(&World) -> bool) -> Burst {
+    /// Plays on for `least` at least, until all is right or `most` has passed; with a directory of copies under this load at
+    /// the beginning and before `most`, and without it under none.
+    pub fn burst(
+        &mut self, load: &mut Load, least: Time, most: Time, right: impl Fn(&World) -> bool,
+    ) -> Burst {
+        let budget = self.world.directory();
         self.world.take_spent();
         let began = self.world.now;
         let (mut seconds, mut at) = (Seconds::default(), None);
         while self.world.now - began < most && (at.is_none() || self.world.now - began < least) {
-            self.world.run(LOOK);
+            let so_far = self.world.now - began;
+            let loaded = so_far < LOADED || so_far + LOADED >= most;
+            match budget.filter(|_| loaded) {
+                Some(_) => load.pass(&mut self.world, self.n, LOOK),
+                None => self.world.run(LOOK),
+            }
             let so_far = self.world.now - began;
             // What is right before the fault has been noticed is not yet right again.
             if at.is_none() && so_far >= least && right(&self.world) {
                 at = Some(so_far);
             }
             if so_far.0.is_multiple_of(SECOND.0) {
-                seconds.add(self.world.take_spent());
+                seconds.add(self.world.take_spent(), budget);
             }
         }
-        seconds.add(self.world.take_spent());
+        seconds.add(self.world.take_spent(), budget);
         let n = self.n as f64;
         Burst {
             bytes_each: seconds.whole.sent.all().1 as f64 / n,
             busiest_second: seconds.busiest as f64 / n,
             busiest_one: seconds.busiest_one,
+            directory: seconds.directory,
             cpu_ms: seconds.whole.cpu.as_secs_f64() * 1000.0 / n,
             right: at,
         }
     }
 
-    /// So long while each sees `seen` new things a second, after a while of the same.
-    pub fn hinted(&mut self, seen: f64, warm: Time, span: Time, rng: &mut Rand64) -> Rate {
-        self.see(seen, warm, rng);
+    /// So long under a load, after a while of the same.
+    pub fn hinted(&mut self, load: &mut Load, warm: Time, span: Time) -> Rate {
+        load.pass(&mut self.world, self.n, warm);
         self.world.take_spent();
-        self.see(seen, span, rng);
+        load.pass(&mut self.world, self.n, span);
         Rate::of(&self.world.take_spent(), span)
     }
 
-    /// Lets so much time pass while each sees so much. Where a directory of copies is kept, each has its RPCs as well, at the
-    /// plan's rate and of functions by a power law: it asks for those of which it knows no copy.
-    fn see(&mut self, seen: f64, span: Time, rng: &mut Rand64) {
-        const STEP: Time = Time(100);
-        let (workers, functions) = (plan::workers(self.n).max(1), plan::functions(self.n).max(1));
-        // Names' ids are hashes: they fill eight bytes on the wire.
-        let mixed = |x: u64| x.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let function = |rank: u64| FunctionId(mixed(rank << 20));
-        let calls = if self.world.keeps_directory() { plan::calls_each() } else { 0.0 };
-        let (until, mut due, mut calling) = (self.world.now + span, 0.0, 0.0);
-        while self.world.now < until {
-            calling += calls * self.n as f64 * STEP.ms() / 1000.0;
-            while calling >= 1.0 {
-                calling -= 1.0;
-                let no = rng.rand_range(0..self.n as u64) as usize;
-                let rank = (functions as f64).powf(rng.rand_float()) as u64;
-                self.world.wants(no, function(rank));
-            }
-            due += seen * self.n as f64 * STEP.ms() / 1000.0;
-            while due >= 1.0 {
-                due -= 1.0;
-                let no = rng.rand_range(0..self.n as u64) as usize;
-                let worker = WorkerId(mixed(rng.rand_range(0..workers as u64)));
-                let rare = function(rng.rand_range(0..functions as u64));
-                self.world.wants(no, rare);
-                self.world.saw(no, worker, rare, Hint::Loading);
-            }
-            self.world.run(STEP);
-        }
-    }
-
     /// One row of the list changes: until all hold it, and what one sends for it on the mean.
     pub fn change(&mut self) -> (Option<Time>, f64) {
         self.world.take_spent();
@@ -275,12 +331,14 @@
     /// Bytes that one sent on the mean in the second with the most, and the most that one alone sent in one.
     pub busiest_second: f64,
     pub busiest_one: u64,
+    pub directory: OneSecond,
     /// Links, records and lists that were not taken.
     pub refused: u64,
 }
 
-/// All start within a second, knowing nothing; ends when all is right, or `most` has passed.
-pub fn all_start(seed: u64, n: usize, terms: Terms, most: Time) -> AllStart {
+/// All start within a second, knowing nothing; ends when all is right, or `most` has passed. With a directory of copies under
+/// this load.
+pub fn all_start(seed: u64, n: usize, terms: Terms, load: &mut Load, most: Time) -> AllStart {
     const FIRST: Time = Time(60_000);
     let mut world = World::new(seed, n as u64, rows_held(n), terms);
     let mut rng = Rand64::new(u128::from(seed) << 1);
@@ -292,7 +350,10 @@
     let (mut listed, mut alike, mut sure) = (None, None, None);
     let note = |at: &mut Option<Time>, so_far, good| *at = at.or(Some(so_far).filter(|_| good));
     loop {
-        world.run(LOOK);
+        match terms.directory {
+            Some(_) => load.pass(&mut world, n, LOOK),
+            None => world.run(LOOK),
+        }
         let so_far = world.now - began;
         // Nobody has begun to know of another in the first second.
         let begun = so_far >= SECOND;
@@ -302,7 +363,7 @@
         let right = listed.is_some() && alike.is_some() && sure.is_some();
         let over = so_far >= most || (right && so_far >= FIRST);
         if over || so_far.0.is_multiple_of(SECOND.0) {
-            seconds.add(world.take_spent());
+            seconds.add(world.take_spent(), terms.directory);
         }
         if so_far >= FIRST && first.is_none() {
             first = Some(seconds.whole.clone());
@@ -314,6 +375,6 @@
     let first = first.unwrap_or_else(|| seconds.whole.clone());
     let busiest_second = seconds.busiest as f64 / n as f64;
     let busiest_one = seconds.busiest_one;
-    let refused = world.refused();
-    AllStart { n, listed, alike, sure, first, whole: seconds.whole, busiest_second, busiest_one, refused }
+    let (refused, directory, whole) = (world.refused(), seconds.directory, seconds.whole);
+    AllStart { n, listed, alike, sure, first, whole, busiest_second, busiest_one, directory, refused }
 }
--- a/crates/curlewpoint-rig/src/scale/mod.rs
+++ b/crates/curlewpoint-rig/src/scale/mod.rs
@@ -18,7 +18,7 @@
 mod world;
 
 pub use fit::{off, Fit, FITTED, OFF};
-pub use fleet_part::{all_start, settle, AllStart, Burst, Joined, Rate, Settled};
+pub use fleet_part::{all_start, settle, AllStart, Burst, Joined, Load, OneSecond, Rate, Settled};
 pub use measure::{Ledger, Measure, Outcome};
 pub use module_part::{module_cost, Cost};
 pub use parts::{play, Effort, Part, FLEET, MODULE, SERVICE, WATCHER, WORKER};
--- a/crates/curlewpoint-rig/src/scale/parts.rs
+++ b/crates/curlewpoint-rig/src/scale/parts.rs
@@ -1,10 +1,9 @@
 //! What is measured at one size, a part at a time.
 
 use curlewpoint::types::Time;
-use oorandom::Rand64;
 
 use crate::scale::fleet_part::{
-    all_start, book_bytes, rows_held, settle, Rate, Settled, SECOND, WHOLE_LISTS,
+    all_start, book_bytes, rows_held, settle, Load, OneSecond, Rate, Settled, SECOND, WHOLE_LISTS,
 };
 use crate::scale::measure::{Ledger, Outcome};
 use crate::scale::module_part::module_cost;
@@ -52,6 +51,8 @@
     pub calls: u64,
     /// Things seen a second by each, tried in turn.
     pub seen: Vec<f64>,
+    /// Calls a second of each in a start of all and in faults, where a directory of copies is kept.
+    pub load: f64,
     /// How long regions are apart.
     pub apart: Time,
     pub terms: Terms,
@@ -67,7 +68,13 @@
             101..=300 => Time(6_600_000),
             _ => Time(300_000),
         };
-        Effort { times: true, calls, seen: plan::SEEN[..seen].to_vec(), apart, terms: Terms::default() }
+        let (seen, load) = (plan::SEEN[..seen].to_vec(), plan::calls_each());
+        Effort { times: true, calls, seen, load, apart, terms: Terms::default() }
+    }
+
+    /// What goes on while something else is played: what follows from the plan, at so many calls.
+    fn load(&self, seed: u64) -> Load {
+        Load::new(seed, plan::SEEN[1], self.load)
     }
 
     /// Counts and bytes, in seconds.
@@ -76,12 +83,16 @@
             times: false,
             calls: 200,
             seen: vec![plan::SEEN[1]],
+            load: FEW_CALLS,
             apart: Time(200_000),
             terms: Terms::default(),
         }
     }
 }
 
+/// Calls a second where counts and bytes have to be there in seconds.
+const FEW_CALLS: f64 = 20.0;
+
 /// The roles that figures are told for.
 pub const FLEET: &str = "fleet part";
 pub const WATCHER: &str = "list watcher";
@@ -145,7 +156,6 @@
 }
 
 fn steady(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
-    let mut rng = Rand64::new(u128::from(seed) + 7);
     let times = effort.times;
     // First of all: what a fleet has freed would be taken up again by the books, and grow nothing. What they free is a
     // hundredth of what the fleet takes.
@@ -168,8 +178,10 @@
     span(&mut outcome.of(FLEET), "a changed row: with all after", with_all);
     outcome.of(FLEET).count("a changed row: bytes sent", "B", each);
     joined(n, &mut fleet, outcome);
+    let mut load = Load::new(seed, 0.0, plan::calls_each());
     for seen in &effort.seen {
-        let rate = fleet.hinted(*seen, SECOND, Time(2 * SECOND.0), &mut rng);
+        load.now_seen(*seen);
+        let rate = fleet.hinted(&mut load, SECOND, Time(2 * SECOND.0));
         let name = format!("{seen} seen a second");
         let mut ledger = outcome.of(FLEET);
         rates(&mut ledger, &name, &rate, times);
@@ -222,7 +234,8 @@
 }
 
 fn start(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
-    let all = all_start(seed, n, effort.terms, Time(900_000));
+    let mut load = effort.load(seed);
+    let all = all_start(seed, n, effort.terms, &mut load, Time(900_000));
     if n > WHOLE_LISTS {
         let (held, whole) = (rows_held(n), plan::workers(n));
         outcome.notes.push(format!("start of all: the list held has {held} rows of {whole}"));
@@ -247,6 +260,7 @@
         let ms = all.whole.cpu.as_secs_f64() * 1000.0 / n as f64;
         ledger.rough("all start: processor until right", "ms", Some(ms));
     }
+    one_second("all start", all.directory, effort, outcome);
     outcome.of(SERVICE).count("all start: bytes to and from all", "B", all.whole.service.all().1 as f64);
     for (what, at) in [("list", all.listed), ("records", all.alike), ("number", all.sure)] {
         if at.is_none() {
@@ -255,43 +269,60 @@
     }
 }
 
+/// The busiest second of the busiest instance's directory, and whether anybody sent more than it may.
+fn one_second(name: &str, d: OneSecond, effort: &Effort, outcome: &mut Outcome) {
+    if effort.terms.directory.is_none() {
+        return;
+    }
+    outcome.of(FLEET).count(&format!("{name}: directory, busiest instance"), "B/s", d.bytes as f64);
+    if d.over > 0 {
+        let (bytes, most) = (d.bytes, d.most);
+        outcome.notes.push(format!(
+            "{name}: {} times one sent more than it may for the directory; {bytes} bytes in a second, at most {most:.0}",
+            d.over
+        ));
+    }
+}
+
 /// Plays on after a fault until all is right again.
-fn after(name: &str, fleet: &mut Settled, times: bool, outcome: &mut Outcome) {
+fn after(name: &str, fleet: &mut Settled, load: &mut Load, effort: &Effort, outcome: &mut Outcome) {
     const MOST: Time = Time(400_000);
-    let burst = fleet.burst(SECOND, MOST, |w| w.alike() && w.listed());
+    let burst = fleet.burst(load, SECOND, MOST, |w| w.alike() && w.listed());
     let mut ledger = outcome.of(FLEET);
     ledger.count(&format!("{name}: bytes until right"), "B", burst.bytes_each);
     ledger.count(&format!("{name}: busiest second"), "B/s", burst.busiest_second);
     ledger.count(&format!("{name}: busiest instance"), "B/s", burst.busiest_one as f64);
     span(&mut ledger, &format!("{name}: all alike after"), burst.right);
-    if times {
+    if effort.times {
         ledger.rough(&format!("{name}: processor until right"), "ms", Some(burst.cpu_ms));
     }
+    one_second(name, burst.directory, effort, outcome);
     if burst.right.is_none() {
         outcome.notes.push(format!("{name}: not alike in {:.0} s", MOST.ms() / 1000.0));
     }
 }
 
 fn faults(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
-    let (mut fleet, times) = (settled(seed, n, effort.terms, outcome), effort.times);
+    let (mut fleet, mut load) = (settled(seed, n, effort.terms, outcome), effort.load(seed));
     let zone: Vec<usize> = (0..n).filter(|i| zone_of(*i) == LOST_ZONE).collect();
     let rack = zone[..zone.len().div_ceil(RACKS)].to_vec();
     // One of those that stand nowhere in particular; the first three are everybody's peers to begin with.
     for (name, gone) in [("one", vec![n - 1]), ("a rack", rack), ("a zone", zone)] {
         gone.iter().for_each(|no| fleet.world.kill(*no));
-        after(&format!("{name} is lost"), &mut fleet, times, outcome);
+        after(&format!("{name} is lost"), &mut fleet, &mut load, effort, outcome);
         gone.iter().for_each(|no| fleet.world.restart(*no));
-        after(&format!("{name} comes back"), &mut fleet, times, outcome);
+        after(&format!("{name} comes back"), &mut fleet, &mut load, effort, outcome);
     }
     fleet.world.sides(|i| u8::from(region_of(zone_of(i)) == LONE_REGION));
-    let apart = fleet.burst(effort.apart, effort.apart, |_| true);
+    let apart = fleet.burst(&mut load, effort.apart, effort.apart, |_| true);
     let seconds = effort.apart.ms() / 1000.0;
     let mut ledger = outcome.of(FLEET);
     ledger.count("regions apart: bytes sent", "B/s", apart.bytes_each / seconds);
     ledger.count("regions apart: busiest second", "B/s", apart.busiest_second);
+    one_second("regions apart", apart.directory, effort, outcome);
     outcome.notes.push(format!("regions were apart for {seconds:.0} s"));
     fleet.world.sides(|_| 0);
-    after("regions heal", &mut fleet, times, outcome);
+    after("regions heal", &mut fleet, &mut load, effort, outcome);
 }
 
 fn worker(seed: u64, n: usize, effort: &Effort, outcome: &mut Outcome) {
--- a/crates/curlewpoint-rig/src/scale/world.rs
+++ b/crates/curlewpoint-rig/src/scale/world.rs
@@ -1,5 +1,5 @@
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -57,6 +57,8 @@
     now: Time,
     acts: Vec<Act>,
     sent: Tally,
+    /// Links on which the directory has said something.
+    directory: BTreeSet<LinkId>,
     list: Option<(u64, u64)>,
     rows: u64,
     hints: u64,
@@ -128,6 +130,7 @@
         self.say(link, &frames::hints_frame(self.now, seen));
     }
     fn directory(&mut self, link: LinkId, frame: Frame) {
+        self.directory.insert(link);
         self.say(link, &frame);
     }
     fn take_hint(&mut self, _: WorkerId, _: FunctionId, _: Hint, _: u64, _: Time) {
@@ -146,6 +149,8 @@
     pub service: Tally,
     pub cpu: Duration,
     pub hints_taken: u64,
+    /// Peers to which something of the directory was sent.
+    pub directory_peers: usize,
 }
 
 struct Hollow {
@@ -372,6 +377,7 @@
             let mut spent = std::mem::take(&mut h.spent);
             spent.sent.merge(&std::mem::take(&mut h.hands.sent));
             spent.hints_taken = std::mem::take(&mut h.hands.hints);
+            spent.directory_peers = std::mem::take(&mut h.hands.directory).len();
             spent
         };
         self.all.iter_mut().map(take).collect()
@@ -601,8 +607,11 @@
 
     // Faults and load.
 
-    /// An instance's scheduler sees something.
+    /// An instance's scheduler sees something; one that is down sees nothing.
     pub fn saw(&mut self, no: usize, worker: WorkerId, function: FunctionId, hint: Hint) {
+        if !self.all[no].alive {
+            return;
+        }
         self.call(no, |f, now, out| f.saw(now, out, worker, function, hint, 1));
     }
 
@@ -610,9 +619,14 @@
         self.terms.directory.is_some()
     }
 
+    /// Bytes a second that the directory of copies may send at each instance.
+    pub fn directory(&self) -> Option<u64> {
+        self.terms.directory
+    }
+
     /// An instance's scheduler has an RPC of a function.
     pub fn wants(&mut self, no: usize, function: FunctionId) {
-        if self.terms.directory.is_some() {
+        if self.terms.directory.is_some() && self.all[no].alive {
             self.call(no, |f, now, out| f.wanted(now, out, function));
         }
     }
--- a/crates/curlewpoint-rig/tests/scale.rs
+++ b/crates/curlewpoint-rig/tests/scale.rs
@@ -81,6 +81,41 @@
     }
 }
 
+/// A start of all, one, a rack and a zone lost and back, regions apart and healed: alike again from the seed, and nobody ever
+/// sends more for the directory than it may.
+#[test_case(60)]
+#[test_case(120)]
+fn with_a_directory_of_copies_faults_are_healed_within_its_bytes_and_alike_again(n: usize) {
+    let terms = Terms { directory: Some(3_000), ..Terms::default() };
+    let effort = Effort { terms, ..Effort::small() };
+    for part in [Part::Start, Part::Faults] {
+        let o = play(part, 7, n, &effort);
+        if n == 60 {
+            assert_eq!(o, play(part, 7, n, &effort));
+        }
+        // Notes tell of what did not come and of whoever sent too much.
+        let apart = ["regions were apart for 20 s".to_owned()];
+        assert_eq!(o.notes, if part == Part::Faults { &apart[..] } else { &[] });
+        let names: &[&str] = match part {
+            Part::Start => &["all start"],
+            _ => &[
+                "one is lost",
+                "one comes back",
+                "a rack is lost",
+                "a rack comes back",
+                "a zone is lost",
+                "a zone comes back",
+                "regions apart",
+                "regions heal",
+            ],
+        };
+        for name in names {
+            let bytes = get(&o, &format!("{name}: directory, busiest instance"));
+            assert!(bytes > 0.0, "{name}: nothing was said at {n}");
+        }
+    }
+}
+
 #[test]
 fn over_slow_links_one_that_starts_waits_for_its_list_and_takes_no_fewer_bytes() {
     let at = |pace| {
