Log lifecycle changes, slow frames and what sockets met; figures at SIGUSR1

Cause: the evidence of the incident does not tell which list a scheduler held, nor whether a frame to a worker lay half written. Change: one line a list that changes something, with its version; a frame that takes over 100 ms from its first byte to its last; spans with connection and address; counters of short writes and slow frames at the end and at SIGUSR1.

--- a/crates/curlewpoint-cli/src/commands/node.rs
+++ b/crates/curlewpoint-cli/src/commands/node.rs
@@ -13,7 +13,8 @@
 /// Runs a scheduler as the platform starts it, until it is told to stop.
 ///
 /// SIGTERM or SIGINT: it goes on serving what still comes, and exits with 0 once nothing is open and nothing more can
-/// come, or just before the platform would kill it. SIGHUP: the directory's address is read anew from the file.
+/// come, or just before the platform would kill it. SIGHUP: the directory's address is read anew from the file. SIGUSR1: its
+/// figures are logged.
 #[derive(Args)]
 pub struct Node {
     /// What the platform tells it at the start, as JSON.
@@ -57,9 +58,13 @@
 
     async fn serve(self) -> u8 {
         // Before anything else: a signal that comes before the start is over is not lost, and ends nothing unasked.
-        let [term, int, hup] =
-            [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
-        let (Ok(mut term), Ok(mut int), Ok(mut hup)) = (term, int, hup) else {
+        let kinds = [
+            SignalKind::terminate(),
+            SignalKind::interrupt(),
+            SignalKind::hangup(),
+            SignalKind::user_defined1(),
+        ];
+        let [Ok(mut term), Ok(mut int), Ok(mut hup), Ok(mut usr1)] = kinds.map(signal) else {
             return fail(FAILED, "signals cannot be watched");
         };
         let told = match read(&self.told) {
@@ -86,6 +91,7 @@
                 biased;
                 _ = term.recv() => drop(stop()),
                 _ = int.recv() => drop(stop()),
+                _ = usr1.recv() => notes.log_figures().await,
                 _ = hup.recv() => {
                     moving = true;
                     reading.set(resolver(&self.told));
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -7,6 +7,7 @@
 use serde_json::{Map, Value};
 
 use crate::ids::{ClientId, Ids, RequestId};
+use crate::lifecycle::{describe, Lifecycles, Transition};
 use crate::roster::{Read, Roster};
 use crate::wheel::Wheel;
 
@@ -196,6 +197,7 @@
     functions: Ids,
     asked_for: BTreeMap<FunctionId, usize>,
     roster: Roster,
+    lifecycles: Lifecycles,
     /// All that were ever served here, by their ids; and which of them are now.
     methods: Vec<Terms>,
     /// The same by their settings, written out.
@@ -230,6 +232,14 @@
         }
     }
 
+    /// Logs what the list held now has changed.
+    fn log_changes(&mut self, changes: &[Transition]) {
+        let version = self.roster.held().map_or(0, |(_, version)| version);
+        if let Some(line) = describe(version, changes, |worker| self.roster.name(worker)) {
+            self.world.log(None, &line);
+        }
+    }
+
     fn pass_over(&mut self, rpc: RpcId, what: &str) {
         self.figures.passed_over += 1;
         self.world.log(Some(rpc), &format!("passed over: {what} after the answer"));
@@ -400,6 +410,7 @@
             functions: Ids::new(MOST_MODELS),
             asked_for: BTreeMap::new(),
             roster: Roster::new(MOST_WORKERS),
+            lifecycles: Lifecycles::default(),
             methods,
             known,
             served,
@@ -732,7 +743,7 @@
     }
 
     pub fn list_ends(&mut self, now: Time) -> Read {
-        let mut rows = Vec::new();
+        let (mut rows, mut changes) = (Vec::new(), Vec::new());
         let desk = self.desk(now);
         let (read, named) = desk.roster.ends(|id, name, address, standing, since, zone, cell, size| {
             match standing {
@@ -754,11 +765,13 @@
                     } else {
                         self.gone.remove(&id);
                     }
+                    changes.extend(self.module.host().lifecycles.told(id, standing));
                 }
                 self.module.list_read(now, full.then_some(&named));
                 if full {
-                    self.missing_are_gone(now, &named);
+                    self.missing_are_gone(now, &named, &mut changes);
                 }
+                self.module.host().log_changes(&changes);
                 self.settle(now);
             }
             Read::AskAnew => desk.world.watch_list(None),
@@ -768,10 +781,11 @@
     }
 
     /// Those that a full list no longer names: their connections take nothing new either.
-    fn missing_are_gone(&mut self, now: Time, named: &BTreeSet<WorkerId>) {
+    fn missing_are_gone(&mut self, now: Time, named: &BTreeSet<WorkerId>, changes: &mut Vec<Transition>) {
         let desk = self.module.host();
         for worker in desk.roster.missing(named) {
             desk.world.worker_gone(now, worker);
+            changes.extend(desk.lifecycles.told(worker, Standing::Gone));
             self.gone.entry(worker).or_insert(now);
         }
         let long: Vec<_> =
@@ -779,6 +793,7 @@
         for worker in long {
             self.gone.remove(&worker);
             self.module.host().roster.forget(worker);
+            self.module.host().lifecycles.forget(worker);
         }
     }
 
--- a/crates/curlewpoint-engine/src/lib.rs
+++ b/crates/curlewpoint-engine/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 mod ids;
+mod lifecycle;
 mod pool;
 mod roster;
 mod wheel;
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod ending;
 mod link;
+mod metrics;
 mod outbox;
 mod turn;
 
@@ -14,5 +15,6 @@
 pub use clock::Clock;
 pub use ending::{is_ours, linger, LINGER};
 pub use link::{listen, open, outbox, Bounds, Link, LinkError, Reader};
-pub use outbox::{Outbox, Parcel, SendError, Ticket};
+pub use metrics::{Counter, Metrics, METRICS};
+pub use outbox::{Outbox, Parcel, SendError, Ticket, SLOW_FRAME_MS};
 pub use turn::Turns;
--- a/crates/curlewpoint-link/src/link.rs
+++ b/crates/curlewpoint-link/src/link.rs
@@ -8,6 +8,7 @@
 use tokio::task::JoinHandle;
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
+use tracing::Instrument;
 
 use crate::ending::{linger, LINGER};
 use crate::outbox::{write_all, Outbox, Parcel};
@@ -83,7 +84,7 @@
     write: OwnedWriteHalf, bounds: Bounds,
 ) -> (Outbox<P>, JoinHandle<std::io::Result<()>>) {
     let (outbox, inside) = Outbox::new(bounds.outbox.0, bounds.outbox.1);
-    (outbox, tokio::spawn(write_all(inside, write, bounds.write)))
+    (outbox, tokio::spawn(write_all(inside, write, bounds.write).in_current_span()))
 }
 
 /// Says hello on a new connection and waits for the peer's. A peer of another version is told so.
--- a/crates/curlewpoint-link/src/outbox.rs
+++ b/crates/curlewpoint-link/src/outbox.rs
@@ -11,7 +11,10 @@
 use curlewpoint_wire::{Codec, Frame, HEAD_BYTES};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
+use tracing::info;
+
+use crate::metrics::METRICS;
 
 const QUEUED: u8 = 0;
 const BEGUN: u8 = 1;
@@ -135,6 +138,10 @@
 const BATCH: usize = 64 * 1024;
 const LARGE: usize = 16 * 1024;
 
+/// From its first byte to its last a frame takes as long as one write, unless the peer reads too slowly. Longer than this is
+/// logged, as what was due to go out by then has not.
+pub const SLOW_FRAME_MS: u64 = 100;
+
 /// What the writer has taken out of its outbox.
 struct Taken<P> {
     /// Not begun: each may still be taken back, however long the peer takes nothing.
@@ -142,9 +149,30 @@
     /// What is left of the one frame that was begun and not finished, and what its outbox counts it for.
     rest: VecDeque<Bytes>,
     rest_size: usize,
+    /// When the first byte of that frame was written.
+    begun: Option<Instant>,
 }
 
 impl<P: Parcel> Taken<P> {
+    fn new() -> Taken<P> {
+        Taken { queued: VecDeque::new(), rest: VecDeque::new(), rest_size: 0, begun: None }
+    }
+
+    /// Notes that a frame is written in part, or no frame is any more.
+    fn note_progress(&mut self) {
+        if !self.rest.is_empty() {
+            self.begun.get_or_insert_with(Instant::now);
+            return;
+        }
+        let Some(begun) = self.begun.take() else { return };
+        let took = begun.elapsed().as_millis() as u64;
+        METRICS.slowest_frame_ms.raise_to(took);
+        if took > SLOW_FRAME_MS {
+            METRICS.slow_frames.add(1);
+            info!(took, "a frame was written in part for so many milliseconds");
+        }
+    }
+
     fn is_empty(&self) -> bool {
         self.queued.is_empty() && self.rest.is_empty()
     }
@@ -158,6 +186,7 @@
         let freed = |size| inside.bytes.fetch_sub(size, Ordering::AcqRel);
         if let Some(part) = self.rest.front_mut() {
             let n = ready!(to.poll_write(cx, part))?;
+            METRICS.short_writes.add(u64::from(n < part.len()));
             part.advance(n);
             if part.is_empty() {
                 self.rest.pop_front();
@@ -199,6 +228,7 @@
             Poll::Ready(Ok(n)) => *n,
             _ => 0,
         };
+        METRICS.short_writes.add(u64::from(asked.is_ready() && n < small.len()));
         for (start, item) in starts.iter().zip(&self.queued) {
             if *start >= n {
                 item.ticket.iter().for_each(Ticket::unbegin);
@@ -228,7 +258,7 @@
 pub(crate) async fn write_all<P: Parcel>(
     mut inside: Inside<P>, mut to: impl AsyncWrite + Unpin, limit: Duration,
 ) -> std::io::Result<()> {
-    let mut taken = Taken { queued: VecDeque::new(), rest: VecDeque::new(), rest_size: 0 };
+    let mut taken = Taken::new();
     loop {
         if taken.is_empty() {
             let Some(first) = inside.taken.recv().await else { return to.shutdown().await };
@@ -239,6 +269,7 @@
             inside.taken.close();
             return Err(why);
         }
+        taken.note_progress();
     }
 }
 
--- a/crates/curlewpoint-node/src/notes.rs
+++ b/crates/curlewpoint-node/src/notes.rs
@@ -28,4 +28,6 @@
     /// A list that the directory told.
     List(List),
     Stop,
+    /// Figures are to be logged.
+    Figures,
 }
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use curlewpoint::types::{Copy, Standing, Time};
 use curlewpoint_engine::{ClientId, ConnId, Engine, Figures, Pool, PoolLimits, Refusal};
-use curlewpoint_link::{listen, Bounds, Clock, Turns};
+use curlewpoint_link::{listen, Bounds, Clock, Turns, METRICS};
 use curlewpoint_platform::told::{self, Told, ToldError};
 use curlewpoint_platform::{asked, lines, Roll};
 use oorandom::Rand64;
@@ -54,7 +54,7 @@
 const NOBODY: u32 = 3;
 /// Descriptors that are neither clients' nor workers': listener, directory, signals and the like.
 const OWN: usize = 16;
-/// Tells a scheduler to stop.
+/// Tells a scheduler to stop, or to log its figures.
 #[derive(Clone)]
 pub struct Stopper(mpsc::Sender<Note>);
 
@@ -62,6 +62,11 @@
     pub async fn stop(&self) {
         let _ = self.0.send(Note::Stop).await;
     }
+
+    /// Has where its RPCs went and what its sockets met logged in one line.
+    pub async fn log_figures(&self) {
+        let _ = self.0.send(Note::Figures).await;
+    }
 }
 
 /// A scheduler that serves.
@@ -255,10 +260,16 @@
             }
         }
         self.engine.abort_all(self.clock.now());
+        self.log_figures("stopped");
+        self.engine.figures()
+    }
+
+    fn log_figures(&mut self, why: &str) {
         let conns = self.engine.world().conns();
         let f = self.engine.figures();
-        info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, f.cut_off, "stopped");
-        f
+        let (loads, probes, list) = (f.loads, f.probes, self.listed);
+        info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, f.cut_off, "{why}");
+        info!(loads, probes, list, "sockets: {METRICS}");
     }
 
     /// Waits until something has come, and takes it.
@@ -343,6 +354,7 @@
                 }
                 list.call(&mut ToEngine { engine, now });
             }
+            Note::Figures => self.log_figures("figures"),
             Note::Stop => {
                 info!(open = self.engine.open(), "stopping");
                 self.ending.get_or_insert_with(Instant::now);
@@ -441,6 +453,7 @@
         world.clients.get_mut(&id).into_iter().for_each(|c| c.open.extend([tag]));
         let taken = self.engine.rpc(now, (id, tag), method, model, tenant, left, field("opkey"), lanes, body);
         let Err(why) = taken else { return Ok(()) };
+        debug!(client = id.0, tag, "not taken: {why:?}");
         let world = self.engine.world();
         world.clients.get_mut(&id).into_iter().for_each(|c| c.open.retain(|t| *t != tag));
         match why {
--- a/crates/curlewpoint-node/src/workers.rs
+++ b/crates/curlewpoint-node/src/workers.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
-use tracing::{debug, info};
+use tracing::{debug, info, info_span, Instrument};
 
 use crate::notes::Note;
 
@@ -29,16 +29,18 @@
 impl Dialler {
     pub fn dial(&self, conn: ConnId, address: String) {
         let (bounds, limit, notes) = (self.bounds, self.limit, self.notes.clone());
-        tokio::spawn(async move {
+        let span = info_span!("connection", conn = conn.0, address);
+        let conversation = async move {
             let dialled = timeout(limit, TcpStream::connect(&address)).await;
             let (why, ours) = match dialled {
                 Ok(Ok(stream)) => return converse(conn, stream, bounds, notes).await,
                 Ok(Err(why)) => (why.to_string(), is_ours(&why)),
                 Err(_) => ("no answer in time".to_owned(), false),
             };
-            debug!(conn = conn.0, address, "not connected: {why}");
+            debug!(ours, "not connected: {why}");
             let _ = notes.send(Note::Down(conn, ours)).await;
-        });
+        };
+        tokio::spawn(conversation.instrument(span));
     }
 }
 
@@ -92,7 +94,7 @@
                 }
             }
             Some(Err(e)) => {
-                info!(conn = conn.0, "connection to a worker closed: {e}");
+                info!("connection to a worker closed: {e}");
                 break;
             }
             None => break,
