--- a/crates/curlewpoint-cli/tests/system_calls.rs
+++ b/crates/curlewpoint-cli/tests/system_calls.rs
@@ -179,7 +179,10 @@
 fn an_attempt_cut_short_does_not_come_after_its_cancel() {
     let book = Book::default();
     let at = ScriptedWorker::start(&book);
-    let first = told(7, "127.0.0.1:9", std::slice::from_ref(&at.address), 256, settings(1));
+    let (tell, asked) = mpsc::channel();
+    let workers = vec![at.address.clone(), at.address.clone()];
+    let resolver = directory(0, workers, Arc::default(), Arc::default(), move |_| drop(tell.send(())));
+    let first = told(7, &resolver, std::slice::from_ref(&at.address), 256, settings(1));
     let node =
         Node::start_with("cancel", &first, 256, "send tcp short 100% containing 0000000000000c0c times 1");
     let (mut client, mut other) = (Client::new(&node.address, &book), Client::new(&node.address, &book));
