Give up a socket's readiness only when the kernel says so; repeat interrupted calls

Cause: tokio's halves take a read or write cut short for an empty or full buffer and wait for the next event, so that the rest of a frame to a worker lay here until the worker spoke, past a drain's grace or a cancel; EINTR ended connections. Change: halves of our own (curlewpoint-link/src/stream.rs) for node and gateway; the rest of a frame that nobody waits for is not written any more, nor that of a load order once its worker drains; accept, dial and socket errors of this side are tried again. Tests of link, engine, node, gateway pass.

--- a/crates/curlewpoint-cli/tests/system_calls.rs
+++ b/crates/curlewpoint-cli/tests/system_calls.rs
@@ -181,7 +181,9 @@
     let at = ScriptedWorker::start(&book);
     let (tell, asked) = mpsc::channel();
     let workers = vec![at.address.clone(), at.address.clone()];
-    let resolver = directory(0, workers, Arc::default(), Arc::default(), move |_| drop(tell.send(())));
+    let resolver = directory(0, workers, Arc::default(), Arc::default(), move |_| {
+        let _ = tell.send(());
+    });
     let first = told(7, &resolver, std::slice::from_ref(&at.address), 256, settings(1));
     let node =
         Node::start_with("cancel", &first, 256, "send tcp short 100% containing 0000000000000c0c times 1");
@@ -230,3 +232,9 @@
         "seed 3; send tcp EINTR 10%; recv tcp EINTR 10%; recv udp EINTR 50%; send udp EINTR 50%",
     );
 }
+
+/// Guards against waiting for a readiness that was forgotten with a read or write cut short.
+#[test]
+fn short_reads_and_writes_lose_nothing() {
+    all_are_served_under("short", "seed 3; send tcp short 30%; recv tcp short 30%");
+}
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -13,6 +13,10 @@
     fn send(&mut self, conn: ConnId, request: RequestId, payload: &P) -> bool;
     /// Takes back what was sent; true: not one byte of it was, or ever will be, handed to the kernel.
     fn take_back(&mut self, conn: ConnId, request: RequestId) -> bool;
+    /// The same as its worker drains: an attempt that is begun may finish, a load order may not.
+    fn take_back_at_drain(&mut self, conn: ConnId, request: RequestId) -> bool {
+        self.take_back(conn, request)
+    }
     /// Tells the worker that nobody waits for what was begun.
     fn withdraw(&mut self, conn: ConnId, request: RequestId);
     fn close(&mut self, conn: ConnId);
@@ -158,7 +162,7 @@
         for conn in conns {
             let out = self.conns.get(&conn).map(|c| c.out.clone()).unwrap_or_default();
             for request in out.into_keys() {
-                if wires.take_back(conn, request) {
+                if wires.take_back_at_drain(conn, request) {
                     self.let_go(now, wires, request);
                     wires.ended(request, Outcome::NotSent);
                 }
--- a/crates/curlewpoint-gateway/src/outside.rs
+++ b/crates/curlewpoint-gateway/src/outside.rs
@@ -61,7 +61,8 @@
 pub(crate) struct Sockets {
     dialler: Dialler,
     outboxes: BTreeMap<ConnId, Outbox>,
-    tickets: BTreeMap<RequestId, Ticket>,
+    /// Of each request that is out, and whether it is an attempt.
+    tickets: BTreeMap<RequestId, (Ticket, bool)>,
     ended: VecDeque<(RequestId, Outcome)>,
 }
 
@@ -76,13 +77,21 @@
         let ticket = Ticket::default();
         let sent = outbox.send(payload.clone(), Some(ticket.clone())).is_ok();
         if sent {
-            self.tickets.insert(request, ticket);
+            self.tickets.insert(request, (ticket, payload.kind == Kind::CALL_OUT));
         }
         sent
     }
 
     fn take_back(&mut self, _conn: ConnId, request: RequestId) -> bool {
-        self.tickets.get(&request).is_some_and(Ticket::take_back)
+        self.tickets.get(&request).is_some_and(|(ticket, _)| ticket.take_back())
+    }
+
+    fn take_back_at_drain(&mut self, _conn: ConnId, request: RequestId) -> bool {
+        match self.tickets.get(&request) {
+            None => false,
+            Some((ticket, true)) => ticket.take_back_unbegun(),
+            Some((ticket, false)) => ticket.take_back(),
+        }
     }
 
     fn withdraw(&mut self, conn: ConnId, request: RequestId) {
--- a/crates/curlewpoint-gateway/src/workers.rs
+++ b/crates/curlewpoint-gateway/src/workers.rs
@@ -1,9 +1,8 @@
 use std::time::Duration;
 
 use curlewpoint_engine::ConnId;
-use curlewpoint_link::{is_ours, open, Bounds, Link, LinkError};
+use curlewpoint_link::{dial, is_ours, open, Bounds, Link, LinkError};
 use curlewpoint_wire::WireError;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_stream::StreamExt;
@@ -24,7 +23,7 @@
         let (name, bounds, limit, notes) = (self.name.clone(), self.bounds, self.limit, self.notes.clone());
         tokio::spawn(async move {
             let dialled = timeout(limit, async {
-                let dialled = TcpStream::connect(&address).await;
+                let dialled = dial(&address).await;
                 let stream = dialled.map_err(|e| (is_ours(&e), LinkError::from(WireError::from(e))))?;
                 open(stream, &name, bounds).await.map_err(|why| (false, why))
             });
--- a/crates/curlewpoint-link/src/ending.rs
+++ b/crates/curlewpoint-link/src/ending.rs
@@ -3,7 +3,11 @@
 
 use rustix::io::Errno;
 use tokio::io::{AsyncRead, AsyncReadExt};
-use tokio::time::timeout;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tracing::debug;
+
+use crate::metrics::METRICS;
 
 /// What is still read, and for how long, from a peer that was answered and shut off.
 pub const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
@@ -25,9 +29,51 @@
     .await;
 }
 
-/// Whether a connection could not be made for want of something on this side, as of descriptors or ports: it says
-/// nothing of the peer.
+/// Whether a connection could not be made for want of something on this side, as of descriptors, ports or a route, or was
+/// interrupted: it says nothing of the peer.
 pub fn is_ours(why: &Error) -> bool {
-    let ours = [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM];
+    let ours = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::ADDRNOTAVAIL,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::NETUNREACH,
+        Errno::NETDOWN,
+        Errno::INTR,
+        Errno::AGAIN,
+    ];
     why.raw_os_error().is_some_and(|no| ours.iter().any(|e| e.raw_os_error() == no))
 }
+
+/// Whether an accept failed for a connection that has ended meanwhile, or was interrupted: the next may follow at once.
+pub fn is_of_one_accept(why: &Error) -> bool {
+    let passing = [
+        Errno::CONNABORTED,
+        Errno::INTR,
+        Errno::PROTO,
+        Errno::NETDOWN,
+        Errno::HOSTUNREACH,
+        Errno::NETUNREACH,
+    ];
+    why.raw_os_error().is_some_and(|no| passing.iter().any(|e| e.raw_os_error() == no))
+}
+
+/// Pauses between tries of a dial that failed for want of something on this side.
+const DIAL_PAUSES_MS: [u64; 4] = [2, 5, 10, 20];
+
+/// Opens a connection. What fails for want of something on this side for a moment is tried again a few times; the caller bounds
+/// the whole.
+pub async fn dial(address: &str) -> std::io::Result<TcpStream> {
+    for pause in DIAL_PAUSES_MS.map(Duration::from_millis) {
+        match TcpStream::connect(address).await {
+            Err(why) if is_ours(&why) => {
+                METRICS.local_errors.add(1);
+                debug!("dialled again: {why}");
+                sleep(pause).await;
+            }
+            done => return done,
+        }
+    }
+    TcpStream::connect(address).await
+}
--- a/crates/curlewpoint-link/src/link.rs
+++ b/crates/curlewpoint-link/src/link.rs
@@ -3,7 +3,6 @@
 
 use curlewpoint_wire::{Codec, Field, Frame, Kind, WireError, VERSION};
 use thiserror::Error;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_stream::StreamExt;
@@ -12,6 +11,7 @@
 
 use crate::ending::{linger, LINGER};
 use crate::outbox::{write_all, Outbox, Parcel};
+use crate::stream::{split, ReadHalf, WriteHalf};
 
 /// What a connection may take.
 #[derive(Clone, Copy, Debug)]
@@ -54,7 +54,7 @@
 }
 
 /// Frames as they come; `next` loses nothing when its wait is cancelled.
-pub type Reader = FramedRead<OwnedReadHalf, Codec>;
+pub type Reader = FramedRead<ReadHalf, Codec>;
 
 /// A connection after both hellos.
 pub struct Link {
@@ -80,9 +80,7 @@
 }
 
 /// The outbox of a connection, whatever is spoken on it, and the task that writes.
-pub fn outbox<P: Parcel>(
-    write: OwnedWriteHalf, bounds: Bounds,
-) -> (Outbox<P>, JoinHandle<std::io::Result<()>>) {
+pub fn outbox<P: Parcel>(write: WriteHalf, bounds: Bounds) -> (Outbox<P>, JoinHandle<std::io::Result<()>>) {
     let (outbox, inside) = Outbox::new(bounds.outbox.0, bounds.outbox.1);
     (outbox, tokio::spawn(write_all(inside, write, bounds.write).in_current_span()))
 }
@@ -91,7 +89,7 @@
 pub async fn open(stream: TcpStream, name: &str, bounds: Bounds) -> Result<Link, LinkError> {
     // A delay for the sake of fuller packets would add to every answer.
     stream.set_nodelay(true).map_err(WireError::from)?;
-    let (read, write) = stream.into_split();
+    let (read, write) = split(stream);
     let mut reader = FramedRead::new(read, Codec { most: bounds.frame });
     let (outbox, writer) = outbox(write, bounds);
     let hello = Frame::new(Kind::HELLO).int(Field::VERSION, VERSION).text(Field::INSTANCE, name);
--- a/crates/curlewpoint-link/src/metrics.rs
+++ b/crates/curlewpoint-link/src/metrics.rs
@@ -21,6 +21,11 @@
         self.0.fetch_max(value, Relaxed);
     }
 
+    /// Adds one; true where that is the first.
+    pub fn is_first(&self) -> bool {
+        self.0.fetch_add(1, Relaxed) == 0
+    }
+
     pub fn get(&self) -> u64 {
         self.0.load(Relaxed)
     }
@@ -29,21 +34,36 @@
 /// What this process's connections have met.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Reads and writes that a signal interrupted, made again.
+    pub interrupted: Counter,
     /// Writes of which the kernel took a part only.
     pub short_writes: Counter,
     /// Frames that took longer than [`SLOW_FRAME_MS`](crate::SLOW_FRAME_MS) from their first byte to their last.
     pub slow_frames: Counter,
     /// The longest that a frame took from its first byte to its last, in milliseconds.
     pub slowest_frame_ms: Counter,
+    /// Frames that nobody waited for any more when a part of them was written: their connections were closed.
+    pub frames_cut: Counter,
+    /// Connections, sockets and accepts that failed for want of something on this side, and were tried again.
+    pub local_errors: Counter,
 }
 
-pub static METRICS: Metrics =
-    Metrics { short_writes: Counter::new(), slow_frames: Counter::new(), slowest_frame_ms: Counter::new() };
+pub static METRICS: Metrics = Metrics {
+    interrupted: Counter::new(),
+    short_writes: Counter::new(),
+    slow_frames: Counter::new(),
+    slowest_frame_ms: Counter::new(),
+    frames_cut: Counter::new(),
+    local_errors: Counter::new(),
+};
 
 impl Display for Metrics {
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        write!(f, "interrupted={} ", self.interrupted.get())?;
         write!(f, "short_writes={} ", self.short_writes.get())?;
         write!(f, "slow_frames={} ", self.slow_frames.get())?;
-        write!(f, "slowest_frame_ms={}", self.slowest_frame_ms.get())
+        write!(f, "slowest_frame_ms={} ", self.slowest_frame_ms.get())?;
+        write!(f, "frames_cut={} ", self.frames_cut.get())?;
+        write!(f, "local_errors={}", self.local_errors.get())
     }
 }
--- a/crates/curlewpoint-link/src/outbox.rs
+++ b/crates/curlewpoint-link/src/outbox.rs
@@ -40,6 +40,15 @@
         back
     }
 
+    /// The same for one that may finish once it is begun: true, or false with nothing changed.
+    pub fn take_back_unbegun(&self) -> bool {
+        self.step(QUEUED, TAKEN_BACK) || self.0.load(Ordering::Acquire) == TAKEN_BACK
+    }
+
+    fn is_unwanted(&self) -> bool {
+        self.0.load(Ordering::Acquire) == UNWANTED
+    }
+
     /// Not a byte of it was taken after all: it is queued again, or dropped where nobody waits for it any more.
     fn unbegin(&self) {
         if !self.step(BEGUN, QUEUED) {
@@ -142,6 +151,13 @@
 /// logged, as what was due to go out by then has not.
 pub const SLOW_FRAME_MS: u64 = 100;
 
+/// Counts a write of which the kernel took a part only; the first is logged.
+fn note_short_write(taken: usize, of: usize) {
+    if taken < of && METRICS.short_writes.is_first() {
+        info!(taken, of, "a write was cut short, said once");
+    }
+}
+
 /// What the writer has taken out of its outbox.
 struct Taken<P> {
     /// Not begun: each may still be taken back, however long the peer takes nothing.
@@ -149,13 +165,14 @@
     /// What is left of the one frame that was begun and not finished, and what its outbox counts it for.
     rest: VecDeque<Bytes>,
     rest_size: usize,
-    /// When the first byte of that frame was written.
+    /// When the first byte of that frame was written, and its ticket.
     begun: Option<Instant>,
+    rest_ticket: Option<Ticket>,
 }
 
 impl<P: Parcel> Taken<P> {
     fn new() -> Taken<P> {
-        Taken { queued: VecDeque::new(), rest: VecDeque::new(), rest_size: 0, begun: None }
+        Taken { queued: VecDeque::new(), rest: VecDeque::new(), rest_size: 0, begun: None, rest_ticket: None }
     }
 
     /// Notes that a frame is written in part, or no frame is any more.
@@ -179,14 +196,19 @@
 
     /// Hands bytes to the kernel once. A frame counts as begun only while the kernel is asked to take it, and where a
     /// byte of it was taken; what it took nothing of is queued again. Guards against frames that were gathered for a peer
-    /// that takes nothing: they would go out long after whoever sent them had gone, or after a worker's drain.
+    /// that takes nothing: they would go out long after whoever sent them had gone, or after a worker's drain. For the same
+    /// reason the rest of a frame that nobody waits for any more is not written: nothing can follow it, and the connection ends.
     fn poll_write(
         &mut self, inside: &mut Inside<P>, to: Pin<&mut impl AsyncWrite>, cx: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
         let freed = |size| inside.bytes.fetch_sub(size, Ordering::AcqRel);
+        if !self.rest.is_empty() && self.rest_ticket.as_ref().is_some_and(Ticket::is_unwanted) {
+            METRICS.frames_cut.add(1);
+            return Poll::Ready(Err(ErrorKind::ConnectionAborted.into()));
+        }
         if let Some(part) = self.rest.front_mut() {
             let n = ready!(to.poll_write(cx, part))?;
-            METRICS.short_writes.add(u64::from(n < part.len()));
+            note_short_write(n, part.len());
             part.advance(n);
             if part.is_empty() {
                 self.rest.pop_front();
@@ -228,21 +250,24 @@
             Poll::Ready(Ok(n)) => *n,
             _ => 0,
         };
-        METRICS.short_writes.add(u64::from(asked.is_ready() && n < small.len()));
+        if matches!(asked, Poll::Ready(Ok(_))) {
+            note_short_write(n, small.len());
+        }
         for (start, item) in starts.iter().zip(&self.queued) {
             if *start >= n {
                 item.ticket.iter().for_each(Ticket::unbegin);
             }
         }
         for (no, _) in starts.iter().enumerate().take_while(|(_, start)| **start < n) {
-            let size = self.queued.pop_front().map_or(0, |item| item.frame.size());
+            let Some(Item { frame, ticket }) = self.queued.pop_front() else { break };
+            let size = frame.size();
             let end = starts.get(no + 1).copied().unwrap_or(small.len());
             let body = large.take_if(|_| no + 1 == starts.len());
             self.rest.extend((n < end).then(|| small.slice(n..end)).into_iter().chain(body));
             if self.rest.is_empty() {
                 freed(size);
             } else {
-                self.rest_size = size;
+                (self.rest_size, self.rest_ticket) = (size, ticket);
             }
         }
         match ready!(asked) {
--- a/crates/curlewpoint-link/src/outbox/tests.rs
+++ b/crates/curlewpoint-link/src/outbox/tests.rs
@@ -139,3 +139,42 @@
         assert_eq!(bytes.load(Ordering::Acquire), 0);
     }
 }
+
+/// Guards against the rest of a frame that comes long after whoever sent it has gone, where a peer that took its first bytes
+/// reads on only then: nothing more is written, and what waits behind it can be taken back.
+#[tokio::test]
+async fn the_rest_of_a_frame_that_nobody_waits_for_is_not_written() {
+    const TAKEN: usize = 10;
+    let (to, mut peer) = tokio::io::duplex(TAKEN);
+    let (outbox, inside) = Outbox::new(8, 1 << 20);
+    let (begun, behind) = (Ticket::default(), Ticket::default());
+    outbox.send(frame(), Some(begun.clone())).unwrap();
+    outbox.send(frame(), Some(behind.clone())).unwrap();
+    let writer = tokio::spawn(write_all(inside, to, LIMIT));
+    let mut first = [0; TAKEN];
+    tokio::io::AsyncReadExt::read_exact(&mut peer, &mut first[..1]).await.unwrap();
+    assert!(!begun.take_back(), "it was begun");
+    let mut rest = Vec::new();
+    tokio::io::AsyncReadExt::read_to_end(&mut peer, &mut rest).await.unwrap();
+    assert!(rest.len() < 2 * TAKEN, "{} bytes of a frame that nobody wants", rest.len());
+    assert_eq!(writer.await.unwrap().unwrap_err().kind(), ErrorKind::ConnectionAborted);
+    assert!(behind.take_back(), "nothing of the next was begun");
+}
+
+/// The same of an attempt as its worker drains: it was begun before, and finishes.
+#[tokio::test]
+async fn the_rest_of_an_attempt_is_written_as_its_worker_drains() {
+    let (to, mut peer) = tokio::io::duplex(10);
+    let (outbox, inside) = Outbox::new(8, 1 << 20);
+    let begun = Ticket::default();
+    outbox.send(frame(), Some(begun.clone())).unwrap();
+    let writer = tokio::spawn(write_all(inside, to, LIMIT));
+    let mut first = [0; 1];
+    tokio::io::AsyncReadExt::read_exact(&mut peer, &mut first).await.unwrap();
+    assert!(!begun.take_back_unbegun());
+    drop(outbox);
+    let mut rest = Vec::new();
+    tokio::io::AsyncReadExt::read_to_end(&mut peer, &mut rest).await.unwrap();
+    assert_eq!(rest.len() + 1, HEAD_BYTES + frame().head().len() + 20);
+    writer.await.unwrap().unwrap();
+}
--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -3,7 +3,9 @@
 
 use bytes::Bytes;
 use curlewpoint_engine::ClientId;
-use curlewpoint_link::{at_once, linger, next_at_once, outbox, Ahead, Bounds, Clock, LINGER};
+use curlewpoint_link::{
+    at_once, is_of_one_accept, linger, next_at_once, outbox, split, Ahead, Bounds, Clock, LINGER, METRICS,
+};
 use curlewpoint_platform::asked::CANCEL;
 use curlewpoint_platform::resp::{Commands, RespError};
 use tokio::net::{TcpListener, TcpStream};
@@ -97,6 +99,7 @@
                 }
                 comes = Some(stream);
             }
+            Err(e) if is_of_one_accept(&e) => METRICS.local_errors.add(1),
             Err(e) => {
                 // Out of descriptors, most likely. Room is made as at the cap, and nothing spins meanwhile.
                 say_once(&mut doors, true, &e.to_string());
@@ -112,8 +115,12 @@
     // What the machine has accepted is asked for once more after the driver has looked.
     yield_now().await;
     comes.into_iter().for_each(|stream| let_in(&mut doors, stream, waited));
-    while let Some(Ok((stream, _))) = at_once(listener.accept()).await {
-        let_in(&mut doors, stream, false);
+    loop {
+        match at_once(listener.accept()).await {
+            Some(Ok((stream, _))) => let_in(&mut doors, stream, false),
+            Some(Err(e)) if is_of_one_accept(&e) => {}
+            _ => break,
+        }
     }
 }
 
@@ -146,7 +153,7 @@
 
 async fn client(id: ClientId, stream: TcpStream, desk: Desk, presence: Arc<Presence>, place: Place) {
     let _ = stream.set_nodelay(true);
-    let (read, write) = stream.into_split();
+    let (read, write) = split(stream);
     let codec = Commands { most_words: 8, most_word: desk.bounds.frame };
     let mut reader = FramedRead::new(read, codec);
     // Nothing is kept for it, here or with the engine, until it has said a first thing.
--- a/crates/curlewpoint-node/src/outside.rs
+++ b/crates/curlewpoint-node/src/outside.rs
@@ -93,6 +93,15 @@
         self.tickets.get(&request).is_some_and(|(ticket, ..)| ticket.take_back())
     }
 
+    fn take_back_at_drain(&mut self, _conn: ConnId, request: RequestId) -> bool {
+        let Some((ticket, _, name)) = self.tickets.get(&request) else { return false };
+        if name.starts_with(OWN) {
+            ticket.take_back()
+        } else {
+            ticket.take_back_unbegun()
+        }
+    }
+
     fn withdraw(&mut self, conn: ConnId, request: RequestId) {
         let (Some(outbox), Some((_, _, name))) = (self.outboxes.get(&conn), self.tickets.get(&request))
         else {
--- a/crates/curlewpoint-node/src/workers.rs
+++ b/crates/curlewpoint-node/src/workers.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use curlewpoint_engine::ConnId;
-use curlewpoint_link::{is_ours, linger, outbox, Bounds};
+use curlewpoint_link::{dial, is_ours, linger, outbox, split, Bounds};
 use curlewpoint_platform::lines::{LineError, Lines};
 use serde_json::{Map, Value};
 use tokio::net::TcpStream;
@@ -31,7 +31,7 @@
         let (bounds, limit, notes) = (self.bounds, self.limit, self.notes.clone());
         let span = info_span!("connection", conn = conn.0, address);
         let conversation = async move {
-            let dialled = timeout(limit, TcpStream::connect(&address)).await;
+            let dialled = timeout(limit, dial(&address)).await;
             let (why, ours) = match dialled {
                 Ok(Ok(stream)) => return converse(conn, stream, bounds, notes).await,
                 Ok(Err(why)) => (why.to_string(), is_ours(&why)),
@@ -63,7 +63,7 @@
 async fn converse(conn: ConnId, stream: TcpStream, bounds: Bounds, notes: mpsc::Sender<Note>) {
     // A delay for the sake of fuller packets would add to every answer.
     let _ = stream.set_nodelay(true);
-    let (read, write) = stream.into_split();
+    let (read, write) = split(stream);
     let (outbox, mut writer) = outbox::<Bytes>(write, bounds);
     let mut reader = FramedRead::new(read, Lines { most: bounds.frame, looked_at: 0 });
     if notes.send(Note::Up(conn, outbox)).await.is_err() {
