Count answers of places that the directory has left; ask again soon for a lost one

Cause: a reload made a new socket, also for the same address, and dropped what had been asked at the old one; an answer was waited for 0.2 s each time, and an interrupted call counted as a failure to read. Change: answers are read before a move is looked at, and of up to three places left; four questions in a row are put again after three times the last answer's time (40 to 200 ms).

--- a/crates/curlewpoint-node/src/directory.rs
+++ b/crates/curlewpoint-node/src/directory.rs
@@ -1,22 +1,37 @@
+//! Follows the directory over UDP: what it tells goes to the engine's task as whole lists.
+
 use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use curlewpoint::types::Standing;
-use curlewpoint_link::is_ours;
+use curlewpoint_link::{is_ours, METRICS};
 use curlewpoint_platform::dns::{self, DirectoryError, MOST_ANSWER};
 use curlewpoint_platform::Roll;
 use oorandom::Rand64;
+use tokio::io::ReadBuf;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tracing::{debug, info};
 
 use crate::notes::Note;
 
-/// Between a good answer and the next question, and how long an answer is waited for.
+/// Between a good answer and the next question, and the longest that an answer is waited for before the next is put.
 const PAUSE: Duration = Duration::from_millis(200);
 const ANSWER: Duration = Duration::from_millis(200);
+/// So many questions in a row are put again sooner, this long after the one before at least.
+const QUICK: u32 = 4;
+const SOONEST: Duration = Duration::from_millis(40);
+/// A question that the kernel does not take for so long is given up.
+const SEND: Duration = Duration::from_millis(50);
+/// A call interrupted so often in a row is made again only after other tasks had their turn.
+const MOST_INTERRUPTS: usize = 16;
+/// Places left lately at which answers are still read.
+const MOST_BEFORE: usize = 3;
 /// After so many questions in a row without a good answer one line says so.
 const SILENT: u32 = 5;
 
@@ -81,97 +96,211 @@
     }
 }
 
-/// A socket to ask this directory. It is made while the one before is still open; where descriptors lack, that one makes
-/// room.
-async fn reach(address: SocketAddr, before: &mut Option<UdpSocket>) -> std::io::Result<UdpSocket> {
-    let bound = match UdpSocket::bind("0.0.0.0:0").await {
-        Err(why) if is_ours(&why) && before.take().is_some() => UdpSocket::bind("0.0.0.0:0").await,
-        bound => bound,
-    };
-    let socket = bound?;
-    socket.connect(address).await?;
-    Ok(socket)
+/// A place where the directory is asked, and the questions put there, the newest last.
+struct Place {
+    address: SocketAddr,
+    socket: UdpSocket,
+    asked: VecDeque<(u16, Instant)>,
+}
+
+impl Place {
+    async fn reach(address: SocketAddr) -> std::io::Result<Place> {
+        let socket = UdpSocket::bind("0.0.0.0:0").await?;
+        socket.connect(address).await?;
+        Ok(Place { address, socket, asked: VecDeque::new() })
+    }
+
+    /// Puts one more question. A send that is interrupted is made again, one that would wait is given up.
+    async fn ask(&mut self, id: u16) -> Result<(), String> {
+        self.asked.push_back((id, Instant::now()));
+        if self.asked.len() > QUESTIONS {
+            self.asked.pop_front();
+        }
+        let query = dns::query(id).map_err(|why| why.to_string())?;
+        for _ in 0..MOST_INTERRUPTS {
+            match timeout(SEND, self.socket.send(&query)).await {
+                Ok(Err(why)) if why.kind() == ErrorKind::Interrupted => METRICS.interrupted.add(1),
+                Ok(sent) => return sent.map(drop).map_err(|why| why.to_string()),
+                Err(_) => return Err("the question could not be sent in time".to_owned()),
+            }
+        }
+        Err("the question was interrupted again and again".to_owned())
+    }
+}
+
+/// Where the directory is asked now, and where it was asked before: answers that are on their way as it moves still count.
+#[derive(Default)]
+struct Places {
+    now: Option<Place>,
+    before: VecDeque<Place>,
+}
+
+/// What has come at a place: of the current one or of one before, and how long after its question.
+struct Came {
+    bytes: usize,
+    from_now: bool,
+    no: usize,
+}
+
+impl Places {
+    fn is_at(&self, address: SocketAddr) -> bool {
+        self.now.as_ref().is_some_and(|place| place.address == address)
+    }
+
+    /// Where descriptors lack, the places before make room.
+    async fn move_to(&mut self, address: SocketAddr) -> std::io::Result<()> {
+        let place = match Place::reach(address).await {
+            Err(why) if is_ours(&why) && (self.now.is_some() || !self.before.is_empty()) => {
+                (self.now, self.before) = Default::default();
+                Place::reach(address).await
+            }
+            reached => reached,
+        }?;
+        self.before.extend(self.now.replace(place));
+        if self.before.len() > MOST_BEFORE {
+            self.before.pop_front();
+        }
+        Ok(())
+    }
+
+    /// The next datagram at any place, the places before first. An error at one of them ends that place; one of the current is
+    /// handed on.
+    fn poll_recv(&mut self, cx: &mut Context<'_>, to: &mut [u8]) -> Poll<std::io::Result<Came>> {
+        let mut no = 0;
+        while let Some(place) = self.before.get(no) {
+            let mut buffer = ReadBuf::new(to);
+            match place.socket.poll_recv(cx, &mut buffer) {
+                Poll::Ready(Ok(())) => {
+                    return Poll::Ready(Ok(Came { bytes: buffer.filled().len(), from_now: false, no }))
+                }
+                Poll::Ready(Err(why)) if why.kind() == ErrorKind::Interrupted => METRICS.interrupted.add(1),
+                Poll::Ready(Err(_)) => drop(self.before.remove(no)),
+                Poll::Pending => no += 1,
+            }
+        }
+        let Some(place) = &self.now else { return Poll::Pending };
+        for _ in 0..MOST_INTERRUPTS {
+            let mut buffer = ReadBuf::new(to);
+            match ready!(place.socket.poll_recv(cx, &mut buffer)) {
+                Ok(()) => {
+                    return Poll::Ready(Ok(Came { bytes: buffer.filled().len(), from_now: true, no: 0 }))
+                }
+                Err(why) if why.kind() == ErrorKind::Interrupted => METRICS.interrupted.add(1),
+                Err(why) => return Poll::Ready(Err(why)),
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    fn asked(&self, came: &Came) -> Option<&VecDeque<(u16, Instant)>> {
+        let place = if came.from_now { self.now.as_ref() } else { self.before.get(came.no) };
+        place.map(|place| &place.asked)
+    }
+}
+
+/// When the next question is due. While answers come they are a pause apart. One that has not come in some times the usual is
+/// asked for again soon, for a few times: what an answer that was lost told counts as told, and a drain's grace is short.
+struct Schedule {
+    due: Instant,
+    /// A question is out; and how many in a row had no answer.
+    out: bool,
+    unanswered: u32,
+    /// How long the last answer took.
+    took: Duration,
+}
+
+impl Schedule {
+    fn answered(&mut self, took: Duration) {
+        *self = Schedule { due: Instant::now() + PAUSE, out: false, unanswered: 0, took };
+    }
+
+    fn failed(&mut self) {
+        (self.due, self.out) = (Instant::now() + PAUSE / 4, false);
+    }
+
+    fn asked(&mut self) {
+        let soon = (self.took * 3).clamp(SOONEST, ANSWER);
+        let wait = if self.unanswered < QUICK { soon } else { ANSWER };
+        (self.due, self.out, self.unanswered) = (Instant::now() + wait, true, self.unanswered + 1);
+    }
 }
 
 /// Asks the directory again and again, at the address told last. While it says nothing the list held goes on to be
-/// used. An answer counts whichever of the last questions it is to: lists are numbered, and what an answer tells counts
-/// as told from the moment it was sent, however late it comes.
+/// used. An answer counts whichever of the last questions it is to, also of a place that was left: lists are numbered, and what
+/// an answer tells counts as told from the moment it was sent, however late it comes.
 pub(crate) async fn follow(mut at: watch::Receiver<SocketAddr>, notes: mpsc::Sender<Note>, mut rng: Rand64) {
-    let (mut health, mut socket, mut moves) = (Health { failures: 0 }, None, true);
+    let (mut health, mut places, mut moves) = (Health { failures: 0 }, Places::default(), true);
     let mut answer = vec![0; MOST_ANSWER];
-    loop {
+    let mut schedule = Schedule { due: Instant::now(), out: false, unanswered: 0, took: Duration::ZERO };
+    // Until when nothing is read, after a failure to read.
+    let mut deaf = Instant::now();
+    while !notes.is_closed() {
         let address = *at.borrow_and_update();
-        let asking = match reach(address, &mut socket).await {
-            Ok(new) => socket.insert(new),
-            Err(why) => {
+        if !places.is_at(address) {
+            if places.now.is_some() {
+                info!("the directory is at {address}");
+            }
+            if let Err(why) = places.move_to(address).await {
                 health.bad(address, &format!("no socket to ask it: {why}"));
-                sleep(PAUSE).await;
+                sleep(PAUSE / 4).await;
                 continue;
             }
-        };
-        let mut asked: VecDeque<u16> = VecDeque::new();
-        // When the next question is due; whether one is out; and until when nothing is read, after a failure to read.
-        let (mut due, mut out, mut deaf) = (Instant::now(), false, Instant::now());
-        loop {
-            tokio::select! {
-                biased;
-                moved = at.changed(), if moves => match moved {
-                    Ok(()) => break,
-                    Err(_) => moves = false,
-                },
-                got = asking.recv(&mut answer), if Instant::now() >= deaf => match got {
-                    Ok(n) => match read(&answer[..n], &asked) {
-                        Ok((list, newest)) => {
-                            health.good();
-                            if newest {
-                                (out, due) = (false, Instant::now() + PAUSE);
-                            }
-                            if notes.send(Note::List(list)).await.is_err() {
-                                return;
-                            }
+            schedule.failed();
+            schedule.due = Instant::now();
+        }
+        tokio::select! {
+            biased;
+            // Before a move, so that what has come already is not left unread.
+            got = poll_fn(|cx| places.poll_recv(cx, &mut answer)), if Instant::now() >= deaf => match got {
+                Ok(came) => match read(&answer[..came.bytes], places.asked(&came)) {
+                    Ok((list, newest, took)) => {
+                        health.good();
+                        if came.from_now && newest {
+                            schedule.answered(took);
                         }
-                        Err(DirectoryError::NotMine) => debug!("an answer to another question"),
-                        Err(why) => {
-                            health.bad(address, &why.to_string());
-                            (out, due) = (false, Instant::now() + PAUSE / 4);
+                        if notes.send(Note::List(list)).await.is_err() {
+                            return;
                         }
-                    },
+                    }
+                    Err(DirectoryError::NotMine) => debug!("an answer to another question"),
+                    Err(_) if !came.from_now => {}
                     Err(why) => {
                         health.bad(address, &why.to_string());
-                        deaf = Instant::now() + PAUSE / 4;
-                        (out, due) = (false, deaf);
+                        schedule.failed();
                     }
                 },
-                () = sleep_until(due) => {
-                    if out {
-                        health.bad(address, "no answer in time");
-                    }
-                    let id = rng.rand_u64() as u16;
-                    asked.push_back(id);
-                    if asked.len() > QUESTIONS {
-                        asked.pop_front();
+                Err(why) => {
+                    health.bad(address, &why.to_string());
+                    schedule.failed();
+                    deaf = schedule.due;
+                }
+            },
+            moved = at.changed(), if moves => moves = moved.is_ok(),
+            () = sleep_until(schedule.due) => {
+                if schedule.out {
+                    health.bad(address, "no answer in time");
+                }
+                let id = rng.rand_u64() as u16;
+                if let Some(place) = &mut places.now {
+                    if let Err(why) = place.ask(id).await {
+                        health.bad(address, &why);
                     }
-                    let sent = match dns::query(id) {
-                        Ok(query) => asking.send(&query).await.map(drop).map_err(|e| e.to_string()),
-                        Err(why) => Err(why.to_string()),
-                    };
-                    sent.unwrap_or_else(|why| health.bad(address, &why));
-                    (out, due) = (true, Instant::now() + ANSWER);
                 }
-            }
-            if notes.is_closed() {
-                return;
+                schedule.asked();
             }
         }
-        info!("the directory is at {}", *at.borrow());
     }
 }
 
-/// An answer to one of these questions, and whether that is the newest of them.
-fn read(answer: &[u8], asked: &VecDeque<u16>) -> Result<(List, bool), DirectoryError> {
+/// An answer to one of these questions, whether that is the newest of them, and how long it took.
+fn read(
+    answer: &[u8], asked: Option<&VecDeque<(u16, Instant)>>,
+) -> Result<(List, bool, Duration), DirectoryError> {
     let id = answer.first_chunk().map_or(0, |id| u16::from_be_bytes(*id));
-    let to = asked.iter().rev().position(|a| *a == id).ok_or(DirectoryError::NotMine)?;
+    let asked = asked.ok_or(DirectoryError::NotMine)?;
+    let to = asked.iter().rposition(|(a, _)| *a == id).ok_or(DirectoryError::NotMine)?;
     let mut list = List::default();
     dns::read(answer, id, &mut list)?;
-    Ok((list, to == 0))
+    Ok((list, to + 1 == asked.len(), asked[to].1.elapsed()))
 }
