Soak real node processes under a seeded mix of faults, judged from their sockets

Cause: none of the project's plays met failing system calls, signals in series, moves and drains together with clients that go on until the kill. Change: curlewpoint-soak and 'fleet soak': processes of node among stand-ins of clients, workers and the directory; seven rules judged from the record, with how often each had its chance.

--- a/crates/curlewpoint-cli/src/commands/fleet.rs
+++ b/crates/curlewpoint-cli/src/commands/fleet.rs
@@ -36,6 +36,8 @@
     Play(PlayFleet),
     /// Names the plays that this program ships.
     Plays,
+    /// Processes of `node` under a seeded mix of faults, judged by what passed on the sockets of their stand-ins.
+    Soak(super::soak::Soak),
     /// Hollow schedulers, many in this process: the real state machines and frames over a made-up network and time;
     /// prints what each budget of the plan meets at each size.
     Scale(Scale),
@@ -315,6 +317,7 @@
                     Err(why) => fail(FAILED, &why),
                 }
             }),
+            What::Soak(what) => what.run(),
             What::Plays => {
                 for (name, text) in PLAYS {
                     let about: Vec<&str> =
--- a/crates/curlewpoint-cli/src/commands/mod.rs
+++ b/crates/curlewpoint-cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 pub mod journal;
 pub mod node;
 pub mod serve;
+pub mod soak;
 pub mod stand;
 pub mod trigger;
 
--- /dev/null
+++ b/crates/curlewpoint-soak/src/lib.rs
@@ -0,0 +1,20 @@
+//! A soak: real processes of `node` among stand-ins of their clients, workers and directory, under a seeded mix of faults. Clients
+//! keep using open connections until a process is killed, at the earliest moment that the platform allows.
+//!
+//! What is judged is what passed on the stand-ins' own sockets ([`Ledger`], [`judge`]); no process is asked about itself. The same
+//! seed draws the same plan and the same faults; the moments at which they meet the load are the machine's.
+
+mod client;
+mod directory;
+mod judge;
+mod ledger;
+mod plan;
+mod process;
+mod run;
+mod worker;
+
+pub use judge::{judge, Break, Chances, Rule, Verdict};
+pub use ledger::{Arrival, Ledger, NodeLife, Request, RequestId, Word};
+pub use plan::{Plan, Terms};
+pub use process::Program;
+pub use run::{run, Report};
--- /dev/null
+++ b/crates/curlewpoint-soak/src/plan.rs
@@ -0,0 +1,122 @@
+//! What a seed draws: how many processes, which faults and how often.
+
+use std::time::Duration;
+
+use oorandom::Rand64;
+
+/// The limits that the platform's pages set and the judge holds processes to.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    pub drain_grace: Duration,
+    /// The longest time that a client waits.
+    pub longest_deadline: Duration,
+    /// From SIGTERM on, after the longest deadline, until SIGKILL.
+    pub kill_after: Duration,
+    /// The rate of load orders: so many, and so many for each request, within the window.
+    pub order_floor: f64,
+    pub order_share: f64,
+    pub order_window: Duration,
+}
+
+pub const TERMS: Terms = Terms {
+    drain_grace: Duration::from_millis(500),
+    longest_deadline: Duration::from_millis(2_000),
+    kill_after: Duration::from_millis(700),
+    order_floor: 6.0,
+    order_share: 0.2,
+    order_window: Duration::from_millis(5_000),
+};
+
+/// How the directory's answers fare, each a share of all.
+#[derive(Clone, Copy, Debug)]
+pub struct DirectoryFaults {
+    pub lost: f64,
+    pub late: f64,
+    pub failed: f64,
+    pub doubled: f64,
+    pub outdated: f64,
+}
+
+/// How attempts fare at workers, each a share of all.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerFaults {
+    pub turned_away: f64,
+    pub failed: f64,
+    pub silent: f64,
+    pub reset: f64,
+    /// Answers written in two pieces.
+    pub in_pieces: f64,
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub length: Duration,
+    pub processes: usize,
+    pub workers: usize,
+    pub clients: usize,
+    /// Connections that say nothing, or ask once and stay.
+    pub crowd: usize,
+    /// What workers do without a copy: answer a miss and wait for an order, or load.
+    pub misses: bool,
+    /// The script for the preloaded library; empty: none is loaded.
+    pub system_calls: String,
+    pub directory: DirectoryFaults,
+    pub worker: WorkerFaults,
+    /// Between two events of the operators or the machine.
+    pub pause: Duration,
+}
+
+/// The mixes of failing system calls, one of which a seed draws.
+const SYSTEM_CALLS: [&str; 6] = [
+    "",
+    "send tcp short 20%; recv tcp short 20%",
+    "send tcp EINTR 10%; recv tcp EINTR 10%; recv udp EINTR 10%; send udp EINTR 10%",
+    "accept ECONNABORTED 10%; accept EINTR 10%; connect tcp EADDRNOTAVAIL 10%; connect tcp ENETUNREACH 5%; socket ENOBUFS 5%",
+    "clock step 3600000 after 2500; clock step -7200000 after 6000; send tcp short 5%; recv tcp EINTR 5%",
+    "send tcp short 5%; recv tcp short 5%; send tcp EINTR 5%; recv tcp EINTR 5%; accept ENFILE 3%; recv udp EINTR 20%",
+];
+
+impl Plan {
+    /// What this seed draws, for so long and so many processes at most.
+    pub fn draw(seed: u64, length: Duration, most_processes: usize) -> Plan {
+        let mut rng = Rand64::new(u128::from(seed) << 8 | 0x50a4);
+        let mut below = |n: usize| rng.rand_range(0..n as u64) as usize;
+        let processes = 1 + below(most_processes.max(1));
+        let (workers, clients) = (3 + below(4), 2 + below(4));
+        let crowd = if below(4) == 0 { 150 } else { 0 };
+        let misses = below(2) == 0;
+        let mix = SYSTEM_CALLS[below(SYSTEM_CALLS.len())];
+        let pause = Duration::from_millis(300 + below(1_200) as u64);
+        let mut share = |most: f64| rng.rand_float() * most;
+        let directory = DirectoryFaults {
+            lost: share(0.3),
+            late: share(0.2),
+            failed: share(0.05),
+            doubled: share(0.1),
+            outdated: share(0.1),
+        };
+        let worker = WorkerFaults {
+            turned_away: share(0.05),
+            failed: share(0.05),
+            silent: share(0.03),
+            reset: share(0.02),
+            in_pieces: share(0.2),
+        };
+        let system_calls = if mix.is_empty() { String::new() } else { format!("seed {seed}; {mix}") };
+        Plan {
+            seed,
+            length,
+            processes,
+            workers,
+            clients,
+            crowd,
+            misses,
+            system_calls,
+            directory,
+            worker,
+            pause,
+        }
+    }
+}
