--- a/crates/curlewpoint-cli/tests/system_calls.rs
+++ b/crates/curlewpoint-cli/tests/system_calls.rs
@@ -238,3 +238,39 @@
 fn short_reads_and_writes_lose_nothing() {
     all_are_served_under("short", "seed 3; send tcp short 30%; recv tcp short 30%");
 }
+
+/// Calls that are turned to a cold worker at once, and how many of them it may get in the first moments.
+const CALLS_TO_A_COLD_WORKER: u64 = 60;
+const FIRST_TO_A_COLD_WORKER: usize = 12;
+
+/// Guards slow start against a wall clock that is stepped by an hour: a worker that has just started is cold all the same.
+#[test]
+fn a_cold_worker_is_cold_though_the_wall_clock_has_been_stepped() {
+    let book = Book::default();
+    let ((warm, _), (cold, calls)) = (worker(&book), worker(&book));
+    let (tell, asked) = mpsc::channel();
+    let since = Arc::<AtomicU64>::default();
+    let workers = vec![warm.clone(), cold];
+    let resolver = directory(0, workers, Arc::clone(&since), Arc::default(), move |_| {
+        let _ = tell.send(());
+    });
+    let first = told(7, &resolver, &[warm], 256, settings(1));
+    let node = Node::start_with("clock", &first, 256, "clock step 3600000 after 300");
+    let mut client = Client::new(&node.address, &book);
+    for no in 1..=20 {
+        client.says(&call(no, no));
+        assert!(client.has_all());
+    }
+    let questions = |n: usize| (0..n).for_each(|_| asked.recv_timeout(STEP).expect("the directory is asked"));
+    asked.try_iter().for_each(drop);
+    questions(QUESTIONS_OF_A_GRACE);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    since.store(now, Ordering::Release);
+    questions(2);
+    for no in 100..100 + CALLS_TO_A_COLD_WORKER {
+        client.says(&call(no, no));
+    }
+    questions(1);
+    let came = calls.lock().unwrap().len();
+    assert!(came <= FIRST_TO_A_COLD_WORKER, "{came} calls came to a worker that has just started");
+}
