Serve to the kill after a stop; reckon ages on one clock; start through lacking buffers

Change: after a stop a node serves while a client holds a connection, refuses all from 0.2 s before the kill on, and ends by itself 0.5 s after it; the wall clock is read once a process; listening is tried again for a second.

--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -15,7 +15,7 @@
 pub use ahead::{at_once, next_at_once, Ahead};
 pub use clock::Clock;
 pub use ending::{dial, is_of_one_accept, is_ours, linger, LINGER};
-pub use link::{listen, open, outbox, Bounds, Link, LinkError, Reader};
+pub use link::{listen, listen_again, open, outbox, Bounds, Link, LinkError, Reader};
 pub use metrics::{Counter, Metrics, METRICS};
 pub use outbox::{Outbox, Parcel, SendError, Ticket, SLOW_FRAME_MS};
 pub use stream::{split, ReadHalf, WriteHalf};
--- a/crates/curlewpoint-link/src/link.rs
+++ b/crates/curlewpoint-link/src/link.rs
@@ -5,11 +5,13 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
 use tracing::Instrument;
 
-use crate::ending::{linger, LINGER};
+use crate::ending::{is_ours, linger, LINGER};
+use crate::metrics::METRICS;
 use crate::outbox::{write_all, Outbox, Parcel};
 use crate::stream::{split, ReadHalf, WriteHalf};
 
@@ -79,6 +81,24 @@
     socket.listen(BACKLOG)
 }
 
+/// Tries to listen, and the pause between them, where something on this side lacks for a moment.
+const LISTEN_TRIES: u32 = 50;
+const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+
+/// The same, tried again where something on this side lacks for a moment: a start does not fail for it.
+pub async fn listen_again(address: &str) -> std::io::Result<TcpListener> {
+    for _ in 1..LISTEN_TRIES {
+        match listen(address) {
+            Err(why) if is_ours(&why) => {
+                METRICS.local_errors.add(1);
+                sleep(LISTEN_PAUSE).await;
+            }
+            done => return done,
+        }
+    }
+    listen(address)
+}
+
 /// The outbox of a connection, whatever is spoken on it, and the task that writes.
 pub fn outbox<P: Parcel>(write: WriteHalf, bounds: Bounds) -> (Outbox<P>, JoinHandle<std::io::Result<()>>) {
     let (outbox, inside) = Outbox::new(bounds.outbox.0, bounds.outbox.1);
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -1,10 +1,10 @@
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use curlewpoint::types::{Copy, Standing, Time};
 use curlewpoint_engine::{ClientId, ConnId, Engine, Figures, Pool, PoolLimits, Refusal};
-use curlewpoint_link::{listen, Bounds, Clock, Turns, METRICS};
+use curlewpoint_link::{listen_again, Bounds, Clock, Turns, METRICS};
 use curlewpoint_platform::told::{self, Told, ToldError};
 use curlewpoint_platform::{asked, lines, Roll};
 use oorandom::Rand64;
@@ -50,6 +50,8 @@
 const COMING: Duration = Duration::from_millis(1_000);
 const KILLED: (Duration, Duration) = (Duration::from_millis(3_000), Duration::from_millis(700));
 const LAST_WORDS: Duration = Duration::from_millis(200);
+/// One that is not killed by so long after that moment ends by itself.
+const UNKILLED: Duration = Duration::from_millis(500);
 /// Looks, a second apart, at which RPCs had ended and none of them was served, after which one line says so.
 const NOBODY: u32 = 3;
 /// Descriptors that are neither clients' nor workers': listener, directory, signals and the like.
@@ -82,6 +84,7 @@
 /// Takes the list for the engine.
 struct ToEngine<'a> {
     engine: &'a mut Engine<Outside>,
+    clock: Clock,
     now: Time,
 }
 
@@ -94,8 +97,7 @@
         &mut self, name: &str, address: &str, standing: Standing, started: u64, zone: &str, cell: &str,
         size: f64,
     ) {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        let age = (started > 0).then(|| Time(wall.saturating_sub(started) * 10));
+        let age = (started > 0).then(|| self.clock.age_of_unix_ms(started));
         self.engine.list_row(self.now, name, address, standing, started, age, zone, cell, size);
     }
 
@@ -120,7 +122,7 @@
 /// Starts a scheduler. It serves from the moment this returns.
 pub async fn start(told: Told) -> Result<Running, StartError> {
     let Told { name, listen: at, seed, sockets, memory_mb, resolver, mut settings, known } = told;
-    let listener = listen(&at.to_string()).map_err(|e| StartError::Listen(at, e))?;
+    let listener = listen_again(&at.to_string()).await.map_err(|e| StartError::Listen(at, e))?;
     let address = listener.local_addr().map_err(|e| StartError::Listen(at, e))?;
     info!(name, %address, seed = %seed, sockets, memory_mb, "serving");
 
@@ -151,7 +153,7 @@
     let clock = Clock::start();
     let mut engine =
         Engine::start(clock.now(), Outside::new(Pool::new(limits, seed), dialler, clock), seed, settings);
-    told::known(&known, &mut ToEngine { engine: &mut engine, now: clock.now() })?;
+    told::known(&known, &mut ToEngine { engine: &mut engine, clock, now: clock.now() })?;
 
     let (tasks, closing) = (TaskTracker::new(), CancellationToken::new());
     let desk = clients::Desk {
@@ -166,8 +168,9 @@
     let (resolver, at) = watch::channel(resolver);
     let following = tokio::spawn(directory::follow(at, endings.clone(), Rand64::new(seed))).abort_handle();
     let (begun, ending) = (Instant::now(), None);
-    let (mismatched, listed, checked, service) = (false, 0, false, Service::default());
-    let turn = Turn { engine, clock, report, killed, begun, ending, mismatched, listed, checked, service };
+    let (mismatched, listed, checked, refusing, service) = (false, 0, false, false, Service::default());
+    let turn =
+        Turn { engine, clock, report, killed, begun, ending, refusing, mismatched, listed, checked, service };
     let end = tokio::spawn(async move {
         let figures = turn.run(Turns::new(ended, asks, ASKS), tasks, closing).await;
         following.abort();
@@ -217,8 +220,9 @@
     /// So long after a stop the platform kills what still runs.
     killed: Duration,
     begun: Instant,
-    /// When a stop was asked for.
+    /// When a stop was asked for, and whether it has come so far that all is refused.
     ending: Option<Instant>,
+    refusing: bool,
     /// Books were seen to differ, and it was said.
     mismatched: bool,
     /// The newest list heard of.
@@ -298,9 +302,18 @@
         }
     }
 
+    /// After a stop it serves until nothing is open and no client could send more on its connection. From shortly before the
+    /// platform kills it refuses what comes, so that nothing is open then; it goes on with that until it is killed, or ends by
+    /// itself where nobody does.
     fn is_over(&mut self) -> bool {
         let Some(since) = self.ending.map(|at| at.elapsed()) else { return false };
-        since + LAST_WORDS >= self.killed || (since >= COMING && self.engine.open() == 0)
+        if since + LAST_WORDS >= self.killed && !self.refusing {
+            self.refusing = true;
+            self.engine.stop_taking();
+            self.engine.abort_all(self.clock.now());
+        }
+        let is_idle = self.engine.open() == 0 && self.engine.world().clients.is_empty();
+        since >= self.killed + UNKILLED || (since >= COMING && is_idle)
     }
 
     fn note(&mut self, note: Note) {
@@ -352,7 +365,7 @@
                     self.listed = list.version();
                     debug!("list {} read", self.listed);
                 }
-                list.call(&mut ToEngine { engine, now });
+                list.call(&mut ToEngine { engine, clock: self.clock, now });
             }
             Note::Figures => self.log_figures("figures"),
             Note::Stop => {
--- a/crates/curlewpoint-soak/src/worker.rs
+++ b/crates/curlewpoint-soak/src/worker.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Condition {
     Well,
-    /// It neither reads nor answers.
+    /// It answers nothing. It reads on, so that the moment at which something came is known.
     Hangs,
     /// It resets all that it has, and whatever comes.
     Dead,
@@ -115,7 +115,7 @@
             let well = now == Condition::Well;
             tokio::select! {
                 changed = condition.changed() => if changed.is_err() { return },
-                got = stream.read(&mut some), if well => {
+                got = stream.read(&mut some) => {
                     let Ok(n @ 1..) = got else { return };
                     if unread.is_empty() {
                         first_byte = Instant::now();
