--- a/crates/curlewpoint-faults/src/interpose.rs
+++ b/crates/curlewpoint-faults/src/interpose.rs
@@ -32,6 +32,15 @@
     })
 }
 
+/// The script is read as the library is loaded, so that one that cannot be read ends the process before it does anything.
+#[used]
+#[link_section = ".init_array"]
+static READ_AT_LOAD: extern "C" fn() = read_at_load;
+
+extern "C" fn read_at_load() {
+    active();
+}
+
 /// The C library's own function of this name.
 fn original(name: &CStr) -> *mut c_void {
     // SAFETY: the name is a C string; the answer is only used as the function that it names.
--- a/crates/curlewpoint-node/src/lib.rs
+++ b/crates/curlewpoint-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod notes;
 mod outside;
 mod run;
+mod stall;
 mod workers;
 
 pub use run::{start, Running, StartError, Stopper};
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -19,6 +19,7 @@
 
 use crate::notes::Note;
 use crate::outside::Outside;
+use crate::stall::Stalls;
 use crate::workers::Dialler;
 use crate::{clients, directory};
 
@@ -167,10 +168,20 @@
     let accepting = tasks.spawn(clients::accept(listener, sockets / 2, desk));
     let (resolver, at) = watch::channel(resolver);
     let following = tokio::spawn(directory::follow(at, endings.clone(), Rand64::new(seed))).abort_handle();
-    let (begun, ending) = (Instant::now(), None);
-    let (mismatched, listed, checked, refusing, service) = (false, 0, false, false, Service::default());
-    let turn =
-        Turn { engine, clock, report, killed, begun, ending, refusing, mismatched, listed, checked, service };
+    let turn = Turn {
+        engine,
+        clock,
+        report,
+        killed,
+        begun: Instant::now(),
+        ending: None,
+        refusing: false,
+        mismatched: false,
+        listed: 0,
+        service: Service::default(),
+        stalls: Stalls::default(),
+        checked: false,
+    };
     let end = tokio::spawn(async move {
         let figures = turn.run(Turns::new(ended, asks, ASKS), tasks, closing).await;
         following.abort();
@@ -228,6 +239,7 @@
     /// The newest list heard of.
     listed: u64,
     service: Service,
+    stalls: Stalls,
     /// It was asked whether it is fit, and it was said when.
     checked: bool,
 }
@@ -279,7 +291,9 @@
     /// Waits until something has come, and takes it.
     async fn turn(&mut self, turns: &mut Turns<Note>, at_most: Duration) {
         let wake = self.engine.next_wake().map_or(at_most, |at| self.clock.until(at)).min(at_most);
-        for note in turns.next(wake).await {
+        let notes = turns.next(wake).await;
+        self.stalls.turns(self.clock.now());
+        for note in notes {
             self.note(note);
         }
         let now = self.clock.now();
@@ -464,6 +478,7 @@
         let world = self.engine.world();
         world.coming = req.into();
         world.clients.get_mut(&id).into_iter().for_each(|c| c.open.extend([tag]));
+        let left = left - self.stalls.waited(now);
         let taken = self.engine.rpc(now, (id, tag), method, model, tenant, left, field("opkey"), lanes, body);
         let Err(why) = taken else { return Ok(()) };
         debug!(client = id.0, tag, "not taken: {why:?}");
--- a/crates/curlewpoint-soak/src/client.rs
+++ b/crates/curlewpoint-soak/src/client.rs
@@ -17,7 +17,7 @@
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
 
-use crate::ledger::{Ledger, Request, RequestId, Word};
+use crate::ledger::{Ledger, NodeLife, Request, RequestId, Word};
 use crate::worker::is_body;
 
 /// What clients of one process share.
@@ -205,12 +205,20 @@
         self.with(o.id, |request| request.answers.push((Instant::now(), word)));
     }
 
+    /// The process was told to end, or was killed, a moment ago: what ends then is no close of an idle connection.
+    fn is_ending(&self, now: Instant) -> bool {
+        let books = self.ledger.books();
+        let lives = books.lives.iter().filter(|((node, _), _)| *node == self.node);
+        let ends = |life: &NodeLife| life.killed.max(life.ended.map(|(at, _)| at));
+        lives.filter_map(|(_, life)| ends(life)).any(|at| at + 2 * CROSSING >= now)
+    }
+
     /// The other side has ended the connection.
     fn is_cut_off(&self, open: &BTreeMap<u64, Open>, last: Option<Call>) -> Option<Call> {
         let now = Instant::now();
         let waits: Vec<&Open> = open.values().filter(|o| !o.cancelled).collect();
         if let ([o], Some(call)) = (&waits[..], last) {
-            if o.alone && call.id == o.id && now - o.written <= CROSSING {
+            if o.alone && call.id == o.id && now - o.written <= CROSSING && !self.is_ending(now) {
                 self.ledger.books().requests.remove(&call.id);
                 return Some(call);
             }
--- a/crates/curlewpoint-soak/src/lib.rs
+++ b/crates/curlewpoint-soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod directory;
 mod judge;
+mod lateness;
 mod ledger;
 mod plan;
 mod process;
--- a/crates/curlewpoint-soak/src/run.rs
+++ b/crates/curlewpoint-soak/src/run.rs
@@ -17,6 +17,7 @@
 use crate::client::Clients;
 use crate::directory::{wall_ms, Board, Row, Server};
 use crate::judge::{judge, Verdict};
+use crate::lateness::{Lateness, MOST_LATE};
 use crate::ledger::{Ledger, LifeId, NodeLife};
 use crate::plan::{Plan, TERMS};
 use crate::process::{Process, Program};
@@ -310,7 +311,7 @@
         rng,
         names: 0,
     };
-    let begun = Instant::now();
+    let (begun, lateness) = (Instant::now(), Lateness::watch());
     for no in 0..plan.processes {
         let mut addresses = Vec::new();
         for worker in &run.workers {
@@ -364,6 +365,10 @@
             }
         }
     }
+    let late = lateness.ends();
+    if late > MOST_LATE {
+        ledger.books().faults_of_the_rig.push(format!("the rig was late by up to {late:?}"));
+    }
     let books = ledger.books();
     let served =
         books.requests.values().filter(|r| r.answers.iter().any(|(_, w)| *w == crate::Word::Good)).count();
