--- a/crates/curlewpoint-cli/tests/system_calls.rs
+++ b/crates/curlewpoint-cli/tests/system_calls.rs
@@ -274,3 +274,57 @@
     let came = calls.lock().unwrap().len();
     assert!(came <= FIRST_TO_A_COLD_WORKER, "{came} calls came to a worker that has just started");
 }
+
+/// Requests for a document over one connection of the HTTP door.
+const DOCUMENTS: usize = 40;
+
+/// The same of the gateway's HTTP door.
+#[test]
+fn interrupted_and_short_calls_lose_nothing_at_the_http_door() {
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let config = std::env::temp_dir().join(format!("curlewpoint-http-{}.conf", std::process::id()));
+    let text = format!(
+        "name front-1\nlisten 127.0.0.1:0\nhttp {free}\nlist 127.0.0.1:9\nmethod issue {{\n  effect side-effecting\n  soft-deadline 2s\n  deadline 5s\n}}\n"
+    );
+    std::fs::write(&config, text).unwrap();
+    let mut serve = std::process::Command::new(env!("CARGO_BIN_EXE_curlewpoint"));
+    serve.arg("serve").arg(&config).stdout(std::process::Stdio::piped()).stderr(std::process::Stdio::null());
+    serve.env("LD_PRELOAD", faults_library());
+    serve.env(
+        "CURLEWPOINT_FAULTS",
+        "seed 5; send tcp short 30%; recv tcp short 30%; send tcp EINTR 10%; recv tcp EINTR 10%",
+    );
+    let mut gateway = serve.spawn().unwrap();
+    let mut first = String::new();
+    std::io::BufRead::read_line(&mut std::io::BufReader::new(gateway.stdout.take().unwrap()), &mut first)
+        .unwrap();
+    let mut client = TcpStream::connect(free).unwrap();
+    client.set_read_timeout(Some(std::time::Duration::from_secs(2))).unwrap();
+    let served = (0..DOCUMENTS).take_while(|_| is_served(&mut client)).count();
+    let _ = gateway.kill();
+    let _ = gateway.wait();
+    let _ = std::fs::remove_file(&config);
+    assert_eq!(served, DOCUMENTS);
+}
+
+/// Whether one request for the document has its whole answer.
+fn is_served(client: &mut TcpStream) -> bool {
+    if client.write_all(b"GET /openapi.json HTTP/1.1\r\nhost: x\r\n\r\n").is_err() {
+        return false;
+    }
+    let (mut got, mut some) = (Vec::new(), [0; 4096]);
+    loop {
+        let text = String::from_utf8_lossy(&got).to_lowercase();
+        let length = text.split("content-length: ").nth(1).and_then(|rest| rest.lines().next()?.parse().ok());
+        let body = text.find("\r\n\r\n").map(|end| got.len() - end - 4);
+        if let (Some(length), Some(body)) = (length, body) {
+            if body >= length {
+                return true;
+            }
+        }
+        match client.read(&mut some) {
+            Ok(n @ 1..) => got.extend_from_slice(&some[..n]),
+            _ => return false,
+        }
+    }
+}
