--- a/crates/curlewpoint-cli/src/commands/soak.rs
+++ b/crates/curlewpoint-cli/src/commands/soak.rs
@@ -1,8 +1,9 @@
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use clap::Args;
-use curlewpoint_soak::{run, Plan, Program, Report};
+use curlewpoint_soak::{run, Plan, Program, Report, Rule};
 
 use super::{block_on, fail, AT_FAULT, DONE, FAILED};
 
@@ -53,7 +54,9 @@
     if verdict.breaks.is_empty() {
         return;
     }
-    println!("  {} breaks; logs in {}", verdict.breaks.len(), report.folder.display());
+    let mut by_rule = BTreeMap::<Rule, usize>::new();
+    verdict.breaks.iter().for_each(|one| *by_rule.entry(one.rule).or_default() += 1);
+    println!("  {} breaks, {by_rule:?}; logs in {}", verdict.breaks.len(), report.folder.display());
     for one in verdict.breaks.iter().take(MOST_PRINTED) {
         println!("  {:?}: {}", one.rule, one.way);
     }
--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -3,7 +3,9 @@
 
 use curlewpoint_catalogue::Catalogue;
 use curlewpoint_engine::ClientId;
-use curlewpoint_link::{at_once, linger, next_at_once, open, Ahead, Bounds, Link, LINGER};
+use curlewpoint_link::{
+    at_once, is_of_one_accept, linger, next_at_once, open, Ahead, Bounds, Link, LINGER, METRICS,
+};
 use curlewpoint_wire::{Field, Frame, Kind};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
@@ -78,6 +80,7 @@
         };
         match accepted {
             Ok((stream, _)) => doors.let_in(stream),
+            Err(e) if is_of_one_accept(&e) => METRICS.local_errors.add(1),
             Err(e) => {
                 // Out of descriptors, most likely: those in use go on, and closing ones make room.
                 warn!("a connection could not be accepted: {e}");
