--- a/crates/curlewpoint-gateway/src/http.rs
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -12,7 +12,7 @@
 use curlewpoint::types::Time;
 use curlewpoint_catalogue::{method_in, Effect, Method as Described, Misfit, Release};
 use curlewpoint_engine::{Answer, ClientId, Refusal};
-use curlewpoint_link::{linger, split, Clock, ReadHalf, LINGER};
+use curlewpoint_link::{linger, Clock, LINGER};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -20,6 +20,7 @@
 use percent_encoding::percent_decode_str;
 use serde_json::json;
 use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch, OwnedSemaphorePermit, Semaphore};
@@ -94,7 +95,7 @@
 
 /// A connection's reading side, lent to the server: after the server has done with it, it is read to its end.
 #[derive(Clone)]
-struct Lent(Arc<Mutex<ReadHalf>>);
+struct Lent(Arc<Mutex<OwnedReadHalf>>);
 
 impl AsyncRead for Lent {
     fn poll_read(
@@ -133,7 +134,7 @@
 }
 
 async fn turn_away(stream: TcpStream, _place: OwnedSemaphorePermit) {
-    let (mut read, write) = split(stream);
+    let (mut read, write) = stream.into_split();
     // With it the writing side is shut.
     drop(write);
     linger(&mut read, LINGER.0, LINGER.1).await;
@@ -144,7 +145,7 @@
 ) {
     let (peer, limits) = (stream.peer_addr().ok(), door.limits);
     let _ = stream.set_nodelay(true);
-    let (read, write) = split(stream);
+    let (read, write) = stream.into_split();
     let mut lent = Lent(Arc::new(Mutex::new(read)));
     let service = tower::service_fn(move |request: Request<hyper::body::Incoming>| {
         let door = Arc::clone(&door);
