node: log and count each close of a client connection, with its reason

Change: a typed reason for each close, a counter for each (logged on SIGUSR1 and at exit), and a line at info level with the RPCs open and the commands read but not handled. Only the first close for a reason, and one that ends open RPCs, is logged at info level, as bad clients reconnect.

--- a/crates/curlewpoint-node/src/admission.rs
+++ b/crates/curlewpoint-node/src/admission.rs
@@ -62,10 +62,14 @@
         self.open_rpcs.load(Relaxed) as usize
     }
 
+    /// Commands that were read and not handled so far.
+    pub fn unhandled(&self) -> u64 {
+        self.commands_read.load(Relaxed).saturating_sub(self.commands_handled.load(Relaxed))
+    }
+
     /// Whether no RPC is open and every command read was handled.
     pub fn is_idle(&self) -> bool {
-        self.open_rpcs.load(Relaxed) == 0
-            && self.commands_read.load(Relaxed) == self.commands_handled.load(Relaxed)
+        self.open_rpcs.load(Relaxed) == 0 && self.unhandled() == 0
     }
 
     /// The eviction request if there is one: whether it applies even if an incomplete request is buffered.
--- a/crates/curlewpoint-node/src/lib.rs
+++ b/crates/curlewpoint-node/src/lib.rs
@@ -3,6 +3,7 @@
 //! over channels.
 
 mod admission;
+mod client_close;
 mod clients;
 mod discovery;
 mod driver;
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
+use crate::client_close::{CloseCounters, CloseReason};
 use crate::driver::NodeDriver;
 use crate::events::Event;
 use crate::stall::StallDetector;
@@ -197,6 +198,7 @@
         service_health: ServiceHealth::default(),
         stalls: StallDetector::default(),
         health_check_logged: false,
+        client_closes: CloseCounters::default(),
     };
     let stopped = tokio::spawn(async move {
         let counters = event_loop
@@ -264,6 +266,7 @@
     service_health: ServiceHealth,
     stalls: StallDetector,
     health_check_logged: bool,
+    client_closes: CloseCounters,
 }
 
 impl EventLoop {
@@ -308,6 +311,7 @@
         let (loads, probes, list) = (f.loads, f.probes, self.list_version);
         info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, f.cut_off, "{title}");
         info!(loads, probes, list, "sockets: {METRICS}");
+        info!("client connections closed: {}", self.client_closes);
     }
 
     /// Runs one iteration: waits for events, at most `max_wait` or until the engine's next timer, and handles them.
@@ -359,7 +363,7 @@
             Event::ClientConnected(id, client) => drop(engine.driver().clients.insert(id, client)),
             Event::ClientCommand(id, words) | Event::ClientCancel(id, words) => {
                 if let Err(reason) = self.client_command(now, id, words) {
-                    self.close_client(now, id, reason);
+                    self.close_client(now, id, &reason);
                 }
                 if let Some(client) = self.engine.driver().clients.get(&id) {
                     client.activity.command_handled(client.open.len());
@@ -372,7 +376,7 @@
                     engine.driver().clients.remove(&id);
                 }
             }
-            Event::ClientDisconnected(id, Some(error)) => self.close_client(now, id, &error.to_string()),
+            Event::ClientDisconnected(id, Some(error)) => self.close_client(now, id, &error.into()),
             Event::ClientDisconnected(id, None) => {
                 engine.driver().clients.remove(&id);
                 engine.client_gone(now, id);
@@ -412,16 +416,19 @@
     }
 
     /// Handles a command. After an error the client is to be disconnected.
-    fn client_command(&mut self, now: Time, id: ClientId, words: Vec<Bytes>) -> Result<(), &'static str> {
+    fn client_command(&mut self, now: Time, id: ClientId, words: Vec<Bytes>) -> Result<(), CloseReason> {
         let stopping = self.stop_requested.is_some();
         let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
         client.silent_intervals = 0;
         let word = |index: usize| words.get(index).map_or(&b""[..], |w| &w[..]);
-        let tag = commands::parse_tag(word(1)).ok_or("invalid tag")?;
+        let tag = commands::parse_tag(word(1)).ok_or(CloseReason::InvalidTag)?;
         match word(0) {
             commands::CALL => {
+                if client.tags.contains(tag) {
+                    return Err(CloseReason::TagReused(tag));
+                }
                 if !client.tags.insert(tag, MAX_TAG_RUNS) {
-                    return Err("tag already used, or too many separate tags");
+                    return Err(CloseReason::TagRuns);
                 }
                 if client.cancelled.remove(&tag) {
                     return Ok(());
@@ -440,7 +447,7 @@
             commands::CANCEL if !client.tags.contains(tag) => {
                 client.cancelled.insert(tag);
                 if client.cancelled.len() > MAX_TAG_RUNS {
-                    return Err("too many cancelled tags without a call");
+                    return Err(CloseReason::CancelledTags);
                 }
             }
             commands::CANCEL => {
@@ -456,19 +463,19 @@
                 }
                 self.engine.driver().reply(id, tag, status, "", b"");
             }
-            _ => return Err("unknown command"),
+            _ => return Err(CloseReason::UnknownCommand),
         }
         Ok(())
     }
 
     /// Replies to a call that was not accepted. A client that repeatedly sends malformed calls is disconnected.
-    fn reject_call(&mut self, id: ClientId, tag: u64, status: &str) -> Result<(), &'static str> {
+    fn reject_call(&mut self, id: ClientId, tag: u64, status: &str) -> Result<(), CloseReason> {
         let driver = self.engine.driver();
         driver.reply(id, tag, status, "", b"");
         if let Some(client) = driver.clients.get_mut(&id).filter(|_| status == commands::BROKEN) {
             client.malformed_calls += 1;
             if client.malformed_calls >= MAX_MALFORMED_CALLS {
-                return Err("too many malformed calls");
+                return Err(CloseReason::MalformedCalls);
             }
         }
         Ok(())
@@ -526,9 +533,10 @@
     }
 
     /// Ends a client's open RPCs with a reply each, and closes its connection.
-    fn close_client(&mut self, now: Time, id: ClientId, reason: &str) {
-        debug!(client = id.0, "closed: {reason}");
-        let open = self.engine.driver().clients.get(&id).map(|c| c.open.clone()).unwrap_or_default();
+    fn close_client(&mut self, now: Time, id: ClientId, reason: &CloseReason) {
+        let Some(client) = self.engine.driver().clients.get(&id) else { return };
+        let open = client.open.clone();
+        self.client_closes.record(id, reason, open.len(), client.activity.unhandled());
         for tag in open {
             self.engine.cancel(now, id, tag);
         }
