node: many cancels without a call no longer close a client's connection

What callers saw: at the 257th cancel whose call the scheduler does not know, the connection ended and its open RPCs were answered `broken`.

Cause: cancels overtake calls, so a cancel of an unknown tag was kept in case its call followed, for the life of the connection, and over 256 of them counted as the client's error. A client that keeps to the protocol gets there with cancels of health checks that cross the answer, and with second cancels of calls that were withdrawn while they were read ahead.

Change: the reading task says with each cancel how many commands it passed on before, as the gateway's does; what overtook its call is recorded only while one of these is unprocessed (OvertakingCancels, taken out of the gateway and shared). Cancels sent ahead of their call are remembered as before, but the 257th makes the scheduler forget the lowest tag instead of closing. So no number of cancels ends a connection, the memory stays bounded, and an overtaken call is withdrawn whatever was forgotten.

--- a/crates/curlewpoint-gateway/src/driver.rs
+++ b/crates/curlewpoint-gateway/src/driver.rs
@@ -6,7 +6,7 @@
 use curlewpoint_engine::{
     Answer, ClientId, ConnId, EngineDriver, Pool, PoolDriver, RequestId, UpstreamRequest,
 };
-use curlewpoint_link::{Outbox, Ticket};
+use curlewpoint_link::{Outbox, OvertakingCancels, Ticket};
 use curlewpoint_wire::{Field, Frame, Kind};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
@@ -22,45 +22,25 @@
     pub writer: AbortHandle,
     /// The client has sent GO_AWAY: it sends nothing more, and everything before that frame has been read.
     pub leaving: bool,
-    /// Number of events of this client's requests that have been processed.
-    processed: u64,
-    /// Cancelled tags, each with the number of the last event that may carry the cancelled RPC.
-    cancelled: BTreeMap<u64, u64>,
-    /// The largest of these event numbers.
-    cancelled_until: u64,
+    /// Cancels of RPCs that are still queued.
+    cancels: OvertakingCancels,
 }
 
 impl Client {
     pub fn new(outbox: Outbox, writer: AbortHandle) -> Client {
-        Client {
-            outbox,
-            writer,
-            leaving: false,
-            processed: 0,
-            cancelled: BTreeMap::new(),
-            cancelled_until: 0,
-        }
+        Client { outbox, writer, leaving: false, cancels: OvertakingCancels::default() }
     }
 
     /// Records the cancel of the RPC with this tag among the client's first `passed_on` events. A cancel overtakes
     /// RPCs, so the RPC may still be queued. Returns false if the client has more recorded cancels than allowed.
     pub fn record_cancel(&mut self, tag: u64, passed_on: u64) -> bool {
-        if passed_on > self.processed {
-            self.cancelled_until = self.cancelled_until.max(passed_on);
-            self.cancelled.insert(tag, passed_on);
-        }
-        self.cancelled.len() <= MAX_RECORDED_CANCELS
+        self.cancels.record(tag, passed_on);
+        self.cancels.len() <= MAX_RECORDED_CANCELS
     }
 
     /// Counts one more event of the client as processed. Returns whether the RPC with this tag has been cancelled.
     pub fn process(&mut self, tag: Option<u64>) -> bool {
-        self.processed += 1;
-        let cancelled =
-            tag.and_then(|tag| self.cancelled.get(&tag)).is_some_and(|last| self.processed <= *last);
-        if self.processed >= self.cancelled_until {
-            self.cancelled.clear();
-        }
-        cancelled
+        self.cancels.process(tag)
     }
 }
 
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -4,6 +4,7 @@
 //! An attempt may have run once a single byte of it was handed to the kernel. Each frame for which that matters has a
 //! [`Ticket`]: its sender can withdraw the frame until the writer has begun it, and never after.
 
+mod cancels;
 mod clock;
 mod event_queue;
 mod link;
@@ -13,6 +14,7 @@
 mod socket;
 mod stream;
 
+pub use cancels::OvertakingCancels;
 pub use clock::Clock;
 pub use event_queue::EventQueue;
 pub use link::{handshake, listen, listen_with_retry, spawn_writer, Link, LinkError, LinkLimits, Reader};
--- a/crates/curlewpoint-node/src/client_close.rs
+++ b/crates/curlewpoint-node/src/client_close.rs
@@ -17,8 +17,6 @@
     TagReused(u64),
     #[error("too many separate runs of tags")]
     TagRuns,
-    #[error("too many cancelled tags without a call")]
-    CancelledTags,
     #[error("unknown command")]
     UnknownCommand,
     #[error("too many malformed calls")]
@@ -34,7 +32,6 @@
             CloseReason::InvalidTag => "invalid_tag",
             CloseReason::TagReused(_) => "tag_reused",
             CloseReason::TagRuns => "tag_runs",
-            CloseReason::CancelledTags => "cancelled_tags",
             CloseReason::UnknownCommand => "unknown_command",
             CloseReason::MalformedCalls => "malformed_calls",
             CloseReason::Unreadable(_) => "unreadable",
--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -199,6 +199,7 @@
     }
     let (mut ahead, mut was_partial, mut error) = (ReadAhead::new(READ_AHEAD_LIMIT), false, None);
     let (mut writing, mut lingers) = (true, true);
+    let mut passed_on = 0;
     let mut received = Some(first);
     let mut silence_check = Instant::now() + SILENCE_INTERVAL;
     loop {
@@ -211,7 +212,7 @@
                     // The engine sees neither the call nor its cancel: both count as handled here.
                     activity.command_handled(activity.open_rpcs());
                     activity.command_handled(activity.open_rpcs());
-                } else if context.priority_tx.send(Event::ClientCancel(id, words)).await.is_err() {
+                } else if context.priority_tx.send(Event::ClientCancel(id, words, passed_on)).await.is_err() {
                     break;
                 }
             } else {
@@ -238,7 +239,10 @@
             },
             // A full channel blocks this client's task only.
             permit = context.command_tx.reserve(), if !ahead.is_empty() => match (permit, ahead.pop()) {
-                (Ok(permit), Some(words)) => permit.send(Event::ClientCommand(id, words)),
+                (Ok(permit), Some(words)) => {
+                    passed_on += 1;
+                    permit.send(Event::ClientCommand(id, words));
+                }
                 _ => break,
             },
             () = activity.evict.notified() => {
--- a/crates/curlewpoint-node/src/clients/tests.rs
+++ b/crates/curlewpoint-node/src/clients/tests.rs
@@ -68,7 +68,7 @@
     client.write_all(&commands.concat()).await.unwrap();
     let connected = with_timeout(priority_rx.recv()).await;
     assert!(matches!(connected, Some(Event::ClientConnected(..))));
-    let Some(Event::ClientCancel(_, words)) = with_timeout(priority_rx.recv()).await else {
+    let Some(Event::ClientCancel(_, words, 0)) = with_timeout(priority_rx.recv()).await else {
         panic!("no cancel")
     };
     assert_eq!(words[1], "7", "the other cancel met its call in the read-ahead queue");
--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -9,7 +9,7 @@
 use curlewpoint_engine::{
     Answer, ClientId, ConnId, EngineDriver, Pool, PoolDriver, RequestId, UpstreamRequest,
 };
-use curlewpoint_link::{Clock, Outbox, Ticket};
+use curlewpoint_link::{Clock, Outbox, OvertakingCancels, Ticket};
 use curlewpoint_platform::commands::{self, TagSet};
 use curlewpoint_platform::{json_lines, resp};
 use tokio::task::AbortHandle;
@@ -27,7 +27,9 @@
     pub tags: TagSet,
     /// Tags of its open RPCs.
     pub open: BTreeSet<u64>,
-    /// Tags whose cancel arrived before the call.
+    /// Cancels of calls that are still queued.
+    pub overtaking_cancels: OvertakingCancels,
+    /// Tags that were cancelled before the client sent their call.
     pub cancelled: BTreeSet<u64>,
     /// Number of calls rejected as malformed.
     pub malformed_calls: u32,
@@ -37,8 +39,26 @@
 
 impl Client {
     pub fn new(outbox: Outbox<Bytes>, writer: AbortHandle, activity: Arc<ClientActivity>) -> Client {
-        let (tags, open, cancelled) = Default::default();
-        Client { outbox, writer, activity, tags, open, cancelled, malformed_calls: 0, silent_intervals: 0 }
+        let (tags, open, overtaking_cancels, cancelled) = Default::default();
+        Client {
+            outbox,
+            writer,
+            activity,
+            tags,
+            open,
+            overtaking_cancels,
+            cancelled,
+            malformed_calls: 0,
+            silent_intervals: 0,
+        }
+    }
+
+    /// Forgets the lowest tags that were cancelled before their call, so that `max` of them are left. Clients usually
+    /// count tags up, so the lowest are the oldest.
+    pub fn forget_cancelled(&mut self, max: usize) {
+        while self.cancelled.len() > max {
+            self.cancelled.pop_first();
+        }
     }
 }
 
--- a/crates/curlewpoint-node/src/events.rs
+++ b/crates/curlewpoint-node/src/events.rs
@@ -17,7 +17,8 @@
     /// Precedes every other event of this client.
     ClientConnected(ClientId, Client),
     ClientCommand(ClientId, Vec<Bytes>),
-    ClientCancel(ClientId, Vec<Bytes>),
+    /// A cancel, and the number of commands of this client that were passed on before it.
+    ClientCancel(ClientId, Vec<Bytes>, u64),
     /// The client has sent nothing for the silence interval.
     ClientSilent(ClientId),
     /// The client has disconnected, or sent something malformed.
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -46,8 +46,10 @@
 const MAX_LINE_BYTES: usize = 64 * 1024;
 /// Maximum number of open RPCs on a client connection.
 const MAX_OPEN_RPCS_PER_CLIENT: usize = 32;
-/// Maximum number of separate tag runs, and of tags cancelled before their call, on a client connection.
+/// Maximum number of separate tag runs on a client connection.
 const MAX_TAG_RUNS: usize = 256;
+/// Maximum number of tags that are remembered as cancelled before their call, on a client connection.
+const MAX_CANCELLED_TAGS: usize = 256;
 /// A client is disconnected after this many malformed calls.
 const MAX_MALFORMED_CALLS: u32 = 8;
 /// An idle client is disconnected after this many silence intervals, of a second each, in a row.
@@ -361,13 +363,13 @@
         let engine = &mut self.engine;
         match event {
             Event::ClientConnected(id, client) => drop(engine.driver().clients.insert(id, client)),
-            Event::ClientCommand(id, words) | Event::ClientCancel(id, words) => {
-                if let Err(reason) = self.client_command(now, id, words) {
-                    self.close_client(now, id, &reason);
-                }
-                if let Some(client) = self.engine.driver().clients.get(&id) {
-                    client.activity.command_handled(client.open.len());
-                }
+            Event::ClientCommand(id, words) => {
+                let result = self.client_command(now, id, words);
+                self.command_handled(now, id, result);
+            }
+            Event::ClientCancel(id, words, passed_on) => {
+                let result = self.client_cancel(now, id, &words, passed_on);
+                self.command_handled(now, id, result);
             }
             Event::ClientSilent(id) => {
                 let Some(client) = engine.driver().clients.get_mut(&id) else { return };
@@ -415,13 +417,25 @@
         }
     }
 
-    /// Handles a command. After an error the client is to be disconnected.
+    /// Concludes the handling of a client's command. After an error the client is disconnected.
+    fn command_handled(&mut self, now: Time, id: ClientId, result: Result<(), CloseReason>) {
+        if let Err(reason) = result {
+            self.close_client(now, id, &reason);
+        }
+        if let Some(client) = self.engine.driver().clients.get(&id) {
+            client.activity.command_handled(client.open.len());
+        }
+    }
+
+    /// Handles a command other than a cancel. After an error the client is to be disconnected.
     fn client_command(&mut self, now: Time, id: ClientId, words: Vec<Bytes>) -> Result<(), CloseReason> {
         let stopping = self.stop_requested.is_some();
         let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
         client.silent_intervals = 0;
         let word = |index: usize| words.get(index).map_or(&b""[..], |w| &w[..]);
-        let tag = commands::parse_tag(word(1)).ok_or(CloseReason::InvalidTag)?;
+        let tag = commands::parse_tag(word(1));
+        let is_cancelled = client.overtaking_cancels.process(tag);
+        let tag = tag.ok_or(CloseReason::InvalidTag)?;
         match word(0) {
             commands::CALL => {
                 if client.tags.contains(tag) {
@@ -430,7 +444,7 @@
                 if !client.tags.insert(tag, MAX_TAG_RUNS) {
                     return Err(CloseReason::TagRuns);
                 }
-                if client.cancelled.remove(&tag) {
+                if client.cancelled.remove(&tag) || is_cancelled {
                     return Ok(());
                 }
                 if client.open.len() >= MAX_OPEN_RPCS_PER_CLIENT {
@@ -443,18 +457,7 @@
                     self.reject_call(id, tag, status)?;
                 }
             }
-            // Cancels overtake calls: the call of this one may still be queued.
-            commands::CANCEL if !client.tags.contains(tag) => {
-                client.cancelled.insert(tag);
-                if client.cancelled.len() > MAX_TAG_RUNS {
-                    return Err(CloseReason::CancelledTags);
-                }
-            }
-            commands::CANCEL => {
-                self.engine.driver().withdrawn = Some((id, tag));
-                self.engine.cancel(now, id, tag);
-                self.engine.driver().withdrawn = None;
-            }
+            commands::CHECK if is_cancelled => {}
             commands::CHECK => {
                 let status = if stopping { commands::UNFIT } else { commands::FIT };
                 if !std::mem::replace(&mut self.health_check_logged, true) {
@@ -468,6 +471,27 @@
         Ok(())
     }
 
+    /// Handles a cancel. Its call may be open, answered, still queued among the `passed_on` commands, as cancels overtake
+    /// calls, or not sent yet. After an error the client is to be disconnected.
+    fn client_cancel(
+        &mut self, now: Time, id: ClientId, words: &[Bytes], passed_on: u64,
+    ) -> Result<(), CloseReason> {
+        let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
+        client.silent_intervals = 0;
+        let tag = words.get(1).and_then(|word| commands::parse_tag(word)).ok_or(CloseReason::InvalidTag)?;
+        if !client.open.contains(&tag) {
+            client.overtaking_cancels.record(tag, passed_on);
+            if !client.tags.contains(tag) && client.cancelled.insert(tag) {
+                client.forget_cancelled(MAX_CANCELLED_TAGS);
+            }
+            return Ok(());
+        }
+        self.engine.driver().withdrawn = Some((id, tag));
+        self.engine.cancel(now, id, tag);
+        self.engine.driver().withdrawn = None;
+        Ok(())
+    }
+
     /// Replies to a call that was not accepted. A client that repeatedly sends malformed calls is disconnected.
     fn reject_call(&mut self, id: ClientId, tag: u64, status: &str) -> Result<(), CloseReason> {
         let driver = self.engine.driver();
