node: tags that are not consecutive no longer close a client's connection

Cause: the tags of a connection's calls were noted, to notice one that is used twice, as at most 256 runs of consecutive tags; a call that needed one more run counted as the client's error. A check has a tag of its own that is not noted, so each one begins a new run. So does a call that is cancelled while it is read ahead, and each call of a client that numbers over several connections. The protocol asks for "a decimal number from 1 up that is new on its connection", and for no more.

Why it works: at the limit a run is forgotten and the call accepted, so no tag of a client that keeps to the protocol can end the connection, and the memory stays bounded. Answers stay unambiguous, as a tag in use is looked up with the open RPCs, which are never forgotten. A tag of a call answered long ago that is used again may go unnoticed among scattered tags, which does no harm.

--- a/crates/curlewpoint-node/src/client_close.rs
+++ b/crates/curlewpoint-node/src/client_close.rs
@@ -15,8 +15,6 @@
     InvalidTag,
     #[error("tag {0} already used")]
     TagReused(u64),
-    #[error("too many separate runs of tags")]
-    TagRuns,
     #[error("unknown command")]
     UnknownCommand,
     #[error("too many malformed calls")]
@@ -31,7 +29,6 @@
         match self {
             CloseReason::InvalidTag => "invalid_tag",
             CloseReason::TagReused(_) => "tag_reused",
-            CloseReason::TagRuns => "tag_runs",
             CloseReason::UnknownCommand => "unknown_command",
             CloseReason::MalformedCalls => "malformed_calls",
             CloseReason::Unreadable(_) => "unreadable",
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -46,7 +46,7 @@
 const MAX_LINE_BYTES: usize = 64 * 1024;
 /// Maximum number of open RPCs on a client connection.
 const MAX_OPEN_RPCS_PER_CLIENT: usize = 32;
-/// Maximum number of separate tag runs on a client connection.
+/// Maximum number of separate runs of used tags that are remembered for a client connection.
 const MAX_TAG_RUNS: usize = 256;
 /// Maximum number of tags that are remembered as cancelled before their call, on a client connection.
 const MAX_CANCELLED_TAGS: usize = 256;
@@ -438,12 +438,10 @@
         let tag = tag.ok_or(CloseReason::InvalidTag)?;
         match word(0) {
             commands::CALL => {
-                if client.tags.contains(tag) {
+                // The set of used tags may have forgotten one whose RPC is still open.
+                if client.open.contains(&tag) || !client.tags.insert(tag, MAX_TAG_RUNS) {
                     return Err(CloseReason::TagReused(tag));
                 }
-                if !client.tags.insert(tag, MAX_TAG_RUNS) {
-                    return Err(CloseReason::TagRuns);
-                }
                 if client.cancelled.remove(&tag) || is_cancelled {
                     return Ok(());
                 }
--- a/crates/curlewpoint-node/tests/connection_limits.rs
+++ b/crates/curlewpoint-node/tests/connection_limits.rs
@@ -2,7 +2,9 @@
 
 mod test_servers;
 
+use test_case::test_case;
 use test_servers::*;
+use tokio::io::AsyncWriteExt;
 
 /// More commands than any limit of the scheduler on what one connection leaves behind.
 const MANY: u64 = 600;
@@ -22,3 +24,67 @@
     client.expect_reply(&[&tag.to_string(), "good", "", "body"]).await;
     scheduler.finish().await;
 }
+
+/// Guards against closing a connection because its calls' tags are not consecutive, as with health checks between the
+/// calls, or with a client that numbers its calls over several connections.
+#[test_case(|n| 2 * n ; "a tag left out between two calls")]
+#[test_case(|n| u64::MAX / 2 - 3 * n ; "counted down in steps")]
+#[test_case(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 25 ; "scattered")]
+#[tokio::test]
+async fn tags_that_are_not_consecutive_do_not_close_a_connection(call_tag: fn(u64) -> u64) {
+    let (address, _) = echo_worker().await;
+    let scheduler = start_scheduler(&[&address], NO_DISCOVERY).await;
+    let mut client = Client::connect(&scheduler).await;
+    for n in 1..=MANY {
+        let tag = call_tag(n);
+        client.expect_check(&mut tag.clone(), "fit").await;
+        client.0.write_all(&encode_call(tag, &format!("{n:016x}"))).await.unwrap();
+        client.expect_reply(&[&tag.to_string(), "good", "", "body"]).await;
+        // Crosses the answer. The scheduler may have forgotten the tag that the other one belongs to.
+        client.send(&["CANCEL", &tag.to_string()]).await;
+        client.send(&["CANCEL", &call_tag(n.div_ceil(2)).to_string()]).await;
+    }
+    scheduler.finish().await;
+}
+
+/// Guards against closing a connection because of the gaps that calls leave which are cancelled before the scheduler
+/// has passed them on.
+#[tokio::test]
+async fn calls_that_are_cancelled_at_once_do_not_close_a_connection() {
+    let (address, _) = echo_worker().await;
+    let scheduler = start_scheduler(&[&address], NO_DISCOVERY).await;
+    let mut client = Client::connect(&scheduler).await;
+    for n in 1..=MANY {
+        let (cancelled, answered) = (2 * n, 2 * n + 1);
+        let commands = [
+            encode_call(cancelled, &format!("{cancelled:016x}")),
+            encode(&["CANCEL", &cancelled.to_string()]),
+            encode_call(answered, &format!("{answered:016x}")),
+        ];
+        client.0.write_all(&commands.concat()).await.unwrap();
+        client.expect_reply(&[&answered.to_string(), "good", "", "body"]).await;
+    }
+    scheduler.finish().await;
+}
+
+/// Guards against a call that is taken for a new one because the scheduler has forgotten that its tag is open.
+#[tokio::test]
+async fn reusing_the_tag_of_an_open_call_is_noticed_after_many_calls() {
+    let (address, mut worker_rx) = scripted_worker().await;
+    let scheduler = start_scheduler(&[&address], NO_DISCOVERY).await;
+    let mut client = Client::connect(&scheduler).await;
+    client.send_call("1", "read", IDS[0]).await;
+    let (_open, _reply_tx) = with_timeout(worker_rx.recv()).await.unwrap();
+    for n in 1..=MANY {
+        let tag = 2 * n + 1;
+        client.0.write_all(&encode_call(tag, &format!("{n:016x}"))).await.unwrap();
+        let (request, reply_tx) = with_timeout(worker_rx.recv()).await.unwrap();
+        reply_tx.send(reply_line(&request, "OK", "")).unwrap();
+        client.expect_reply(&[&tag.to_string(), "good", "", ""]).await;
+    }
+    client.send_call("1", "read", IDS[1]).await;
+    client.expect_reply(&["1", "broken", "", ""]).await;
+    client.expect_closed().await;
+    assert!(worker_rx.try_recv().is_err(), "the second call with this tag reached a worker");
+    scheduler.finish().await;
+}
--- a/crates/curlewpoint-platform/src/commands.rs
+++ b/crates/curlewpoint-platform/src/commands.rs
@@ -70,8 +70,9 @@
     }
 }
 
-/// The tags that were used on a connection, where each tag may be used once. Consecutive tags are stored as one run,
-/// so that the tags of a long connection take constant memory, whichever number its client starts from.
+/// The tags that are known to have been used on a connection, where each tag may be used once. Consecutive tags are
+/// stored as one run, so that the tags of most connections take constant memory, whichever number their clients start
+/// from. The number of runs is bounded: beyond it tags are forgotten, as the protocol lets clients choose any new tag.
 #[derive(Debug, Default)]
 pub struct TagSet {
     /// The last tag of each run, keyed by its first tag.
@@ -79,13 +80,13 @@
 }
 
 impl TagSet {
-    /// Whether the tag was used.
+    /// Whether the tag is known to have been used.
     pub fn contains(&self, tag: u64) -> bool {
         self.runs.range(..=tag).next_back().is_some_and(|(_, last)| tag <= *last)
     }
 
-    /// Marks a tag as used. Returns false if it was used before, or if it would need more than `max_runs` separate
-    /// runs.
+    /// Marks a tag as used. Returns false if it is known to have been used before. If there are then more than
+    /// `max_runs` separate runs, one is forgotten.
     pub fn insert(&mut self, tag: u64, max_runs: usize) -> bool {
         if self.contains(tag) {
             return false;
@@ -93,13 +94,24 @@
         let before =
             self.runs.range(..tag).next_back().filter(|(_, last)| **last == tag - 1).map(|(first, _)| *first);
         let after = tag.checked_add(1).filter(|next| self.runs.contains_key(next));
-        if before.is_none() && after.is_none() && self.runs.len() >= max_runs {
-            return false;
-        }
+        let first = before.unwrap_or(tag);
         let last = after.and_then(|next| self.runs.remove(&next)).unwrap_or(tag);
-        self.runs.insert(before.unwrap_or(tag), last);
+        self.runs.insert(first, last);
+        if self.runs.len() > max_runs {
+            self.forget_run_other_than(first);
+        }
         true
     }
+
+    /// Forgets the lowest run, or the highest if the lowest is the one to keep. Clients usually count tags up, so the
+    /// lowest is the oldest.
+    fn forget_run_other_than(&mut self, first: u64) {
+        if self.runs.first_key_value().is_some_and(|(lowest, _)| *lowest == first) {
+            self.runs.pop_last();
+        } else {
+            self.runs.pop_first();
+        }
+    }
 }
 
 #[cfg(test)]
