node: answer every call that was read before a client's connection is closed

What callers saw: when the scheduler closes a connection for an error of its client (unreadable bytes, an invalid or reused tag, an unknown command), open RPCs are `broken`, but calls before the error that are still queued, the call with the error, and all behind it end without an answer.

Cause: a close removed the client at once, so its queued commands came to an unknown client and were dropped; the reading task dropped what it had read ahead and discarded the rest. Only the shutdown read on first.

Change: a close goes the way of the shutdown. Calls without a valid tag cannot be answered; one with the tag of an open call is not, as that answer would be taken for the open call's.

The task of a connection, one function of 150 lines until now, is a module of its own with a method for each step, as the fix touches most of them.

--- a/crates/curlewpoint-node/src/clients/tests.rs
+++ b/crates/curlewpoint-node/src/clients/tests.rs
@@ -1,7 +1,11 @@
 use super::*;
+use crate::client_task::{command_bytes, READ_AHEAD_LIMIT};
+use bytes::Bytes;
+use curlewpoint_link::ReadAhead;
 use curlewpoint_platform::resp::encode_array;
 use test_case::test_case;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// A listener whose command channel is full and not received from. Returns the receivers of priority events and
 /// commands.
@@ -43,7 +47,7 @@
     let connected = with_timeout(priority_rx.recv()).await;
     assert!(matches!(connected, Some(Event::ClientConnected(..))));
     drop(client);
-    assert!(matches!(with_timeout(priority_rx.recv()).await, Some(Event::ClientDisconnected(_, None))));
+    assert!(matches!(with_timeout(priority_rx.recv()).await, Some(Event::ClientDisconnected(_))));
     assert!(
         matches!(with_timeout(command_rx.recv()).await, Some(Event::Stop)),
         "the event that filled the channel"
--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -13,6 +13,7 @@
 use curlewpoint_platform::commands::{self, TagSet};
 use curlewpoint_platform::{json_lines, resp};
 use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
 use tracing::{debug, info};
 
 use crate::admission::ClientActivity;
@@ -24,6 +25,10 @@
     pub outbox: Outbox<Bytes>,
     pub writer: AbortHandle,
     pub activity: Arc<ClientActivity>,
+    /// Cancelled to have the client's task pass on what it has received and close the connection.
+    pub closing: CancellationToken,
+    /// After an error of the client: its connection is being closed and no more calls are accepted.
+    pub is_closing: bool,
     pub tags: TagSet,
     /// Tags of its open RPCs.
     pub open: BTreeSet<u64>,
@@ -38,12 +43,16 @@
 }
 
 impl Client {
-    pub fn new(outbox: Outbox<Bytes>, writer: AbortHandle, activity: Arc<ClientActivity>) -> Client {
+    pub fn new(
+        outbox: Outbox<Bytes>, writer: AbortHandle, activity: Arc<ClientActivity>, closing: CancellationToken,
+    ) -> Client {
         let (tags, open, overtaking_cancels, cancelled) = Default::default();
         Client {
             outbox,
             writer,
             activity,
+            closing,
+            is_closing: false,
             tags,
             open,
             overtaking_cancels,
--- a/crates/curlewpoint-node/src/events.rs
+++ b/crates/curlewpoint-node/src/events.rs
@@ -21,8 +21,10 @@
     ClientCancel(ClientId, Vec<Bytes>, u64),
     /// The client has sent nothing for the silence interval.
     ClientSilent(ClientId),
-    /// The client has disconnected, or sent something malformed.
-    ClientDisconnected(ClientId, Option<RespError>),
+    /// The client sent something that cannot be read: its connection is to be closed.
+    ClientFailed(ClientId, RespError),
+    /// The connection has ended, or is closed and brings no more commands.
+    ClientDisconnected(ClientId),
     WorkerConnected(ConnId, Outbox<WorkerLine>),
     WorkerMessage(ConnId, Map<String, Value>),
     WorkerDisconnected(ConnId),
--- a/crates/curlewpoint-node/src/lib.rs
+++ b/crates/curlewpoint-node/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod client_close;
+mod client_task;
 mod clients;
 mod discovery;
 mod driver;
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -378,8 +378,8 @@
                     engine.driver().clients.remove(&id);
                 }
             }
-            Event::ClientDisconnected(id, Some(error)) => self.close_client(now, id, &error.into()),
-            Event::ClientDisconnected(id, None) => {
+            Event::ClientFailed(id, error) => self.close_client(now, id, &error.into()),
+            Event::ClientDisconnected(id) => {
                 engine.driver().clients.remove(&id);
                 engine.client_gone(now, id);
             }
@@ -417,7 +417,7 @@
         }
     }
 
-    /// Concludes the handling of a client's command. After an error the client is disconnected.
+    /// Concludes the handling of a client's command. After an error the connection is closed.
     fn command_handled(&mut self, now: Time, id: ClientId, result: Result<(), CloseReason>) {
         if let Err(reason) = result {
             self.close_client(now, id, &reason);
@@ -427,7 +427,7 @@
         }
     }
 
-    /// Handles a command other than a cancel. After an error the client is to be disconnected.
+    /// Handles a command other than a cancel. After an error the connection is to be closed.
     fn client_command(&mut self, now: Time, id: ClientId, words: Vec<Bytes>) -> Result<(), CloseReason> {
         let stopping = self.stop_requested.is_some();
         let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
@@ -437,14 +437,18 @@
         let is_cancelled = client.overtaking_cancels.process(tag);
         let tag = tag.ok_or(CloseReason::InvalidTag)?;
         match word(0) {
+            // A second reply with the tag of an open RPC would be taken for that RPC's.
+            commands::CALL if client.open.contains(&tag) => return Err(CloseReason::TagReused(tag)),
             commands::CALL => {
-                // The set of used tags may have forgotten one whose RPC is still open.
-                if client.open.contains(&tag) || !client.tags.insert(tag, MAX_TAG_RUNS) {
-                    return Err(CloseReason::TagReused(tag));
-                }
+                let is_new = client.tags.insert(tag, MAX_TAG_RUNS);
                 if client.cancelled.remove(&tag) || is_cancelled {
                     return Ok(());
                 }
+                if client.is_closing || !is_new {
+                    self.engine.count_refused();
+                    self.engine.driver().reply(id, tag, commands::REFUSED, "", b"");
+                    return if is_new { Ok(()) } else { Err(CloseReason::TagReused(tag)) };
+                }
                 if client.open.len() >= MAX_OPEN_RPCS_PER_CLIENT {
                     self.engine.count_refused();
                     self.engine.driver().reply(id, tag, commands::ENOUGH, "", b"");
@@ -554,16 +558,19 @@
         }
     }
 
-    /// Ends a client's open RPCs with a reply each, and closes its connection.
+    /// Begins to close a connection after an error of its client: ends the open RPCs with a reply each, and has the
+    /// client's task pass on the commands that it has received, of which calls are refused. The task then disconnects.
     fn close_client(&mut self, now: Time, id: ClientId, reason: &CloseReason) {
-        let Some(client) = self.engine.driver().clients.get(&id) else { return };
-        let open = client.open.clone();
-        self.client_closes.record(id, reason, open.len(), client.activity.unhandled());
+        let Some(client) = self.engine.driver().clients.get_mut(&id) else { return };
+        if std::mem::replace(&mut client.is_closing, true) {
+            return;
+        }
+        let (open, unhandled) = (client.open.clone(), client.activity.unhandled());
+        client.closing.cancel();
+        self.client_closes.record(id, reason, open.len(), unhandled);
         for tag in open {
             self.engine.cancel(now, id, tag);
         }
-        self.engine.driver().clients.remove(&id);
-        self.engine.client_gone(now, id);
     }
 
     /// Handles a reply from a worker. A reply without an open request is ignored.
