node: an incomplete request no longer closes a connection with open calls

What callers saw: a connection on which a request stayed incomplete over two checks, a second apart, was closed and its open calls were answered `broken`.

Cause: the time limit for an incomplete command did not look at what else the connection carries. The protocol sets no time for sending a request, and lets a scheduler close "a connection that has no open request on it".

Change: the limit applies only while no call is open and every command read is handled. Open calls end at their deadlines, so a client that stops within a request for good is still closed, which the test checks too. The close has a reason of its own, `incomplete`, instead of sharing `unreadable`.

--- a/crates/curlewpoint-node/src/client_close.rs
+++ b/crates/curlewpoint-node/src/client_close.rs
@@ -21,6 +21,8 @@
     MalformedCalls,
     #[error("unreadable command: {0}")]
     Unreadable(#[from] RespError),
+    #[error("command incomplete for too long")]
+    Incomplete,
 }
 
 impl CloseReason {
@@ -32,6 +34,7 @@
             CloseReason::UnknownCommand => "unknown_command",
             CloseReason::MalformedCalls => "malformed_calls",
             CloseReason::Unreadable(_) => "unreadable",
+            CloseReason::Incomplete => "incomplete",
         }
     }
 }
--- a/crates/curlewpoint-node/src/client_task.rs
+++ b/crates/curlewpoint-node/src/client_task.rs
@@ -19,12 +19,13 @@
 use tracing::{debug, info};
 
 use crate::admission::ClientActivity;
+use crate::client_close::CloseReason;
 use crate::clients::{ClientContext, Slot};
 use crate::driver::Client;
 use crate::events::Event;
 
 /// Interval at which a silent client is checked. A client that sends no first command for twice this time, or leaves a
-/// command incomplete over two checks, is disconnected.
+/// command incomplete over two checks while none of its RPCs is open, is disconnected.
 const SILENCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of commands, and of their bytes, that are read from a client ahead of the engine. The count exceeds
 /// the RPCs that a client may have open, so that a disconnect behind all of them is noticed.
@@ -37,8 +38,9 @@
 /// What a read from the connection returned.
 enum Input {
     Command(Vec<Bytes>),
-    /// The client sent something that cannot be read; what follows cannot be read either.
-    Unreadable(RespError),
+    /// The client sent something that cannot be read, and what follows cannot be read either; or it left a command
+    /// incomplete.
+    Failed(CloseReason),
     /// The connection has ended, or is to be closed.
     Ended,
 }
@@ -49,7 +51,7 @@
             Some(Ok(words)) => Input::Command(words),
             // A client that only shut down its writing side cannot be told apart and is handled the same.
             Some(Err(RespError::Io(_))) | None => Input::Ended,
-            Some(Err(error)) => Input::Unreadable(error),
+            Some(Err(error)) => Input::Failed(error.into()),
         }
     }
 }
@@ -203,9 +205,9 @@
     async fn handle(&mut self, input: Input) -> ControlFlow<()> {
         match input {
             Input::Command(words) => self.command_read(words).await,
-            Input::Unreadable(error) => {
+            Input::Failed(reason) => {
                 self.is_reading = false;
-                self.send_priority(Event::ClientFailed(self.id, error)).await
+                self.send_priority(Event::ClientFailed(self.id, reason)).await
             }
             Input::Ended => ControlFlow::Break(()),
         }
@@ -265,8 +267,8 @@
     /// Handles a silence interval without a command.
     async fn check_silence(&mut self) -> Option<Input> {
         let is_partial = !self.reader.read_buffer().is_empty();
-        if self.was_partial && is_partial {
-            return Some(Input::Unreadable(RespError::Truncated));
+        if self.was_partial && is_partial && self.activity.is_idle() {
+            return Some(Input::Failed(CloseReason::Incomplete));
         }
         (self.was_partial, self.silence_check) = (is_partial, Instant::now() + SILENCE_INTERVAL);
         self.send_priority(Event::ClientSilent(self.id)).await.is_break().then_some(Input::Ended)
--- a/crates/curlewpoint-node/src/events.rs
+++ b/crates/curlewpoint-node/src/events.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use curlewpoint_engine::{ClientId, ConnId};
 use curlewpoint_link::Outbox;
-use curlewpoint_platform::resp::RespError;
 use serde_json::{Map, Value};
 
+use crate::client_close::CloseReason;
 use crate::discovery::EndpointList;
 use crate::driver::Client;
 use crate::worker_line::WorkerLine;
@@ -21,8 +21,8 @@
     ClientCancel(ClientId, Vec<Bytes>, u64),
     /// The client has sent nothing for the silence interval.
     ClientSilent(ClientId),
-    /// The client sent something that cannot be read: its connection is to be closed.
-    ClientFailed(ClientId, RespError),
+    /// The client's connection is to be closed, and nothing more is read from it.
+    ClientFailed(ClientId, CloseReason),
     /// The connection has ended, or is closed and brings no more commands.
     ClientDisconnected(ClientId),
     WorkerConnected(ConnId, Outbox<WorkerLine>),
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -378,7 +378,7 @@
                     engine.driver().clients.remove(&id);
                 }
             }
-            Event::ClientFailed(id, error) => self.close_client(now, id, &error.into()),
+            Event::ClientFailed(id, reason) => self.close_client(now, id, &reason),
             Event::ClientDisconnected(id) => {
                 engine.driver().clients.remove(&id);
                 engine.client_gone(now, id);
--- a/crates/curlewpoint-node/tests/partial_requests.rs
+++ b/crates/curlewpoint-node/tests/partial_requests.rs
@@ -205,6 +205,41 @@
     }
 }
 
+/// Guards against closing a connection on which a request stays incomplete for seconds while calls are open, and
+/// against one that stays open for it once they are answered.
+#[tokio::test]
+async fn a_request_that_stays_incomplete_does_not_close_a_connection_with_open_calls() {
+    let (address, mut worker_rx) = scripted_worker().await;
+    let scheduler = start_scheduler(&[&address], NO_DISCOVERY).await;
+    let (mut client, mut other, mut check_tag) =
+        (Client::connect(&scheduler).await, Client::connect(&scheduler).await, 0);
+    let (second, third) = (encode_call(2, IDS[1]), encode_call(3, IDS[2]));
+    client.send_call("1", "read", IDS[0]).await;
+    let (first_request, first_reply_tx) = with_timeout(worker_rx.recv()).await.unwrap();
+    client.0.write_all(&second[..30]).await.unwrap();
+    other.expect_check(&mut check_tag, "fit").await;
+    pass_seconds(4).await;
+    client.0.write_all(&[&second[30..], &third[..30]].concat()).await.unwrap();
+    let (second_request, second_reply_tx) = with_timeout(worker_rx.recv()).await.unwrap();
+    first_reply_tx.send(reply_line(&first_request, "OK", "")).unwrap();
+    client.expect_reply(&["1", "good", "", ""]).await;
+    second_reply_tx.send(reply_line(&second_request, "OK", "")).unwrap();
+    client.expect_reply(&["2", "good", "", ""]).await;
+    pass_seconds(2).await;
+    client.expect_closed().await;
+    scheduler.finish().await;
+}
+
+/// Lets this many seconds pass for the scheduler, which processes what happens in each.
+async fn pass_seconds(seconds: usize) {
+    tokio::time::pause();
+    for _ in 0..seconds {
+        tokio::time::advance(Duration::from_millis(1_001)).await;
+        process_received().await;
+    }
+    tokio::time::resume();
+}
+
 /// A cancel split at every byte: if the worker answers between the parts that is the only reply; if it answers after
 /// the complete cancel there is none.
 #[tokio::test]
