node: move the handling of client commands out of the event loop's module

Change: their methods and limits are in run/client_commands.rs, as they were. Result: no change of behaviour; the tests of node pass.

--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -1,14 +1,15 @@
 //! Starts a scheduler, and runs the event loop that owns its engine.
 
+mod client_commands;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use curlewpoint::types::{CopyReport, Lifecycle, Time};
-use curlewpoint_engine::{ClientId, ConnId, Engine, EngineCounters, Pool, PoolLimits, Refusal};
+use curlewpoint_engine::{ConnId, Engine, EngineCounters, Pool, PoolLimits};
 use curlewpoint_link::{listen_with_retry, Clock, EventQueue, LinkLimits, METRICS};
 use curlewpoint_platform::startup::{self, StartupConfig, StartupError};
-use curlewpoint_platform::{commands, json_lines, EndpointListVisitor};
+use curlewpoint_platform::{json_lines, EndpointListVisitor};
 use oorandom::Rand64;
 use serde_json::{Map, Value};
 use thiserror::Error;
@@ -19,7 +20,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
-use crate::client_close::{CloseCounters, CloseReason};
+use crate::client_close::CloseCounters;
 use crate::driver::NodeDriver;
 use crate::events::Event;
 use crate::stall::StallDetector;
@@ -44,14 +45,6 @@
 const MAX_BODY_BYTES: usize = 16 * 1024;
 /// The longest line from a worker, in bytes: a body in base64 with its fields.
 const MAX_LINE_BYTES: usize = 64 * 1024;
-/// Maximum number of open RPCs on a client connection.
-const MAX_OPEN_RPCS_PER_CLIENT: usize = 32;
-/// Maximum number of separate runs of used tags that are remembered for a client connection.
-const MAX_TAG_RUNS: usize = 256;
-/// Maximum number of tags that are remembered as cancelled before their call, on a client connection.
-const MAX_CANCELLED_TAGS: usize = 256;
-/// A client is disconnected after this many malformed calls.
-const MAX_MALFORMED_CALLS: u32 = 8;
 /// An idle client is disconnected after this many silence intervals, of a second each, in a row.
 const MAX_SILENT_INTERVALS: u32 = 5;
 /// Minimum time that new RPCs are accepted after a stop.
@@ -417,162 +410,6 @@
         }
     }
 
-    /// Concludes the handling of a client's command. After an error the connection is closed.
-    fn command_handled(&mut self, now: Time, id: ClientId, result: Result<(), CloseReason>) {
-        if let Err(reason) = result {
-            self.close_client(now, id, &reason);
-        }
-        if let Some(client) = self.engine.driver().clients.get(&id) {
-            client.activity.command_handled(client.open.len());
-        }
-    }
-
-    /// Handles a command other than a cancel. After an error the connection is to be closed.
-    fn client_command(&mut self, now: Time, id: ClientId, words: Vec<Bytes>) -> Result<(), CloseReason> {
-        let stopping = self.stop_requested.is_some();
-        let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
-        client.silent_intervals = 0;
-        let word = |index: usize| words.get(index).map_or(&b""[..], |w| &w[..]);
-        let tag = commands::parse_tag(word(1));
-        let is_cancelled = client.overtaking_cancels.process(tag);
-        let tag = tag.ok_or(CloseReason::InvalidTag)?;
-        match word(0) {
-            // A second reply with the tag of an open RPC would be taken for that RPC's.
-            commands::CALL if client.open.contains(&tag) => return Err(CloseReason::TagReused(tag)),
-            commands::CALL => {
-                let is_new = client.tags.insert(tag, MAX_TAG_RUNS);
-                if client.cancelled.remove(&tag) || is_cancelled {
-                    return Ok(());
-                }
-                if client.is_closing || !is_new {
-                    self.engine.count_refused();
-                    self.engine.driver().reply(id, tag, commands::REFUSED, "", b"");
-                    return if is_new { Ok(()) } else { Err(CloseReason::TagReused(tag)) };
-                }
-                if client.open.len() >= MAX_OPEN_RPCS_PER_CLIENT {
-                    self.engine.count_refused();
-                    self.engine.driver().reply(id, tag, commands::ENOUGH, "", b"");
-                    return Ok(());
-                }
-                let body = words.get(4).cloned().unwrap_or_default();
-                if let Err(status) = self.call(now, id, tag, word(2), word(3), body) {
-                    self.reject_call(id, tag, status)?;
-                }
-            }
-            commands::CHECK if is_cancelled => {}
-            commands::CHECK => {
-                let status = if stopping { commands::UNFIT } else { commands::FIT };
-                if !std::mem::replace(&mut self.health_check_logged, true) {
-                    let after = self.started.elapsed().as_millis() as u64;
-                    info!(after, "first health check answered '{status}', milliseconds from the start");
-                }
-                self.engine.driver().reply(id, tag, status, "", b"");
-            }
-            _ => return Err(CloseReason::UnknownCommand),
-        }
-        Ok(())
-    }
-
-    /// Handles a cancel. Its call may be open, answered, still queued among the `passed_on` commands, as cancels overtake
-    /// calls, or not sent yet. After an error the client is to be disconnected.
-    fn client_cancel(
-        &mut self, now: Time, id: ClientId, words: &[Bytes], passed_on: u64,
-    ) -> Result<(), CloseReason> {
-        let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
-        client.silent_intervals = 0;
-        let tag = words.get(1).and_then(|word| commands::parse_tag(word)).ok_or(CloseReason::InvalidTag)?;
-        if !client.open.contains(&tag) {
-            client.overtaking_cancels.record(tag, passed_on);
-            if !client.tags.contains(tag) && client.cancelled.insert(tag) {
-                client.forget_cancelled(MAX_CANCELLED_TAGS);
-            }
-            return Ok(());
-        }
-        self.engine.driver().withdrawn = Some((id, tag));
-        self.engine.cancel(now, id, tag);
-        self.engine.driver().withdrawn = None;
-        Ok(())
-    }
-
-    /// Replies to a call that was not accepted. A client that repeatedly sends malformed calls is disconnected.
-    fn reject_call(&mut self, id: ClientId, tag: u64, status: &str) -> Result<(), CloseReason> {
-        let driver = self.engine.driver();
-        driver.reply(id, tag, status, "", b"");
-        if let Some(client) = driver.clients.get_mut(&id).filter(|_| status == commands::BROKEN) {
-            client.malformed_calls += 1;
-            if client.malformed_calls >= MAX_MALFORMED_CALLS {
-                return Err(CloseReason::MalformedCalls);
-            }
-        }
-        Ok(())
-    }
-
-    /// Hands a call to the engine. If the call is not accepted, returns the status to reply with.
-    fn call(
-        &mut self, now: Time, id: ClientId, tag: u64, method: &[u8], fields: &[u8], body: Bytes,
-    ) -> Result<(), &'static str> {
-        let malformed = |reason| {
-            debug!(client = id.0, tag, "call rejected: {reason}");
-            commands::BROKEN
-        };
-        let text = |bytes| std::str::from_utf8(bytes).map_err(|_| malformed("not UTF-8"));
-        let (method, fields) = (text(method)?, text(fields)?);
-        let field = |name| commands::field(fields, name);
-        let req = field("req").and_then(commands::parse_hex_id).ok_or_else(|| malformed("invalid ID"))?;
-        let time_left =
-            field("timeout").and_then(commands::parse_timeout).ok_or_else(|| malformed("invalid timeout"))?;
-        let model =
-            field("subject").and_then(commands::parse_hex_id).ok_or_else(|| malformed("invalid function"))?;
-        let info = commands::parse_info(field("info").unwrap_or(""))
-            .ok_or_else(|| malformed("invalid parameters"))?;
-        let lanes = info.iter().find(|(name, _)| *name == "lanes").map(|(_, lanes)| *lanes);
-        if lanes.is_some_and(|lanes| lanes < 1.0) {
-            return Err(malformed("invalid lanes"));
-        }
-        if self.engine.driver().is_known_id(req) {
-            return Err(malformed("ID already in use"));
-        }
-        let (method, tenant) = (field("kind").unwrap_or(method), field("owner").unwrap_or(""));
-        let driver = self.engine.driver();
-        driver.next_rpc_id = req.into();
-        driver.clients.get_mut(&id).into_iter().for_each(|c| c.open.extend([tag]));
-        let time_left = time_left - self.stalls.possible_delay(now);
-        let accepted = self.engine.submit_rpc(
-            now,
-            (id, tag),
-            method,
-            model,
-            tenant,
-            time_left,
-            field("opkey"),
-            lanes,
-            body,
-        );
-        let Err(refusal) = accepted else { return Ok(()) };
-        debug!(client = id.0, tag, "call rejected: {refusal:?}");
-        let driver = self.engine.driver();
-        driver.clients.get_mut(&id).into_iter().for_each(|c| c.open.retain(|t| *t != tag));
-        match refusal {
-            Refusal::Full | Refusal::NoTime | Refusal::Stopping => Err(commands::REFUSED),
-            _ => Err(malformed("unknown method, invalid token or invalid function")),
-        }
-    }
-
-    /// Begins to close a connection after an error of its client: ends the open RPCs with a reply each, and has the
-    /// client's task pass on the commands that it has received, of which calls are refused. The task then disconnects.
-    fn close_client(&mut self, now: Time, id: ClientId, reason: &CloseReason) {
-        let Some(client) = self.engine.driver().clients.get_mut(&id) else { return };
-        if std::mem::replace(&mut client.is_closing, true) {
-            return;
-        }
-        let (open, unhandled) = (client.open.clone(), client.activity.unhandled());
-        client.closing.cancel();
-        self.client_closes.record(id, reason, open.len(), unhandled);
-        for tag in open {
-            self.engine.cancel(now, id, tag);
-        }
-    }
-
     /// Handles a reply from a worker. A reply without an open request is ignored.
     fn worker_message(
         &mut self, now: Time, conn: ConnId, message: &Map<String, Value>,
