node: calls that cannot be served no longer close a client's connection

What callers saw: at the eighth call in a connection's life for an unknown method or tenant, without a token, with a timeout of an hour or more, under one lane, or for a function whose name finds no room, the connection was closed and its other open calls were `broken`.

Cause: every call that was neither accepted nor refused counted as malformed, and eight malformed calls end a connection. But these keep to the protocol: methods are a matter of the settings, and the protocol sets no longest timeout.

Evidence: the four cases of calls_that_cannot_be_served_do_not_close_a_connection failed before, with the end of the connection, and pass now.

Change: a call is parsed into a type, and a typed rejection tells what does not keep to the protocol from what cannot be served. The replies are the same; only the former count. The limit of eight itself, which had no test, now has one (passes before and after).

--- a/crates/curlewpoint-node/src/lib.rs
+++ b/crates/curlewpoint-node/src/lib.rs
@@ -3,6 +3,7 @@
 //! over channels.
 
 mod admission;
+mod call;
 mod client_close;
 mod client_task;
 mod clients;
--- a/crates/curlewpoint-node/src/run/client_commands.rs
+++ b/crates/curlewpoint-node/src/run/client_commands.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use curlewpoint::types::Time;
-use curlewpoint_engine::{ClientId, Refusal};
+use curlewpoint_engine::ClientId;
 use curlewpoint_platform::commands;
 use tracing::{debug, info};
 
 use super::EventLoop;
+use crate::call::{Call, Rejection};
 use crate::client_close::CloseReason;
 
 /// Maximum number of open RPCs on a client connection.
@@ -15,7 +16,7 @@
 const MAX_TAG_RUNS: usize = 256;
 /// Maximum number of tags that are remembered as cancelled before their call, on a client connection.
 const MAX_CANCELLED_TAGS: usize = 256;
-/// A client is disconnected after this many malformed calls.
+/// A client is disconnected after this many calls that do not keep to the protocol.
 const MAX_MALFORMED_CALLS: u32 = 8;
 
 impl EventLoop {
@@ -59,8 +60,10 @@
                     return Ok(());
                 }
                 let body = words.get(4).cloned().unwrap_or_default();
-                if let Err(status) = self.call(now, id, tag, word(2), word(3), body) {
-                    self.reject_call(id, tag, status)?;
+                let call = Call::parse(word(2), word(3));
+                let submitted = call.and_then(|call| self.submit_call(now, id, tag, &call, body));
+                if let Err(rejection) = submitted {
+                    self.reject_call(id, tag, &rejection)?;
                 }
             }
             commands::CHECK if is_cancelled => {}
@@ -99,67 +102,46 @@
     }
 
     /// Replies to a call that was not accepted. A client that repeatedly sends malformed calls is disconnected.
-    fn reject_call(&mut self, id: ClientId, tag: u64, status: &str) -> Result<(), CloseReason> {
+    fn reject_call(&mut self, id: ClientId, tag: u64, rejection: &Rejection) -> Result<(), CloseReason> {
+        debug!(client = id.0, tag, "call rejected: {rejection}");
         let driver = self.engine.driver();
-        driver.reply(id, tag, status, "", b"");
-        if let Some(client) = driver.clients.get_mut(&id).filter(|_| status == commands::BROKEN) {
-            client.malformed_calls += 1;
-            if client.malformed_calls >= MAX_MALFORMED_CALLS {
-                return Err(CloseReason::MalformedCalls);
-            }
+        driver.reply(id, tag, rejection.status(), "", b"");
+        let Rejection::Malformed(_) = rejection else { return Ok(()) };
+        let Some(client) = driver.clients.get_mut(&id) else { return Ok(()) };
+        client.malformed_calls += 1;
+        match client.malformed_calls >= MAX_MALFORMED_CALLS {
+            true => Err(CloseReason::MalformedCalls),
+            false => Ok(()),
         }
-        Ok(())
     }
 
-    /// Hands a call to the engine. If the call is not accepted, returns the status to reply with.
-    fn call(
-        &mut self, now: Time, id: ClientId, tag: u64, method: &[u8], fields: &[u8], body: Bytes,
-    ) -> Result<(), &'static str> {
-        let malformed = |reason| {
-            debug!(client = id.0, tag, "call rejected: {reason}");
-            commands::BROKEN
-        };
-        let text = |bytes| std::str::from_utf8(bytes).map_err(|_| malformed("not UTF-8"));
-        let (method, fields) = (text(method)?, text(fields)?);
-        let field = |name| commands::field(fields, name);
-        let req = field("req").and_then(commands::parse_hex_id).ok_or_else(|| malformed("invalid ID"))?;
-        let time_left =
-            field("timeout").and_then(commands::parse_timeout).ok_or_else(|| malformed("invalid timeout"))?;
-        let model =
-            field("subject").and_then(commands::parse_hex_id).ok_or_else(|| malformed("invalid function"))?;
-        let info = commands::parse_info(field("info").unwrap_or(""))
-            .ok_or_else(|| malformed("invalid parameters"))?;
-        let lanes = info.iter().find(|(name, _)| *name == "lanes").map(|(_, lanes)| *lanes);
-        if lanes.is_some_and(|lanes| lanes < 1.0) {
-            return Err(malformed("invalid lanes"));
-        }
-        if self.engine.driver().is_known_id(req) {
-            return Err(malformed("ID already in use"));
-        }
-        let (method, tenant) = (field("kind").unwrap_or(method), field("owner").unwrap_or(""));
+    /// Hands a call to the engine.
+    fn submit_call(
+        &mut self, now: Time, id: ClientId, tag: u64, call: &Call<'_>, body: Bytes,
+    ) -> Result<(), Rejection> {
         let driver = self.engine.driver();
-        driver.next_rpc_id = req.into();
+        if driver.is_known_id(call.id) {
+            return Err(Rejection::Malformed("ID already in use"));
+        }
+        driver.next_rpc_id = call.id.into();
         driver.clients.get_mut(&id).into_iter().for_each(|c| c.open.extend([tag]));
-        let time_left = time_left - self.stalls.possible_delay(now);
+        let time_left = call.time_left - self.stalls.possible_delay(now);
         let accepted = self.engine.submit_rpc(
             now,
             (id, tag),
-            method,
-            model,
-            tenant,
+            call.method,
+            call.model,
+            call.tenant,
             time_left,
-            field("opkey"),
-            lanes,
+            call.token,
+            call.lanes,
             body,
         );
-        let Err(refusal) = accepted else { return Ok(()) };
-        debug!(client = id.0, tag, "call rejected: {refusal:?}");
-        let driver = self.engine.driver();
-        driver.clients.get_mut(&id).into_iter().for_each(|c| c.open.retain(|t| *t != tag));
-        match refusal {
-            Refusal::Full | Refusal::NoTime | Refusal::Stopping => Err(commands::REFUSED),
-            _ => Err(malformed("unknown method, invalid token or invalid function")),
-        }
+        accepted.map(drop).map_err(|refusal| {
+            let client = self.engine.driver().clients.get_mut(&id);
+            client.into_iter().for_each(|c| c.open.retain(|t| *t != tag));
+            refusal.into()
+        })
     }
 
     /// Begins to close a connection after an error of its client: ends the open RPCs with a reply each, and has the
--- a/crates/curlewpoint-node/tests/closes.rs
+++ b/crates/curlewpoint-node/tests/closes.rs
@@ -102,3 +102,24 @@
     assert!(with_timeout(writing).await.unwrap().is_err());
     scheduler.finish().await;
 }
+
+/// Guards against a client that sends malformed calls without end, and against calls behind the last of them that have
+/// no answer.
+#[tokio::test]
+async fn a_client_that_repeats_malformed_calls_is_closed() {
+    const MALFORMED: u64 = 8;
+    let (address, mut worker_rx) = scripted_worker().await;
+    let scheduler = start_scheduler(&[&address], NO_DISCOVERY).await;
+    let mut client = Client::connect(&scheduler).await;
+    let fields = "timeout=500,subject=00000000000000aa";
+    let malformed = |tag: u64| encode(&["CALL", &tag.to_string(), "read", fields, ""]);
+    let malformed_calls = (1..=MALFORMED).flat_map(malformed).collect();
+    client.0.write_all(&[malformed_calls, call(MALFORMED + 1)].concat()).await.unwrap();
+    for tag in 1..=MALFORMED {
+        client.expect_reply(&[&tag.to_string(), "broken", "", ""]).await;
+    }
+    client.expect_reply(&[&(MALFORMED + 1).to_string(), "refused", "", ""]).await;
+    client.expect_closed().await;
+    assert!(worker_rx.try_recv().is_err(), "the last call reached a worker");
+    scheduler.finish().await;
+}
--- a/crates/curlewpoint-node/tests/connection_limits.rs
+++ b/crates/curlewpoint-node/tests/connection_limits.rs
@@ -88,3 +88,31 @@
     assert!(worker_rx.try_recv().is_err(), "the second call with this tag reached a worker");
     scheduler.finish().await;
 }
+
+/// Guards against closing a connection because of well-formed calls that its scheduler cannot serve.
+#[test_case("write", "timeout=500,subject=00000000000000aa" ; "unknown method")]
+#[test_case("read", "timeout=3600000,subject=00000000000000aa" ; "timeout of an hour")]
+#[test_case("read", "timeout=500,subject=00000000000000aa,info=lanes:0.5" ; "half a lane")]
+#[test_case("keyed", "timeout=500,subject=00000000000000aa" ; "no token")]
+#[tokio::test]
+async fn calls_that_cannot_be_served_do_not_close_a_connection(method: &str, fields: &str) {
+    let (address, _) = echo_worker().await;
+    let scheduler = start_scheduler_with(&[&address], NO_DISCOVERY, with_keyed_method).await;
+    let mut client = Client::connect(&scheduler).await;
+    for tag in 1..=MANY {
+        client.send(&["CALL", &tag.to_string(), method, &format!("req={tag:016x},{fields}"), "x"]).await;
+        client.expect_reply(&[&tag.to_string(), "broken", "", ""]).await;
+    }
+    client.send_call(&(MANY + 1).to_string(), "read", IDS[0]).await;
+    client.expect_reply(&[&(MANY + 1).to_string(), "good", "", "body"]).await;
+    scheduler.finish().await;
+}
+
+/// Adds a method whose calls need a token.
+fn with_keyed_method(config: &mut serde_json::Value) {
+    let method = serde_json::json!({
+        "name": "keyed", "effect": "idempotency_key", "group": "all", "memorySpan": 5000.0, "aim": 500.0,
+        "giveUp": 5000.0, "gain": 1.0,
+    });
+    config["settings"]["requestClasses"].as_array_mut().unwrap().push(method);
+}
--- a/crates/curlewpoint-platform/src/commands.rs
+++ b/crates/curlewpoint-platform/src/commands.rs
@@ -43,7 +43,7 @@
 }
 
 /// Parses a non-negative decimal number: digits with at most one decimal point, no sign and no exponent.
-fn parse_number(text: &str) -> Option<f64> {
+pub fn parse_number(text: &str) -> Option<f64> {
     let (integer, fraction) = text.split_once('.').unwrap_or((text, "0"));
     (is_digits(integer) && is_digits(fraction)).then(|| text.parse().ok())?
 }
