node: a tag of over 64 bits no longer closes its client's connection

What callers saw: a command whose tag is 2^64 or more ended the connection, with its open calls `broken`.

Cause: a tag that does not fit into 64 bits was taken for no tag. The protocol says "a decimal number from 1 up" and names no largest one.

Evidence: a_tag_of_many_digits_does_not_close_a_connection failed before, with the end of the connection, and passes now.

Change: such a call is answered `broken`, a check as always, both with the tag as the client wrote it; a cancel has no effect, as no RPC has this tag. What is no decimal number or zero still closes the connection, as it can have no answer. The handling of calls and checks is a method each.

--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -214,11 +214,16 @@
         self.known_ids.contains(id)
     }
 
-    /// Sends a reply to a client. A client whose outbox is full does not read its replies and is cut off.
+    /// Sends a reply to a client.
     pub fn reply(&mut self, id: ClientId, tag: u64, status: &str, fields: &str, body: &[u8]) {
+        self.reply_to_tag(id, tag.to_string().as_bytes(), status, fields, body);
+    }
+
+    /// Sends a reply to a client, with the tag as its client wrote it. A client whose outbox is full does not read its
+    /// replies and is cut off.
+    pub fn reply_to_tag(&mut self, id: ClientId, tag: &[u8], status: &str, fields: &str, body: &[u8]) {
         let Some(client) = self.clients.get(&id) else { return };
-        let reply =
-            resp::encode_array(&[tag.to_string().as_bytes(), status.as_bytes(), fields.as_bytes(), body]);
+        let reply = resp::encode_array(&[tag, status.as_bytes(), fields.as_bytes(), body]);
         if client.outbox.send(reply, None).is_err() {
             info!(client = id.0, "cut off: it does not read its answers");
             client.writer.abort();
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -357,7 +357,7 @@
         match event {
             Event::ClientConnected(id, client) => drop(engine.driver().clients.insert(id, client)),
             Event::ClientCommand(id, words) => {
-                let result = self.client_command(now, id, words);
+                let result = self.client_command(now, id, &words);
                 self.command_handled(now, id, result);
             }
             Event::ClientCancel(id, words, passed_on) => {
--- a/crates/curlewpoint-node/src/run/client_commands.rs
+++ b/crates/curlewpoint-node/src/run/client_commands.rs
@@ -19,6 +19,11 @@
 /// A client is disconnected after this many calls that do not keep to the protocol.
 const MAX_MALFORMED_CALLS: u32 = 8;
 
+/// A word of a command, or an empty one if there are fewer.
+fn word(words: &[Bytes], index: usize) -> &[u8] {
+    words.get(index).map_or(&b""[..], |word| word)
+}
+
 impl EventLoop {
     /// Concludes the handling of a client's command. After an error the connection is closed.
     pub(super) fn command_handled(&mut self, now: Time, id: ClientId, result: Result<(), CloseReason>) {
@@ -32,52 +37,68 @@
 
     /// Handles a command other than a cancel. After an error the connection is to be closed.
     pub(super) fn client_command(
-        &mut self, now: Time, id: ClientId, words: Vec<Bytes>,
+        &mut self, now: Time, id: ClientId, words: &[Bytes],
     ) -> Result<(), CloseReason> {
-        let stopping = self.stop_requested.is_some();
         let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
         client.silent_intervals = 0;
-        let word = |index: usize| words.get(index).map_or(&b""[..], |w| &w[..]);
-        let tag = commands::parse_tag(word(1));
+        let (command, tag_word) = (word(words, 0), word(words, 1));
+        let tag = commands::parse_tag(tag_word);
         let is_cancelled = client.overtaking_cancels.process(tag);
-        let tag = tag.ok_or(CloseReason::InvalidTag)?;
-        match word(0) {
-            // A second reply with the tag of an open RPC would be taken for that RPC's.
-            commands::CALL if client.open.contains(&tag) => return Err(CloseReason::TagReused(tag)),
-            commands::CALL => {
-                let is_new = client.tags.insert(tag, MAX_TAG_RUNS);
-                if client.cancelled.remove(&tag) || is_cancelled {
-                    return Ok(());
-                }
-                if client.is_closing || !is_new {
-                    self.engine.count_refused();
-                    self.engine.driver().reply(id, tag, commands::REFUSED, "", b"");
-                    return if is_new { Ok(()) } else { Err(CloseReason::TagReused(tag)) };
-                }
-                if client.open.len() >= MAX_OPEN_RPCS_PER_CLIENT {
-                    self.engine.count_refused();
-                    self.engine.driver().reply(id, tag, commands::ENOUGH, "", b"");
-                    return Ok(());
-                }
-                let body = words.get(4).cloned().unwrap_or_default();
-                let call = Call::parse(word(2), word(3));
-                let submitted = call.and_then(|call| self.submit_call(now, id, tag, &call, body));
-                if let Err(rejection) = submitted {
-                    self.reject_call(id, tag, &rejection)?;
-                }
+        if !commands::is_tag(tag_word) {
+            return Err(CloseReason::InvalidTag);
+        }
+        match (command, tag) {
+            (commands::CALL, Some(tag)) => self.client_call(now, id, tag, words, is_cancelled),
+            (commands::CALL, None) => {
+                debug!(client = id.0, "call rejected: unsupported: tag of over 64 bits");
+                self.engine.count_refused();
+                self.engine.driver().reply_to_tag(id, tag_word, commands::BROKEN, "", b"");
+                Ok(())
             }
-            commands::CHECK if is_cancelled => {}
-            commands::CHECK => {
-                let status = if stopping { commands::UNFIT } else { commands::FIT };
-                if !std::mem::replace(&mut self.health_check_logged, true) {
-                    let after = self.started.elapsed().as_millis() as u64;
-                    info!(after, "first health check answered '{status}', milliseconds from the start");
-                }
-                self.engine.driver().reply(id, tag, status, "", b"");
+            (commands::CHECK, _) if is_cancelled => Ok(()),
+            (commands::CHECK, _) => {
+                self.client_check(id, tag_word);
+                Ok(())
             }
-            _ => return Err(CloseReason::UnknownCommand),
+            _ => Err(CloseReason::UnknownCommand),
         }
-        Ok(())
+    }
+
+    fn client_call(
+        &mut self, now: Time, id: ClientId, tag: u64, words: &[Bytes], is_cancelled: bool,
+    ) -> Result<(), CloseReason> {
+        let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
+        if client.open.contains(&tag) {
+            // A second reply with this tag would be taken for that of the open RPC.
+            return Err(CloseReason::TagReused(tag));
+        }
+        let is_new = client.tags.insert(tag, MAX_TAG_RUNS);
+        if client.cancelled.remove(&tag) || is_cancelled {
+            return Ok(());
+        }
+        if client.is_closing || !is_new {
+            self.engine.count_refused();
+            self.engine.driver().reply(id, tag, commands::REFUSED, "", b"");
+            return if is_new { Ok(()) } else { Err(CloseReason::TagReused(tag)) };
+        }
+        if client.open.len() >= MAX_OPEN_RPCS_PER_CLIENT {
+            self.engine.count_refused();
+            self.engine.driver().reply(id, tag, commands::ENOUGH, "", b"");
+            return Ok(());
+        }
+        let body = words.get(4).cloned().unwrap_or_default();
+        let call = Call::parse(word(words, 2), word(words, 3));
+        let submitted = call.and_then(|call| self.submit_call(now, id, tag, &call, body));
+        submitted.or_else(|rejection| self.reject_call(id, tag, &rejection))
+    }
+
+    fn client_check(&mut self, id: ClientId, tag_word: &[u8]) {
+        let status = if self.stop_requested.is_some() { commands::UNFIT } else { commands::FIT };
+        if !std::mem::replace(&mut self.health_check_logged, true) {
+            let after = self.started.elapsed().as_millis() as u64;
+            info!(after, "first health check answered '{status}', milliseconds from the start");
+        }
+        self.engine.driver().reply_to_tag(id, tag_word, status, "", b"");
     }
 
     /// Handles a cancel. Its call may be open, answered, still queued among the `passed_on` commands, as cancels overtake
@@ -87,7 +108,10 @@
     ) -> Result<(), CloseReason> {
         let Some(client) = self.engine.driver().clients.get_mut(&id) else { return Ok(()) };
         client.silent_intervals = 0;
-        let tag = words.get(1).and_then(|word| commands::parse_tag(word)).ok_or(CloseReason::InvalidTag)?;
+        if !commands::is_tag(word(words, 1)) {
+            return Err(CloseReason::InvalidTag);
+        }
+        let Some(tag) = commands::parse_tag(word(words, 1)) else { return Ok(()) };
         if !client.open.contains(&tag) {
             client.overtaking_cancels.record(tag, passed_on);
             if !client.tags.contains(tag) && client.cancelled.insert(tag) {
--- a/crates/curlewpoint-node/tests/connection_limits.rs
+++ b/crates/curlewpoint-node/tests/connection_limits.rs
@@ -116,3 +116,23 @@
     });
     config["settings"]["requestClasses"].as_array_mut().unwrap().push(method);
 }
+
+/// Guards against closing a connection because a tag does not fit into 64 bits: the protocol sets no largest tag.
+#[tokio::test]
+async fn a_tag_of_many_digits_does_not_close_a_connection() {
+    let (address, mut worker_rx) = scripted_worker().await;
+    let scheduler = start_scheduler(&[&address], NO_DISCOVERY).await;
+    let mut client = Client::connect(&scheduler).await;
+    client.send_call("1", "read", IDS[0]).await;
+    let (request, reply_tx) = with_timeout(worker_rx.recv()).await.unwrap();
+    let (call_tag, check_tag) = (format!("{}", u128::from(u64::MAX) + 1), "9".repeat(60));
+    client.send_call(&call_tag, "read", IDS[1]).await;
+    client.expect_reply(&[&call_tag, "broken", "", ""]).await;
+    client.send(&["CANCEL", &call_tag]).await;
+    client.send(&["CHECK", &check_tag, ""]).await;
+    client.expect_reply(&[&check_tag, "fit", "", ""]).await;
+    reply_tx.send(reply_line(&request, "OK", "")).unwrap();
+    client.expect_reply(&["1", "good", "", ""]).await;
+    assert!(worker_rx.try_recv().is_err(), "the call reached a worker");
+    scheduler.finish().await;
+}
--- a/crates/curlewpoint-platform/src/commands.rs
+++ b/crates/curlewpoint-platform/src/commands.rs
@@ -31,12 +31,17 @@
     !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit())
 }
 
-/// Parses a tag: a decimal number of at least 1.
+/// Parses a tag: a decimal number of at least 1, and at most the largest of 64 bits.
 pub fn parse_tag(word: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(word).ok().filter(|t| is_digits(t))?;
     text.parse().ok().filter(|tag| *tag > 0)
 }
 
+/// Whether a word is a tag, of any size.
+pub fn is_tag(word: &[u8]) -> bool {
+    word.iter().all(u8::is_ascii_digit) && word.iter().any(|digit| *digit != b'0')
+}
+
 /// Validates a request or function ID: 16 hex digits.
 pub fn parse_hex_id(text: &str) -> Option<&str> {
     (text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())).then_some(text)
--- a/crates/curlewpoint-platform/src/commands/tests.rs
+++ b/crates/curlewpoint-platform/src/commands/tests.rs
@@ -65,3 +65,15 @@
     assert!(tags.insert(7, 9) && tags.insert(1, 9));
     assert!(tags.contains(1) && tags.contains(7) && !tags.contains(2));
 }
+
+#[test_case(b"1", true, Some(1))]
+#[test_case(b"18446744073709551615", true, Some(u64::MAX) ; "the largest that is supported")]
+#[test_case(b"18446744073709551616", true, None ; "above the largest")]
+#[test_case(b"0", false, None)]
+#[test_case(b"000", false, None)]
+#[test_case(b"", false, None ; "empty")]
+#[test_case(b"-1", false, None)]
+#[test_case(b"7x", false, None)]
+fn a_tag_is_a_decimal_number_from_one_up(word: &[u8], is_valid: bool, parsed: Option<u64>) {
+    assert_eq!((is_tag(word), parse_tag(word)), (is_valid, parsed));
+}
