node: count a connection as idle from its last answer, not its last command

What callers saw: a connection whose call took over five seconds was closed within a second after the answer; a client that uses it again at once races the close and has to repeat its request.

Cause: the five silent seconds were counted from the last command, also while a call was open. docs/crossings.md says "a client idle for 5 s".

Evidence: a_connection_is_not_idle_right_after_a_slow_answer failed before (the connection had ended when the client used it four seconds after the answer) and passes now.

Change: a reply restarts the count, as a command does.

--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -38,7 +38,7 @@
     pub cancelled: BTreeSet<u64>,
     /// Number of calls rejected as malformed.
     pub malformed_calls: u32,
-    /// Number of silence intervals in a row without a command.
+    /// Number of silence intervals in a row without a command or a reply.
     pub silent_intervals: u32,
 }
 
@@ -347,6 +347,7 @@
         debug!(rpc = rpc.0, client = client.0, tag, "{answer:?} {reason}");
         if let Some(client) = self.clients.get_mut(&client) {
             client.open.remove(&tag);
+            client.silent_intervals = 0;
             client.activity.replied(self.clock.now(), client.open.len());
         }
         if self.withdrawn == Some((client, tag)) {
--- a/crates/curlewpoint-node/tests/connection_limits.rs
+++ b/crates/curlewpoint-node/tests/connection_limits.rs
@@ -136,3 +136,26 @@
     assert!(worker_rx.try_recv().is_err(), "the call reached a worker");
     scheduler.finish().await;
 }
+
+/// Guards against closing a connection as idle right after the answer to a call that took longer than clients may be idle.
+#[tokio::test]
+async fn a_connection_is_not_idle_right_after_a_slow_answer() {
+    let (address, mut worker_rx) = scripted_worker().await;
+    let scheduler = start_scheduler_with(&[&address], NO_DISCOVERY, |config| {
+        config["settings"]["requestClasses"][1]["giveUp"] = serde_json::json!(20_000.0);
+    })
+    .await;
+    let mut client = Client::connect(&scheduler).await;
+    let fields = format!("req={},timeout=20000,subject=00000000000000aa", IDS[0]);
+    client.send(&["CALL", "1", "issue", &fields, ""]).await;
+    let (request, reply_tx) = with_timeout(worker_rx.recv()).await.unwrap();
+    pass_seconds(6).await;
+    reply_tx.send(reply_line(&request, "OK", "")).unwrap();
+    client.expect_reply(&["1", "good", "", ""]).await;
+    // Clients close idle connections after four seconds.
+    pass_seconds(4).await;
+    client.expect_check(&mut 1, "fit").await;
+    pass_seconds(6).await;
+    client.expect_closed().await;
+    scheduler.finish().await;
+}
--- a/crates/curlewpoint-node/tests/partial_requests.rs
+++ b/crates/curlewpoint-node/tests/partial_requests.rs
@@ -198,13 +198,6 @@
     scheduler.finish().await;
 }
 
-/// With the clock paused, lets the scheduler read all received bytes and handle the resulting events.
-async fn process_received() {
-    for _ in 0..8 {
-        tokio::task::yield_now().await;
-    }
-}
-
 /// Guards against closing a connection on which a request stays incomplete for seconds while calls are open, and
 /// against one that stays open for it once they are answered.
 #[tokio::test]
@@ -230,16 +223,6 @@
     scheduler.finish().await;
 }
 
-/// Lets this many seconds pass for the scheduler, which processes what happens in each.
-async fn pass_seconds(seconds: usize) {
-    tokio::time::pause();
-    for _ in 0..seconds {
-        tokio::time::advance(Duration::from_millis(1_001)).await;
-        process_received().await;
-    }
-    tokio::time::resume();
-}
-
 /// A cancel split at every byte: if the worker answers between the parts that is the only reply; if it answers after
 /// the complete cancel there is none.
 #[tokio::test]
--- a/crates/curlewpoint-node/tests/test_servers/mod.rs
+++ b/crates/curlewpoint-node/tests/test_servers/mod.rs
@@ -38,6 +38,23 @@
     timeout(STEP_TIMEOUT, step).await.expect("timed out")
 }
 
+/// With the clock paused, lets the scheduler read all received bytes and handle the resulting events.
+pub async fn process_received() {
+    for _ in 0..8 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Lets this many seconds pass for the scheduler, which processes what happens in each.
+pub async fn pass_seconds(seconds: usize) {
+    tokio::time::pause();
+    for _ in 0..seconds {
+        tokio::time::advance(Duration::from_millis(1_001)).await;
+        process_received().await;
+    }
+    tokio::time::resume();
+}
+
 /// State shared by the scripted peers of a test: the transcript, and what is needed to conclude the test.
 #[derive(Default)]
 struct TestState {
