serve: answer the RPCs of a native client before the FAULT that closes it

What callers saw: a frame over `most-frame`, or an invalid one, ends a native client's connection with a FAULT, and RPCs open on it, those before the frame that are still queued and those behind an invalid one get no answer. Found by reading after the same fault of node; no client is known to have met it.

Cause: as in node, a close removed the client at once, and its reading task dropped what it held.

Change: as in node. Open RPCs are answered as aborted, the task passes on what has been received, RPCs among it are REFUSED `cancelled`, then the FAULT is sent. ClientDisconnected has no error any more, which is an event of its own; three tests that match it follow. The time limit for a client that goes on sending and the abort of a client's RPCs are shared by both programs.

--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -670,6 +670,17 @@
         self.end_rpc(now, id);
     }
 
+    /// Ends all RPCs of a client whose connection is being closed, with an aborted answer each.
+    pub fn abort_client(&mut self, now: Time, client: ClientId) {
+        let open: Vec<RpcId> =
+            self.table(now).tags.range((client, 0)..=(client, u64::MAX)).map(|(_, id)| *id).collect();
+        for id in open {
+            let reason = "the connection is closed";
+            self.module.host().answer(id, Answer::Aborted, reason, Time(0), Bytes::new());
+            self.end_rpc(now, id);
+        }
+    }
+
     /// Ends all RPCs of a client whose connection is gone, without an answer.
     pub fn client_gone(&mut self, now: Time, client: ClientId) {
         let table = self.table(now);
--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -4,10 +4,10 @@
 use curlewpoint_catalogue::Catalogue;
 use curlewpoint_engine::ClientId;
 use curlewpoint_link::{
-    handshake, is_transient_accept_error, linger, next_if_ready, now_or_never, Link, LinkLimits, ReadAhead,
-    LINGER_LIMITS, METRICS,
+    handshake, is_transient_accept_error, linger, next_if_ready, now_or_never, ClosingReadLimit, Link,
+    LinkLimits, ReadAhead, LINGER_LIMITS, METRICS,
 };
-use curlewpoint_wire::{Field, Frame, Kind};
+use curlewpoint_wire::{Field, Frame, Kind, WireError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::yield_now;
@@ -137,29 +137,36 @@
         Err(error) => return info!(client = id.0, "no hello from a client: {error}"),
     };
     debug!(client = id.0, peer, "client connected");
+    let closing = context.closing.child_token();
     if context
         .priority_tx
-        .send(Event::ClientConnected(id, Client::new(outbox, writer.abort_handle())))
+        .send(Event::ClientConnected(id, Client::new(outbox, writer.abort_handle(), closing.clone())))
         .await
         .is_err()
     {
         return;
     }
     let (mut queue, mut passed_on, mut received) = (ReadAhead::new(READ_AHEAD), 0, None::<Frame>);
-    let (mut writing, mut error) = (true, None);
+    let (mut writing, mut reading) = (true, true);
+    let (mut closing_read_limit, mut unreadable) = (ClosingReadLimit::default(), None);
     loop {
+        if let Some(error) = unreadable.take() {
+            // Nothing behind it can be read.
+            reading = false;
+            if context.priority_tx.send(Event::ClientFailed(id, error)).await.is_err() {
+                break;
+            }
+        }
         if let Some(frame) = received.take() {
             if frame.kind == Kind::CANCEL {
-                let tag = match frame.get_int(Field::TAG) {
-                    Ok(tag) => tag,
-                    Err(e) => {
-                        error = Some(e);
-                        break;
+                let event = match frame.get_int(Field::TAG) {
+                    Ok(tag) => {
+                        let dropped = queue.remove_last(|q: &QueuedEvent| q.tag == Some(tag));
+                        Event::CancelRpc(id, tag, dropped.is_none().then_some(passed_on))
                     }
+                    Err(error) => Event::ClientFailed(id, error),
                 };
-                let after =
-                    queue.remove_last(|q: &QueuedEvent| q.tag == Some(tag)).is_none().then_some(passed_on);
-                if context.priority_tx.send(Event::CancelRpc(id, tag, after)).await.is_err() {
+                if context.priority_tx.send(event).await.is_err() {
                     break;
                 }
             } else {
@@ -173,6 +180,8 @@
                 queue.push(QueuedEvent { event, tag }, bytes);
             }
         }
+        // A client that goes on sending while its connection is being closed is not read for long.
+        reading &= closing_read_limit.may_read(closing.is_cancelled());
         // Reading comes before passing on, so that a disconnect is noticed as early as possible.
         tokio::select! {
             biased;
@@ -180,14 +189,11 @@
                 writing = false;
                 break;
             }
-            next = reader.next(), if queue.has_room() => match next {
+            next = reader.next(), if reading && queue.has_room() => match next {
                 Some(Ok(frame)) => received = Some(frame),
-                Some(Err(e)) => {
-                    error = Some(e);
-                    break;
-                }
                 // The client has disconnected: its queued RPCs are dropped.
-                None => break,
+                Some(Err(WireError::Io(_))) | None => break,
+                Some(Err(error)) => unreadable = Some(error),
             },
             // A full channel delays only this client.
             permit = context.request_tx.reserve(), if !queue.is_empty() => match (permit, queue.pop()) {
@@ -197,21 +203,19 @@
                 }
                 _ => break,
             },
-            () = context.closing.cancelled(), if queue.is_empty() => match next_if_ready(&mut reader).await {
+            () = closing.cancelled(), if queue.is_empty() && !reading => break,
+            () = closing.cancelled(), if queue.is_empty() && reading => match next_if_ready(&mut reader).await {
                 Some(Ok(frame)) => received = Some(frame),
-                Some(Err(e)) => {
-                    error = Some(e);
-                    break;
-                }
-                None => break,
+                Some(Err(WireError::Io(_))) | None => break,
+                Some(Err(error)) => unreadable = Some(error),
             },
         }
     }
     let dropped = queue.iter().filter(|queued| queued.tag.is_some()).count();
-    // When this scheduler ends, the disconnect goes through the request channel, behind the last RPCs, so that these
-    // are answered first.
-    let last_tx = if context.closing.is_cancelled() { &context.request_tx } else { &context.priority_tx };
-    let _ = last_tx.send(Event::ClientDisconnected(id, error, dropped)).await;
+    // While a connection is being closed, the disconnect goes through the request channel, behind the last RPCs, so that
+    // these are answered first.
+    let last_tx = if closing.is_cancelled() { &context.request_tx } else { &context.priority_tx };
+    let _ = last_tx.send(Event::ClientDisconnected(id, dropped)).await;
     if writing {
         let _ = writer.await;
     }
--- a/crates/curlewpoint-gateway/src/clients/tests.rs
+++ b/crates/curlewpoint-gateway/src/clients/tests.rs
@@ -57,7 +57,7 @@
     drop(link.outbox);
     let disconnected = soon(priority_rx.recv()).await;
     assert!(
-        matches!(disconnected, Some(Event::ClientDisconnected(_, None, 32))),
+        matches!(disconnected, Some(Event::ClientDisconnected(_, 32))),
         "the disconnect, with the number of dropped RPCs"
     );
     assert!(matches!(soon(request_rx.recv()).await, Some(Event::Stop)), "the event that filled the channel");
--- a/crates/curlewpoint-gateway/src/driver.rs
+++ b/crates/curlewpoint-gateway/src/driver.rs
@@ -10,6 +10,7 @@
 use curlewpoint_wire::{Field, Frame, Kind};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
 use tracing::{debug, info};
 
 use crate::codes::answer_code;
@@ -22,13 +23,24 @@
     pub writer: AbortHandle,
     /// The client has sent GO_AWAY: it sends nothing more, and everything before that frame has been read.
     pub leaving: bool,
+    /// Cancelled to have the client's task pass on what it has received and close the connection.
+    pub closing: CancellationToken,
+    /// Why the connection is being closed, after an error of the client: no more RPCs are accepted.
+    pub close_reason: Option<String>,
     /// Cancels of RPCs that are still queued.
     cancels: OvertakingCancels,
 }
 
 impl Client {
-    pub fn new(outbox: Outbox, writer: AbortHandle) -> Client {
-        Client { outbox, writer, leaving: false, cancels: OvertakingCancels::default() }
+    pub fn new(outbox: Outbox, writer: AbortHandle, closing: CancellationToken) -> Client {
+        Client {
+            outbox,
+            writer,
+            leaving: false,
+            closing,
+            close_reason: None,
+            cancels: OvertakingCancels::default(),
+        }
     }
 
     /// Records the cancel of the RPC with this tag among the client's first `passed_on` events. A cancel overtakes
--- a/crates/curlewpoint-gateway/src/events.rs
+++ b/crates/curlewpoint-gateway/src/events.rs
@@ -18,9 +18,11 @@
     /// A client cancels the RPC with this tag. None: the RPC was still in the client task and has been dropped there.
     /// Some(n): it may be among the first n events that the client task has passed on.
     CancelRpc(ClientId, u64, Option<u64>),
-    /// A client has disconnected, or sent something that could not be read; and the number of RPCs that were read from
-    /// it and not passed on.
-    ClientDisconnected(ClientId, Option<WireError>, usize),
+    /// A client sent something that is invalid or cannot be read: its connection is to be closed.
+    ClientFailed(ClientId, WireError),
+    /// A client's connection has ended, or is closed and brings no more frames; and the number of RPCs that were read
+    /// from it and not passed on.
+    ClientDisconnected(ClientId, usize),
     /// An RPC that arrived over HTTP or AMQP.
     Request(ClientId, RpcRequest),
     /// A connection to a worker is established.
@@ -53,6 +55,7 @@
                 | ClientFrame(..)
                 | InvalidRpc(..)
                 | CancelRpc(..)
+                | ClientFailed(..)
                 | ClientDisconnected(..)
                 | Request(..)
         )
--- a/crates/curlewpoint-gateway/src/http.rs
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -492,7 +492,7 @@
         let Some(reply_rx) = self.reply_rx.take() else { return };
         drop(reply_rx);
         if let Err(TrySendError::Full(event)) =
-            self.endpoint.priority_tx.try_send(Event::ClientDisconnected(self.id, None, 0))
+            self.endpoint.priority_tx.try_send(Event::ClientDisconnected(self.id, 0))
         {
             let (priority_tx, runtime) =
                 (self.endpoint.priority_tx.clone(), tokio::runtime::Handle::try_current());
--- a/crates/curlewpoint-gateway/src/http/tests.rs
+++ b/crates/curlewpoint-gateway/src/http/tests.rs
@@ -60,7 +60,7 @@
 async fn a_disconnect_overtakes_a_queued_request() {
     let (address, mut priority_rx, mut request_rx) = endpoint(2).await;
     drop(send_request(address).await);
-    let Some(Event::ClientDisconnected(disconnected, None, 0)) = soon(priority_rx.recv()).await else {
+    let Some(Event::ClientDisconnected(disconnected, 0)) = soon(priority_rx.recv()).await else {
         panic!("no disconnect")
     };
     let Ok(Event::Request(id, request)) = request_rx.try_recv() else { panic!("no request was queued") };
@@ -83,7 +83,7 @@
         soon(reply_tx.closed()).await;
     }
     for _ in 0..2 {
-        assert!(matches!(soon(priority_rx.recv()).await, Some(Event::ClientDisconnected(_, None, 0))));
+        assert!(matches!(soon(priority_rx.recv()).await, Some(Event::ClientDisconnected(_, 0))));
     }
 }
 
--- a/crates/curlewpoint-gateway/src/run.rs
+++ b/crates/curlewpoint-gateway/src/run.rs
@@ -456,18 +456,8 @@
                     engine.driver().send_to_client(id, Frame::new(Kind::GO_AWAY));
                 }
             }
-            Event::ClientDisconnected(id, error, dropped) => {
-                // RPCs that were read and not passed on count as refused.
-                (0..dropped).for_each(|_| engine.count_refused());
-                match error {
-                    Some(error) => self.close_client(now, id, &error.to_string()),
-                    None => {
-                        engine.driver().clients.remove(&id);
-                        engine.driver().reply_txs.remove(&id);
-                        engine.client_gone(now, id);
-                    }
-                }
-            }
+            Event::ClientFailed(id, error) => self.close_client(now, id, &error.to_string()),
+            Event::ClientDisconnected(id, dropped) => self.client_disconnected(now, id, dropped),
             Event::InvalidRpc(id, frame, reason) => {
                 if self.should_process(id, &frame) {
                     if let Err(e) = self.refuse_invalid(id, &frame, &reason) {
@@ -552,17 +542,22 @@
         }
     }
 
-    /// Whether a client's frame is still to be processed. Frames of a client that has disconnected are ignored, and an
-    /// RPC that has been cancelled in the meantime is refused.
+    /// Whether a client's frame is still to be processed. Frames of a client that has disconnected are ignored. An RPC
+    /// that has been cancelled in the meantime, or whose connection is being closed, is refused.
     fn should_process(&mut self, id: ClientId, frame: &Frame) -> bool {
         let tag = frame.get_int(Field::TAG).ok().filter(|_| frame.kind == Kind::RPC);
-        match (self.engine.driver().clients.get_mut(&id).map(|client| client.process(tag)), tag) {
-            (Some(true), Some(tag)) => self.refuse_cancelled(id, tag),
-            (Some(_), _) => return true,
-            (None, Some(_)) => self.engine.count_refused(),
-            (None, None) => {}
+        let Some(client) = self.engine.driver().clients.get_mut(&id) else {
+            tag.into_iter().for_each(|_| self.engine.count_refused());
+            return false;
+        };
+        let (is_cancelled, is_closing) = (client.process(tag), client.close_reason.is_some());
+        match tag {
+            Some(tag) if is_cancelled || is_closing => {
+                self.refuse_cancelled(id, tag);
+                false
+            }
+            _ => !is_closing,
         }
-        false
     }
 
     /// Refuses an RPC that its client cancelled before it was accepted.
@@ -683,10 +678,30 @@
         checked.is_ok()
     }
 
+    /// Begins to close a connection after an error of its client: aborts the open RPCs, and has the client's task pass
+    /// on the frames that it has received, of which RPCs are refused. The task then disconnects.
     fn close_client(&mut self, now: Time, id: ClientId, reason: &str) {
+        let Some(client) = self.engine.driver().clients.get_mut(&id) else { return };
+        if client.close_reason.is_some() {
+            return;
+        }
         info!(client = id.0, "closed: {reason}");
-        self.engine.driver().send_to_client(id, Frame::new(Kind::FAULT).text(Field::REASON, reason));
-        self.engine.driver().clients.remove(&id);
+        client.close_reason = Some(reason.to_owned());
+        client.closing.cancel();
+        self.engine.abort_client(now, id);
+    }
+
+    /// Ends a client's connection, after a FAULT if it is closed for an error of the client. `dropped` RPCs were read
+    /// and not passed on; they count as refused.
+    fn client_disconnected(&mut self, now: Time, id: ClientId, dropped: usize) {
+        (0..dropped).for_each(|_| self.engine.count_refused());
+        let driver = self.engine.driver();
+        let reason = driver.clients.get_mut(&id).and_then(|client| client.close_reason.take());
+        if let Some(reason) = reason {
+            driver.send_to_client(id, Frame::new(Kind::FAULT).text(Field::REASON, &reason));
+        }
+        driver.clients.remove(&id);
+        driver.reply_txs.remove(&id);
         self.engine.client_gone(now, id);
     }
 
--- a/crates/curlewpoint-lab/tests/sockets/main.rs
+++ b/crates/curlewpoint-lab/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The gateway on real sockets with scripted workers.
 
 mod amqp;
+mod closes;
 mod common;
 mod document;
 mod hard;
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -20,6 +20,6 @@
 pub use link::{handshake, listen, listen_with_retry, spawn_writer, Link, LinkError, LinkLimits, Reader};
 pub use metrics::{Counter, Metrics, METRICS};
 pub use outbox::{Outbox, OutboxMessage, SendError, Ticket, SLOW_FRAME_MS};
-pub use read_ahead::{next_if_ready, now_or_never, ReadAhead};
+pub use read_ahead::{next_if_ready, now_or_never, ClosingReadLimit, ReadAhead};
 pub use socket::{dial, is_local_error, is_transient_accept_error, linger, LINGER_LIMITS};
 pub use stream::{split, ReadHalf, WriteHalf};
--- a/crates/curlewpoint-link/src/read_ahead.rs
+++ b/crates/curlewpoint-link/src/read_ahead.rs
@@ -2,8 +2,11 @@
 use std::future::Future;
 
 use tokio::task::yield_now;
+use tokio::time::Instant;
 use tokio_stream::{Stream, StreamExt};
 
+use crate::socket::LINGER_LIMITS;
+
 /// Messages that were read from a peer and not yet passed on, bounded in number and in bytes. The peer is read while
 /// there is room, so that a cancel or the end of the connection is seen even behind earlier messages that still wait.
 pub struct ReadAhead<T> {
@@ -51,6 +54,22 @@
     }
 }
 
+/// Limits the time for which a connection that is being closed is still read, for a peer that goes on sending.
+#[derive(Debug, Default)]
+pub struct ClosingReadLimit {
+    deadline: Option<Instant>,
+}
+
+impl ClosingReadLimit {
+    /// Whether the connection may be read. The time begins at the first call with `is_closing`.
+    pub fn may_read(&mut self, is_closing: bool) -> bool {
+        if is_closing {
+            self.deadline.get_or_insert_with(|| Instant::now() + LINGER_LIMITS.0);
+        }
+        self.deadline.is_none_or(|deadline| Instant::now() < deadline)
+    }
+}
+
 /// Polls a future once and returns its output if it is ready. A time-out of zero would wait for the next tick of
 /// tokio's timer, up to a millisecond.
 pub async fn now_or_never<T>(future: impl Future<Output = T>) -> Option<T> {
--- a/crates/curlewpoint-node/src/client_task.rs
+++ b/crates/curlewpoint-node/src/client_task.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use curlewpoint_engine::ClientId;
-use curlewpoint_link::{linger, next_if_ready, spawn_writer, split, ReadAhead, ReadHalf, LINGER_LIMITS};
+use curlewpoint_link::{
+    linger, next_if_ready, spawn_writer, split, ClosingReadLimit, ReadAhead, ReadHalf, LINGER_LIMITS,
+};
 use curlewpoint_platform::commands::CANCEL;
 use curlewpoint_platform::resp::{CommandDecoder, RespError};
 use tokio::net::TcpStream;
@@ -77,7 +79,7 @@
         reader: FramedRead::new(read, codec),
         closing,
         is_reading: true,
-        read_deadline: None,
+        closing_read_limit: ClosingReadLimit::default(),
         ahead: ReadAhead::new(READ_AHEAD_LIMIT),
         passed_on: 0,
         was_partial: false,
@@ -106,8 +108,7 @@
     closing: CancellationToken,
     /// False once nothing more is read from the client.
     is_reading: bool,
-    /// Until when commands are read from a connection that is being closed.
-    read_deadline: Option<Instant>,
+    closing_read_limit: ClosingReadLimit,
     /// Commands that were read and not passed on.
     ahead: ReadAhead<Vec<Bytes>>,
     /// Number of commands passed on to the engine.
@@ -179,7 +180,8 @@
                     return true;
                 }
             }
-            self.check_read_deadline();
+            // A client that goes on sending while its connection is being closed is not read for long.
+            self.is_reading &= self.closing_read_limit.may_read(self.closing.is_cancelled());
             // Reading comes before passing commands on, so that a client that disconnected meanwhile is noticed first:
             // its commands that were not passed on are dropped.
             input = tokio::select! {
@@ -232,14 +234,6 @@
         ControlFlow::Continue(())
     }
 
-    /// Stops reading from a client that goes on sending while its connection is being closed.
-    fn check_read_deadline(&mut self) {
-        if self.is_reading && self.closing.is_cancelled() {
-            let deadline = *self.read_deadline.get_or_insert_with(|| Instant::now() + LINGER_LIMITS.0);
-            self.is_reading = Instant::now() < deadline;
-        }
-    }
-
     /// Reads what has been received of a connection that is being closed, command by command.
     async fn read_last(&mut self) -> Input {
         match self.is_reading {
--- a/crates/curlewpoint-node/src/run/client_commands.rs
+++ b/crates/curlewpoint-node/src/run/client_commands.rs
@@ -175,11 +175,9 @@
         if std::mem::replace(&mut client.is_closing, true) {
             return;
         }
-        let (open, unhandled) = (client.open.clone(), client.activity.unhandled());
+        let (open, unhandled) = (client.open.len(), client.activity.unhandled());
         client.closing.cancel();
-        self.client_closes.record(id, reason, open.len(), unhandled);
-        for tag in open {
-            self.engine.cancel(now, id, tag);
-        }
+        self.client_closes.record(id, reason, open, unhandled);
+        self.engine.abort_client(now, id);
     }
 }
