node: log and count stalls, and the age of each endpoint list

Change: a line for each stall of 0.5 s or more, counters of all over 0.1 s and of the longest at SIGUSR1, and the age of a newer list and of the one that it replaces, counted from when each was asked for. A response carries the time of its query.

--- a/crates/curlewpoint-link/src/metrics.rs
+++ b/crates/curlewpoint-link/src/metrics.rs
@@ -46,6 +46,9 @@
     pub frames_cut: Counter,
     /// Dials, listens and accepts that failed with a local or transient error and were retried.
     pub local_errors: Counter,
+    /// Times that the process was not scheduled for long enough to be logged, and the longest, in milliseconds.
+    pub stalls: Counter,
+    pub longest_stall_ms: Counter,
 }
 
 pub static METRICS: Metrics = Metrics {
@@ -55,6 +58,8 @@
     slowest_frame_ms: Counter::new(),
     frames_cut: Counter::new(),
     local_errors: Counter::new(),
+    stalls: Counter::new(),
+    longest_stall_ms: Counter::new(),
 };
 
 impl Display for Metrics {
@@ -64,6 +69,8 @@
         write!(f, "slow_frames={} ", self.slow_frames.get())?;
         write!(f, "slowest_frame_ms={} ", self.slowest_frame_ms.get())?;
         write!(f, "frames_cut={} ", self.frames_cut.get())?;
-        write!(f, "local_errors={}", self.local_errors.get())
+        write!(f, "local_errors={} ", self.local_errors.get())?;
+        write!(f, "stalls={} ", self.stalls.get())?;
+        write!(f, "longest_stall_ms={}", self.longest_stall_ms.get())
     }
 }
--- a/crates/curlewpoint-node/src/discovery.rs
+++ b/crates/curlewpoint-node/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Polls discovery over UDP and passes each response on as a complete endpoint list.
+//! Polls discovery over UDP and passes each response on as a complete endpoint list, with the time of its query.
 
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -7,8 +7,8 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use curlewpoint::types::Lifecycle;
-use curlewpoint_link::{is_local_error, METRICS};
+use curlewpoint::types::{Lifecycle, Time};
+use curlewpoint_link::{is_local_error, Clock, METRICS};
 use curlewpoint_platform::dns::{self, DiscoveryError, MAX_RESPONSE_BYTES};
 use curlewpoint_platform::EndpointListVisitor;
 use oorandom::Rand64;
@@ -80,6 +80,12 @@
     }
 }
 
+/// A list, and when the query that it answers was sent: it holds every change made before that.
+pub(crate) struct DiscoveryResponse {
+    pub list: EndpointList,
+    pub queried_at: Time,
+}
+
 /// Number of the latest queries whose responses are accepted: a late response is as valid as one in time.
 const MAX_OPEN_QUERIES: usize = 32;
 
@@ -105,12 +111,17 @@
     }
 }
 
-/// A discovery address with a socket connected to it, and the IDs and send times of the latest queries, the newest
-/// last.
+/// A query that was sent.
+struct Query {
+    id: u16,
+    sent_at: Time,
+}
+
+/// A discovery address with a socket connected to it, and the latest queries, the newest last.
 struct Endpoint {
     address: SocketAddr,
     socket: UdpSocket,
-    queries: VecDeque<(u16, Instant)>,
+    queries: VecDeque<Query>,
 }
 
 impl Endpoint {
@@ -121,8 +132,8 @@
     }
 
     /// Sends a query. An interrupted send is repeated; one that would block is dropped after a timeout.
-    async fn send_query(&mut self, id: u16) -> Result<(), String> {
-        self.queries.push_back((id, Instant::now()));
+    async fn send_query(&mut self, id: u16, sent_at: Time) -> Result<(), String> {
+        self.queries.push_back(Query { id, sent_at });
         if self.queries.len() > MAX_OPEN_QUERIES {
             self.queries.pop_front();
         }
@@ -215,7 +226,7 @@
     }
 
     /// The queries sent to the endpoint that a datagram came from.
-    fn queries(&self, datagram: &Datagram) -> Option<&VecDeque<(u16, Instant)>> {
+    fn queries(&self, datagram: &Datagram) -> Option<&VecDeque<Query>> {
         let endpoint =
             if datagram.from_current { self.current.as_ref() } else { self.previous.get(datagram.index) };
         endpoint.map(|endpoint| &endpoint.queries)
@@ -236,7 +247,8 @@
 }
 
 impl Schedule {
-    fn response_received(&mut self, response_time: Duration) {
+    fn response_received(&mut self, response_time: Time) {
+        let response_time = Duration::from_micros(response_time.0 * 100);
         *self = Schedule {
             due: Instant::now() + POLL_INTERVAL,
             is_awaiting: false,
@@ -260,7 +272,7 @@
 /// A response to any of the latest queries is accepted, also from a previous address: lists are versioned, and the
 /// content of a response is valid from the moment it was sent, however late it arrives.
 pub(crate) async fn follow(
-    mut address_rx: watch::Receiver<SocketAddr>, event_tx: mpsc::Sender<Event>, mut rng: Rand64,
+    mut address_rx: watch::Receiver<SocketAddr>, event_tx: mpsc::Sender<Event>, mut rng: Rand64, clock: Clock,
 ) {
     let (mut health, mut endpoints, mut may_move) = (Health { failures: 0 }, Endpoints::default(), true);
     let mut buffer = vec![0; MAX_RESPONSE_BYTES];
@@ -287,12 +299,12 @@
             // Before a change of address, so that datagrams already received are not left unread.
             received = poll_fn(|cx| endpoints.poll_recv(cx, &mut buffer)), if Instant::now() >= receive_from => match received {
                 Ok(datagram) => match parse(&buffer[..datagram.bytes], endpoints.queries(&datagram)) {
-                    Ok((list, is_newest, response_time)) => {
+                    Ok((response, is_newest)) => {
                         health.succeeded();
                         if datagram.from_current && is_newest {
-                            schedule.response_received(response_time);
+                            schedule.response_received(clock.now() - response.queried_at);
                         }
-                        if event_tx.send(Event::EndpointList(list)).await.is_err() {
+                        if event_tx.send(Event::DiscoveryResponse(response)).await.is_err() {
                             return;
                         }
                     }
@@ -316,7 +328,7 @@
                 }
                 let id = rng.rand_u64() as u16;
                 if let Some(endpoint) = &mut endpoints.current {
-                    if let Err(reason) = endpoint.send_query(id).await {
+                    if let Err(reason) = endpoint.send_query(id, clock.now()).await {
                         health.failed(address, &reason);
                     }
                 }
@@ -326,14 +338,14 @@
     }
 }
 
-/// Parses a response to one of these queries. Returns the list, whether the query is the newest, and the response time.
+/// Parses a response to one of these queries. Returns it, and whether the query is the newest.
 fn parse(
-    response: &[u8], queries: Option<&VecDeque<(u16, Instant)>>,
-) -> Result<(EndpointList, bool, Duration), DiscoveryError> {
+    response: &[u8], queries: Option<&VecDeque<Query>>,
+) -> Result<(DiscoveryResponse, bool), DiscoveryError> {
     let id = response.first_chunk().map_or(0, |id| u16::from_be_bytes(*id));
     let queries = queries.ok_or(DiscoveryError::OtherQuery)?;
-    let index = queries.iter().rposition(|(q, _)| *q == id).ok_or(DiscoveryError::OtherQuery)?;
+    let index = queries.iter().rposition(|q| q.id == id).ok_or(DiscoveryError::OtherQuery)?;
     let mut list = EndpointList::default();
     dns::parse_response(response, id, &mut list)?;
-    Ok((list, index + 1 == queries.len(), queries[index].1.elapsed()))
+    Ok((DiscoveryResponse { list, queried_at: queries[index].sent_at }, index + 1 == queries.len()))
 }
--- a/crates/curlewpoint-node/src/events.rs
+++ b/crates/curlewpoint-node/src/events.rs
@@ -6,7 +6,7 @@
 use serde_json::{Map, Value};
 
 use crate::client_close::CloseReason;
-use crate::discovery::EndpointList;
+use crate::discovery::DiscoveryResponse;
 use crate::driver::Client;
 use crate::worker_line::WorkerLine;
 
@@ -31,7 +31,7 @@
     /// A connection to a worker could not be established; true if the cause is local, such as a lack of descriptors.
     WorkerDialFailed(ConnId, bool),
     /// Discovery returned a list.
-    EndpointList(EndpointList),
+    DiscoveryResponse(DiscoveryResponse),
     Stop,
     /// The counters are to be logged.
     LogCounters,
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -21,6 +21,7 @@
 use tracing::{debug, info, warn};
 
 use crate::client_close::CloseCounters;
+use crate::discovery::DiscoveryResponse;
 use crate::driver::NodeDriver;
 use crate::events::Event;
 use crate::stall::StallDetector;
@@ -60,6 +61,9 @@
 /// File descriptors reserved for the listener, the discovery sockets, signals and the like.
 const RESERVED_DESCRIPTORS: usize = 16;
 
+/// A stall of at least this length is logged; a starved process has many shorter ones.
+const MIN_LOGGED_STALL: Time = Time(5_000);
+
 /// Stops a scheduler, or has it log its counters.
 #[derive(Clone)]
 pub struct Control(mpsc::Sender<Event>);
@@ -178,8 +182,8 @@
     };
     let accepting = tasks.spawn(clients::accept(listener, sockets / 2, context));
     let (resolver, resolver_rx) = watch::channel(resolver);
-    let polling =
-        tokio::spawn(discovery::follow(resolver_rx, priority_tx.clone(), Rand64::new(seed))).abort_handle();
+    let polling = tokio::spawn(discovery::follow(resolver_rx, priority_tx.clone(), Rand64::new(seed), clock))
+        .abort_handle();
     let event_loop = EventLoop {
         engine,
         clock,
@@ -190,6 +194,7 @@
         rejecting_all: false,
         mismatch_logged: false,
         list_version: 0,
+        list_queried_at: clock.now(),
         service_health: ServiceHealth::default(),
         stalls: StallDetector::default(),
         health_check_logged: false,
@@ -258,6 +263,8 @@
     mismatch_logged: bool,
     /// Version of the newest endpoint list received.
     list_version: u64,
+    /// When the newest query that was answered with that list was sent; at first, the start of this process.
+    list_queried_at: Time,
     service_health: ServiceHealth,
     stalls: StallDetector,
     health_check_logged: bool,
@@ -313,7 +320,9 @@
     async fn iterate(&mut self, events: &mut EventQueue<Event>, max_wait: Duration) {
         let wait = self.engine.next_wake().map_or(max_wait, |at| self.clock.until(at)).min(max_wait);
         let batch = events.next_batch(wait).await;
-        self.stalls.iteration_started(self.clock.now());
+        if let Some(stall) = self.stalls.iteration_started(self.clock.now()) {
+            self.record_stall(stall);
+        }
         for event in batch {
             self.handle_event(event);
         }
@@ -395,13 +404,7 @@
                 engine.driver().conn_broken(now, conn);
                 engine.process_ends(now);
             }
-            Event::EndpointList(list) => {
-                if self.list_version < list.version() {
-                    self.list_version = list.version();
-                    debug!("endpoint list {} received", self.list_version);
-                }
-                list.visit(&mut EngineListVisitor { engine, clock: self.clock, now });
-            }
+            Event::DiscoveryResponse(response) => self.discovery_response(now, &response),
             Event::LogCounters => self.log_counters("figures"),
             Event::Stop => {
                 info!(open = self.engine.open_rpcs(), "stopping");
@@ -410,6 +413,30 @@
         }
     }
 
+    /// Applies a list. A newer one is logged with the age of its content, and of the list that was used until now.
+    fn discovery_response(&mut self, now: Time, response: &DiscoveryResponse) {
+        let DiscoveryResponse { list, queried_at } = response;
+        if self.list_version < list.version() {
+            let (age_ms, replaced_age_ms) = ((now - *queried_at).ms(), (now - self.list_queried_at).ms());
+            info!(age_ms, replaced_age_ms, "endpoint list {} received", list.version());
+            self.list_version = list.version();
+        }
+        if self.list_version == list.version() {
+            self.list_queried_at = self.list_queried_at.max(*queried_at);
+        }
+        list.visit(&mut EngineListVisitor { engine: &mut self.engine, clock: self.clock, now });
+    }
+
+    /// Counts a time in which this process did not run, and logs it if it was long.
+    fn record_stall(&self, stall: Time) {
+        METRICS.stalls.add(1);
+        METRICS.longest_stall_ms.raise_to(stall.ms() as u64);
+        if stall >= MIN_LOGGED_STALL {
+            let list_age_ms = (self.clock.now() - self.list_queried_at).ms();
+            info!(stall_ms = stall.ms(), list_age_ms, "this process did not run for a while");
+        }
+    }
+
     /// Handles a reply from a worker. A reply without an open request is ignored.
     fn worker_message(
         &mut self, now: Time, conn: ConnId, message: &Map<String, Value>,
--- a/crates/curlewpoint-node/src/stall.rs
+++ b/crates/curlewpoint-node/src/stall.rs
@@ -17,12 +17,15 @@
 }
 
 impl StallDetector {
-    pub fn iteration_started(&mut self, now: Time) {
+    /// Returns the length of the stall that has just ended, if there was one.
+    pub fn iteration_started(&mut self, now: Time) -> Option<Time> {
         let gap = self.last_iteration.map_or(Time(0), |last| now - last);
-        if gap > MAX_ITERATION_GAP {
-            self.last_stall = Some((now, gap));
-        }
         self.last_iteration = Some(now);
+        if gap <= MAX_ITERATION_GAP {
+            return None;
+        }
+        self.last_stall = Some((now, gap));
+        Some(gap)
     }
 
     /// Upper bound on the time that input read now has waited in kernel buffers.
--- a/crates/curlewpoint-node/src/stall/tests.rs
+++ b/crates/curlewpoint-node/src/stall/tests.rs
@@ -4,10 +4,10 @@
 fn input_read_right_after_a_stall_may_be_delayed_by_its_length() {
     let mut stalls = StallDetector::default();
     for at in [10_000, 10_200, 10_400] {
-        stalls.iteration_started(Time(at));
+        assert_eq!(stalls.iteration_started(Time(at)), None);
         assert_eq!(stalls.possible_delay(Time(at)), Time(0), "regular iterations are no stall");
     }
-    stalls.iteration_started(Time(12_900));
+    assert_eq!(stalls.iteration_started(Time(12_900)), Some(Time(2_500)));
     assert_eq!(stalls.possible_delay(Time(12_900)), Time(2_500));
     stalls.iteration_started(Time(13_000));
     assert_eq!(stalls.possible_delay(Time(13_000)), Time(2_500), "reading the backlog takes some iterations");
