--- a/crates/curlewpoint-cli/tests/test_servers/mod.rs
+++ b/crates/curlewpoint-cli/tests/test_servers/mod.rs
@@ -225,42 +225,90 @@
 /// The arrival time and id of each call.
 pub type Calls = Arc<Mutex<Vec<(Instant, u64)>>>;
 
+/// A worker that answers every request at once, and what it received.
+pub struct TestWorker {
+    pub address: String,
+    pub calls: Calls,
+    /// Arrival times of orders to load at least one copy.
+    pub load_orders: Arc<Mutex<Vec<Instant>>>,
+    /// A draining worker still serves calls. It turns load orders and queries for copies away.
+    pub is_draining: Arc<AtomicBool>,
+}
+
 /// Starts a worker that answers every request. Returns its address and the calls that it received.
 pub fn start_worker(transcript: &SharedTranscript) -> (String, Calls) {
-    let transcript = transcript.clone();
+    let worker = start_test_worker(transcript);
+    (worker.address, worker.calls)
+}
+
+pub fn start_test_worker(transcript: &SharedTranscript) -> TestWorker {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (address, calls) = (listener.local_addr().unwrap().to_string(), Calls::default());
-    let received = Arc::clone(&calls);
+    let worker = TestWorker {
+        address: listener.local_addr().unwrap().to_string(),
+        calls: Calls::default(),
+        load_orders: Arc::default(),
+        is_draining: Arc::default(),
+    };
+    let connection = WorkerConnection {
+        transcript: transcript.clone(),
+        calls: Arc::clone(&worker.calls),
+        load_orders: Arc::clone(&worker.load_orders),
+        is_draining: Arc::clone(&worker.is_draining),
+    };
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let (received, transcript) = (Arc::clone(&received), transcript.clone());
-            std::thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                for line in BufReader::new(&stream).lines().map_while(Result::ok) {
-                    let request: Value = serde_json::from_str(&line).expect("a JSON line");
-                    let reply_type = match request["type"].as_str() {
-                        Some("invoke") => {
-                            let id = request["req"].as_str().expect("an id");
-                            let number = u64::from_str_radix(id, 16).expect("a number");
-                            received.lock().unwrap().push((Instant::now(), number));
-                            transcript.with(|r| {
-                                r.worker_received(id);
-                                r.worker_answered(id, b"");
-                            });
-                            "OK"
-                        }
-                        Some("gauges") => "UP",
-                        _ => continue,
-                    };
-                    let reply = json!({"type": reply_type, "req": request["req"], "meta": {"detail": "resident"}, "data": ""});
-                    if (&stream).write_all(format!("{reply}\n").as_bytes()).is_err() {
-                        return;
-                    }
-                }
-            });
+            let connection = connection.clone();
+            std::thread::spawn(move || connection.serve(&stream));
         }
     });
-    (address, calls)
+    worker
+}
+
+#[derive(Clone)]
+struct WorkerConnection {
+    transcript: SharedTranscript,
+    calls: Calls,
+    load_orders: Arc<Mutex<Vec<Instant>>>,
+    is_draining: Arc<AtomicBool>,
+}
+
+impl WorkerConnection {
+    fn serve(&self, mut stream: &TcpStream) {
+        let _ = stream.set_nodelay(true);
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            let request: Value = serde_json::from_str(&line).expect("a JSON line");
+            let Some(reply_type) = self.handle(&request) else { continue };
+            let meta = json!({"detail": "resident", "instances": 1});
+            let reply = json!({"type": reply_type, "req": request["req"], "meta": meta, "data": ""});
+            if stream.write_all(format!("{reply}\n").as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Records a request and returns the type of its reply, if it gets one.
+    fn handle(&self, request: &Value) -> Option<&'static str> {
+        match request["type"].as_str()? {
+            "invoke" => {
+                let id = request["req"].as_str().expect("an id");
+                let number = u64::from_str_radix(id, 16).expect("a number");
+                self.calls.lock().unwrap().push((Instant::now(), number));
+                self.transcript.with(|r| {
+                    r.worker_received(id);
+                    r.worker_answered(id, b"");
+                });
+                Some("OK")
+            }
+            "prewarm" => {
+                if request["meta"]["instances"] != 0 {
+                    self.load_orders.lock().unwrap().push(Instant::now());
+                }
+                Some(if self.is_draining.load(Ordering::Acquire) { "BUSY" } else { "OK" })
+            }
+            "gauges" => Some("UP"),
+            _ => None,
+        }
+    }
 }
 
 /// Encodes words as an array of the client protocol.
@@ -274,6 +322,35 @@
     encode(&["CALL", &tag.to_string(), "read", &fields, "body"])
 }
 
+/// A worker in a discovery response.
+pub struct ListedWorker {
+    pub id: String,
+    pub address: String,
+    pub is_draining: bool,
+    /// Unix milliseconds of a late start, or 0.
+    pub started: u64,
+}
+
+/// Builds the discovery response to a query.
+pub fn discovery_response(query: &[u8], version: u32, workers: &[ListedWorker]) -> Vec<u8> {
+    let name = |n: &str| Name::from_ascii(n).unwrap();
+    let mut message = Message::from_vec(query).unwrap();
+    message.set_message_type(MessageType::Response);
+    let list = message.queries()[0].name().clone();
+    let soa = SOA::new(name("a."), name("b."), version, 1, 1, 1, 1);
+    message.add_name_server(Record::from_rdata(list.clone(), 0, RData::SOA(soa)));
+    for worker in workers {
+        let (target, port) =
+            (name(&format!("{}.z.hosts.", worker.id)), worker.address.rsplit_once(':').unwrap().1);
+        let srv = SRV::new(u16::from(worker.is_draining), 40, port.parse().unwrap(), target.clone());
+        message.add_answer(Record::from_rdata(list.clone(), 0, RData::SRV(srv)));
+        message.add_additional(Record::from_rdata(target.clone(), 0, RData::A(A(Ipv4Addr::LOCALHOST))));
+        let text = TXT::new(vec!["cell=0".into(), format!("started={}", worker.started)]);
+        message.add_additional(Record::from_rdata(target, 0, RData::TXT(text)));
+    }
+    message.to_vec().unwrap()
+}
+
 /// Starts the discovery server of a node. It lists all workers but the last as ready; once `cold_since` is set, the last
 /// one as started at that time and the others as draining. `on_query` is called with the node after each query.
 pub fn start_discovery(
@@ -283,32 +360,24 @@
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let address = socket.local_addr().unwrap().to_string();
     std::thread::spawn(move || {
-        let (mut query, name) = ([0; 512], |n: &str| Name::from_ascii(n).unwrap());
+        let mut query = [0; 512];
         while let Ok((n, from)) = socket.recv_from(&mut query) {
             let since = cold_since.load(Ordering::Acquire);
-            let mut m = Message::from_vec(&query[..n]).unwrap();
-            m.set_message_type(MessageType::Response);
-            let list = m.queries()[0].name().clone();
-            let serial = if since > 0 { 2 } else { 1 };
-            let soa = SOA::new(name("a."), name("b."), serial, 1, 1, 1, 1);
-            m.add_name_server(Record::from_rdata(list.clone(), 0, RData::SOA(soa)));
-            for (index, address) in workers.iter().enumerate() {
-                let is_cold = index + 1 == workers.len();
-                if is_cold && since == 0 {
-                    continue;
-                }
-                let (target, port) =
-                    (name(&format!("s-{index}.z.hosts.")), address.rsplit_once(':').unwrap().1);
-                let priority = u16::from(!is_cold && since > 0);
-                let srv = SRV::new(priority, 40, port.parse().unwrap(), target.clone());
-                m.add_answer(Record::from_rdata(list.clone(), 0, RData::SRV(srv)));
-                m.add_additional(Record::from_rdata(target.clone(), 0, RData::A(A(Ipv4Addr::LOCALHOST))));
-                let started = if is_cold { since } else { 0 };
-                let text = TXT::new(vec!["cell=0".into(), format!("started={started}")]);
-                m.add_additional(Record::from_rdata(target, 0, RData::TXT(text)));
-            }
+            let (started, last) = (since > 0, workers.len() - 1);
+            let listed: Vec<ListedWorker> = workers
+                .iter()
+                .enumerate()
+                .filter(|(index, _)| *index < last || started)
+                .map(|(index, address)| ListedWorker {
+                    id: format!("s-{index}"),
+                    address: address.clone(),
+                    is_draining: index < last && started,
+                    started: if index == last { since } else { 0 },
+                })
+                .collect();
             if !is_silent.load(Ordering::Acquire) {
-                let _ = socket.send_to(&m.to_vec().unwrap(), from);
+                let version = if started { 2 } else { 1 };
+                let _ = socket.send_to(&discovery_response(&query[..n], version, &listed), from);
             }
             on_query(node);
         }
