--- a/benches/module.rs
+++ b/benches/module.rs
@@ -17,13 +17,13 @@
 }
 
 impl Host for RecordingHost {
-    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _: Time, _: Time) {
         self.attempts.push((rpc, worker));
     }
     fn cancel(&mut self, _: RpcId, _: AttemptNumber) {}
     fn deny(&mut self, _: RpcId, _: Time) {}
     fn abort(&mut self, _: RpcId) {}
-    fn load(&mut self, _: WorkerId, _: FunctionId, _: u64) {}
+    fn load(&mut self, _: WorkerId, _: FunctionId, _: u64, _: Time) {}
     fn unload(&mut self, _: WorkerId, _: FunctionId) {}
     fn probe(&mut self, _: WorkerId) {}
     fn set_timer(&mut self, _: Time, _: TimerId) {}
--- a/crates/curlewpoint-drill/src/main.rs
+++ b/crates/curlewpoint-drill/src/main.rs
@@ -27,7 +27,7 @@
 }
 
 impl Host for SimulatorHost {
-    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time, _send_by: Time) {
         let limit = limit.ms();
         self.write_action("PASS_ON", format_args!(" req={} worker={} allowFor={limit:.1}", rpc.0, worker.0));
     }
@@ -43,7 +43,7 @@
     fn abort(&mut self, rpc: RpcId) {
         self.write_action("GIVE_UP", format_args!(" req={}", rpc.0));
     }
-    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64) {
+    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64, _send_by: Time) {
         let (worker, function) = (worker.0, function.0);
         self.write_action(
             "HOLD_THERE",
--- a/crates/curlewpoint-engine/src/endpoint_list.rs
+++ b/crates/curlewpoint-engine/src/endpoint_list.rs
@@ -9,7 +9,9 @@
 pub enum ListOutcome {
     /// The list is newer than the one held and was applied.
     Applied { full: bool },
-    /// The list is not newer than the one held.
+    /// The list is the one held.
+    Unchanged,
+    /// The list is older than the one held.
     Stale,
     /// The list holds changes to a version that is not held: the full list has to be requested.
     NeedsFull,
@@ -123,7 +125,8 @@
             && from.is_none()
             && !entries.is_empty();
         if stale && !refills {
-            return (ListOutcome::Stale, named);
+            let is_held = self.version == Some((epoch, version));
+            return (if is_held { ListOutcome::Unchanged } else { ListOutcome::Stale }, named);
         }
         if from.is_some_and(|from| self.version != Some((epoch, from))) {
             return (ListOutcome::NeedsFull, named);
--- a/crates/curlewpoint-engine/src/endpoint_list/tests.rs
+++ b/crates/curlewpoint-engine/src/endpoint_list/tests.rs
@@ -14,7 +14,7 @@
     (outcome, named.len())
 }
 
-#[test_case((7, 3), None, ListOutcome::Stale ; "the same version again")]
+#[test_case((7, 3), None, ListOutcome::Unchanged ; "the same version again")]
 #[test_case((7, 2), Some(1), ListOutcome::Stale ; "changes that arrive late")]
 #[test_case((6, 9), None, ListOutcome::Stale ; "an earlier epoch")]
 #[test_case((7, 5), Some(4), ListOutcome::NeedsFull ; "changes to a version not held")]
@@ -68,5 +68,5 @@
     assert_eq!(receive(&mut list, (7, 4), None, &[]), (ListOutcome::Applied { full: true }, 0));
     assert_eq!(receive(&mut list, (7, 3), None, &[("a", 1)]).0, ListOutcome::Stale);
     assert_eq!(receive(&mut list, (7, 4), None, &[("a", 1)]), (ListOutcome::Applied { full: true }, 1));
-    assert_eq!(receive(&mut list, (7, 4), None, &[("a", 1)]).0, ListOutcome::Stale, "once");
+    assert_eq!(receive(&mut list, (7, 4), None, &[("a", 1)]).0, ListOutcome::Unchanged, "once");
 }
--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use curlewpoint::host::Host;
+use curlewpoint::list_lease::ListLeaseTerms;
 use curlewpoint::scheduler::Scheduler;
 use curlewpoint::types::*;
 use serde_json::{Map, Value};
@@ -49,11 +50,19 @@
         tenant: &'a str,
         token: Option<&'a str>,
         time_left: Time,
+        /// Its first byte must not leave later.
+        send_by: Time,
         body: &'a Bytes,
     },
     Load {
         model: &'a str,
         copies: u64,
+        /// As for an attempt.
+        send_by: Time,
+    },
+    /// Asks whether the worker drains, by an order for no copies of the model.
+    DrainQuery {
+        model: &'a str,
     },
     Probe,
 }
@@ -110,6 +119,8 @@
     pub attempts: u64,
     pub loads: u64,
     pub probes: u64,
+    /// Queries to workers whether they drain.
+    pub drain_queries: u64,
     /// RPCs aborted by the engine because the module did not answer them in time.
     pub aborted_by_guard: u64,
     /// RPCs aborted because this scheduler stopped.
@@ -164,6 +175,7 @@
 enum RequestKind {
     Attempt(RpcId, AttemptNumber),
     Load(FunctionId),
+    DrainQuery,
     Probe,
 }
 
@@ -304,7 +316,7 @@
 }
 
 impl<D: EngineDriver> Host for RequestTable<D> {
-    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time, send_by: Time) {
         let now = self.now;
         let Some(entry) = self.rpcs.get_mut(&rpc) else { return self.ignore_action(rpc, "an attempt") };
         // Attempt numbers also count attempts that are not sent.
@@ -328,7 +340,8 @@
         let (method, tenant) = (&self.methods[entry.method.0].name, self.tenants.get(entry.tenant.0));
         let (model, tenant) = (self.function_names.name(entry.function.0), tenant.map_or("", String::as_str));
         let (token, time_left, body) = (entry.token.as_deref(), until - now, &entry.body);
-        let request = UpstreamRequest::Attempt { rpc, number, method, model, tenant, token, time_left, body };
+        let request =
+            UpstreamRequest::Attempt { rpc, number, method, model, tenant, token, time_left, send_by, body };
         self.driver.request(now, id, worker, request);
     }
 
@@ -348,12 +361,20 @@
         self.answer(rpc, Answer::Aborted, "its time was up and it may have run", Time(0), Bytes::new());
     }
 
-    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64) {
+    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64, send_by: Time) {
         let id = self.open_request(RequestKind::Load(function), worker);
         self.counters.loads += 1;
         self.timers.set(self.now + self.order_limit, Timer::RequestLimit(id));
         let model = self.function_names.name(function.0);
-        self.driver.request(self.now, id, worker, UpstreamRequest::Load { model, copies });
+        self.driver.request(self.now, id, worker, UpstreamRequest::Load { model, copies, send_by });
+    }
+
+    fn query_drain(&mut self, worker: WorkerId, function: FunctionId) {
+        let id = self.open_request(RequestKind::DrainQuery, worker);
+        self.counters.drain_queries += 1;
+        self.timers.set(self.now + self.probe_limit, Timer::RequestLimit(id));
+        let model = self.function_names.name(function.0);
+        self.driver.request(self.now, id, worker, UpstreamRequest::DrainQuery { model });
     }
 
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
@@ -807,6 +828,7 @@
                 RequestKind::Load(function) => {
                     self.module.load_ended(now, worker, function, end.outcome, end.copies)
                 }
+                RequestKind::DrainQuery => self.module.drain_query_ended(now, worker, sent, end.outcome),
                 RequestKind::Probe => self.module.load_report_received(now, worker, &end.load_report),
             }
         }
@@ -814,6 +836,31 @@
 
     // The list of workers.
 
+    /// From now on nothing is sent past the lease on the list, which was valid at `confirmed_at`. The drain grace is the
+    /// settings' `contract.drainGrace`. Each query to discovery and each answer has to be reported.
+    pub fn lease_list(&mut self, now: Time, confirmed_at: Time, terms: ListLeaseTerms) {
+        self.module.lease_list(now, confirmed_at, terms);
+    }
+
+    /// Discovery was queried at `at`; all lists received by then were passed on.
+    pub fn list_queried(&mut self, now: Time, at: Time) {
+        self.table(now);
+        self.module.list_queried(now, at);
+        self.process_ends(now);
+    }
+
+    /// Discovery answered the query of `queried_at` with the list that was passed on last.
+    pub fn list_confirmed(&mut self, now: Time, queried_at: Time) {
+        self.table(now);
+        self.module.list_confirmed(now, queried_at);
+        self.process_ends(now);
+    }
+
+    /// Until when the lease on the list allows something new to be sent to any ready worker.
+    pub fn list_lease_until(&self) -> Time {
+        self.module.list_lease_until()
+    }
+
     pub fn list_begin_received(&mut self, epoch: u64, version: u64, from: Option<u64>) {
         self.module.host().endpoints.begin(epoch, version, from);
     }
@@ -864,7 +911,7 @@
                 self.process_ends(now);
             }
             ListOutcome::NeedsFull => table.driver.watch_list(None),
-            ListOutcome::Stale | ListOutcome::NotStarted => {}
+            ListOutcome::Unchanged | ListOutcome::Stale | ListOutcome::NotStarted => {}
         }
         outcome
     }
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -472,6 +472,12 @@
         }
     }
 
+    /// A queued request was not begun, and will not be: it provably never ran.
+    pub fn end_unsent(&mut self, now: Time, driver: &mut impl PoolDriver<P>, request: RequestId) {
+        self.release(now, driver, request);
+        driver.ended_locally(request, Outcome::NotSent);
+    }
+
     /// Closes connections that have been idle for the idle time-out.
     pub fn close_idle(&mut self, now: Time, driver: &mut impl PoolDriver<P>) {
         let is_idle = |c: &Conn| {
--- a/crates/curlewpoint-engine/tests/recording_driver/mod.rs
+++ b/crates/curlewpoint-engine/tests/recording_driver/mod.rs
@@ -10,6 +10,7 @@
 pub enum RequestKind {
     Attempt,
     Load,
+    DrainQuery,
     Probe,
 }
 
@@ -25,6 +26,7 @@
         let (model, kind) = match request {
             UpstreamRequest::Attempt { model, .. } => (model, RequestKind::Attempt),
             UpstreamRequest::Load { model, .. } => (model, RequestKind::Load),
+            UpstreamRequest::DrainQuery { model } => (model, RequestKind::DrainQuery),
             UpstreamRequest::Probe => ("", RequestKind::Probe),
         };
         self.sent.push((now, id, worker, model.to_owned(), kind));
--- a/crates/curlewpoint-gateway/src/driver.rs
+++ b/crates/curlewpoint-gateway/src/driver.rs
@@ -214,7 +214,9 @@
 impl EngineDriver for GatewayDriver {
     fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>) {
         let frame = match request {
-            UpstreamRequest::Attempt { rpc, number, method, model, tenant, token, time_left, body } => {
+            UpstreamRequest::Attempt {
+                rpc, number, method, model, tenant, token, time_left, body, ..
+            } => {
                 let name = self.rpc_name(rpc);
                 debug!(rpc = name, no = number.0, worker = worker.0, "attempt");
                 let mut f = Frame::new(Kind::ATTEMPT)
@@ -230,10 +232,14 @@
                 }
                 f.body(body.clone())
             }
-            UpstreamRequest::Load { model, copies } => {
+            UpstreamRequest::Load { model, copies, .. } => {
                 let f = Frame::new(Kind::LOAD).int(Field::TAG, id.0).text(Field::MODEL, model);
                 f.int(Field::COPIES, copies)
             }
+            UpstreamRequest::DrainQuery { model } => {
+                let f = Frame::new(Kind::LOAD).int(Field::TAG, id.0).text(Field::MODEL, model);
+                f.int(Field::COPIES, 0)
+            }
             UpstreamRequest::Probe => Frame::new(Kind::PROBE).int(Field::TAG, id.0),
         };
         self.pool.request(now, &mut self.sockets, worker, id, frame);
--- a/crates/curlewpoint-link/src/metrics.rs
+++ b/crates/curlewpoint-link/src/metrics.rs
@@ -44,6 +44,8 @@
     pub slowest_frame_ms: Counter,
     /// Frames that were abandoned when partly written; their connections were closed.
     pub frames_cut: Counter,
+    /// Frames that were not begun because what they were based on was no longer valid.
+    pub expired_frames: Counter,
     /// Dials, listens and accepts that failed with a local or transient error and were retried.
     pub local_errors: Counter,
     /// Times that the process was not scheduled for long enough to be logged, and the longest, in milliseconds.
@@ -57,6 +59,7 @@
     slow_frames: Counter::new(),
     slowest_frame_ms: Counter::new(),
     frames_cut: Counter::new(),
+    expired_frames: Counter::new(),
     local_errors: Counter::new(),
     stalls: Counter::new(),
     longest_stall_ms: Counter::new(),
@@ -69,6 +72,7 @@
         write!(f, "slow_frames={} ", self.slow_frames.get())?;
         write!(f, "slowest_frame_ms={} ", self.slowest_frame_ms.get())?;
         write!(f, "frames_cut={} ", self.frames_cut.get())?;
+        write!(f, "expired_frames={} ", self.expired_frames.get())?;
         write!(f, "local_errors={} ", self.local_errors.get())?;
         write!(f, "stalls={} ", self.stalls.get())?;
         write!(f, "longest_stall_ms={}", self.longest_stall_ms.get())
--- a/crates/curlewpoint-link/src/outbox.rs
+++ b/crates/curlewpoint-link/src/outbox.rs
@@ -48,6 +48,11 @@
         self.transition(QUEUED, WITHDRAWN) || self.0.load(Ordering::Acquire) == WITHDRAWN
     }
 
+    /// Whether it was withdrawn before a byte of it was handed to the kernel.
+    pub fn is_withdrawn(&self) -> bool {
+        self.0.load(Ordering::Acquire) == WITHDRAWN
+    }
+
     fn is_abandoned(&self) -> bool {
         self.0.load(Ordering::Acquire) == ABANDONED
     }
@@ -67,6 +72,10 @@
     fn encoded_len(&self) -> usize;
     fn encode_header(&self, dst: &mut BytesMut);
     fn body(&self) -> Bytes;
+    /// Whether the message may still be sent, asked just before its first byte is. One that may not is withdrawn.
+    fn may_begin(&self) -> bool {
+        true
+    }
 }
 
 impl OutboxMessage for Frame {
@@ -238,6 +247,15 @@
                 self.queued.push_back(next);
             }
             let QueuedFrame { frame, ticket } = &self.queued[starts.len()];
+            if !frame.may_begin() {
+                METRICS.expired_frames.add(1);
+                ticket.iter().for_each(|ticket| {
+                    ticket.withdraw();
+                });
+                release(frame.encoded_len());
+                self.queued.remove(starts.len());
+                continue;
+            }
             if ticket.as_ref().is_some_and(|t| !t.transition(QUEUED, BEGUN)) {
                 release(frame.encoded_len());
                 self.queued.remove(starts.len());
--- a/crates/curlewpoint-link/src/outbox/tests.rs
+++ b/crates/curlewpoint-link/src/outbox/tests.rs
@@ -60,6 +60,38 @@
     assert!(to.is_empty());
 }
 
+/// A message that may be sent until the flag is set.
+struct Expiring(Arc<std::sync::atomic::AtomicBool>);
+
+impl OutboxMessage for Expiring {
+    fn encoded_len(&self) -> usize {
+        1
+    }
+    fn encode_header(&self, buf: &mut BytesMut) {
+        buf.extend_from_slice(b"x");
+    }
+    fn body(&self) -> Bytes {
+        Bytes::new()
+    }
+    fn may_begin(&self) -> bool {
+        !self.0.load(Ordering::Relaxed)
+    }
+}
+
+#[tokio::test]
+async fn a_frame_that_expires_in_the_outbox_is_withdrawn_and_never_written() {
+    let (outbox, receiver) = Outbox::new(8, 1 << 20);
+    let (expired, ticket) = (Arc::default(), Ticket::default());
+    outbox.send(Expiring(Arc::clone(&expired)), Some(ticket.clone())).unwrap();
+    outbox.send(Expiring(Arc::default()), None).unwrap();
+    expired.store(true, Ordering::Relaxed);
+    drop(outbox);
+    let mut to = Vec::new();
+    write_all(receiver, &mut to, LIMIT).await.unwrap();
+    assert_eq!(to, b"x", "the frame that may be sent");
+    assert!(ticket.is_withdrawn());
+}
+
 #[test]
 fn an_outbox_is_bounded_in_frames_and_in_bytes() {
     let (outbox, _receiver) = Outbox::new(2, 1 << 20);
--- a/crates/curlewpoint-node/src/discovery.rs
+++ b/crates/curlewpoint-node/src/discovery.rs
@@ -1,10 +1,10 @@
 //! Polls discovery over UDP and passes each response on as a complete endpoint list, with the time of its query.
 
 use std::collections::VecDeque;
-use std::future::poll_fn;
+use std::future::{poll_fn, ready};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use curlewpoint::types::{Lifecycle, Time};
@@ -15,6 +15,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tracing::{debug, info};
 
@@ -209,7 +210,7 @@
         let Some(endpoint) = &self.current else { return Poll::Pending };
         for _ in 0..MAX_INTERRUPTS {
             let mut buffer = ReadBuf::new(to);
-            match ready!(endpoint.socket.poll_recv(cx, &mut buffer)) {
+            match std::task::ready!(endpoint.socket.poll_recv(cx, &mut buffer)) {
                 Ok(()) => {
                     return Poll::Ready(Ok(Datagram {
                         bytes: buffer.filled().len(),
@@ -280,6 +281,8 @@
         Schedule { due: Instant::now(), is_awaiting: false, unanswered: 0, response_time: Duration::ZERO };
     // After a receive error nothing is received until this moment.
     let mut receive_from = Instant::now();
+    // A query is due since then. What was received by then is read first.
+    let mut query_due_at: Option<Time> = None;
     while !event_tx.is_closed() {
         let address = *address_rx.borrow_and_update();
         if !endpoints.is_current(address) {
@@ -288,6 +291,7 @@
             }
             if let Err(error) = endpoints.move_to(address).await {
                 health.failed(address, &format!("cannot open a socket: {error}"));
+                let _ = event_tx.send(Event::DiscoveryQuery(clock.now())).await;
                 sleep(POLL_INTERVAL / 4).await;
                 continue;
             }
@@ -297,7 +301,7 @@
         tokio::select! {
             biased;
             // Before a change of address, so that datagrams already received are not left unread.
-            received = poll_fn(|cx| endpoints.poll_recv(cx, &mut buffer)), if Instant::now() >= receive_from => match received {
+            received = poll_fn(|cx| endpoints.poll_recv(cx, &mut buffer)), if Instant::now() >= receive_from => { query_due_at = None; match received {
                 Ok(datagram) => match parse(&buffer[..datagram.bytes], endpoints.queries(&datagram)) {
                     Ok((response, is_newest)) => {
                         health.succeeded();
@@ -320,19 +324,29 @@
                     schedule.failed();
                     receive_from = schedule.due;
                 }
-            },
+            }},
             changed = address_rx.changed(), if may_move => may_move = changed.is_ok(),
-            () = sleep_until(schedule.due) => {
+            () = sleep_until(schedule.due), if query_due_at.is_none() => {
+                // Lets the runtime ask the kernel again what was received, as this process may have stood still.
+                yield_now().await;
+                query_due_at = Some(clock.now());
+            }
+            at = ready(query_due_at), if query_due_at.is_some() => {
+                query_due_at = None;
+                let at = at.unwrap_or_default();
                 if schedule.is_awaiting {
                     health.failed(address, "no response in time");
                 }
                 let id = rng.rand_u64() as u16;
                 if let Some(endpoint) = &mut endpoints.current {
-                    if let Err(reason) = endpoint.send_query(id, clock.now()).await {
+                    if let Err(reason) = endpoint.send_query(id, at).await {
                         health.failed(address, &reason);
                     }
                 }
                 schedule.query_sent();
+                if event_tx.send(Event::DiscoveryQuery(at)).await.is_err() {
+                    return;
+                }
             }
         }
     }
--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -17,6 +17,7 @@
 use tracing::{debug, info};
 
 use crate::admission::ClientActivity;
+use crate::send_lease::{PublishedLease, SendLease};
 use crate::worker_line::WorkerLine;
 use crate::workers::Dialler;
 
@@ -183,6 +184,8 @@
     /// IDs of recently ended RPCs, the oldest first.
     recent_ids: VecDeque<(Instant, Arc<str>)>,
     clock: Clock,
+    /// The lease on the endpoint list, for the writers of connections.
+    pub list_lease: PublishedLease,
     pool: Pool<WorkerRequest>,
     sockets: WorkerSockets,
 }
@@ -202,11 +205,30 @@
             known_ids,
             recent_ids,
             clock,
+            list_lease: PublishedLease::default(),
             pool,
             sockets,
         }
     }
 
+    fn send_lease(&self, send_by: Time) -> SendLease {
+        SendLease { clock: self.clock, send_by, published: self.list_lease.clone() }
+    }
+
+    /// Ends the requests that were not begun because their lease had ended.
+    pub fn end_expired(&mut self, now: Time) {
+        if !self.list_lease.take_refused() {
+            return;
+        }
+        let tickets = self.sockets.tickets.iter();
+        let expired: Vec<RequestId> =
+            tickets.filter(|(_, (ticket, ..))| ticket.is_withdrawn()).map(|(id, _)| *id).collect();
+        info!(requests = expired.len(), "not sent: the lease on the endpoint list had ended");
+        for request in expired {
+            self.pool.end_unsent(now, &mut self.sockets, request);
+        }
+    }
+
     /// Whether an RPC with this ID is open or ended recently. Workers identify RPCs by this ID, so a late or
     /// duplicate reply to the earlier RPC would be matched to a new one. Clients that keep to the protocol use a new
     /// ID for each request.
@@ -301,19 +323,25 @@
     fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>) {
         let own_req = || Arc::from(format!("{OWN_REQ_PREFIX}{}", id.0));
         let worker_request = match request {
-            UpstreamRequest::Attempt { rpc, method, model, token, time_left, body, .. } => {
+            UpstreamRequest::Attempt { rpc, method, model, token, time_left, send_by, body, .. } => {
                 let req = Arc::clone(&self.open_ids[&rpc]);
                 let invoke = json_lines::Invoke::new(&req, method, model, token, body);
-                let line = WorkerLine::Attempt { invoke, deadline: now + time_left, clock: self.clock };
+                let line = WorkerLine::Attempt {
+                    invoke,
+                    deadline: now + time_left,
+                    lease: self.send_lease(send_by),
+                };
                 WorkerRequest { req, line, is_attempt: true }
             }
-            UpstreamRequest::Load { model, copies } => {
+            UpstreamRequest::Load { model, copies, send_by } => {
                 let req: Arc<str> = own_req();
-                WorkerRequest {
-                    line: WorkerLine::Encoded(json_lines::prewarm_line(&req, model, copies)),
-                    req,
-                    is_attempt: false,
-                }
+                let (line, lease) = (json_lines::prewarm_line(&req, model, copies), self.send_lease(send_by));
+                WorkerRequest { line: WorkerLine::LoadOrder { line, lease }, req, is_attempt: false }
+            }
+            UpstreamRequest::DrainQuery { model } => {
+                let req: Arc<str> = own_req();
+                let line = WorkerLine::Encoded(json_lines::prewarm_line(&req, model, 0));
+                WorkerRequest { line, req, is_attempt: false }
             }
             UpstreamRequest::Probe => {
                 let req: Arc<str> = own_req();
--- a/crates/curlewpoint-node/src/events.rs
+++ b/crates/curlewpoint-node/src/events.rs
@@ -1,6 +1,7 @@
 //! Events that connection tasks send to the task that owns the engine.
 
 use bytes::Bytes;
+use curlewpoint::types::Time;
 use curlewpoint_engine::{ClientId, ConnId};
 use curlewpoint_link::Outbox;
 use serde_json::{Map, Value};
@@ -32,6 +33,8 @@
     WorkerDialFailed(ConnId, bool),
     /// Discovery returned a list.
     DiscoveryResponse(DiscoveryResponse),
+    /// Discovery was queried, or could not be, at this time. All responses received by then were passed on before.
+    DiscoveryQuery(Time),
     Stop,
     /// The counters are to be logged.
     LogCounters,
--- a/crates/curlewpoint-node/src/lib.rs
+++ b/crates/curlewpoint-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod driver;
 mod events;
 mod run;
+mod send_lease;
 mod stall;
 mod worker_line;
 mod workers;
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use curlewpoint::types::{CopyReport, Lifecycle, Time};
-use curlewpoint_engine::{ConnId, Engine, EngineCounters, Pool, PoolLimits};
+use curlewpoint_engine::{ConnId, Engine, EngineCounters, ListOutcome, Pool, PoolLimits};
 use curlewpoint_link::{listen_with_retry, Clock, EventQueue, LinkLimits, METRICS};
+use curlewpoint_platform::notification::{list_lease_terms, MAX_STARTUP_LIST_AGE};
 use curlewpoint_platform::startup::{self, StartupConfig, StartupError};
 use curlewpoint_platform::{json_lines, EndpointListVisitor};
 use oorandom::Rand64;
@@ -94,6 +95,7 @@
     engine: &'a mut Engine<NodeDriver>,
     clock: Clock,
     now: Time,
+    outcome: ListOutcome,
 }
 
 impl EndpointListVisitor for EngineListVisitor<'_> {
@@ -110,7 +112,7 @@
     }
 
     fn end_list(&mut self) {
-        self.engine.list_end_received(self.now);
+        self.outcome = self.engine.list_end_received(self.now);
     }
 }
 
@@ -127,6 +129,12 @@
     times.reduce(f64::max).map_or(KILL_DELAY.0, |ms| Duration::from_millis(ms as u64))
 }
 
+/// Passes the end of the lease on the endpoint list on to the writers of connections.
+fn publish_list_lease(engine: &mut Engine<NodeDriver>) {
+    let until = engine.list_lease_until();
+    engine.driver().list_lease.publish(until);
+}
+
 /// Starts a scheduler. It accepts calls once this returns.
 pub async fn start(config: StartupConfig) -> Result<SchedulerHandle, StartError> {
     let StartupConfig { name, listen, seed, sockets, memory_mb, resolver, mut settings, known } = config;
@@ -160,16 +168,21 @@
         names.into_iter().flatten().filter_map(Value::as_str).map(str::to_owned).collect();
     let kill_delay = longest_timeout(&settings).min(KILL_DELAY.0) + KILL_DELAY.1;
     let clock = Clock::start();
+    let lease_terms = list_lease_terms(&settings);
     let mut engine = Engine::start(
         clock.now(),
         NodeDriver::new(Pool::new(pool_limits, seed), dialler, clock),
         seed,
         settings,
     );
+    let now = clock.now();
+    let outcome = ListOutcome::NotStarted;
     startup::visit_known_workers(
         &known,
-        &mut EngineListVisitor { engine: &mut engine, clock, now: clock.now() },
+        &mut EngineListVisitor { engine: &mut engine, clock, now, outcome },
     )?;
+    engine.lease_list(now, now - MAX_STARTUP_LIST_AGE, lease_terms);
+    publish_list_lease(&mut engine);
 
     let (tasks, shutdown) = (TaskTracker::new(), CancellationToken::new());
     let context = clients::ClientContext {
@@ -311,8 +324,9 @@
         let conns = self.engine.driver().conns();
         let f = self.engine.counters();
         let (loads, probes, list) = (f.loads, f.probes, self.list_version);
+        let list_age_ms = (self.clock.now() - self.list_queried_at).ms();
         info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, f.cut_off, "{title}");
-        info!(loads, probes, list, "sockets: {METRICS}");
+        info!(loads, probes, f.drain_queries, list, list_age_ms, "sockets: {METRICS}");
         info!("client connections closed: {}", self.client_closes);
     }
 
@@ -331,6 +345,9 @@
         for client in std::mem::take(&mut self.engine.driver().cut_off_clients) {
             self.engine.client_gone(now, client);
         }
+        self.engine.driver().end_expired(now);
+        self.engine.process_ends(now);
+        publish_list_lease(&mut self.engine);
     }
 
     /// Compares the requests that the module considers open with those open on connections, and logs the table sizes.
@@ -405,6 +422,7 @@
                 engine.process_ends(now);
             }
             Event::DiscoveryResponse(response) => self.discovery_response(now, &response),
+            Event::DiscoveryQuery(at) => engine.list_queried(now, at),
             Event::LogCounters => self.log_counters("figures"),
             Event::Stop => {
                 info!(open = self.engine.open_rpcs(), "stopping");
@@ -424,7 +442,13 @@
         if self.list_version == list.version() {
             self.list_queried_at = self.list_queried_at.max(*queried_at);
         }
-        list.visit(&mut EngineListVisitor { engine: &mut self.engine, clock: self.clock, now });
+        let (engine, clock, outcome) = (&mut self.engine, self.clock, ListOutcome::NotStarted);
+        let mut visitor = EngineListVisitor { engine, clock, now, outcome };
+        list.visit(&mut visitor);
+        // An older list does not tell whether anything has changed since the one held.
+        if matches!(visitor.outcome, ListOutcome::Applied { .. } | ListOutcome::Unchanged) {
+            self.engine.list_confirmed(now, *queried_at);
+        }
     }
 
     /// Counts a time in which this process did not run, and logs it if it was long.
--- a/crates/curlewpoint-platform/src/lib.rs
+++ b/crates/curlewpoint-platform/src/lib.rs
@@ -1,10 +1,12 @@
 //! The platform protocol, without I/O: client commands and replies ([`resp`], [`commands`]), messages exchanged with
-//! workers ([`json_lines`]), discovery responses ([`dns`]) and the startup configuration of a scheduler ([`startup`]).
+//! workers ([`json_lines`]), discovery responses ([`dns`]) the startup configuration of a scheduler ([`startup`]), and
+//! when a change of the endpoint list counts as known ([`notification`]).
 //! This crate encodes, decodes and validates; it makes no scheduling decisions.
 
 pub mod commands;
 pub mod dns;
 pub mod json_lines;
+pub mod notification;
 pub mod resp;
 pub mod startup;
 
--- a/crates/curlewpoint-rig/src/scale/module_part.rs
+++ b/crates/curlewpoint-rig/src/scale/module_part.rs
@@ -27,13 +27,13 @@
 }
 
 impl Host for RecordingHost {
-    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _: Time, _: Time) {
         self.attempts.push((rpc, worker));
     }
     fn cancel(&mut self, _: RpcId, _: AttemptNumber) {}
     fn deny(&mut self, _: RpcId, _: Time) {}
     fn abort(&mut self, _: RpcId) {}
-    fn load(&mut self, worker: WorkerId, function: FunctionId, _: u64) {
+    fn load(&mut self, worker: WorkerId, function: FunctionId, _: u64, _: Time) {
         self.loads.push((worker, function));
     }
     fn unload(&mut self, _: WorkerId, _: FunctionId) {}
--- a/crates/curlewpoint-rig/src/scale/worker_part.rs
+++ b/crates/curlewpoint-rig/src/scale/worker_part.rs
@@ -153,11 +153,14 @@
     fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>) {
         let payload = match request {
             UpstreamRequest::Attempt { model, .. } => (Asked::Attempt(FunctionId(id_of(model))), 0),
-            UpstreamRequest::Load { model, copies } => {
+            UpstreamRequest::Load { model, copies, .. } => {
                 let f = Frame::new(Kind::LOAD).int(Field::TAG, id.0).text(Field::MODEL, model);
                 (Asked::Load(FunctionId(id_of(model))), length(&f.int(Field::COPIES, copies)))
             }
-            UpstreamRequest::Probe => (Asked::Probe, length(&Frame::new(Kind::PROBE).int(Field::TAG, id.0))),
+            // The simulated schedulers have no lease on their list.
+            UpstreamRequest::DrainQuery { .. } | UpstreamRequest::Probe => {
+                (Asked::Probe, length(&Frame::new(Kind::PROBE).int(Field::TAG, id.0)))
+            }
         };
         self.pool.request(now, &mut self.sockets, worker, id, payload);
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -3,16 +3,21 @@
 use crate::types::{AttemptNumber, FunctionId, Hint, RpcId, Time, TimerId, WorkerId};
 
 pub trait Host {
-    /// Sends the RPC to a worker, to be answered within `limit`. Attempts of an RPC are numbered from 0.
-    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time);
+    /// Sends the RPC to a worker, to be answered within `limit`. Attempts of an RPC are numbered from 0. If its first
+    /// byte cannot leave by `send_by`, the attempt ends as not sent.
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, limit: Time, send_by: Time);
     /// Stops waiting for an attempt; the end of the attempt is still reported.
     fn cancel(&mut self, rpc: RpcId, number: AttemptNumber);
     /// Final answer: denied, with the delay after which the client may retry (zero: no advice).
     fn deny(&mut self, rpc: RpcId, retry_after: Time);
     /// Final answer: aborted. It makes no statement about whether the RPC took effect.
     fn abort(&mut self, rpc: RpcId);
-    /// Orders a worker to hold at least `copies` copies of a function; the end of the order is reported.
-    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64);
+    /// Orders a worker to hold at least `copies` copies of a function; the end of the order is reported. `send_by` as
+    /// for an attempt.
+    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64, send_by: Time);
+    /// Asks a worker whether it drains, by an order for no copies; `Scheduler::drain_query_ended` follows. Only needed
+    /// where `Scheduler::lease_list` is called.
+    fn query_drain(&mut self, _worker: WorkerId, _function: FunctionId) {}
     /// Has a worker unload its idle copies of a function; nothing is reported.
     fn unload(&mut self, worker: WorkerId, function: FunctionId);
     /// Asks a worker for a load report.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! both share. The crate does no I/O and reads no clock.
 
 pub mod host;
+pub mod list_lease;
 pub mod scheduler;
 mod state;
 pub mod types;
--- /dev/null
+++ b/src/list_lease.rs
@@ -0,0 +1,174 @@
+//! How long the endpoint list may be acted on: a lease that each answer from discovery renews.
+//!
+//! A list that was asked for at some moment holds every change made before it. A later change counts as notified within
+//! the times of [`ListLeaseTerms`], whether or not this process has received it, for example because it did not run or
+//! because discovery is unavailable. Nothing new is sent to a worker after that and the drain grace, unless the worker
+//! itself has confirmed meanwhile that it does not drain.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::types::{Outcome, Time, WorkerId};
+
+/// When a change of the endpoint list counts as notified, and how long attempts may follow it.
+#[derive(Clone, Copy, Debug)]
+pub struct ListLeaseTerms {
+    /// A change counts as notified at the latest this long after it was made.
+    pub notified_within: Time,
+    /// If discovery is unavailable, a change counts as notified at the latest this long after it became so.
+    pub notified_within_outage: Time,
+    /// Attempts and load orders may follow a notified drain for this long.
+    pub drain_grace: Time,
+}
+
+/// Queries in a row without an answer from which discovery counts as unavailable.
+const MIN_OUTAGE_QUERIES: usize = 5;
+/// Unanswered queries whose times are kept; more than are sent while a lease lasts.
+const MAX_UNANSWERED: usize = 256;
+/// A worker in use is queried again this long before its own lease ends.
+const RENEW_AHEAD: Time = Time(10_000);
+/// Pause after a query that a worker did not confirm.
+const QUERY_RETRY_DELAY: Time = Time(10_000);
+/// Queries to workers open at a time.
+const MAX_OPEN_QUERIES: usize = 8;
+
+/// What a worker itself said about its drain during an outage.
+#[derive(Clone, Copy, Default)]
+struct WorkerLease {
+    /// When the open query was sent, if there is one.
+    queried_at: Option<Time>,
+    /// When the newest confirmed query was sent.
+    confirmed_at: Option<Time>,
+    /// No query is sent before this time.
+    retry_at: Time,
+    /// It turned the last answered query away.
+    drains: bool,
+}
+
+/// The lease on the endpoint list, and on each worker that was queried while discovery was unavailable.
+pub struct ListLease {
+    terms: ListLeaseTerms,
+    /// When the newest answered query was sent.
+    confirmed_at: Time,
+    /// The last time at which no received answer was left unread.
+    read_at: Time,
+    /// When the queries after the newest answered one were sent.
+    unanswered: VecDeque<Time>,
+    /// The query before those: the newest answered one, or the last whose time is no longer kept.
+    before_unanswered: Time,
+    /// Discovery was queried all along since its last answer, and has answered nothing.
+    is_outage: bool,
+    workers: BTreeMap<WorkerId, WorkerLease>,
+}
+
+impl ListLease {
+    /// Starts with a list that was valid at `confirmed_at`.
+    pub fn new(now: Time, confirmed_at: Time, terms: ListLeaseTerms) -> ListLease {
+        let (unanswered, workers) = Default::default();
+        let (before_unanswered, is_outage) = (confirmed_at, false);
+        ListLease { terms, confirmed_at, read_at: now, unanswered, before_unanswered, is_outage, workers }
+    }
+
+    /// A query was sent to discovery at `at`, after all answers received by then were read.
+    pub fn query_sent(&mut self, at: Time) {
+        self.read_at = self.read_at.max(at);
+        if self.unanswered.len() == MAX_UNANSWERED {
+            self.before_unanswered = self.unanswered.pop_front().unwrap_or(self.before_unanswered);
+        }
+        self.unanswered.push_back(at);
+        self.is_outage = self.detect_outage();
+    }
+
+    /// The answer to the query of `queried_at` was taken in.
+    pub fn confirm(&mut self, queried_at: Time) {
+        if queried_at >= self.confirmed_at {
+            self.confirmed_at = queried_at;
+            self.unanswered.retain(|sent| *sent > queried_at);
+            self.before_unanswered = self.before_unanswered.max(queried_at);
+            self.is_outage = self.detect_outage();
+            self.workers.clear();
+        }
+    }
+
+    /// Whether discovery counts as unavailable.
+    pub fn is_outage(&self) -> bool {
+        self.is_outage
+    }
+
+    /// In a gap between queries as long as a change takes to be notified, discovery may have been available.
+    fn detect_outage(&self) -> bool {
+        let earlier = std::iter::once(&self.before_unanswered).chain(&self.unanswered);
+        let mut gaps = earlier.zip(&self.unanswered).map(|(earlier, later)| *later - *earlier);
+        self.unanswered.len() >= MIN_OUTAGE_QUERIES && gaps.all(|gap| gap <= self.terms.notified_within)
+    }
+
+    /// The end of the lease on the list, for all workers in it.
+    pub fn list_until(&self) -> Time {
+        self.limit_to_read(self.list_valid_until())
+    }
+
+    /// Until when something new may be sent to a worker.
+    pub fn send_until(&self, worker: WorkerId) -> Time {
+        self.limit_to_read(self.valid_until(worker))
+    }
+
+    /// An answer that this process has received counts as notified though it is still unread.
+    fn limit_to_read(&self, until: Time) -> Time {
+        until.min(self.read_at + self.terms.drain_grace)
+    }
+
+    fn list_valid_until(&self) -> Time {
+        let terms = &self.terms;
+        let within = if self.is_outage { terms.notified_within_outage } else { terms.notified_within };
+        self.confirmed_at + within + terms.drain_grace
+    }
+
+    fn valid_until(&self, worker: WorkerId) -> Time {
+        let confirmed_at = self.workers.get(&worker).and_then(|w| w.confirmed_at);
+        let own = confirmed_at.map_or(Time(0), |at| at + self.terms.notified_within + self.terms.drain_grace);
+        self.list_valid_until().max(own)
+    }
+
+    /// The time since the list was valid for certain.
+    pub fn age(&self, now: Time) -> Time {
+        now - self.confirmed_at
+    }
+
+    /// Whether a worker in use, or that would be used, is to be asked whether it drains.
+    pub fn needs_query(&self, now: Time, worker: WorkerId) -> bool {
+        if !self.is_outage || self.valid_until(worker) > now + RENEW_AHEAD {
+            return false;
+        }
+        let own = self.workers.get(&worker).copied().unwrap_or_default();
+        let open = self.workers.values().filter(|w| w.queried_at.is_some()).count();
+        own.queried_at.is_none() && own.retry_at <= now && open < MAX_OPEN_QUERIES
+    }
+
+    /// A worker was asked whether it drains.
+    pub fn worker_queried(&mut self, now: Time, worker: WorkerId) {
+        self.workers.entry(worker).or_default().queried_at = Some(now);
+    }
+
+    /// The query that was sent to a worker at `queried_at` ended. Returns whether the worker is found to drain and was
+    /// not before.
+    pub fn worker_query_ended(
+        &mut self, now: Time, worker: WorkerId, queried_at: Time, outcome: Outcome,
+    ) -> bool {
+        let Some(own) = self.workers.get_mut(&worker).filter(|w| w.queried_at == Some(queried_at)) else {
+            return false;
+        };
+        own.queried_at = None;
+        if outcome == Outcome::Ok {
+            (own.confirmed_at, own.drains) = (Some(queried_at), false);
+            return false;
+        }
+        own.retry_at = now + QUERY_RETRY_DELAY;
+        if outcome != Outcome::Full {
+            return false;
+        }
+        own.confirmed_at = None;
+        !std::mem::replace(&mut own.drains, true)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/list_lease/tests.rs
@@ -0,0 +1,109 @@
+use super::*;
+
+const TERMS: ListLeaseTerms = ListLeaseTerms {
+    notified_within: Time(15_000),
+    notified_within_outage: Time(40_000),
+    drain_grace: Time(5_000),
+};
+const START: Time = Time(100_000);
+const WORKER: WorkerId = WorkerId(1);
+
+/// A lease whose newest query, of `START`, was answered.
+fn confirmed() -> ListLease {
+    let mut lease = ListLease::new(START, START, TERMS);
+    lease.query_sent(START);
+    lease.confirm(START);
+    lease
+}
+
+/// The same, followed by `count` queries 0.2 s apart without an answer.
+fn unanswered(count: u64) -> ListLease {
+    let mut lease = confirmed();
+    (1..=count).for_each(|n| lease.query_sent(START + Time(2_000 * n)));
+    lease
+}
+
+fn query(lease: &mut ListLease, at: Time, outcome: Outcome) {
+    lease.worker_queried(at, WORKER);
+    lease.worker_query_ended(at + Time(10), WORKER, at, outcome);
+}
+
+#[test]
+fn an_answer_may_wait_unread_from_the_last_read_on() {
+    assert_eq!(confirmed().list_until(), START + Time(5_000));
+}
+
+#[test]
+fn a_few_lost_answers_leave_the_time_for_a_change_that_was_not_received() {
+    assert_eq!(unanswered(4).list_until(), START + Time(8_000 + 5_000));
+    let mut slow = confirmed();
+    [7_000, 14_000, 21_000].into_iter().for_each(|at| slow.query_sent(START + Time(at)));
+    assert_eq!(slow.list_until(), START + Time(15_000 + 5_000));
+}
+
+#[test]
+fn an_outage_extends_the_lease_to_its_own_limit() {
+    assert_eq!(unanswered(15).list_until(), START + Time(30_000 + 5_000));
+    assert_eq!(unanswered(30).list_until(), START + Time(40_000 + 5_000));
+    assert!(unanswered(2 * MAX_UNANSWERED as u64).is_outage(), "an outage of minutes");
+}
+
+#[test]
+fn queries_missed_by_a_suspended_process_are_no_outage() {
+    let mut lease = unanswered(6);
+    lease.query_sent(START + Time(12_000 + 23_000));
+    assert!(!lease.is_outage());
+    assert_eq!(lease.list_until(), START + Time(15_000 + 5_000));
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_query_confirms_the_list_of_that_query() {
+    let mut lease = unanswered(6);
+    lease.confirm(START + Time(10_000));
+    assert!(!lease.is_outage());
+    assert_eq!(lease.age(START + Time(12_000)), Time(2_000));
+    lease.confirm(START + Time(2_000));
+    assert_eq!(lease.age(START + Time(12_000)), Time(2_000), "an answer that comes out of order");
+}
+
+#[test]
+fn a_worker_that_confirms_is_used_for_the_time_of_one_change() {
+    let mut lease = unanswered(30);
+    let at = START + Time(50_000);
+    assert!(lease.needs_query(at, WORKER));
+    query(&mut lease, at, Outcome::Ok);
+    assert_eq!(lease.send_until(WORKER), START + Time(60_000 + 5_000), "limited by the last read");
+    assert!(!lease.needs_query(at + Time(9_000), WORKER), "its own lease has over a second left");
+    assert!(lease.needs_query(at + Time(11_000), WORKER));
+    lease.query_sent(START + Time(80_000));
+    assert_eq!(lease.send_until(WORKER), at + Time(15_000 + 5_000));
+    assert!(lease.send_until(WorkerId(2)) < at, "another worker");
+}
+
+#[test]
+fn a_worker_that_turns_the_query_away_is_not_used_and_asked_again_later() {
+    let mut lease = unanswered(30);
+    let at = START + Time(50_000);
+    query(&mut lease, at, Outcome::Ok);
+    query(&mut lease, at + Time(5_000), Outcome::Full);
+    assert!(lease.send_until(WORKER) < at);
+    assert!(!lease.needs_query(at + Time(6_000), WORKER));
+    assert!(lease.needs_query(at + Time(16_000), WORKER));
+}
+
+#[test]
+fn an_answer_from_discovery_ends_the_leases_of_workers() {
+    let mut lease = unanswered(30);
+    query(&mut lease, START + Time(50_000), Outcome::Ok);
+    lease.confirm(START + Time(58_000));
+    lease.worker_query_ended(START + Time(59_000), WORKER, START + Time(50_000), Outcome::Ok);
+    assert_eq!(lease.send_until(WORKER), lease.list_until());
+}
+
+#[test]
+fn no_worker_is_queried_while_discovery_answers() {
+    let mut lease = confirmed();
+    assert!(!lease.needs_query(START + Time(30_000), WORKER));
+    lease.query_sent(START + Time(30_000));
+    assert!(!lease.needs_query(START + Time(30_000), WORKER), "the process was suspended");
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,13 +3,14 @@
 //! `load_ended`, `load_report_received`, `worker_listed` ... The scheduler acts by calling the host (src/host.rs).
 //!
 //! The ordinary path (`pick_worker`): leave out workers that drain or are full, score the rest by affinity to the
-//! function, queue depth and utilization, take the best, and let RPCs share a load that is under way. Five mechanisms
+//! function, queue depth and utilization, take the best, and let RPCs share a load that is under way. Six mechanisms
 //! complete it:
 //! 1. health: a sequential test on outcomes and overdue attempts; suspect workers are ejected (`add_evidence`)
 //! 2. slow start: a budget of attempts for a cold worker (`cold_budget_left`)
 //! 3. retries: further attempts come after first ones, within a retry budget (`serve_queues`, `sweep`)
 //! 4. copies: one more copy of a crowded function is ordered on another worker, within a rate limit (`order_load`)
 //! 5. admission: an RPC that cannot be answered in time is denied at once, where that is safe (`give_up`)
+//! 6. lease: the endpoint list is acted on for as long as no change of it can have been missed (`src/list_lease.rs`)
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -17,6 +18,7 @@
 use serde_json::{Map, Value};
 
 use crate::host::Host;
+use crate::list_lease::{ListLease, ListLeaseTerms};
 use crate::state::{decayed, Attempt, Belief, CopyState, Rpc, Worker};
 use crate::types::*;
 
@@ -72,6 +74,9 @@
 const MAX_REPORT_AGE: Time = Time(5_000);
 /// How long events, and workers that are gone, are kept.
 const HISTORY_RETENTION: Time = Time(300_000);
+const NO_LIMIT: Time = Time(u64::MAX);
+/// Workers that one RPC asks whether they drain, at a time.
+const MAX_DRAIN_QUERIES: usize = 2;
 // Evidence of an outcome (a log-likelihood ratio that the worker is failing), and the thresholds of the test.
 const EVIDENCE_OK: f64 = -0.5;
 const EVIDENCE_SILENT: f64 = 2.0;
@@ -141,6 +146,8 @@
     /// RPCs of the function there, in copies' worth of lanes.
     copies: f64,
     pinned_memory: f64,
+    /// Its lease has ended: nothing may be sent until discovery or the worker renews it.
+    expired: bool,
 }
 
 pub struct Scheduler<H: Host> {
@@ -170,6 +177,10 @@
     rate: f64,
     peak_rate: f64,
     peak_ready: f64,
+    /// The lease on the endpoint list, where the host polls for it.
+    lease: Option<ListLease>,
+    /// The end of the lease was logged, and its renewal was not.
+    lease_end_logged: bool,
 }
 
 /// A worker's rank in a function's rendezvous order; every scheduler computes the same one.
@@ -215,6 +226,8 @@
             rate: 0.0,
             peak_rate: 0.0,
             peak_ready: 0.0,
+            lease: None,
+            lease_end_logged: false,
         };
         if new.settings.get("discovery").is_some_and(|d| d == "subscribe") {
             new.host.watch_list();
@@ -288,6 +301,43 @@
         self.host.watch_list();
     }
 
+    /// From now on nothing is sent past the lease on the endpoint list, which was valid at `confirmed_at`. The host
+    /// reports each query to discovery and each answer.
+    pub fn lease_list(&mut self, now: Time, confirmed_at: Time, terms: ListLeaseTerms) {
+        self.lease = Some(ListLease::new(now, confirmed_at, terms));
+    }
+
+    /// Discovery was queried at `at`; the host had passed on all lists received by then.
+    pub fn list_queried(&mut self, now: Time, at: Time) {
+        self.lease.iter_mut().for_each(|lease| lease.query_sent(at));
+        self.serve_queues(now);
+    }
+
+    /// Discovery answered the query of `queried_at` with the list that the host has passed on.
+    pub fn list_confirmed(&mut self, now: Time, queried_at: Time) {
+        let Some(lease) = &mut self.lease else { return };
+        let age = lease.age(now).ms();
+        lease.confirm(queried_at);
+        if std::mem::take(&mut self.lease_end_logged) {
+            self.host.log(&format!("the endpoint list is confirmed again; the one before was {age} ms old"));
+        }
+        self.serve_queues(now);
+    }
+
+    /// A worker answered the query of `queried_at` whether it drains, or did not answer it.
+    pub fn drain_query_ended(&mut self, now: Time, worker: WorkerId, queried_at: Time, outcome: Outcome) {
+        let Some(lease) = &mut self.lease else { return };
+        if lease.worker_query_ended(now, worker, queried_at, outcome) {
+            self.host.log(&format!("worker {} drains, by its own answer", worker.0));
+        }
+        self.serve_queues(now);
+    }
+
+    /// Until when the lease on the list allows something new to be sent to any ready worker.
+    pub fn list_lease_until(&self) -> Time {
+        self.lease.as_ref().map_or(NO_LIMIT, ListLease::list_until)
+    }
+
     /// An RPC arrived. `time_left`: until its deadline; `lanes`: RPCs that one copy of the function runs at a time.
     pub fn rpc_received(
         &mut self, now: Time, id: RpcId, method: MethodId, function: FunctionId, tenant: TenantId,
@@ -467,6 +517,7 @@
             if now - std::mem::replace(&mut self.last_tick, now) <= STALL_THRESHOLD {
                 self.sweep(now);
                 self.serve_queues(now);
+                self.log_lease_end(now);
             }
         } else if self.rpcs.get(&RpcId(id.0)).is_some_and(due) {
             self.give_up(now, RpcId(id.0));
@@ -648,13 +699,14 @@
             let idle = 1.0 - if reported { util.clamp(0.0, 1.0) } else { util / (util + mean_util).max(0.1) };
             let depth = (own + others + 1.0) * slowness;
             let free = 1.0 - (depth / ceiling).min(1.0);
+            let expired = self.send_until(id) < now;
             let score = AFFINITY_WEIGHT * affinity + QUEUE_WEIGHT * free + UTIL_WEIGHT * idle;
             let late = may_spread
                 && slowness * fastness > LATE_THRESHOLDS.0
                 && slowness * mean_answer_ms > LATE_THRESHOLDS.1 * soft_deadline;
             let crowded = late || own >= crowded_from || at_copy >= CROWDED_FACTOR * rpc.lanes + 2.0;
             let (copies, pinned_memory) = (at_copy / (CROWDED_FACTOR * rpc.lanes), w.pinned_memory);
-            all.push(Candidate { id, affinity, score, crowded, depth, copies, pinned_memory });
+            all.push(Candidate { id, affinity, score, crowded, depth, copies, pinned_memory, expired });
         }
         all
     }
@@ -662,7 +714,9 @@
     /// Chooses the worker for an RPC's next attempt; none: the RPC waits.
     fn pick_worker(&mut self, now: Time, id: RpcId) -> Option<WorkerId> {
         let function = self.rpcs[&id].function;
-        let mut all = self.candidates(now, &self.rpcs[&id]);
+        let all = self.candidates(now, &self.rpcs[&id]);
+        let (expired, mut all): (Vec<_>, Vec<_>) = all.into_iter().partition(|c| c.expired);
+        self.query_best(now, function, expired);
         // New loads go to the first workers in the function's rendezvous order that are not crowded.
         all.sort_by_cached_key(|c| rendezvous_rank(function, c.id));
         // The first ones are equally preferred: as many as copies in use, by the largest use at one worker, and in a
@@ -714,6 +768,7 @@
         let (warm, loads) = (affinity >= AFFINITY_WARM, affinity < AFFINITY_HINTED_WARM);
         let pull = self.setting("loadInfo", "how").is_some_and(|how| how == "pull");
         let probes = pull && self.allowed("limits", "probes");
+        let send_by = self.send_until(to);
         let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
         rpc.waiting = false;
         let tenant = rpc.tenant;
@@ -737,7 +792,7 @@
         if loads && std::mem::replace(&mut belief.copy, CopyState::Loading) != CopyState::Loading {
             self.host.observed(to, function, Hint::Loading, belief.own_in_flight);
         }
-        self.host.attempt(id, to, Time(0));
+        self.host.attempt(id, to, Time(0), send_by);
         // Probes go to the workers chosen, in proportion to the RPCs received: their number is independent of the size
         // of the fleet.
         if probes && self.probe_budget >= 1.0 && now - w.last_report >= MAX_REPORT_AGE {
@@ -746,6 +801,41 @@
             self.host.probe(to);
         }
         self.add_in_flight(tenant, warm, 1.0);
+        self.query_if_needed(now, to, function);
+    }
+
+    // 6. The lease on the endpoint list.
+
+    /// Until when something new may be sent to a worker.
+    fn send_until(&self, worker: WorkerId) -> Time {
+        self.lease.as_ref().map_or(NO_LIMIT, |lease| lease.send_until(worker))
+    }
+
+    /// Asks the best of the workers whose lease has ended whether they drain, if discovery does not tell.
+    fn query_best(&mut self, now: Time, function: FunctionId, mut expired: Vec<Candidate>) {
+        expired.sort_by(|a, b| b.score.total_cmp(&a.score));
+        for candidate in expired.iter().take(MAX_DRAIN_QUERIES) {
+            self.query_if_needed(now, candidate.id, function);
+        }
+    }
+
+    fn query_if_needed(&mut self, now: Time, worker: WorkerId, function: FunctionId) {
+        let may_order = self.allowed("familyInfo", "mayOrder");
+        let needed = |lease: &&mut ListLease| may_order && lease.needs_query(now, worker);
+        if let Some(lease) = self.lease.as_mut().filter(needed) {
+            lease.worker_queried(now, worker);
+            self.host.query_drain(worker, function);
+        }
+    }
+
+    /// Logs the end of the lease on the list once.
+    fn log_lease_end(&mut self, now: Time) {
+        let Some(lease) = self.lease.as_ref().filter(|lease| lease.list_until() < now) else { return };
+        let (age, outage) = (lease.age(now).ms(), lease.is_outage());
+        if !std::mem::replace(&mut self.lease_end_logged, true) {
+            let line = format!("the endpoint list is {age} ms old (outage: {outage}): its lease has ended");
+            self.host.log(&line);
+        }
     }
 
     // 1. Health.
@@ -1015,6 +1105,8 @@
             self.number("familyInfo", "loadFloor", 0.0) + share * count_recent(&self.received, now, window);
         let spent = window > Time(0) && count_recent(&self.orders, now, window + Time(1)) + 1.0 > limit;
         let may_order = self.allowed("familyInfo", "mayOrder") && !spent;
+        let send_by = self.send_until(at);
+        let may_order = may_order && now <= send_by;
         let Some(w) = self.workers.get_mut(&at).filter(|w| may_order && w.lifecycle == Lifecycle::Ready)
         else {
             return;
@@ -1022,7 +1114,7 @@
         w.beliefs.entry(function).or_default().copy = CopyState::Loading;
         self.orders.push_back(now);
         self.host.observed(at, function, Hint::Loading, 0);
-        self.host.load(at, function, 1);
+        self.host.load(at, function, 1, send_by);
     }
 
     // 5. Admission.
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,4 +1,5 @@
 //! A scheduler with a fake host, which records the scheduler's actions as text, and a simulated clock.
+#![allow(dead_code)]
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -19,7 +20,7 @@
 }
 
 impl Host for FakeHost {
-    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _limit: Time) {
+    fn attempt(&mut self, rpc: RpcId, worker: WorkerId, _limit: Time, _send_by: Time) {
         self.record(format!("attempt {} {}", rpc.0, worker.0));
     }
     fn cancel(&mut self, rpc: RpcId, number: AttemptNumber) {
@@ -31,9 +32,12 @@
     fn abort(&mut self, rpc: RpcId) {
         self.record(format!("abort {}", rpc.0));
     }
-    fn load(&mut self, worker: WorkerId, function: FunctionId, _copies: u64) {
+    fn load(&mut self, worker: WorkerId, function: FunctionId, _copies: u64, _send_by: Time) {
         self.record(format!("load {} {}", worker.0, function.0));
     }
+    fn query_drain(&mut self, worker: WorkerId, function: FunctionId) {
+        self.record(format!("query_drain {} {}", worker.0, function.0));
+    }
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
         self.record(format!("unload {} {}", worker.0, function.0));
     }
--- /dev/null
+++ b/tests/list_lease.rs
@@ -0,0 +1,87 @@
+//! The lease on the endpoint list: what is sent while the list may be outdated.
+
+mod harness;
+
+use curlewpoint::list_lease::ListLeaseTerms;
+use curlewpoint::types::*;
+use harness::{settings, Harness, IDEMPOTENT};
+use serde_json::json;
+
+const TERMS: ListLeaseTerms = ListLeaseTerms {
+    notified_within: Time(15_000),
+    notified_within_outage: Time(40_000),
+    drain_grace: Time(5_000),
+};
+const QUERY_INTERVAL_MS: u64 = 200;
+
+/// A scheduler with two workers and a list that was just confirmed.
+fn leased(may_order: bool) -> Harness {
+    let mut settings = settings();
+    settings["familyInfo"]["mayOrder"] = json!(may_order);
+    let mut s = Harness::with_settings(settings, 2);
+    let now = s.now();
+    s.scheduler.lease_list(now, now, TERMS);
+    s
+}
+
+/// Discovery is queried and answers nothing.
+fn outage(s: &mut Harness, ms: u64) {
+    for _ in 0..ms / QUERY_INTERVAL_MS {
+        s.advance(QUERY_INTERVAL_MS);
+        s.scheduler.list_queried(s.now(), s.now());
+    }
+}
+
+#[test]
+fn an_rpc_after_a_suspension_waits_for_the_next_answer_from_discovery() {
+    let mut s = leased(true);
+    s.now_ms += 2_300;
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    s.scheduler.list_queried(s.now(), s.now());
+    assert!(s.workers_tried(rpc).is_empty());
+    assert!(s.actions("query_drain").is_empty(), "discovery is asked, not the workers");
+    s.scheduler.list_confirmed(s.now(), s.now());
+    assert_eq!(s.workers_tried(rpc).len(), 1);
+}
+
+#[test]
+fn a_retry_and_a_load_order_wait_too() {
+    let mut s = leased(true);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    s.now_ms += 2_300;
+    s.end_attempt(rpc, 0, Outcome::Miss, CopyReport::Unreported);
+    assert_eq!(s.workers_tried(rpc).len(), 1);
+    assert!(s.actions("load").is_empty());
+}
+
+#[test]
+fn in_an_outage_past_the_lease_workers_that_do_not_drain_are_used() {
+    let mut s = leased(true);
+    outage(&mut s, 5_000);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    assert!(s.workers_tried(rpc).is_empty());
+    assert_eq!(s.actions("query_drain").len(), 2);
+    let queried_at = s.now();
+    s.scheduler.drain_query_ended(s.now(), WorkerId(1), queried_at, Outcome::Full);
+    assert!(s.workers_tried(rpc).is_empty());
+    s.scheduler.drain_query_ended(s.now(), WorkerId(2), queried_at, Outcome::Ok);
+    assert_eq!(s.workers_tried(rpc), [2]);
+    // The worker in use is asked again before its own lease ends, the other one after a pause.
+    outage(&mut s, 1_000);
+    let next = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.workers_tried(next), [2]);
+    assert_eq!(s.actions("query_drain 2").len(), 2);
+    s.scheduler.list_confirmed(s.now(), s.now());
+    assert_eq!(s.actions("log worker 1 drains").len(), 1);
+}
+
+#[test]
+fn in_an_outage_where_orders_are_not_allowed_nothing_is_sent_past_the_lease() {
+    let mut s = leased(false);
+    outage(&mut s, 5_000);
+    let rpc = s.rpc(IDEMPOTENT, 9);
+    outage(&mut s, 1_000);
+    assert!(s.workers_tried(rpc).is_empty() && s.actions("query_drain").is_empty());
+    assert_eq!(s.actions(&format!("deny {rpc}")).len(), 1, "it never ran");
+    assert_eq!(s.actions("log the endpoint list").len(), 1);
+}
