node: an attempt that waited past its deadline is not begun

What callers would see: a side effect after the RPC was answered as aborted. Cause: a writer looked at whether its frame was withdrawn, not at the time left; a frame that was queued before this process stood still was written with a budget of 0 before the timers ran. Change: the check before the first byte also looks at the deadline; what it refuses ends as not sent. Result: worker_line/tests.rs, an_attempt_is_not_begun_after_its_deadline; there was no such check for it to pass before.

--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -215,7 +215,7 @@
         SendLease { clock: self.clock, send_by, published: self.list_lease.clone() }
     }
 
-    /// Ends the requests that were not begun because their lease had ended.
+    /// Ends the requests that were not begun because their lease or their time had ended.
     pub fn end_expired(&mut self, now: Time) {
         if !self.list_lease.take_refused() {
             return;
@@ -223,7 +223,10 @@
         let tickets = self.sockets.tickets.iter();
         let expired: Vec<RequestId> =
             tickets.filter(|(_, (ticket, ..))| ticket.is_withdrawn()).map(|(id, _)| *id).collect();
-        info!(requests = expired.len(), "not sent: the lease on the endpoint list had ended");
+        info!(
+            requests = expired.len(),
+            "not sent: the lease on the endpoint list or the time left had ended"
+        );
         for request in expired {
             self.pool.end_unsent(now, &mut self.sockets, request);
         }
--- a/crates/curlewpoint-node/src/send_lease.rs
+++ b/crates/curlewpoint-node/src/send_lease.rs
@@ -1,5 +1,5 @@
 //! The last check before the first byte of an attempt or a load order: whether its worker may still be sent something
-//! new. It also holds for what was chosen before this process stood still, or has waited for a dial or a slow worker.
+//! new, and whether there is time left for an answer. It also holds for what was chosen before this process stood still, or has waited for a dial or a slow worker.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -39,11 +39,11 @@
 }
 
 impl SendLease {
-    /// Whether the first byte may be sent now. A refusal is recorded.
-    pub fn may_begin(&self) -> bool {
-        let published = &self.published.0;
+    /// Whether the first byte may be sent now, before the deadline if there is one. A refusal is recorded.
+    pub fn may_begin(&self, deadline: Option<Time>) -> bool {
+        let (published, now) = (&self.published.0, self.clock.now());
         let until = self.send_by.max(Time(published.list_until.load(Ordering::Acquire)));
-        let may_begin = self.clock.now() <= until;
+        let may_begin = now <= until && deadline.is_none_or(|deadline| now < deadline);
         published.has_refused.fetch_or(!may_begin, Ordering::AcqRel);
         may_begin
     }
--- a/crates/curlewpoint-node/src/worker_line.rs
+++ b/crates/curlewpoint-node/src/worker_line.rs
@@ -41,8 +41,12 @@
 
     fn may_begin(&self) -> bool {
         match self {
-            WorkerLine::Attempt { lease, .. } | WorkerLine::LoadOrder { lease, .. } => lease.may_begin(),
+            WorkerLine::Attempt { lease, deadline, .. } => lease.may_begin(Some(*deadline)),
+            WorkerLine::LoadOrder { lease, .. } => lease.may_begin(None),
             WorkerLine::Encoded(_) => true,
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
