node: a request that waited through two stalls in a row gets no time back

What callers saw: an attempt with a budget of up to 1.6 s after its client's time had run out. Cause: the record of a stall was replaced by that of the next one, though what had arrived in the first was still unread. Change: a stall that begins before the catch-up time of the last one is over extends it.

--- a/crates/curlewpoint-node/src/stall.rs
+++ b/crates/curlewpoint-node/src/stall.rs
@@ -8,12 +8,18 @@
 /// Input that is read within this time after a stall may have arrived during it.
 const CATCH_UP: Time = Time(300);
 
+/// A stall, or several with too little time between them to read what had arrived.
+#[derive(Debug)]
+struct Stall {
+    began: Time,
+    ended: Time,
+}
+
 /// Detects stalls from the iterations of the event loop that owns the engine.
 #[derive(Debug, Default)]
 pub(crate) struct StallDetector {
     last_iteration: Option<Time>,
-    /// End and length of the last stall.
-    last_stall: Option<(Time, Time)>,
+    last_stall: Option<Stall>,
 }
 
 impl StallDetector {
@@ -24,13 +30,16 @@
         if gap <= MAX_ITERATION_GAP {
             return None;
         }
-        self.last_stall = Some((now, gap));
+        let began = now - gap;
+        let unread_since = self.last_stall.take().filter(|last| began - last.ended <= CATCH_UP);
+        self.last_stall = Some(Stall { began: unread_since.map_or(began, |last| last.began), ended: now });
         Some(gap)
     }
 
     /// Upper bound on the time that input read now has waited in kernel buffers.
     pub fn possible_delay(&self, now: Time) -> Time {
-        self.last_stall.filter(|(end, _)| now - *end <= CATCH_UP).map_or(Time(0), |(_, length)| length)
+        let recent = self.last_stall.as_ref().filter(|stall| now - stall.ended <= CATCH_UP);
+        recent.map_or(Time(0), |stall| stall.ended - stall.began)
     }
 }
 
--- a/crates/curlewpoint-node/src/stall/tests.rs
+++ b/crates/curlewpoint-node/src/stall/tests.rs
@@ -14,3 +14,17 @@
     stalls.iteration_started(Time(13_250));
     assert_eq!(stalls.possible_delay(Time(13_250)), Time(0), "later input has not waited");
 }
+
+/// Guards against a budget that counts only the last of two stalls for a request that waited through both.
+#[test]
+fn input_may_be_delayed_by_several_stalls_in_a_row() {
+    let mut stalls = StallDetector::default();
+    for at in [10_000, 38_000, 38_010, 41_000] {
+        stalls.iteration_started(Time(at));
+    }
+    assert_eq!(stalls.possible_delay(Time(41_000)), Time(31_000));
+    for at in [41_200, 41_400, 44_000] {
+        stalls.iteration_started(Time(at));
+    }
+    assert_eq!(stalls.possible_delay(Time(44_000)), Time(2_600), "what came before was read");
+}
