--- a/crates/curlewpoint-cli/src/commands/soak.rs
+++ b/crates/curlewpoint-cli/src/commands/soak.rs
@@ -30,6 +30,9 @@
     /// The program to run, instead of this one.
     #[arg(long)]
     program: Option<PathBuf>,
+    /// Also suspend processes for seconds while a worker drains, and silence the directory for seconds.
+    #[arg(long)]
+    long_faults: bool,
     /// Keep startup configurations and logs in this folder.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -65,7 +68,8 @@
     }
     let (seed, seconds) = (plan.seed, plan.duration.as_secs());
     println!(
-        "  to run it again: curlewpoint fleet soak --seed {seed} --seconds {seconds} --processes N --faults LIBRARY"
+        "  to run it again: curlewpoint fleet soak --seed {seed} --seconds {seconds} --processes N --faults LIBRARY{}",
+        if plan.long_faults { " --long-faults" } else { "" }
     );
 }
 
@@ -86,7 +90,8 @@
             let program = Program { node, faults: self.faults.clone() };
             let (mut broken, mut uncounted) = (0, 0);
             for seed in self.seed..self.seed + self.seeds {
-                let plan = Plan::generate(seed, Duration::from_secs(self.seconds), self.processes);
+                let mut plan = Plan::generate(seed, Duration::from_secs(self.seconds), self.processes);
+                plan.long_faults = self.long_faults;
                 let report = match run(&plan, &program, &base.join(format!("seed-{seed}"))).await {
                     Ok(report) => report,
                     Err(error) => return fail(FAILED, &format!("seed {seed} was not run: {error}")),
--- a/crates/curlewpoint-soak/src/directory.rs
+++ b/crates/curlewpoint-soak/src/directory.rs
@@ -39,7 +39,10 @@
     all_names: BTreeSet<String>,
     /// First list version in which a worker drains or is missing.
     ended: BTreeMap<String, u32>,
+    /// Time of the first such list.
+    ended_at: BTreeMap<String, Instant>,
     silent_until: Option<Instant>,
+    silences: Vec<(Instant, Instant)>,
 }
 
 /// State of the directory, shared by the servers of all processes.
@@ -61,11 +64,12 @@
         state.previous = state.list.clone();
         state.list.version += 1;
         update(&mut state.list.rows);
-        let State { list, all_names, ended, .. } = &mut *state;
+        let State { list, all_names, ended, ended_at, .. } = &mut *state;
         all_names.extend(list.rows.iter().map(|row| row.name.clone()));
         let is_serving = |name: &String| list.rows.iter().any(|row| row.name == *name && !row.draining);
         for name in all_names.iter().filter(|name| !is_serving(name)) {
             ended.entry(name.clone()).or_insert(list.version);
+            ended_at.entry(name.clone()).or_insert_with(Instant::now);
         }
     }
 
@@ -80,7 +84,20 @@
 
     /// Stops answering for a time.
     pub fn silence(&self, span: Duration) {
-        self.state().silent_until = Some(Instant::now() + span);
+        let (mut state, now) = (self.state(), Instant::now());
+        let until = state.silent_until.map_or(now + span, |until| until.max(now + span));
+        state.silent_until = Some(until);
+        match state.silences.last_mut().filter(|(_, until)| now <= *until) {
+            Some(current) => current.1 = until,
+            None => state.silences.push((now, until)),
+        }
+    }
+
+    /// Passes on when workers drained and when nothing was answered, for the check.
+    pub fn record_history(&self, ledger: &Ledger) {
+        let (state, mut records) = (self.state(), ledger.lock());
+        records.drained = state.ended_at.clone();
+        records.silences = state.silences.clone();
     }
 
     fn is_silent(&self) -> bool {
--- a/crates/curlewpoint-soak/src/judge.rs
+++ b/crates/curlewpoint-soak/src/judge.rs
@@ -141,7 +141,7 @@
 
     fn check_answers(&mut self, id: RequestId, request: &Request) {
         self.count_check(Rule::Lost);
-        let due = request.written + request.timeout + ANSWER_TOLERANCE + TIMING_SLACK;
+        let due = self.answer_due(request);
         let first = request.answers.first();
         if request.answers.len() > 1 {
             self.report(
@@ -177,6 +177,15 @@
         }
     }
 
+    /// The latest time for an answer. A process that is suspended then answers once it continues.
+    fn answer_due(&self, request: &Request) -> Instant {
+        let due = request.written + request.timeout + ANSWER_TOLERANCE + TIMING_SLACK;
+        let runs = self.state.process_runs.iter().filter(|((node, _), _)| *node == request.node);
+        let suspensions = runs.flat_map(|(_, run)| &run.suspended);
+        let overlapping = suspensions.filter(|(from, until)| *from <= due && request.written <= *until);
+        overlapping.map(|(_, until)| *until + ANSWER_TOLERANCE + TIMING_SLACK).fold(due, Instant::max)
+    }
+
     fn worker_answered(&self, id: RequestId) -> bool {
         self.by_request.get(&id).into_iter().flatten().any(|a| a.answer == Some("OK"))
     }
@@ -238,15 +247,29 @@
         }
     }
 
+    /// When a process run counts as notified that a worker drains or is gone: as soon as it was sent a list that tells
+    /// it, and otherwise at the latest some time after the change, or after the directory became silent.
+    fn notified_at(&self, run: RunId, worker: &str) -> Option<Instant> {
+        let sent = self.state.notified.get(&(run, worker.to_owned())).copied();
+        let drained = self.state.drained.get(worker).copied();
+        let latest = drained.filter(|at| self.state.process_runs.get(&run).is_some_and(|r| r.started <= *at));
+        let latest = latest.map(|at| {
+            let within = at + self.limits.notified_within;
+            let silences = self.state.silences.iter().filter(|(from, until)| *from <= within && at < *until);
+            silences.map(|(from, _)| *from + self.limits.notified_within_outage).fold(within, Instant::max)
+        });
+        sent.into_iter().chain(latest).min()
+    }
+
     fn check_drains(&mut self) {
         let state = self.state;
         for a in &state.arrivals {
-            let Some(notified) = state.notified.get(&(a.run, a.worker.clone())) else { continue };
+            let Some(notified) = self.notified_at(a.run, &a.worker) else { continue };
             self.count_check(Rule::Drain);
             // An attempt counts from its first byte, a load order once it is complete.
             let at = if a.request.is_some() { a.first_byte } else { a.received };
-            if at > *notified + self.limits.drain_grace + TIMING_SLACK {
-                let after = at.saturating_duration_since(*notified);
+            if at > notified + self.limits.drain_grace + TIMING_SLACK {
+                let after = at.saturating_duration_since(notified);
                 let what = a.request.map_or("a load order".to_owned(), |id| format!("request {id:016x}"));
                 let text = format!(
                     "{what} of n{}.{} to {} {after:?} after the list update",
--- a/crates/curlewpoint-soak/src/ledger.rs
+++ b/crates/curlewpoint-soak/src/ledger.rs
@@ -57,6 +57,8 @@
     pub killed: Option<Instant>,
     /// Time of its end, and the exit code unless a signal ended it.
     pub ended: Option<(Instant, Option<i32>)>,
+    /// Times from SIGSTOP to SIGCONT of over a second.
+    pub suspended: Vec<(Instant, Instant)>,
 }
 
 /// Everything recorded in one soak run.
@@ -67,6 +69,10 @@
     pub process_runs: BTreeMap<RunId, ProcessRun>,
     /// Time at which a process run was sent a list in which a worker drains or is missing.
     pub notified: BTreeMap<(RunId, String), Instant>,
+    /// Time at which each worker first drained or was missing in the directory's list.
+    pub drained: BTreeMap<String, Instant>,
+    /// Times in which the directory answered nothing.
+    pub silences: Vec<(Instant, Instant)>,
     /// Errors of the test harness itself.
     pub harness_errors: Vec<String>,
 }
--- a/crates/curlewpoint-soak/src/plan.rs
+++ b/crates/curlewpoint-soak/src/plan.rs
@@ -8,6 +8,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     pub drain_grace: Duration,
+    /// A change of the list counts as notified at the latest this long after it was made.
+    pub notified_within: Duration,
+    /// If the directory is silent, at the latest this long after it became so.
+    pub notified_within_outage: Duration,
     /// Maximum time that a client waits.
     pub longest_deadline: Duration,
     /// Time from the longest deadline after SIGTERM until SIGKILL.
@@ -20,6 +24,8 @@
 
 pub const LIMITS: Limits = Limits {
     drain_grace: Duration::from_millis(500),
+    notified_within: Duration::from_millis(1_500),
+    notified_within_outage: Duration::from_millis(4_500),
     longest_deadline: Duration::from_millis(2_000),
     kill_after: Duration::from_millis(700),
     order_floor: 6.0,
@@ -64,6 +70,8 @@
     pub system_calls: String,
     pub directory: DirectoryFaults,
     pub worker: WorkerFaults,
+    /// Whether processes are also suspended for seconds, and the directory is also silent for seconds.
+    pub long_faults: bool,
     /// Mean pause between two events such as restarts, reloads or worker failures.
     pub event_pause: Duration,
 }
@@ -116,6 +124,7 @@
             system_calls,
             directory,
             worker,
+            long_faults: false,
             event_pause,
         }
     }
--- a/crates/curlewpoint-soak/src/run.rs
+++ b/crates/curlewpoint-soak/src/run.rs
@@ -43,6 +43,12 @@
 const FINAL_WAIT: Duration = Duration::from_millis(2_600);
 /// Maximum time between SIGSTOP and SIGCONT, in addition to 20 ms.
 const MAX_STOPPED_MS: u64 = 250;
+/// Range of the time between SIGSTOP and SIGCONT where faults are long.
+const LONG_STOP_MS: (u64, u64) = (1_200, 3_500);
+/// A worker drains up to this long after such a SIGSTOP.
+const MAX_DRAIN_DELAY_MS: u64 = 500;
+/// Range of the directory's silence where faults are long.
+const LONG_SILENCE_MS: (u64, u64) = (3_000, 9_000);
 /// Maximum number of consecutive reloads.
 const MAX_RELOADS: u64 = 6;
 /// Maximum pause between two of them.
@@ -141,7 +147,8 @@
         node.startup_config["resolver"] = json!(resolver.to_string());
         node.startup_config["seed"] = json!(format!("{seed:x}"));
         std::fs::write(&node.file, node.startup_config.to_string())?;
-        let started = ProcessRun { started: Instant::now(), terminated: None, killed: None, ended: None };
+        let (terminated, killed, ended, suspended) = Default::default();
+        let started = ProcessRun { started: Instant::now(), terminated, killed, ended, suspended };
         self.ledger.lock().process_runs.insert(id, started);
         self.directory.record_notified(&self.ledger, id, &list);
         let started = self.program.start(&node.file, &node.log, &self.plan.system_calls).await;
@@ -215,6 +222,24 @@
         self.signal(index, Signal::CONT);
     }
 
+    /// Suspends a process for seconds, while a worker drains.
+    async fn suspend(&mut self, index: usize) {
+        let stop = LONG_STOP_MS.0 + self.below(LONG_STOP_MS.1 - LONG_STOP_MS.0);
+        let until_drain = Duration::from_millis(self.below(MAX_DRAIN_DELAY_MS));
+        let from = Instant::now();
+        self.signal(index, Signal::STOP);
+        sleep(until_drain).await;
+        self.restart_worker();
+        sleep(Duration::from_millis(stop).saturating_sub(until_drain)).await;
+        self.update_run(index, |run| run.suspended.push((from, Instant::now())));
+        self.signal(index, Signal::CONT);
+    }
+
+    fn silence_for_long(&mut self) {
+        let span = LONG_SILENCE_MS.0 + self.below(LONG_SILENCE_MS.1 - LONG_SILENCE_MS.0);
+        self.directory.silence(Duration::from_millis(span));
+    }
+
     /// Drains and ends a worker, and restarts it at the same address.
     fn restart_worker(&mut self) {
         if self.directory.ready_count() < 3 {
@@ -226,6 +251,7 @@
         if directory.list().rows.iter().any(|row| row.worker == worker && row.draining) {
             return;
         }
+        test_worker.is_draining.store(true, Ordering::Release);
         directory.change(|rows| {
             rows.iter_mut().filter(|row| row.worker == worker).for_each(|row| row.draining = true)
         });
@@ -263,7 +289,9 @@
 
     async fn event(&mut self) -> std::io::Result<()> {
         let index = self.below(self.nodes.len() as u64) as usize;
-        match self.below(10) {
+        match self.below(if self.plan.long_faults { 13 } else { 10 }) {
+            10 | 11 => self.suspend(index).await,
+            12 => self.silence_for_long(),
             0..=2 => self.restart_worker(),
             3 => self.reload(index).await?,
             4 => self.restart(index).await?,
@@ -382,6 +410,7 @@
     if delay > MAX_LATENESS {
         ledger.lock().harness_errors.push(format!("the harness was delayed by up to {delay:?}"));
     }
+    run.directory.record_history(&ledger);
     let state = ledger.lock();
     let served =
         state.requests.values().filter(|r| r.answers.iter().any(|(_, w)| *w == crate::Answer::Good)).count();
--- a/crates/curlewpoint-soak/src/worker.rs
+++ b/crates/curlewpoint-soak/src/worker.rs
@@ -1,6 +1,7 @@
 //! Simulated workers with the faults of the plan. Each has one listener per process, which identifies the process.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,8 @@
 /// One worker, across its restarts.
 pub(crate) struct Worker {
     pub state: watch::Sender<WorkerState>,
+    /// Load orders, and queries for copies, are turned away.
+    pub is_draining: AtomicBool,
     name: Mutex<String>,
     copies: Mutex<BTreeSet<String>>,
     ledger: Arc<Ledger>,
@@ -52,13 +55,15 @@
         faults: WorkerFaults, answers_misses: bool,
     ) -> Worker {
         let (state, name) = (watch::channel(WorkerState::Healthy).0, Mutex::new(name.to_owned()));
-        Worker { state, name, copies: Mutex::default(), ledger, current_runs, faults, answers_misses }
+        let (is_draining, copies) = Default::default();
+        Worker { state, is_draining, name, copies, ledger, current_runs, faults, answers_misses }
     }
 
     /// Restarts the worker under another name and without copies.
     pub fn restart(&self, name: &str) {
         *lock(&self.name) = name.to_owned();
         lock(&self.copies).clear();
+        self.is_draining.store(false, Ordering::Release);
         self.state.send_replace(WorkerState::Healthy);
     }
 
@@ -230,9 +235,19 @@
     fn handle_load_order(
         &mut self, message: &Value, first_byte: Instant, line_tx: &mpsc::UnboundedSender<Line>,
     ) {
-        self.record_arrival(None, first_byte, Duration::ZERO);
+        let is_draining = self.worker.is_draining.load(Ordering::Acquire);
+        let word = if is_draining { "BUSY" } else { "OK" };
+        let text = format_answer(message, word, json!({"instances": 1}), "");
+        // An order for no copies only asks.
+        let is_query = message["meta"]["instances"] == 0;
+        if !is_query {
+            self.record_arrival(None, first_byte, Duration::ZERO);
+        }
+        if is_query || is_draining {
+            let _ = line_tx.send(Line { text, split: false, reset: false });
+            return;
+        }
         let function = message["meta"]["path"].as_str().unwrap_or_default().to_owned();
-        let text = format_answer(message, "OK", json!({"instances": 1}), "");
         let (line_tx, worker) = (line_tx.clone(), Arc::clone(&self.worker));
         tokio::spawn(async move {
             sleep(LOAD_TIME).await;
