node: a worker that says that it drains is not used, and is asked at once after a start

What callers saw: attempts to a draining worker after a restart in an outage of discovery, though the worker had said so itself. Cause: its answer counted only past the lease on the list, and a start took an outage to begin with it. Change: BUSY to an order for no copies leaves the worker out at once; where discovery has not answered since the start, workers in use are asked as soon as five queries are unanswered. Result: two tests in list_lease/tests.rs.

--- a/crates/curlewpoint-soak/src/run.rs
+++ b/crates/curlewpoint-soak/src/run.rs
@@ -37,6 +37,8 @@
 
 /// Time from the drain of a worker to its end.
 const DRAIN_TIME: Duration = Duration::from_millis(1_400);
+/// Where faults are long, up to this much longer, so that it can still receive what is sent to it too late.
+const MAX_LONG_DRAIN_MS: u64 = 6_000;
 /// Time from the end of a worker to its restart.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 /// Time for the answers of requests that are open at the end of a run.
@@ -247,6 +249,8 @@
         }
         let worker = self.below(self.plan.workers as u64) as usize;
         let next = self.new_name();
+        let longer = if self.plan.long_faults { self.below(MAX_LONG_DRAIN_MS) } else { 0 };
+        let drain_time = DRAIN_TIME + Duration::from_millis(longer);
         let (directory, test_worker) = (Arc::clone(&self.directory), Arc::clone(&self.workers[worker]));
         if directory.list().rows.iter().any(|row| row.worker == worker && row.draining) {
             return;
@@ -256,7 +260,7 @@
             rows.iter_mut().filter(|row| row.worker == worker).for_each(|row| row.draining = true)
         });
         tokio::spawn(async move {
-            sleep(DRAIN_TIME).await;
+            sleep(drain_time).await;
             test_worker.state.send_replace(WorkerState::Dead);
             directory.change(|rows| rows.retain(|row| row.worker != worker));
             sleep(DOWN_TIME).await;
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -49,6 +49,9 @@
     terms: ListLeaseTerms,
     /// When the newest answered query was sent.
     confirmed_at: Time,
+    /// Discovery has answered since the start. Otherwise an outage may have begun long before, and workers are asked as
+    /// soon as it is detected.
+    has_answered: bool,
     /// The last time at which no received answer was left unread.
     read_at: Time,
     /// When the queries after the newest answered one were sent.
@@ -65,7 +68,17 @@
     pub fn new(now: Time, confirmed_at: Time, terms: ListLeaseTerms) -> ListLease {
         let (unanswered, workers) = Default::default();
         let (before_unanswered, is_outage) = (confirmed_at, false);
-        ListLease { terms, confirmed_at, read_at: now, unanswered, before_unanswered, is_outage, workers }
+        let has_answered = false;
+        ListLease {
+            terms,
+            confirmed_at,
+            has_answered,
+            read_at: now,
+            unanswered,
+            before_unanswered,
+            is_outage,
+            workers,
+        }
     }
 
     /// A query was sent to discovery at `at`, after all answers received by then were read.
@@ -81,7 +94,7 @@
     /// The answer to the query of `queried_at` was taken in.
     pub fn confirm(&mut self, queried_at: Time) {
         if queried_at >= self.confirmed_at {
-            self.confirmed_at = queried_at;
+            (self.confirmed_at, self.has_answered) = (queried_at, true);
             self.unanswered.retain(|sent| *sent > queried_at);
             self.before_unanswered = self.before_unanswered.max(queried_at);
             self.is_outage = self.detect_outage();
@@ -123,8 +136,12 @@
     }
 
     fn valid_until(&self, worker: WorkerId) -> Time {
-        let confirmed_at = self.workers.get(&worker).and_then(|w| w.confirmed_at);
-        let own = confirmed_at.map_or(Time(0), |at| at + self.terms.notified_within + self.terms.drain_grace);
+        let own = self.workers.get(&worker).copied().unwrap_or_default();
+        if own.drains {
+            return Time(0);
+        }
+        let own =
+            own.confirmed_at.map_or(Time(0), |at| at + self.terms.notified_within + self.terms.drain_grace);
         self.list_valid_until().max(own)
     }
 
@@ -135,10 +152,11 @@
 
     /// Whether a worker in use, or that would be used, is to be asked whether it drains.
     pub fn needs_query(&self, now: Time, worker: WorkerId) -> bool {
-        if !self.is_outage || self.valid_until(worker) > now + RENEW_AHEAD {
+        let own = self.workers.get(&worker).copied().unwrap_or_default();
+        let may_wait = self.has_answered || own.confirmed_at.is_some() || own.drains;
+        if !self.is_outage || (may_wait && self.valid_until(worker) > now + RENEW_AHEAD) {
             return false;
         }
-        let own = self.workers.get(&worker).copied().unwrap_or_default();
         let open = self.workers.values().filter(|w| w.queried_at.is_some()).count();
         own.queried_at.is_none() && own.retry_at <= now && open < MAX_OPEN_QUERIES
     }
--- a/src/list_lease/tests.rs
+++ b/src/list_lease/tests.rs
@@ -48,6 +48,24 @@
     assert!(unanswered(2 * MAX_UNANSWERED as u64).is_outage(), "an outage of minutes");
 }
 
+#[test]
+fn after_a_start_in_an_outage_workers_are_asked_at_once() {
+    let mut lease = ListLease::new(START, START, TERMS);
+    (0..6).for_each(|n| lease.query_sent(START + Time(400 * n)));
+    assert!(lease.is_outage() && lease.needs_query(START + Time(2_000), WORKER));
+    assert!(!unanswered(6).needs_query(START + Time(12_000), WORKER), "it began after an answer");
+}
+
+#[test]
+fn a_worker_that_says_that_it_drains_is_not_used_while_the_list_is_still_valid() {
+    let mut lease = unanswered(17);
+    let at = START + Time(35_500);
+    assert!(lease.needs_query(at, WORKER));
+    query(&mut lease, at, Outcome::Full);
+    assert!(lease.list_until() > at);
+    assert_eq!(lease.send_until(WORKER), Time(0));
+}
+
 #[test]
 fn queries_missed_by_a_suspended_process_are_no_outage() {
     let mut lease = unanswered(6);
