node: a start in an outage takes it to have begun long before, where workers can be asked

What callers saw: attempts to a worker that drained, by a process started in a silence of discovery. Cause: the silence was counted from the start. Where they cannot be, as before.

--- a/crates/curlewpoint-platform/src/notification.rs
+++ b/crates/curlewpoint-platform/src/notification.rs
@@ -21,5 +21,7 @@
         notified_within: NOTIFIED_WITHIN,
         notified_within_outage: NOTIFIED_WITHIN_OUTAGE,
         drain_grace: Time::from_ms(grace_ms),
+        workers_answer: settings.get("familyInfo").and_then(|f| f.get("mayOrder"))
+            == Some(&Value::Bool(true)),
     }
 }
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -18,6 +18,8 @@
     pub notified_within_outage: Time,
     /// Attempts and load orders may follow a notified drain for this long.
     pub drain_grace: Time,
+    /// Workers can be asked whether they drain. Otherwise a start in an outage takes it to begin with the start.
+    pub workers_answer: bool,
 }
 
 /// Queries in a row without an answer from which discovery counts as unavailable.
@@ -131,7 +133,8 @@
 
     fn list_valid_until(&self) -> Time {
         let terms = &self.terms;
-        let within = if self.is_outage { terms.notified_within_outage } else { terms.notified_within };
+        let is_known_outage = self.is_outage && (self.has_answered || !terms.workers_answer);
+        let within = if is_known_outage { terms.notified_within_outage } else { terms.notified_within };
         self.confirmed_at + within + terms.drain_grace
     }
 
@@ -154,7 +157,10 @@
     pub fn needs_query(&self, now: Time, worker: WorkerId) -> bool {
         let own = self.workers.get(&worker).copied().unwrap_or_default();
         let may_wait = self.has_answered || own.confirmed_at.is_some() || own.drains;
-        if !self.is_outage || (may_wait && self.valid_until(worker) > now + RENEW_AHEAD) {
+        if !self.terms.workers_answer
+            || !self.is_outage
+            || (may_wait && self.valid_until(worker) > now + RENEW_AHEAD)
+        {
             return false;
         }
         let open = self.workers.values().filter(|w| w.queried_at.is_some()).count();
--- a/src/list_lease/tests.rs
+++ b/src/list_lease/tests.rs
@@ -4,6 +4,7 @@
     notified_within: Time(15_000),
     notified_within_outage: Time(40_000),
     drain_grace: Time(5_000),
+    workers_answer: true,
 };
 const START: Time = Time(100_000);
 const WORKER: WorkerId = WorkerId(1);
@@ -53,6 +54,9 @@
     let mut lease = ListLease::new(START, START, TERMS);
     (0..6).for_each(|n| lease.query_sent(START + Time(400 * n)));
     assert!(lease.is_outage() && lease.needs_query(START + Time(2_000), WORKER));
+    assert_eq!(lease.list_until(), START + Time(2_000 + 5_000));
+    (6..60).for_each(|n| lease.query_sent(START + Time(400 * n)));
+    assert_eq!(lease.list_until(), START + Time(15_000 + 5_000), "it may have begun long before");
     assert!(!unanswered(6).needs_query(START + Time(12_000), WORKER), "it began after an answer");
 }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -820,8 +820,7 @@
     }
 
     fn query_if_needed(&mut self, now: Time, worker: WorkerId, function: FunctionId) {
-        let may_order = self.allowed("familyInfo", "mayOrder");
-        let needed = |lease: &&mut ListLease| may_order && lease.needs_query(now, worker);
+        let needed = |lease: &&mut ListLease| lease.needs_query(now, worker);
         if let Some(lease) = self.lease.as_mut().filter(needed) {
             lease.worker_queried(now, worker);
             self.host.query_drain(worker, function);
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -4,23 +4,22 @@
 
 use curlewpoint::list_lease::ListLeaseTerms;
 use curlewpoint::types::*;
-use harness::{settings, Harness, IDEMPOTENT};
-use serde_json::json;
+use harness::{Harness, IDEMPOTENT};
 
 const TERMS: ListLeaseTerms = ListLeaseTerms {
     notified_within: Time(15_000),
     notified_within_outage: Time(40_000),
     drain_grace: Time(5_000),
+    workers_answer: true,
 };
 const QUERY_INTERVAL_MS: u64 = 200;
 
 /// A scheduler with two workers and a list that was just confirmed.
-fn leased(may_order: bool) -> Harness {
-    let mut settings = settings();
-    settings["familyInfo"]["mayOrder"] = json!(may_order);
-    let mut s = Harness::with_settings(settings, 2);
+fn leased(workers_answer: bool) -> Harness {
+    let mut s = Harness::new(2);
     let now = s.now();
-    s.scheduler.lease_list(now, now, TERMS);
+    s.scheduler.lease_list(now, now, ListLeaseTerms { workers_answer, ..TERMS });
+    s.scheduler.list_confirmed(now, now);
     s
 }
 
