tests: wait for a discovery query before the kernel counts as full

Cause, by the sizes: the scheduler shares its thread with the test, had not read from discovery for the grace and held the requests of those rounds, so they were not in an outbox. The test now waits for a query in each round; what it requires is unchanged.

--- a/crates/curlewpoint-node/tests/endpoint_lists.rs
+++ b/crates/curlewpoint-node/tests/endpoint_lists.rs
@@ -230,7 +230,7 @@
 async fn attempts_in_the_outbox_of_a_drained_worker_go_elsewhere() {
     const CLIENTS: usize = 16;
     const WARM_UP: u64 = 120;
-    let old = ScriptedDiscovery::new().await;
+    let mut old = ScriptedDiscovery::new().await;
     let (address, listener) = listener_with_small_buffer();
     let (pause, mut started_rx) = pausable_worker(listener);
     let (next, mut next_rx) = scripted_worker().await;
@@ -266,6 +266,8 @@
             let call = encode(&["CALL", &tag.to_string(), "issue", &fields(id), &body]);
             client.0.write_all(&call).await.unwrap();
         }
+        // After a query, requests that waited for the scheduler to read from discovery are sent.
+        old.expect_query().await;
         other.expect_check(&mut check_tag, "fit").await;
         // The kernel accepts nothing for two rounds: their requests are in outboxes.
         let before = std::mem::replace(&mut in_kernel, bytes_in_kernel(&address));
