--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A node sends to a drained worker for a second too long while discovery gives no answer for 3 s."""
+"""Bad clients that send hundreds of requests at once take a node over its memory limit."""
 
 import asyncio
 import os
@@ -9,53 +9,88 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 from standins import Client, Discovery, Node, Worker, method, new_id, run, settings  # noqa: E402
 
-WARM_UP = 3.0
-SILENCE = 3.0  # DAYS: "for 3 s no answer at all may come"
-DRAIN_AT = 0.1  # after the last answer could come
-ASKED = 0.25  # a good answer to the next query would have told of the drain: the node asks five times a second
-TOLD = 1.5  # DAYS: "Whatever a good answer would have told counts as told 1.5 s later"
-GRACE, SLACK = 0.5, 0.05  # `drainGrace`; "Each time limit grows by 50 ms"
-RATE, FUNCTIONS = 150, 900
+MEMORY_MB, SOCKETS = 32, 1024  # DAYS: "32 to 192 MB", "256 to 1,024 descriptors"
+USUAL, USUAL_RATE, USUAL_BODY = 40, 100, 1024
+BAD = 240  # "connect by the hundred"; with the usual ones under a third of the descriptors
+AT_ONCE = 200  # "hundreds of requests at once"
+BODY = os.urandom(16 * 1024)  # "A body holds 16 KiB at most."
+CALM, LENGTH = 3.0, 40.0
+TIMEOUT_MS = 5000
 
 
 async def case(record, trouble, cleanup):
-    workers = [await Worker(record, f"s-{n:08x}", work_s=0.05).start() for n in range(4)]
-    leaving = workers[0]
+    workers = [await Worker(record, f"s-{n:08x}", work_s=0.1).start() for n in range(8)]
     discovery = await Discovery(record, workers).start()
-    node = Node(record, "n1", settings([method("read-fields", 600.0, 5000.0, "read_like")]), workers, discovery.address)
+    node = Node(record, "n1", settings([method("read-fields", 600.0, 5000.0, "read_like")]), workers, discovery.address,
+                sockets=SOCKETS, memory_mb=MEMORY_MB)
     cleanup.append(node)
     await node.start()
-    clients = [await Client.connect(record, node.address) for _ in range(4)]
-    subjects = [new_id() for _ in range(FUNCTIONS)]
-    began = time.time()
-    silent_at = drained_at = None
-    answers = []
-    while time.time() - began < WARM_UP + SILENCE + 1:
-        now = time.time()
-        if silent_at is None and now - began >= WARM_UP:
-            silent_at, discovery.silent = now, trouble
-            record.line("discovery gives no answer from now on" if trouble else "discovery goes on answering")
-        if drained_at is None and silent_at and now - silent_at >= DRAIN_AT:
-            drained_at, discovery.rows[leaving], leaving.drains = now, True, True
-            discovery.change(f"{leaving.name} drains")
-        if discovery.silent and now - silent_at >= SILENCE:
-            discovery.silent = False
-            record.line("discovery answers again")
-        count = len(answers)
-        answers.append(clients[count % 4].call("read-fields", subjects[count % FUNCTIONS], 3000, b"page"))
-        await asyncio.sleep(1 / RATE)
-    await asyncio.sleep(3.2)
-    words = Counter((answer.result() or [0, "nothing"])[1] if answer.done() else "nothing" for _, _, answer in answers)
-    until = drained_at + ASKED + TOLD + GRACE + SLACK
-    late = [(at, m["req"]) for at, m in leaving.attempts if at > until]
-    late += [(at, f"an order to load ({m['req']})") for at, m in leaving.orders if at > until]
-    for at, message in leaving.attempts:
-        record.line(f"{leaving.name} gets {message['req']}, {at - drained_at:.3f} s after its drain began", at)
-    for at, what in sorted(late):
-        record.line(f"too late: {what}, {at - drained_at:.3f} s after the drain began", at)
-    last = max((at for at, _ in late), default=drained_at) - drained_at
-    print(f"answers: {dict(words)}; sent too late: {len(late)}, the last one {last:.2f} s after the drain began")
-    return f"{len(late)} attempts or orders went to a drained worker later than {until - drained_at:.2f} s" if late else None
+    subjects = [new_id() for _ in range(20)]
+    over = asyncio.Event()
+    highest = 0
+
+    async def platform():
+        """Kills the scheduler once it is over its limit. Counts anonymous memory alone, neither files nor sockets."""
+        nonlocal highest
+        last = 0
+        while True:
+            used = node.memory_kb("RssAnon") or 0
+            highest = max(highest, used)
+            if time.time() - last > 1:
+                last = time.time()
+                record.line(f"the node uses {used} kB")
+            if used > MEMORY_MB * 1024:
+                record.line(f"the node uses {used} kB, its limit is {MEMORY_MB * 1024} kB: the platform kills it")
+                node.process.kill()
+                over.set()
+                return
+            await asyncio.sleep(0.02)
+
+    async def usual(client, answers):
+        while not over.is_set():
+            req, _, answer = client.call("read-fields", subjects[len(answers) % 20], TIMEOUT_MS, os.urandom(USUAL_BODY))
+            answers.append((req, answer))
+            await answer
+            await asyncio.sleep(USUAL / USUAL_RATE)
+
+    async def bad(words):
+        """Sends hundreds of requests at once, reads what it gets, and sends the same again."""
+        client = await Client.connect(record, node.address)
+        while not over.is_set() and not client.ended:
+            answers = []
+            for n in range(AT_ONCE):
+                answers.append(client.call("read-fields", subjects[n % 20], TIMEOUT_MS, BODY)[2])
+                await client.writer.drain()
+            for answer in answers:
+                words[(await answer or [0, "closed"])[1]] += 1
+
+    watching = asyncio.ensure_future(platform())
+    answers, words = [], Counter()
+    clients = [await Client.connect(record, node.address) for _ in range(USUAL)]
+    tasks = [asyncio.ensure_future(usual(client, answers)) for client in clients]
+    await asyncio.sleep(CALM)
+    if trouble:
+        record.line(f"{BAD} bad clients begin, each sends {AT_ONCE} requests of {len(BODY)} bytes at once, again and again")
+        tasks += [asyncio.ensure_future(bad(words)) for _ in range(BAD)]
+    try:
+        await asyncio.wait_for(over.wait(), LENGTH)
+    except asyncio.TimeoutError:
+        pass
+    crashed = over.is_set() or node.process.poll() is not None
+    await asyncio.sleep(0.5)
+    for task in tasks:
+        task.cancel()
+    watching.cancel()
+    lost = 0
+    for req, answer in answers:
+        word = (answer.result() or [0, "nothing, the connection ended"])[1] if answer.done() and not answer.cancelled() \
+            else "nothing yet"
+        lost += word.startswith("nothing,")
+        record.line(f"a usual client got '{word}' for {req}")
+    record.line(f"the bad clients got {dict(words)}")
+    print(f"highest use {highest} kB of {MEMORY_MB * 1024} kB; requests of usual clients cut off: {lost}")
+    return f"the scheduler went over its memory limit and was killed, {lost} requests of usual clients cut off" \
+        if crashed else None
 
 
 run(case, os.path.dirname(os.path.abspath(__file__)))
