--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -405,7 +405,11 @@
 
 
 def run(case, folder):
-    """Runs a case: `case(record, trouble)` returns what broke the rule, or None. Exits with 0, 1 or 2."""
+    """Runs a case: `case(record, trouble, cleanup)` returns what broke the rule, or None. Exits with 0, 1 or 2.
+
+    The case adds what is to be stopped at the end to `cleanup`; that happens also if this script is told to end.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder)
     # Tasks that are still open at the end are no fault of the case.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
