Engine: forget the timers and times of RPCs that have ended

Cause: each RPC sets two timers up to its deadline, and ended RPCs left them in the timer wheel until then; the module kept the time of each RPC received for 30 s. At 25,000 denied calls a second with deadlines of 5 s that is 250,000 timers and 750,000 times. Both grow with the rate of calls, not with what is open.

Change: the engine forgets the timers of what has ended once they are most of all timers; at most 65,536 times of received RPCs are kept. Fewer times only allow fewer load orders.

--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -185,6 +185,11 @@
     sent: Time,
 }
 
+/// Timers that an RPC or an upstream request sets: the module's and the engine's own.
+const MAX_TIMERS_PER_RPC: usize = 2;
+/// Fewer timers than this are not looked through.
+const MIN_TIMERS_TO_FORGET: usize = 4096;
+
 enum Timer {
     /// A wake-up that the module asked for.
     Module(TimerId),
@@ -668,6 +673,8 @@
         table.counters.taken += 1;
         table.driver.rpc_accepted(id);
         table.driver.function_requested(function);
+        self.forget_unneeded_timers();
+        let table = self.module.host();
         // For the case that the module has not answered by then; half the slack is left to return the answer.
         table.timers.set(deadline + Time(answer_slack.0 / 2), Timer::RpcGuard(id));
         self.module.rpc_received(
@@ -683,6 +690,23 @@
         Ok(id)
     }
 
+    /// Forgets the timers of what has ended, once they are most of all timers. Each RPC sets timers up to its deadline:
+    /// without this, RPCs that end at once would fill the memory until then.
+    fn forget_unneeded_timers(&mut self) {
+        let table = self.module.host();
+        let live = MAX_TIMERS_PER_RPC * (table.rpcs.len() + table.requests.len());
+        if table.timers.len() < 2 * live + MIN_TIMERS_TO_FORGET {
+            return;
+        }
+        let mut timers = std::mem::take(&mut self.module.host().timers);
+        timers.retain(|timer| match timer {
+            Timer::Module(id) => self.module.is_timer_needed(*id),
+            Timer::RpcGuard(id) => self.module.host().rpcs.get(id).is_some_and(|entry| !entry.answered),
+            Timer::RequestLimit(id) => self.module.host().requests.contains_key(id),
+        });
+        self.module.host().timers = timers;
+    }
+
     /// Cancels an RPC for its client. It is still answered, as aborted: the client cannot know whether its cancel
     /// came before an answer.
     pub fn cancel(&mut self, now: Time, client: ClientId, tag: u64) {
--- a/crates/curlewpoint-engine/src/timer_wheel.rs
+++ b/crates/curlewpoint-engine/src/timer_wheel.rs
@@ -84,6 +84,20 @@
         self.far.iter().map(|e| Time(e.at)).min()
     }
 
+    /// Removes the timers whose payload is no longer needed, and frees their memory.
+    pub fn retain(&mut self, mut is_needed: impl FnMut(&T) -> bool) {
+        let lists = self.slots.iter_mut().chain([&mut self.far, &mut self.due]);
+        for entries in lists.filter(|entries| entries.capacity() > 0) {
+            entries.retain(|entry| is_needed(&entry.payload));
+            entries.shrink_to_fit();
+        }
+        for (level, slots) in self.slots.chunks(SLOTS).enumerate() {
+            let used = slots.iter().enumerate().filter(|(_, entries)| !entries.is_empty());
+            self.used[level] = used.fold(0, |mask, (slot, _)| mask | 1 << slot);
+        }
+        self.len = self.slots.iter().chain([&self.far, &self.due]).map(Vec::len).sum();
+    }
+
     /// Removes the earliest timer that is due at `now`.
     pub fn pop(&mut self, now: Time) -> Option<(Time, T)> {
         while self.due.is_empty() {
@@ -128,11 +142,14 @@
     enum Step {
         Set(u64),
         Advance(u64),
+        /// Keeps the timers that were set at a multiple of this.
+        Retain(u64),
     }
 
     fn step() -> impl Strategy<Value = Step> {
         let span = prop_oneof![0u64..100, 0u64..10_000, 0u64..100_000_000, 0u64..(1 << 40)];
-        prop_oneof![3 => span.clone().prop_map(Step::Set), 2 => span.prop_map(Step::Advance)]
+        let retain = (2u64..5).prop_map(Step::Retain);
+        prop_oneof![6 => span.clone().prop_map(Step::Set), 4 => span.prop_map(Step::Advance), 1 => retain]
     }
 
     proptest! {
@@ -147,6 +164,12 @@
                         model.insert((now + after, seq), ());
                         seq += 1;
                     }
+                    Step::Retain(divisor) => {
+                        wheel.retain(|seq| seq % divisor == 0);
+                        model.retain(|(_, seq), ()| seq % divisor == 0);
+                        prop_assert_eq!(wheel.len(), model.len());
+                        prop_assert_eq!(wheel.next().is_some(), !model.is_empty());
+                    }
                     Step::Advance(by) => {
                         now += by;
                         let first = model.keys().next().map(|k| k.0);
--- a/crates/curlewpoint-engine/tests/guarantees.rs
+++ b/crates/curlewpoint-engine/tests/guarantees.rs
@@ -416,3 +416,19 @@
         prop_assert_eq!(harness.engine.counters().aborted_by_guard, 0, "the module answers without the engine's guard");
     }
 }
+
+/// Guards against memory that grows with the rate of calls: RPCs that end at once left their timers until their deadline,
+/// and the times at which they were received for half a minute.
+#[test]
+fn what_is_kept_does_not_grow_with_the_number_of_rpcs_that_have_ended() {
+    const RPCS: u64 = 200_000;
+    const MAX_ENTRIES: usize = 70_000;
+    let mut harness = Harness::new(2);
+    for tag in 1..=RPCS {
+        harness.rpc(tag, "read").expect("it is accepted");
+        harness.engine.cancel(harness.now, CLIENT, tag);
+    }
+    for (table, entries) in harness.engine.sizes() {
+        assert!(entries <= MAX_ENTRIES, "{entries} {table}");
+    }
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -74,6 +74,8 @@
 const MAX_REPORT_AGE: Time = Time(5_000);
 /// How long events, and workers that are gone, are kept.
 const HISTORY_RETENTION: Time = Time(300_000);
+/// Times of received RPCs that are kept. A client that sends at full speed would otherwise fill the memory.
+const MAX_RECEIVED_TIMES: usize = 65_536;
 const NO_LIMIT: Time = Time(u64::MAX);
 /// Workers that one RPC asks whether they drain, at a time.
 const MAX_DRAIN_QUERIES: usize = 2;
@@ -343,7 +345,7 @@
         &mut self, now: Time, id: RpcId, method: MethodId, function: FunctionId, tenant: TenantId,
         time_left: Time, lanes: f64,
     ) {
-        self.received.push_back(now);
+        self.record_received(now);
         self.lanes.add(lanes);
         self.soft_deadlines.add(self.soft_deadline(method));
         self.retry_budget = (self.retry_budget + RETRIES_PER_RPC).min(MAX_BUDGET);
@@ -524,6 +526,11 @@
         }
     }
 
+    /// Whether the firing of this timer would still change anything. The host may forget the others.
+    pub fn is_timer_needed(&self, id: TimerId) -> bool {
+        id == TICK_TIMER || self.rpcs.get(&RpcId(id.0)).is_some_and(|rpc| !rpc.done)
+    }
+
     // Settings, and values derived from them.
 
     fn setting(&self, section: &str, name: &str) -> Option<&Value> {
@@ -1081,6 +1088,14 @@
         }
     }
 
+    /// Records that an RPC was received. With fewer times than there were, fewer load orders are allowed.
+    fn record_received(&mut self, now: Time) {
+        if self.received.len() == MAX_RECEIVED_TIMES {
+            self.received.pop_front();
+        }
+        self.received.push_back(now);
+    }
+
     /// Forgets workers that have been gone for long, once no attempt to them is open and no RPC has an attempt there on
     /// record. The process runs for months, and each RPC walks all workers that are kept.
     fn forget_gone_workers(&mut self, now: Time) {
