Node: hold all that is kept for clients within one memory budget

Cause: commands received in part, read-ahead, bodies of open RPCs and replies each had a bound of their own, multiplied by the number of connections and without knowledge of the others. A slice of a command counted its own length, but kept the whole read buffer; a body was kept a second time in base64, and the rest of a partly written frame kept the whole batch.

Bytes are counted until their last slice is dropped. Reading allocates only what has arrived, and pauses without room; a call beyond the share is refused. Bodies are encoded for workers as they are written. The counters line logs what is held and the most that was held.

Usual calls are still refused by the module's limit on RPCs in flight while clients send sound calls at full speed.

--- a/crates/curlewpoint-link/src/outbox.rs
+++ b/crates/curlewpoint-link/src/outbox.rs
@@ -133,6 +133,11 @@
         (Outbox { queue, bytes: Arc::clone(&bytes), max_bytes }, OutboxReceiver { frames, bytes })
     }
 
+    /// Whether everything was written.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.load(Ordering::Acquire) == 0
+    }
+
     /// Queues a frame. An empty outbox accepts one frame of any size.
     pub fn send(&self, frame: P, ticket: Option<Ticket>) -> Result<(), SendError> {
         let size = frame.encoded_len();
@@ -177,23 +182,16 @@
 struct WriteState<P> {
     /// Frames not begun; each can still be withdrawn, however long the peer accepts nothing.
     queued: VecDeque<QueuedFrame<P>>,
-    /// The unwritten rest of the one frame that was begun, and the bytes for which its outbox counts the whole frame.
+    /// The unwritten rest of the one frame that was begun, and that frame, which its outbox counts until it is written.
     rest: VecDeque<Bytes>,
-    rest_size: usize,
-    /// When the first byte of that frame was written, and its ticket.
+    rest_frame: Option<QueuedFrame<P>>,
+    /// When the first byte of that frame was written.
     begun: Option<Instant>,
-    rest_ticket: Option<Ticket>,
 }
 
 impl<P: OutboxMessage> WriteState<P> {
     fn new() -> WriteState<P> {
-        WriteState {
-            queued: VecDeque::new(),
-            rest: VecDeque::new(),
-            rest_size: 0,
-            begun: None,
-            rest_ticket: None,
-        }
+        WriteState { queued: VecDeque::new(), rest: VecDeque::new(), rest_frame: None, begun: None }
     }
 
     /// Starts the timer of a frame that is partly written, or evaluates it once the frame is complete.
@@ -224,7 +222,8 @@
         &mut self, receiver: &mut OutboxReceiver<P>, to: Pin<&mut impl AsyncWrite>, cx: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
         let release = |size| receiver.bytes.fetch_sub(size, Ordering::AcqRel);
-        if !self.rest.is_empty() && self.rest_ticket.as_ref().is_some_and(Ticket::is_abandoned) {
+        let rest_ticket = self.rest_frame.as_ref().and_then(|queued| queued.ticket.as_ref());
+        if !self.rest.is_empty() && rest_ticket.is_some_and(Ticket::is_abandoned) {
             METRICS.frames_cut.add(1);
             return Poll::Ready(Err(ErrorKind::ConnectionAborted.into()));
         }
@@ -236,7 +235,9 @@
                 self.rest.pop_front();
             }
             if self.rest.is_empty() {
-                release(std::mem::take(&mut self.rest_size));
+                self.rest_frame.take().into_iter().for_each(|queued| {
+                    release(queued.frame.encoded_len());
+                });
             }
             return Poll::Ready(if n > 0 { Ok(()) } else { Err(ErrorKind::WriteZero.into()) });
         }
@@ -275,6 +276,7 @@
         }
         // A large body without a head, as of another protocol's encoded bytes, is written by itself.
         let body_only = if batch.is_empty() { large_body.take() } else { None };
+        let is_gathered = body_only.is_none();
         let batch = body_only.unwrap_or_else(|| batch.freeze());
         let written = to.poll_write(cx, &batch);
         let n = match &written {
@@ -290,15 +292,16 @@
             }
         }
         for (index, _) in starts.iter().enumerate().take_while(|(_, start)| **start < n) {
-            let Some(QueuedFrame { frame, ticket }) = self.queued.pop_front() else { break };
-            let size = frame.encoded_len();
+            let Some(queued) = self.queued.pop_front() else { break };
             let end = starts.get(index + 1).copied().unwrap_or(batch.len());
             let body = large_body.take_if(|_| index + 1 == starts.len());
-            self.rest.extend((n < end).then(|| batch.slice(n..end)).into_iter().chain(body));
+            // A slice would keep the whole batch in memory for as long as the peer reads nothing.
+            let rest_of = |part: Bytes| if is_gathered { Bytes::copy_from_slice(&part) } else { part };
+            self.rest.extend((n < end).then(|| rest_of(batch.slice(n..end))).into_iter().chain(body));
             if self.rest.is_empty() {
-                release(size);
+                release(queued.frame.encoded_len());
             } else {
-                (self.rest_size, self.rest_ticket) = (size, ticket);
+                self.rest_frame = Some(queued);
             }
         }
         match ready!(written) {
--- a/crates/curlewpoint-link/src/socket.rs
+++ b/crates/curlewpoint-link/src/socket.rs
@@ -1,8 +1,11 @@
+use std::future::poll_fn;
 use std::io::Error;
+use std::pin::Pin;
+use std::task::{ready, Poll};
 use std::time::Duration;
 
 use rustix::io::Errno;
-use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tracing::debug;
@@ -13,21 +16,26 @@
 /// down.
 pub const LINGER_LIMITS: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
 
+/// Bytes that are read and discarded at once.
+const SINK_BYTES: usize = 4096;
+
 /// Reads and discards what a peer still sends after this side was shut down, until the peer closes or a limit is
 /// reached. Closing a socket with unread bytes in it sends a reset, which destroys earlier answers that the peer has
 /// not read yet. If the peer never closes, the descriptor is held for at most `at_most`.
 pub async fn linger(from: &mut (impl AsyncRead + Unpin), at_most: Duration, max_bytes: usize) {
-    let mut sink = [0; 4096];
     let mut bytes_left = max_bytes;
-    let _ = timeout(at_most, async {
-        while let Ok(n) = from.read(&mut sink).await {
-            if n == 0 || n >= bytes_left {
-                return;
-            }
-            bytes_left -= n;
+    let discarded = poll_fn(|context| loop {
+        // On the stack and not in the future, which every connection holds for as long as it lasts.
+        let mut sink = [0; SINK_BYTES];
+        let mut read = ReadBuf::new(&mut sink);
+        let result = ready!(Pin::new(&mut *from).poll_read(context, &mut read));
+        let count = read.filled().len();
+        if result.is_err() || count == 0 || count >= bytes_left {
+            return Poll::Ready(());
         }
-    })
-    .await;
+        bytes_left -= count;
+    });
+    let _ = timeout(at_most, discarded).await;
 }
 
 /// Whether a connection failed for a reason on this side, such as a lack of descriptors, ports or a route, or because
--- a/crates/curlewpoint-link/src/stream.rs
+++ b/crates/curlewpoint-link/src/stream.rs
@@ -54,6 +54,13 @@
     Poll::Pending
 }
 
+impl ReadHalf {
+    /// Waits until something may have arrived, so that no buffer is held until then.
+    pub fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.0.poll_read_ready(cx)
+    }
+}
+
 impl AsyncRead for ReadHalf {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         if buf.remaining() == 0 {
--- a/crates/curlewpoint-node/src/call.rs
+++ b/crates/curlewpoint-node/src/call.rs
@@ -86,8 +86,13 @@
 }
 
 fn parse_lanes(info: &str) -> Result<Option<f64>, Rejection> {
-    let info = commands::parse_info(info).ok_or(Rejection::Malformed("invalid parameters"))?;
-    let lanes = info.iter().find(|(name, _)| *name == "lanes").map(|(_, lanes)| *lanes);
+    let mut lanes = None;
+    for parameter in commands::parse_info(info) {
+        let (name, value) = parameter.ok_or(Rejection::Malformed("invalid parameters"))?;
+        if name == "lanes" {
+            lanes = lanes.or(Some(value));
+        }
+    }
     match lanes {
         Some(lanes) if lanes < MIN_LANES => Err(Rejection::Unsupported("too few lanes")),
         _ => Ok(lanes),
--- a/crates/curlewpoint-node/src/client_task.rs
+++ b/crates/curlewpoint-node/src/client_task.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use curlewpoint_engine::ClientId;
 use curlewpoint_link::{
-    linger, next_if_ready, spawn_writer, split, ClosingReadLimit, ReadAhead, ReadHalf, LINGER_LIMITS,
+    linger, next_if_ready, spawn_writer, split, ClosingReadLimit, ReadAhead, LINGER_LIMITS,
 };
 use curlewpoint_platform::commands::CANCEL;
 use curlewpoint_platform::resp::{CommandDecoder, RespError};
@@ -16,18 +16,19 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout_at, Instant};
 use tokio_stream::StreamExt;
-use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, info};
 
 use crate::admission::ClientActivity;
 use crate::client_close::CloseReason;
 use crate::clients::{ClientContext, Slot};
+use crate::command_reader::{Command, CommandReader};
 use crate::driver::Client;
 use crate::events::Event;
+use crate::memory_budget::{ClientMemory, Purpose};
 
 /// Interval at which a silent client is checked. A client that sends no first command for twice this time, or leaves a
-/// command incomplete over two checks while none of its RPCs is open, is disconnected.
+/// command incomplete over two checks, while none of its RPCs is open or while its memory is wanted back, is disconnected.
 const SILENCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of commands, and of their bytes, that are read from a client ahead of the engine. The count exceeds
 /// the RPCs that a client may have open, so that a disconnect behind all of them is noticed.
@@ -35,11 +36,9 @@
 /// Maximum number of words of a command.
 const MAX_COMMAND_WORDS: usize = 8;
 
-type CommandReader = FramedRead<ReadHalf, CommandDecoder>;
-
 /// What a read from the connection returned.
 enum Input {
-    Command(Vec<Bytes>),
+    Command(Command),
     /// The client sent something that cannot be read, and what follows cannot be read either; or it left a command
     /// incomplete.
     Failed(CloseReason),
@@ -47,8 +46,8 @@
     Ended,
 }
 
-impl From<Option<Result<Vec<Bytes>, RespError>>> for Input {
-    fn from(next: Option<Result<Vec<Bytes>, RespError>>) -> Input {
+impl From<Option<Result<Command, RespError>>> for Input {
+    fn from(next: Option<Result<Command, RespError>>) -> Input {
         match next {
             Some(Ok(words)) => Input::Command(words),
             // A client that only shut down its writing side cannot be told apart and is handled the same.
@@ -71,12 +70,14 @@
     let (read, write) = split(stream);
     let codec = CommandDecoder { max_words: MAX_COMMAND_WORDS, max_word_len: context.limits.max_frame_bytes };
     let closing = context.shutdown.child_token();
+    let memory = context.memory.client();
     let mut task = ClientTask {
         id,
         context,
         activity,
         slot,
-        reader: FramedRead::new(read, codec),
+        reader: CommandReader::new(read, codec, Arc::clone(&memory)),
+        memory: Arc::clone(&memory),
         closing,
         is_reading: true,
         closing_read_limit: ClosingReadLimit::default(),
@@ -90,7 +91,8 @@
     let Some(first) = task.read_first_command().await else { return };
     task.record_activity(false);
     let (outbox, writer) = spawn_writer::<Bytes>(write, task.context.limits);
-    let client = Client::new(outbox, writer.abort_handle(), Arc::clone(&task.activity), task.closing.clone());
+    let client =
+        Client::new(outbox, writer.abort_handle(), Arc::clone(&task.activity), memory, task.closing.clone());
     if task.send_priority(Event::ClientConnected(id, client)).await.is_continue() {
         task.run(first, writer).await;
     }
@@ -103,6 +105,7 @@
     activity: Arc<ClientActivity>,
     slot: Slot,
     reader: CommandReader,
+    memory: Arc<ClientMemory>,
     /// Cancelled when the connection is to be closed, by the engine after an error of the client or at the shutdown.
     /// Commands already received are read and passed on first.
     closing: CancellationToken,
@@ -110,7 +113,7 @@
     is_reading: bool,
     closing_read_limit: ClosingReadLimit,
     /// Commands that were read and not passed on.
-    ahead: ReadAhead<Vec<Bytes>>,
+    ahead: ReadAhead<Command>,
     /// Number of commands passed on to the engine.
     passed_on: u64,
     /// A command was incomplete at the last silence check.
@@ -122,7 +125,7 @@
 
 impl ClientTask {
     /// Waits for the first command. Returns `None` if the connection is to be closed without one.
-    async fn read_first_command(&mut self) -> Option<Vec<Bytes>> {
+    async fn read_first_command(&mut self) -> Option<Command> {
         let deadline = Instant::now() + 2 * SILENCE_INTERVAL;
         let first = loop {
             tokio::select! {
@@ -131,7 +134,7 @@
                 () = self.activity.evict.notified() => {
                     let first = next_if_ready(&mut self.reader).await;
                     let despite_partial = self.activity.eviction_requested() == Some(true);
-                    if first.is_some() || self.reader.read_buffer().is_empty() || despite_partial {
+                    if first.is_some() || !self.reader.is_partial() || despite_partial {
                         break first;
                     }
                     self.record_activity(true);
@@ -150,7 +153,7 @@
     }
 
     /// Reads and passes on commands until the connection is closed.
-    async fn run(mut self, first: Vec<Bytes>, mut writer: JoinHandle<std::io::Result<()>>) {
+    async fn run(mut self, first: Command, mut writer: JoinHandle<std::io::Result<()>>) {
         let is_writing = self.read_until_closed(first, &mut writer).await;
         // While a connection is being closed the last commands are answered before the disconnect takes effect: they
         // went by the command channel.
@@ -170,7 +173,7 @@
 
     /// Returns whether the writer still runs.
     async fn read_until_closed(
-        &mut self, first: Vec<Bytes>, writer: &mut JoinHandle<std::io::Result<()>>,
+        &mut self, first: Command, writer: &mut JoinHandle<std::io::Result<()>>,
     ) -> bool {
         let command_tx = self.context.command_tx.clone();
         let mut input = Some(Input::Command(first));
@@ -216,7 +219,7 @@
     }
 
     /// Queues a command, or lets a cancel go ahead of the commands that are queued.
-    async fn command_read(&mut self, words: Vec<Bytes>) -> ControlFlow<()> {
+    async fn command_read(&mut self, words: Command) -> ControlFlow<()> {
         (self.was_partial, self.silence_check) = (false, Instant::now() + SILENCE_INTERVAL);
         self.activity.command_read();
         self.record_activity(false);
@@ -247,7 +250,7 @@
         if let Some(next) = next_if_ready(&mut self.reader).await {
             return Some(Some(next).into());
         }
-        let is_partial = !self.reader.read_buffer().is_empty();
+        let is_partial = self.reader.is_partial();
         // Without a request the eviction was declined since by a command.
         let despite_partial = self.activity.eviction_requested()?;
         if self.activity.is_idle() && (despite_partial || !is_partial) {
@@ -260,8 +263,9 @@
 
     /// Handles a silence interval without a command.
     async fn check_silence(&mut self) -> Option<Input> {
-        let is_partial = !self.reader.read_buffer().is_empty();
-        if self.was_partial && is_partial && self.activity.is_idle() {
+        let is_partial = self.reader.is_partial();
+        let may_close = self.activity.is_idle() || self.memory.is_wanted_back(Purpose::Received);
+        if self.was_partial && is_partial && may_close {
             return Some(Input::Failed(CloseReason::Incomplete));
         }
         (self.was_partial, self.silence_check) = (is_partial, Instant::now() + SILENCE_INTERVAL);
@@ -285,6 +289,6 @@
     }
 
     async fn linger(&mut self) {
-        linger(self.reader.get_mut(), LINGER_LIMITS.0, LINGER_LIMITS.1).await;
+        linger(self.reader.discard(), LINGER_LIMITS.0, LINGER_LIMITS.1).await;
     }
 }
--- a/crates/curlewpoint-node/src/clients.rs
+++ b/crates/curlewpoint-node/src/clients.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections and runs a task for each.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewpoint_engine::ClientId;
@@ -15,6 +16,7 @@
 use crate::admission::Admission;
 use crate::client_task::serve_client;
 use crate::events::Event;
+use crate::memory_budget::MemoryBudget;
 
 /// Pause after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -54,14 +56,16 @@
     /// Cancelled when the scheduler shuts down: commands already received are read, then all connections are closed.
     pub shutdown: CancellationToken,
     pub tasks: TaskTracker,
+    /// What is held for all clients.
+    pub memory: Arc<MemoryBudget>,
 }
 
-/// Accepts client connections, up to `max_clients` at a time, until the scheduler shuts down. Connections that the
+/// Accepts client connections, up to the number that the memory allows at a time, until the scheduler shuts down. Connections that the
 /// kernel has accepted by then are still served, because their clients see them as established.
-pub(crate) async fn accept(listener: TcpListener, max_clients: usize, context: ClientContext) {
+pub(crate) async fn accept(listener: TcpListener, context: ClientContext) {
     let (slot_tx, mut slot_rx) = mpsc::unbounded_channel();
     let (shutdown, clock) = (context.shutdown.clone(), context.clock);
-    let mut admission = Admission::new(max_clients);
+    let mut admission = Admission::new(context.memory.limits().max_clients);
     let admit = |admission: &mut Admission, stream, waited| {
         let (id, activity) = admission.admit(clock.now(), waited);
         let slot = Slot(id, slot_tx.clone());
--- a/crates/curlewpoint-node/src/clients/tests.rs
+++ b/crates/curlewpoint-node/src/clients/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::client_task::{command_bytes, READ_AHEAD_LIMIT};
+use crate::memory_budget::BudgetLimits;
 use bytes::Bytes;
 use curlewpoint_link::ReadAhead;
 use curlewpoint_platform::resp::encode_array;
@@ -7,6 +8,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+const MEMORY_BYTES: usize = 64 << 20;
+const MAX_OPEN: usize = 1000;
+const GUARANTEED_BYTES: usize = 17 * 1024;
+
 /// A listener whose command channel is full and not received from. Returns the receivers of priority events and
 /// commands.
 async fn blocked_listener(
@@ -18,11 +23,9 @@
     command_tx.try_send(Event::Stop).unwrap_or_default();
     let (shutdown, tasks, clock) = (CancellationToken::new(), TaskTracker::new(), Clock::start());
     let limits = LinkLimits { max_frame_bytes: 1024, ..LinkLimits::default() };
-    tokio::spawn(accept(
-        listener,
-        max_clients,
-        ClientContext { limits, clock, priority_tx, command_tx, shutdown, tasks },
-    ));
+    let memory = MemoryBudget::new(BudgetLimits::new(MEMORY_BYTES, max_clients, MAX_OPEN, GUARANTEED_BYTES));
+    let context = ClientContext { limits, clock, priority_tx, command_tx, shutdown, tasks, memory };
+    tokio::spawn(accept(listener, context));
     (address, priority_rx, command_rx)
 }
 
--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -17,15 +17,24 @@
 use tracing::{debug, info};
 
 use crate::admission::ClientActivity;
+use crate::memory_budget::{counted_bytes, ClientMemory, Purpose};
 use crate::send_lease::{PublishedLease, SendLease};
 use crate::worker_line::WorkerLine;
 use crate::workers::Dialler;
 
+/// Bytes that a queued reply takes beside its own.
+const REPLY_OVERHEAD_BYTES: usize = 128;
+/// Replies that wait for less than this time (0.5 s) do not show that the client reads none.
+const UNREAD_REPLY_LIMIT: Time = Time(5_000);
+
 /// A client connection, as seen by the task that owns the engine.
 pub(crate) struct Client {
     pub outbox: Outbox<Bytes>,
     pub writer: AbortHandle,
     pub activity: Arc<ClientActivity>,
+    pub memory: Arc<ClientMemory>,
+    /// When the outbox was last found empty, or a reply was first queued after that.
+    written_at: Time,
     /// Cancelled to have the client's task pass on what it has received and close the connection.
     pub closing: CancellationToken,
     /// After an error of the client: its connection is being closed and no more calls are accepted.
@@ -45,13 +54,16 @@
 
 impl Client {
     pub fn new(
-        outbox: Outbox<Bytes>, writer: AbortHandle, activity: Arc<ClientActivity>, closing: CancellationToken,
+        outbox: Outbox<Bytes>, writer: AbortHandle, activity: Arc<ClientActivity>, memory: Arc<ClientMemory>,
+        closing: CancellationToken,
     ) -> Client {
         let (tags, open, overtaking_cancels, cancelled) = Default::default();
         Client {
             outbox,
             writer,
             activity,
+            memory,
+            written_at: Time(0),
             closing,
             is_closing: false,
             tags,
@@ -63,6 +75,23 @@
         }
     }
 
+    /// Queues a reply, counted in the client's memory until it is written. Returns false if the client does not read its
+    /// replies: its outbox is full, or it has left replies unread for a while and may hold no more.
+    fn queue_reply(&mut self, now: Time, reply: Bytes) -> bool {
+        if self.outbox.is_empty() {
+            self.written_at = now;
+        }
+        let bytes = reply.len() + REPLY_OVERHEAD_BYTES;
+        let reservation = match self.memory.try_reserve(Purpose::Open, bytes) {
+            Some(reservation) => reservation,
+            None if now - self.written_at < UNREAD_REPLY_LIMIT => {
+                self.memory.reserve_unchecked(Purpose::Open, bytes)
+            }
+            None => return false,
+        };
+        self.outbox.send(counted_bytes(reply, reservation), None).is_ok()
+    }
+
     /// Forgets the lowest tags that were cancelled before their call, so that `max` of them are left. Clients usually
     /// count tags up, so the lowest are the oldest.
     pub fn forget_cancelled(&mut self, max: usize) {
@@ -239,21 +268,26 @@
         self.known_ids.contains(id)
     }
 
+    /// A copy of a call's body that is counted in its client's memory, with `overhead` for the rest of the open RPC, for
+    /// as long as it is kept. The original is a slice of the whole command. Returns `None` if the client holds its share.
+    pub fn count_call(&self, id: ClientId, body: &[u8], overhead: usize) -> Option<Bytes> {
+        let client = self.clients.get(&id)?;
+        let reservation = client.memory.try_reserve(Purpose::Open, body.len() + overhead)?;
+        Some(counted_bytes(body.to_vec(), reservation))
+    }
+
     /// Sends a reply to a client.
     pub fn reply(&mut self, id: ClientId, tag: u64, status: &str, fields: &str, body: &[u8]) {
         self.reply_to_tag(id, tag.to_string().as_bytes(), status, fields, body);
     }
 
-    /// Sends a reply to a client, with the tag as its client wrote it. A client whose outbox is full does not read its
-    /// replies and is cut off.
+    /// Sends a reply to a client, with the tag as its client wrote it. A client that does not
+    /// read its replies is cut off.
     pub fn reply_to_tag(&mut self, id: ClientId, tag: &[u8], status: &str, fields: &str, body: &[u8]) {
-        let Some(client) = self.clients.get(&id) else { return };
+        let Some(client) = self.clients.get_mut(&id) else { return };
         let reply = resp::encode_array(&[tag, status.as_bytes(), fields.as_bytes(), body]);
-        if client.outbox.send(reply, None).is_err() {
-            info!(client = id.0, "cut off: it does not read its answers");
-            client.writer.abort();
-            self.clients.remove(&id);
-            self.cut_off_clients.push(id);
+        if !client.queue_reply(self.clock.now(), reply) {
+            self.cut_off(id);
         }
     }
 
@@ -293,7 +327,28 @@
         }
     }
 
+    /// Cuts off the clients that leave replies unread while the memory for them is scarce.
+    fn cut_off_unread(&mut self, now: Time) {
+        let is_unread = |client: &Client| {
+            !client.outbox.is_empty()
+                && now - client.written_at >= UNREAD_REPLY_LIMIT
+                && client.memory.is_wanted_back(Purpose::Open)
+        };
+        let unread: Vec<ClientId> =
+            self.clients.iter().filter(|(_, client)| is_unread(client)).map(|(id, _)| *id).collect();
+        unread.into_iter().for_each(|id| self.cut_off(id));
+    }
+
+    fn cut_off(&mut self, id: ClientId) {
+        info!(client = id.0, "cut off: it does not read its answers");
+        if let Some(client) = self.clients.remove(&id) {
+            client.writer.abort();
+            self.cut_off_clients.push(id);
+        }
+    }
+
     pub fn sweep(&mut self, now: Time) {
+        self.cut_off_unread(now);
         self.expire_recent_ids(MAX_RECENT_IDS);
         self.pool.close_idle(now, &mut self.sockets);
     }
@@ -328,7 +383,7 @@
         let worker_request = match request {
             UpstreamRequest::Attempt { rpc, method, model, token, time_left, send_by, body, .. } => {
                 let req = Arc::clone(&self.open_ids[&rpc]);
-                let invoke = json_lines::Invoke::new(&req, method, model, token, body);
+                let invoke = json_lines::Invoke::new(&req, method, model, token, body.clone());
                 let line = WorkerLine::Attempt {
                     invoke,
                     deadline: now + time_left,
--- a/crates/curlewpoint-node/src/run.rs
+++ b/crates/curlewpoint-node/src/run.rs
@@ -3,6 +3,7 @@
 mod client_commands;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewpoint::types::{CopyReport, Lifecycle, Time};
@@ -25,6 +26,7 @@
 use crate::discovery::DiscoveryResponse;
 use crate::driver::NodeDriver;
 use crate::events::Event;
+use crate::memory_budget::{BudgetLimits, MemoryBudget};
 use crate::stall::StallDetector;
 use crate::workers::Dialler;
 use crate::{clients, discovery};
@@ -45,6 +47,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The longest body of a call, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024;
+/// The longest command that a client can always send, beside its body, in bytes.
+const MAX_CALL_HEAD_BYTES: usize = 1024;
 /// The longest line from a worker, in bytes: a body in base64 with its fields.
 const MAX_LINE_BYTES: usize = 64 * 1024;
 /// An idle client is disconnected after this many silence intervals, of a second each, in a row.
@@ -156,12 +160,16 @@
         idle_timeout: Time::from_ms(limit(&settings, "keepalive", 15_000) as f64 * 0.6),
         back_off: (Time::from_ms(50.0), Time::from_ms(1_000.0)),
     };
-    // Every open RPC may hold a body; half of the memory is reserved for them.
-    let max_open =
-        limit(&settings, "maxOpen", 100_000).min((memory_mb * 1024 * 1024 / 2 / MAX_BODY_BYTES) as u64);
+    let stated_max_open = limit(&settings, "maxOpen", 100_000) as usize;
+    let memory = MemoryBudget::new(BudgetLimits::new(
+        memory_mb * 1024 * 1024,
+        sockets / 2,
+        stated_max_open,
+        MAX_BODY_BYTES + MAX_CALL_HEAD_BYTES,
+    ));
     let module_limits = settings.entry("limits").or_insert_with(|| Value::Object(Map::new()));
     if let Value::Object(module_limits) = module_limits {
-        module_limits.insert("maxOpen".to_owned(), max_open.into());
+        module_limits.insert("maxOpen".to_owned(), memory.limits().max_open().into());
     }
     let names = settings.get("loadInfo").and_then(|l| l.get("names")).and_then(Value::as_array);
     let load_report_names: Vec<String> =
@@ -192,8 +200,9 @@
         command_tx,
         shutdown: shutdown.clone(),
         tasks: tasks.clone(),
+        memory: Arc::clone(&memory),
     };
-    let accepting = tasks.spawn(clients::accept(listener, sockets / 2, context));
+    let accepting = tasks.spawn(clients::accept(listener, context));
     let (resolver, resolver_rx) = watch::channel(resolver);
     let polling = tokio::spawn(discovery::follow(resolver_rx, priority_tx.clone(), Rand64::new(seed), clock))
         .abort_handle();
@@ -212,6 +221,7 @@
         stalls: StallDetector::default(),
         health_check_logged: false,
         client_closes: CloseCounters::default(),
+        memory,
     };
     let stopped = tokio::spawn(async move {
         let counters = event_loop
@@ -282,6 +292,7 @@
     stalls: StallDetector,
     health_check_logged: bool,
     client_closes: CloseCounters,
+    memory: Arc<MemoryBudget>,
 }
 
 impl EventLoop {
@@ -328,6 +339,7 @@
         info!(f.taken, f.ok, f.denied, f.aborted, f.left, f.refused, f.attempts, conns, f.cut_off, "{title}");
         info!(loads, probes, f.drain_queries, list, list_age_ms, "sockets: {METRICS}");
         info!("client connections closed: {}", self.client_closes);
+        info!("memory for clients, in bytes: {}", self.memory.figures());
     }
 
     /// Runs one iteration: waits for events, at most `max_wait` or until the engine's next timer, and handles them.
--- a/crates/curlewpoint-node/src/run/client_commands.rs
+++ b/crates/curlewpoint-node/src/run/client_commands.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use curlewpoint::types::Time;
-use curlewpoint_engine::ClientId;
+use curlewpoint_engine::{ClientId, Refusal};
 use curlewpoint_platform::commands;
 use tracing::{debug, info};
 
@@ -147,6 +147,10 @@
         if driver.is_known_id(call.id) {
             return Err(Rejection::Malformed("ID already in use"));
         }
+        let Some(body) = driver.count_call(id, &body, self.memory.limits().per_rpc) else {
+            self.engine.count_refused();
+            return Err(Rejection::Refused(Refusal::Full));
+        };
         driver.next_rpc_id = call.id.into();
         driver.clients.get_mut(&id).into_iter().for_each(|c| c.open.extend([tag]));
         let time_left = call.time_left - self.stalls.possible_delay(now);
--- a/crates/curlewpoint-node/src/worker_line/tests.rs
+++ b/crates/curlewpoint-node/src/worker_line/tests.rs
@@ -10,7 +10,7 @@
 }
 
 fn attempt(deadline: Time, lease: SendLease) -> WorkerLine {
-    WorkerLine::Attempt { invoke: Invoke::new("1", "read", "m", None, &Bytes::new()), deadline, lease }
+    WorkerLine::Attempt { invoke: Invoke::new("1", "read", "m", None, Bytes::new()), deadline, lease }
 }
 
 /// Guards against an attempt that is written after its deadline, as when this process stood still before the write.
--- a/crates/curlewpoint-platform/src/commands.rs
+++ b/crates/curlewpoint-platform/src/commands.rs
@@ -61,10 +61,10 @@
     parse_number(text).filter(|ms| *ms > 0.0 && *ms < MAX_TIMEOUT_MS).map(Time::from_ms)
 }
 
-/// Parses the optional parameters of a call, `name:number;name:number`. Returns `None` if any entry is malformed.
-pub fn parse_info(text: &str) -> Option<Vec<(&str, f64)>> {
+/// The optional parameters of a call, `name:number;name:number`; `None` in place of an entry that is malformed.
+pub fn parse_info(text: &str) -> impl Iterator<Item = Option<(&str, f64)>> {
     let entries = text.split(';').filter(|e| !e.is_empty());
-    entries.map(|e| e.split_once(':').and_then(|(name, value)| Some((name, parse_number(value)?)))).collect()
+    entries.map(|e| e.split_once(':').and_then(|(name, value)| Some((name, parse_number(value)?))))
 }
 
 /// The fields of a reply: the retry delay in milliseconds, if one is given.
--- a/crates/curlewpoint-platform/src/commands/tests.rs
+++ b/crates/curlewpoint-platform/src/commands/tests.rs
@@ -20,7 +20,7 @@
 #[test_case("lanes:many", None)]
 #[test_case("lanes", None)]
 fn malformed_call_parameters_are_rejected(text: &str, want: Option<Vec<(&str, f64)>>) {
-    assert_eq!(parse_info(text), want);
+    assert_eq!(parse_info(text).collect::<Option<Vec<_>>>(), want);
 }
 
 #[test]
--- a/crates/curlewpoint-platform/src/json_lines.rs
+++ b/crates/curlewpoint-platform/src/json_lines.rs
@@ -64,27 +64,37 @@
 #[derive(Clone, Debug)]
 pub struct Invoke {
     before_budget: Bytes,
-    after_budget: Bytes,
+    /// Encoded only when the message is written: until then the request's own copy is the only one.
+    body: Bytes,
+}
+
+/// What stands between the budget and the body in base64, and after the body.
+const AFTER_BUDGET: &[u8] = b"},\"data\":\"";
+const AFTER_BODY: &[u8] = b"\"}\n";
+
+/// Length of a body in base64 with padding.
+fn base64_len(bytes: usize) -> usize {
+    bytes.div_ceil(3) * 4
 }
 
 /// Digits of the longest budget, a `u64`.
 const MAX_BUDGET_DIGITS: usize = 20;
 
 impl Invoke {
-    pub fn new(req: &str, method: &str, model: &str, token: Option<&str>, body: &[u8]) -> Invoke {
+    pub fn new(req: &str, method: &str, model: &str, token: Option<&str>, body: Bytes) -> Invoke {
         let quoted = |text: &str| Value::from(text).to_string();
         let token = token.map_or(String::new(), |token| format!(",\"uniq\":{}", quoted(token)));
         let (req, method, model) = (quoted(req), quoted(method), quoted(model));
         let before = format!(
             "{{\"type\":\"invoke\",\"req\":{req},\"meta\":{{\"queue\":{method},\"path\":{model}{token},\"budget\":"
         );
-        let after = format!("}},\"data\":\"{}\"}}\n", STANDARD.encode(body));
-        Invoke { before_budget: before.into(), after_budget: after.into() }
+        Invoke { before_budget: before.into(), body }
     }
 
     /// Upper bound on the length of the line in bytes.
     pub fn max_len(&self) -> usize {
-        self.before_budget.len() + MAX_BUDGET_DIGITS + self.after_budget.len()
+        let fixed = self.before_budget.len() + AFTER_BUDGET.len() + AFTER_BODY.len();
+        fixed + MAX_BUDGET_DIGITS + base64_len(self.body.len())
     }
 
     /// Appends the line to `buf`, with `time_left` as its budget in milliseconds.
@@ -93,7 +103,11 @@
         let budget = (time_left.0 / 10).max(1);
         buf.extend_from_slice(&self.before_budget);
         buf.extend_from_slice(budget.to_string().as_bytes());
-        buf.extend_from_slice(&self.after_budget);
+        buf.extend_from_slice(AFTER_BUDGET);
+        let body_at = buf.len();
+        buf.resize(body_at + base64_len(self.body.len()), 0);
+        STANDARD.encode_slice(&self.body, &mut buf[body_at..]).expect("the space is for the whole encoding");
+        buf.extend_from_slice(AFTER_BODY);
     }
 }
 
--- a/crates/curlewpoint-platform/src/resp.rs
+++ b/crates/curlewpoint-platform/src/resp.rs
@@ -73,33 +73,74 @@
     }
 }
 
-impl Decoder for CommandDecoder {
-    type Item = Vec<Bytes>;
-    type Error = RespError;
+/// Where the words of a complete command lie in the bytes received.
+#[derive(Clone, Debug)]
+pub struct CommandLayout {
+    words: Vec<(usize, usize)>,
+    /// Length of the whole command in bytes.
+    pub len: usize,
+}
 
-    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
-        let Some((count, mut at)) = header(src, 0, b'*', "a command")? else { return Ok(None) };
+impl CommandLayout {
+    /// The words, as slices of `command`, which holds the whole command.
+    pub fn words(&self, command: &Bytes) -> Vec<Bytes> {
+        self.words.iter().map(|(begin, end)| command.slice(*begin..*end)).collect()
+    }
+}
+
+/// The result of parsing the bytes received so far.
+#[derive(Clone, Debug)]
+pub enum ParsedCommand {
+    Complete(CommandLayout),
+    /// The command needs at least `needed` bytes, from its first one on.
+    Incomplete {
+        needed: usize,
+    },
+}
+
+impl CommandDecoder {
+    /// Parses the command that `src` begins with.
+    pub fn parse(&self, src: &[u8]) -> Result<ParsedCommand, RespError> {
+        let incomplete = |needed: usize| Ok(ParsedCommand::Incomplete { needed: needed.max(src.len() + 1) });
+        let Some((count, mut at)) = header(src, 0, b'*', "a command")? else { return incomplete(0) };
         if count == 0 || count > self.max_words {
             return Err(RespError::WordCount(count, self.max_words));
         }
-        let mut words = [(0, 0); 16];
-        for word in words.get_mut(..count).ok_or(RespError::WordCount(count, 16))? {
-            let Some((length, begin)) = header(src, at, b'$', "a word")? else { return Ok(None) };
+        let mut words = Vec::with_capacity(count);
+        for _ in 0..count {
+            let Some((length, begin)) = header(src, at, b'$', "a word")? else { return incomplete(0) };
             if length > self.max_word_len {
                 return Err(RespError::WordTooLong(length, self.max_word_len));
             }
             let end = begin + length;
             if src.len() < end + 2 {
-                src.reserve(end + 2 - src.len());
-                return Ok(None);
+                return incomplete(end + 2);
             }
             if &src[end..end + 2] != b"\r\n" {
                 return Err(RespError::Unexpected(char::from(src[end]), "the end of a word"));
             }
-            (*word, at) = ((begin, end), end + 2);
+            words.push((begin, end));
+            at = end + 2;
+        }
+        Ok(ParsedCommand::Complete(CommandLayout { words, len: at }))
+    }
+}
+
+impl Decoder for CommandDecoder {
+    type Item = Vec<Bytes>;
+    type Error = RespError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
+        match self.parse(src)? {
+            ParsedCommand::Complete(layout) => {
+                let command = src.split_to(layout.len).freeze();
+                Ok(Some(layout.words(&command)))
+            }
+            ParsedCommand::Incomplete { needed } => {
+                src.reserve(needed - src.len());
+                Ok(None)
+            }
         }
-        let command = src.split_to(at).freeze();
-        Ok(Some(words[..count].iter().map(|(begin, end)| command.slice(*begin..*end)).collect()))
     }
 
     fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
