Lease: a short silence of discovery gives a drained worker no longer time

Cause: five unanswered queries count as an outage, and the lease on the list then lasted 4 s and the grace instead of 1.5 s and the grace. A silence of 3 s and an outage look the same while they last.

Change: the longer time applies only where workers cannot be asked. Else each worker is asked, as past the lease before, from a second before 1.5 s and the grace are over. Queries that stay open for over 0.25 s no longer count against the limit of open ones, so that workers that do not answer do not keep sound ones from being used. A unit test stated the longer time for workers that can be asked; it now states it for those that cannot, and new ones state the shorter one.

The new process test failed before (calls up to 0.9 s late) and passes.

--- a/crates/curlewpoint-cli/tests/stale_endpoint_lists.rs
+++ b/crates/curlewpoint-cli/tests/stale_endpoint_lists.rs
@@ -15,6 +15,10 @@
 const TOLD_AFTER: Duration = Duration::from_millis(1_500);
 /// A change counts as told at the latest this long after discovery became silent.
 const TOLD_AFTER_SILENCE: Duration = Duration::from_millis(4_500);
+/// A node asks discovery at least once in this time.
+const ASKED_WITHIN: Duration = Duration::from_millis(250);
+/// A silence that is no outage by the platform's pages.
+const SHORT_SILENCE: Duration = Duration::from_secs(3);
 /// The drain grace of the test settings, with the tolerance of the rules on sockets.
 const GRACE: Duration = Duration::from_millis(500 + 50);
 
@@ -219,3 +223,32 @@
     assert!(calls_after(&ready, latest) > 0, "the other worker serves");
     transcript.assert_no_violations();
 }
+
+/// Guards against a short silence that is taken for an outage: a drain that a good answer would have told of counts as told
+/// in the usual time. The other worker serves all calls, and none is refused.
+#[test]
+fn a_short_silence_gives_a_worker_that_drains_no_longer_time() {
+    let transcript = SharedTranscript::default();
+    let (draining, ready) = (start_test_worker(&transcript), start_test_worker(&transcript));
+    let discovery = TestDiscovery::start(&[&draining, &ready]);
+    let addresses = [draining.address.clone(), ready.address.clone()];
+    let config = startup_config(7, &discovery.addresses[NODE], &addresses, 256, patient_settings());
+    let node = Node::start("short-silence", &config, 256);
+    let mut clients = Clients::connect(&node, &transcript);
+    let mut serve = || {
+        clients.send();
+        clients.expect_all_replies();
+    };
+    discovery.wait_until(NODE, Instant::now() + TOLD_AFTER, &mut serve);
+    discovery.is_silent.store(true, Ordering::Release);
+    let drained = discovery.drain(&draining);
+    let latest = drained + ASKED_WITHIN + TOLD_AFTER + GRACE;
+    discovery.wait_until(NODE, drained + SHORT_SILENCE, &mut serve);
+    assert!(calls_after(&draining, drained) > 0, "both workers are in use");
+    assert_nothing_after(&draining, latest);
+    assert!(calls_after(&ready, latest) > 0, "the other worker serves");
+    for client in &clients.clients {
+        assert!(!client.received().contains("refused"));
+    }
+    transcript.assert_no_violations();
+}
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -14,11 +14,13 @@
 pub struct ListLeaseTerms {
     /// A change counts as notified at the latest this long after it was made.
     pub notified_within: Time,
-    /// If discovery is unavailable, a change counts as notified at the latest this long after it became so.
+    /// If discovery is unavailable and workers cannot be asked, a change counts as notified at the latest this long after
+    /// it became so. A short silence looks the same while it lasts, so workers that can be asked are asked in time.
     pub notified_within_outage: Time,
     /// Attempts and load orders may follow a notified drain for this long.
     pub drain_grace: Time,
-    /// Workers can be asked whether they drain. Otherwise a start in an outage takes it to begin with the start.
+    /// Workers can be asked whether they drain. Otherwise the list stays in use for the time of an outage, and a start in
+    /// an outage takes it to begin with the start.
     pub workers_answer: bool,
 }
 
@@ -32,6 +34,9 @@
 const QUERY_RETRY_DELAY: Time = Time(10_000);
 /// Queries to workers open at a time.
 const MAX_OPEN_QUERIES: usize = 8;
+/// A query that is open for longer (0.25 s) no longer counts as one of them: workers that do not answer would otherwise
+/// keep those that do from being asked.
+const QUERY_ANSWER_TIME: Time = Time(2_500);
 
 /// What a worker itself said about its drain during an outage.
 #[derive(Clone, Copy, Default)]
@@ -52,7 +57,7 @@
     /// When the newest answered query was sent.
     confirmed_at: Time,
     /// Discovery has answered since the start. Otherwise an outage may have begun long before, and workers are asked as
-    /// soon as it is detected.
+    /// soon as it is detected, however long the lease on the list lasts.
     has_answered: bool,
     /// The last time at which no received answer was left unread.
     read_at: Time,
@@ -133,8 +138,10 @@
 
     fn list_valid_until(&self) -> Time {
         let terms = &self.terms;
-        let is_known_outage = self.is_outage && (self.has_answered || !terms.workers_answer);
-        let within = if is_known_outage { terms.notified_within_outage } else { terms.notified_within };
+        let within = match self.is_outage && !terms.workers_answer {
+            true => terms.notified_within_outage,
+            false => terms.notified_within,
+        };
         self.confirmed_at + within + terms.drain_grace
     }
 
@@ -163,7 +170,8 @@
         {
             return false;
         }
-        let open = self.workers.values().filter(|w| w.queried_at.is_some()).count();
+        let is_recent = |w: &&WorkerLease| w.queried_at.is_some_and(|at| now - at < QUERY_ANSWER_TIME);
+        let open = self.workers.values().filter(is_recent).count();
         own.queried_at.is_none() && own.retry_at <= now && open < MAX_OPEN_QUERIES
     }
 
--- a/src/list_lease/tests.rs
+++ b/src/list_lease/tests.rs
@@ -43,12 +43,42 @@
 }
 
 #[test]
-fn an_outage_extends_the_lease_to_its_own_limit() {
+fn an_outage_extends_the_lease_to_its_own_limit_where_workers_cannot_be_asked() {
+    let unanswered = |count| {
+        let terms = ListLeaseTerms { workers_answer: false, ..TERMS };
+        ListLease { terms, ..unanswered(count) }
+    };
     assert_eq!(unanswered(15).list_until(), START + Time(30_000 + 5_000));
     assert_eq!(unanswered(30).list_until(), START + Time(40_000 + 5_000));
     assert!(unanswered(2 * MAX_UNANSWERED as u64).is_outage(), "an outage of minutes");
 }
 
+/// Guards against a silence of discovery that is taken for an outage, with its longer time: while it lasts the two look
+/// the same. Workers that can be asked are asked before the shorter time is over, so that sound ones stay in use.
+#[test]
+fn in_a_silence_workers_are_asked_before_a_change_counts_as_notified() {
+    let mut lease = unanswered(30);
+    assert_eq!(lease.list_until(), START + Time(15_000 + 5_000));
+    assert_eq!(lease.send_until(WORKER), START + Time(15_000 + 5_000));
+    lease = unanswered(MIN_OUTAGE_QUERIES as u64);
+    let at = START + Time(2_000 * MIN_OUTAGE_QUERIES as u64);
+    assert!(lease.needs_query(at, WORKER));
+    query(&mut lease, at, Outcome::Ok);
+    (MIN_OUTAGE_QUERIES as u64..15).for_each(|n| lease.query_sent(START + Time(2_000 * n)));
+    assert_eq!(lease.send_until(WORKER), at + Time(15_000 + 5_000));
+}
+
+/// Guards against workers that do not answer and keep the sound ones from being asked, and so from being used.
+#[test]
+fn queries_that_are_not_answered_do_not_block_others() {
+    let mut lease = unanswered(6);
+    let at = START + Time(12_000);
+    (10..10 + MAX_OPEN_QUERIES as u64).for_each(|worker| lease.worker_queried(at, WorkerId(worker)));
+    assert!(!lease.needs_query(at, WORKER));
+    assert!(lease.needs_query(at + QUERY_ANSWER_TIME, WORKER));
+    assert!(!lease.needs_query(at + QUERY_ANSWER_TIME, WorkerId(10)), "it has one open");
+}
+
 #[test]
 fn after_a_start_in_an_outage_workers_are_asked_at_once() {
     let mut lease = ListLease::new(START, START, TERMS);
@@ -57,13 +87,18 @@
     assert_eq!(lease.list_until(), START + Time(2_000 + 5_000));
     (6..60).for_each(|n| lease.query_sent(START + Time(400 * n)));
     assert_eq!(lease.list_until(), START + Time(15_000 + 5_000), "it may have begun long before");
-    assert!(!unanswered(6).needs_query(START + Time(12_000), WORKER), "it began after an answer");
+    let mut answered = confirmed();
+    (1..7).for_each(|n| answered.query_sent(START + Time(400 * n)));
+    assert!(
+        answered.is_outage() && !answered.needs_query(START + Time(2_400), WORKER),
+        "it began after an answer"
+    );
 }
 
 #[test]
 fn a_worker_that_says_that_it_drains_is_not_used_while_the_list_is_still_valid() {
-    let mut lease = unanswered(17);
-    let at = START + Time(35_500);
+    let mut lease = unanswered(6);
+    let at = START + Time(12_500);
     assert!(lease.needs_query(at, WORKER));
     query(&mut lease, at, Outcome::Full);
     assert!(lease.list_until() > at);
