Lease: in an outage only an old connection identifies the worker at its end

Cause: past the lease on the list a worker is asked itself, by an order for no copies, and whatever answered at the address was taken for the listed worker with its zone and cell. The query could go out on a new connection, which reaches the process that has the address now.

Change: the query goes out on a connection from before the list was asked for, if one is up. Without such an answer, or once no such connection is up any more, the worker is still sent RPCs (something there does not drain), but counts as in no known zone or cell: an attempt that may have run there is not repeated, and none is repeated there. Old and new connections are told apart in the pool; the decision stays in the module.

New tests: the module's three cases (an attempt was repeated in each before), the lease's and the pool's.

--- a/crates/curlewpoint-engine/src/engine.rs
+++ b/crates/curlewpoint-engine/src/engine.rs
@@ -63,6 +63,8 @@
     /// Asks whether the worker drains, by an order for no copies of the model.
     DrainQuery {
         model: &'a str,
+        /// Sent on a connection that was established by this time, if there is one.
+        established_by: Time,
     },
     Probe,
 }
@@ -72,6 +74,14 @@
     /// Sends a request to a worker. It ends once, by `Engine::request_ended` or `next_local_end`, unless it is
     /// withdrawn.
     fn request(&mut self, now: Time, id: RequestId, worker: WorkerId, request: UpstreamRequest<'_>);
+    /// Whether a connection to the worker that was established by `established_by` is still up.
+    fn is_connected_since(&self, _worker: WorkerId, _established_by: Time) -> bool {
+        true
+    }
+    /// Whether a request was sent on a connection that was established by `established_by`.
+    fn is_open_on_connection_since(&self, _id: RequestId, _established_by: Time) -> bool {
+        true
+    }
     /// Ends the wait for an upstream request. Returns true if it was withdrawn before send, so that no byte of it was
     /// or will be sent.
     fn withdraw(&mut self, now: Time, id: RequestId) -> bool;
@@ -175,7 +185,10 @@
 enum RequestKind {
     Attempt(RpcId, AttemptNumber),
     Load(FunctionId),
-    DrainQuery,
+    /// Whether it was sent on a connection to the listed process.
+    DrainQuery {
+        is_identified: bool,
+    },
     Probe,
 }
 
@@ -374,12 +387,19 @@
         self.driver.request(self.now, id, worker, UpstreamRequest::Load { model, copies, send_by });
     }
 
-    fn query_drain(&mut self, worker: WorkerId, function: FunctionId) {
-        let id = self.open_request(RequestKind::DrainQuery, worker);
+    fn is_connected_since(&self, worker: WorkerId, established_by: Time) -> bool {
+        self.driver.is_connected_since(worker, established_by)
+    }
+
+    fn query_drain(&mut self, worker: WorkerId, function: FunctionId, established_by: Time) {
+        let id = self.open_request(RequestKind::DrainQuery { is_identified: false }, worker);
         self.counters.drain_queries += 1;
         self.timers.set(self.now + self.probe_limit, Timer::RequestLimit(id));
         let model = self.function_names.name(function.0);
-        self.driver.request(self.now, id, worker, UpstreamRequest::DrainQuery { model });
+        let query = UpstreamRequest::DrainQuery { model, established_by };
+        self.driver.request(self.now, id, worker, query);
+        let is_identified = self.driver.is_open_on_connection_since(id, established_by);
+        self.requests.entry(id).and_modify(|open| open.kind = RequestKind::DrainQuery { is_identified });
     }
 
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
@@ -852,7 +872,9 @@
                 RequestKind::Load(function) => {
                     self.module.load_ended(now, worker, function, end.outcome, end.copies)
                 }
-                RequestKind::DrainQuery => self.module.drain_query_ended(now, worker, sent, end.outcome),
+                RequestKind::DrainQuery { is_identified } => {
+                    self.module.drain_query_ended(now, worker, sent, end.outcome, is_identified)
+                }
                 RequestKind::Probe => self.module.load_report_received(now, worker, &end.load_report),
             }
         }
--- a/crates/curlewpoint-engine/src/pool.rs
+++ b/crates/curlewpoint-engine/src/pool.rs
@@ -57,12 +57,24 @@
     Draining,
 }
 
+/// The connections on which a request may be sent.
+#[derive(Clone, Copy)]
+enum Usable {
+    /// All but bypassed ones.
+    Responsive,
+    Any,
+    /// Those established by this time.
+    EstablishedBy(Time),
+}
+
 struct Conn {
     worker: WorkerId,
     state: State,
     /// Open requests, and when each was sent.
     open: BTreeMap<RequestId, Time>,
     idle_since: Time,
+    /// When it was established.
+    up_since: Time,
     /// When it last received an answer, or was established.
     last_heard: Time,
     /// It has been silent since a request was sent on it, while another connection answered a later request. Such a
@@ -71,6 +83,10 @@
 }
 
 impl Conn {
+    fn is_established_by(&self, time: Time) -> bool {
+        self.state != State::Dialling && self.up_since <= time
+    }
+
     /// The send time of the oldest request since the last answer, if any.
     fn silent_since(&self) -> Option<Time> {
         self.open.values().filter(|sent| **sent >= self.last_heard).min().copied()
@@ -219,12 +235,45 @@
         self.forget(worker);
     }
 
+    /// Whether a connection to the worker that was established by `established_by` is up.
+    pub fn is_connected_since(&self, worker: WorkerId, established_by: Time) -> bool {
+        let conns = self.workers.get(&worker).map(|entry| entry.conns.as_slice()).unwrap_or_default();
+        conns.iter().any(|conn| self.conns[conn].is_established_by(established_by))
+    }
+
+    /// Whether a request is open on a connection that was established by `established_by`.
+    pub fn is_open_on_connection_since(&self, request: RequestId, established_by: Time) -> bool {
+        let Some((_, Some(conn))) = self.locations.get(&request) else { return false };
+        self.conns.get(conn).is_some_and(|conn| conn.is_established_by(established_by))
+    }
+
+    fn is_usable(&self, conn: &Conn, usable: Usable) -> bool {
+        let has_room = conn.state == State::Up && conn.open.len() < self.limits.requests_per_conn;
+        has_room
+            && match usable {
+                Usable::Responsive => !conn.bypassed,
+                Usable::Any => true,
+                Usable::EstablishedBy(time) => conn.is_established_by(time),
+            }
+    }
+
+    /// Sends a request on a connection that was established by `established_by`, if there is one, else as `request`.
+    pub fn request_on_established(
+        &mut self, now: Time, driver: &mut impl PoolDriver<P>, worker: WorkerId, request: RequestId,
+        payload: P, established_by: Time,
+    ) {
+        let usable = Usable::EstablishedBy(established_by);
+        if !self.send_on_open(now, driver, worker, request, &payload, usable) {
+            self.request(now, driver, worker, request, payload);
+        }
+    }
+
     /// Sends a request to a worker on an open connection, or queues it for one being dialled.
     pub fn request(
         &mut self, now: Time, driver: &mut impl PoolDriver<P>, worker: WorkerId, request: RequestId,
         payload: P,
     ) {
-        if self.send_on_open(now, driver, worker, request, &payload, false) {
+        if self.send_on_open(now, driver, worker, request, &payload, Usable::Responsive) {
             return self.open_spare(now, driver, worker);
         }
         let Some(entry) = self.workers.get_mut(&worker).filter(|w| !w.gone) else {
@@ -236,7 +285,7 @@
             let unreachable = entry.conns.is_empty() && !entry.failed_locally && now < entry.not_before;
             if blocked || !self.make_room(driver) {
                 // If no other connection is possible, a bypassed one is used.
-                if !self.send_on_open(now, driver, worker, request, &payload, true) {
+                if !self.send_on_open(now, driver, worker, request, &payload, Usable::Any) {
                     driver.ended_locally(
                         request,
                         if unreachable { Outcome::ConnectFailed } else { Outcome::Full },
@@ -271,8 +320,8 @@
         let conn = ConnId(self.next_conn);
         entry.conns.push(conn);
         let (state, open) = (State::Dialling, BTreeMap::new());
-        self.conns
-            .insert(conn, Conn { worker, state, open, idle_since: now, last_heard: now, bypassed: false });
+        let (idle_since, up_since, last_heard, bypassed) = (now, now, now, false);
+        self.conns.insert(conn, Conn { worker, state, open, idle_since, up_since, last_heard, bypassed });
         driver.dial(conn, worker, &entry.address);
     }
 
@@ -300,17 +349,15 @@
         }
     }
 
-    /// Sends a request on the open connection with the fewest open requests that accepts it; on a bypassed one only
-    /// if `use_bypassed` is set.
+    /// Sends a request on the usable connection with the fewest open requests that accepts it; on a bypassed one only if
+    /// there is no other.
     fn send_on_open(
         &mut self, now: Time, driver: &mut impl PoolDriver<P>, worker: WorkerId, request: RequestId,
-        payload: &P, use_bypassed: bool,
+        payload: &P, usable: Usable,
     ) -> bool {
         let Some(entry) = self.workers.get(&worker) else { return false };
-        let room = |c: &Conn| c.state == State::Up && c.open.len() < self.limits.requests_per_conn;
-        let usable = |c: &Conn| room(c) && (use_bypassed || !c.bypassed);
         let mut candidates: Vec<ConnId> =
-            entry.conns.iter().copied().filter(|c| usable(&self.conns[c])).collect();
+            entry.conns.iter().copied().filter(|c| self.is_usable(&self.conns[c], usable)).collect();
         candidates.sort_by_key(|c| (self.conns[c].bypassed, self.conns[c].open.len()));
         for conn in candidates {
             if driver.send(conn, request, payload) {
@@ -327,13 +374,13 @@
     /// A dial succeeded: requests that wait for it are sent.
     pub fn conn_up(&mut self, now: Time, driver: &mut impl PoolDriver<P>, conn: ConnId) {
         let Some(c) = self.conns.get_mut(&conn).filter(|c| c.state == State::Dialling) else { return };
-        (c.state, c.idle_since, c.last_heard) = (State::Up, now, now);
+        (c.state, c.idle_since, c.up_since, c.last_heard) = (State::Up, now, now, now);
         let worker = c.worker;
         let Some(entry) = self.workers.get_mut(&worker) else { return };
         (entry.failures, entry.failed_locally) = (0, false);
         let mut waiting = std::mem::take(&mut entry.waiting);
         while let Some((request, payload)) = waiting.pop_front() {
-            if !self.send_on_open(now, driver, worker, request, &payload, false) {
+            if !self.send_on_open(now, driver, worker, request, &payload, Usable::Responsive) {
                 waiting.push_front((request, payload));
                 break;
             }
--- a/crates/curlewpoint-engine/tests/pool.rs
+++ b/crates/curlewpoint-engine/tests/pool.rs
@@ -335,3 +335,23 @@
     assert_eq!((driver.closed.as_slice(), driver.dialled.len()), (&[driver.dialled[1]][..], 4));
     assert_eq!(pool.conn_count(), 3);
 }
+
+/// Guards against taking the process at the end of a new connection for the listed one: whether an old connection is up,
+/// and whether a request went out on one, is told apart from new ones.
+#[test]
+fn old_connections_are_told_from_new_ones() {
+    const LISTED_AT: Time = Time(100);
+    let (mut pool, mut driver) = new_pool();
+    send_requests(&mut pool, &mut driver, 0, 1..=3);
+    let (old, new) = (driver.dialled[0], driver.dialled[1]);
+    pool.conn_up(Time(50), &mut driver, old);
+    assert!(pool.is_connected_since(WORKER, LISTED_AT) && !pool.is_connected_since(WORKER, Time(49)));
+    pool.conn_up(Time(150), &mut driver, new);
+    pool.request_on_established(Time(160), &mut driver, WORKER, RequestId(4), "x", LISTED_AT);
+    assert!(!pool.is_open_on_connection_since(RequestId(4), LISTED_AT), "the old one has no room");
+    pool.answered(Time(170), &mut driver, RequestId(1));
+    pool.request_on_established(Time(180), &mut driver, WORKER, RequestId(5), "x", LISTED_AT);
+    assert!(pool.is_open_on_connection_since(RequestId(5), LISTED_AT));
+    pool.conn_broken(Time(190), &mut driver, old);
+    assert!(!pool.is_connected_since(WORKER, LISTED_AT), "only the new one is left");
+}
--- a/crates/curlewpoint-engine/tests/recording_driver/mod.rs
+++ b/crates/curlewpoint-engine/tests/recording_driver/mod.rs
@@ -26,7 +26,7 @@
         let (model, kind) = match request {
             UpstreamRequest::Attempt { model, .. } => (model, RequestKind::Attempt),
             UpstreamRequest::Load { model, .. } => (model, RequestKind::Load),
-            UpstreamRequest::DrainQuery { model } => (model, RequestKind::DrainQuery),
+            UpstreamRequest::DrainQuery { model, .. } => (model, RequestKind::DrainQuery),
             UpstreamRequest::Probe => ("", RequestKind::Probe),
         };
         self.sent.push((now, id, worker, model.to_owned(), kind));
--- a/crates/curlewpoint-gateway/src/driver.rs
+++ b/crates/curlewpoint-gateway/src/driver.rs
@@ -236,7 +236,7 @@
                 let f = Frame::new(Kind::LOAD).int(Field::TAG, id.0).text(Field::MODEL, model);
                 f.int(Field::COPIES, copies)
             }
-            UpstreamRequest::DrainQuery { model } => {
+            UpstreamRequest::DrainQuery { model, .. } => {
                 let f = Frame::new(Kind::LOAD).int(Field::TAG, id.0).text(Field::MODEL, model);
                 f.int(Field::COPIES, 0)
             }
--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -396,10 +396,12 @@
                 let (line, lease) = (json_lines::prewarm_line(&req, model, copies), self.send_lease(send_by));
                 WorkerRequest { line: WorkerLine::LoadOrder { line, lease }, req, is_attempt: false }
             }
-            UpstreamRequest::DrainQuery { model } => {
+            UpstreamRequest::DrainQuery { model, established_by } => {
                 let req: Arc<str> = own_req();
                 let line = WorkerLine::Encoded(json_lines::prewarm_line(&req, model, 0));
-                WorkerRequest { line, req, is_attempt: false }
+                let query = WorkerRequest { line, req, is_attempt: false };
+                let sockets = &mut self.sockets;
+                return self.pool.request_on_established(now, sockets, worker, id, query, established_by);
             }
             UpstreamRequest::Probe => {
                 let req: Arc<str> = own_req();
@@ -420,6 +422,14 @@
         self.pool.request(now, &mut self.sockets, worker, id, worker_request);
     }
 
+    fn is_connected_since(&self, worker: WorkerId, established_by: Time) -> bool {
+        self.pool.is_connected_since(worker, established_by)
+    }
+
+    fn is_open_on_connection_since(&self, id: RequestId, established_by: Time) -> bool {
+        self.pool.is_open_on_connection_since(id, established_by)
+    }
+
     fn withdraw(&mut self, now: Time, id: RequestId) -> bool {
         let was_unsent = self.pool.withdraw(now, &mut self.sockets, id);
         self.sockets.forget(id);
--- a/src/host.rs
+++ b/src/host.rs
@@ -16,8 +16,14 @@
     /// for an attempt.
     fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u64, send_by: Time);
     /// Asks a worker whether it drains, by an order for no copies; `Scheduler::drain_query_ended` follows. Only needed
-    /// where `Scheduler::lease_list` is called.
-    fn query_drain(&mut self, _worker: WorkerId, _function: FunctionId) {}
+    /// where `Scheduler::lease_list` is called. If there is a connection to the worker that was established by
+    /// `established_by`, the query goes out on it, and its answer shows which process gave it.
+    fn query_drain(&mut self, _worker: WorkerId, _function: FunctionId, _established_by: Time) {}
+    /// Whether a connection to the worker that was established by `established_by` is still up. Its other end is the
+    /// process that was listed then; at the end of a new connection there may be another one.
+    fn is_connected_since(&self, _worker: WorkerId, _established_by: Time) -> bool {
+        true
+    }
     /// Has a worker unload its idle copies of a function; nothing is reported.
     fn unload(&mut self, worker: WorkerId, function: FunctionId);
     /// Asks a worker for a load report.
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -49,6 +49,8 @@
     retry_at: Time,
     /// It turned the last answered query away.
     drains: bool,
+    /// The newest confirmed query was answered by the listed process for certain, not by one that has its address now.
+    is_identified: bool,
 }
 
 /// The lease on the endpoint list, and on each worker that was queried while discovery was unavailable.
@@ -155,6 +157,18 @@
         self.list_valid_until().max(own)
     }
 
+    /// Whether the worker is the listed one, in the listed zone and cell, for certain: by the list while its lease lasts,
+    /// else by its own answer. The process that has its address now may be another one.
+    pub fn is_identified(&self, now: Time, worker: WorkerId) -> bool {
+        let is_confirmed = |own: &WorkerLease| own.is_identified && own.confirmed_at.is_some();
+        now <= self.list_valid_until() || self.workers.get(&worker).is_some_and(is_confirmed)
+    }
+
+    /// When the newest answered query was sent: the list holds what was listed then.
+    pub fn confirmed_at(&self) -> Time {
+        self.confirmed_at
+    }
+
     /// The time since the list was valid for certain.
     pub fn age(&self, now: Time) -> Time {
         now - self.confirmed_at
@@ -180,17 +194,17 @@
         self.workers.entry(worker).or_default().queried_at = Some(now);
     }
 
-    /// The query that was sent to a worker at `queried_at` ended. Returns whether the worker is found to drain and was
-    /// not before.
+    /// The query that was sent to a worker at `queried_at` ended; `is_identified`: it went to the listed process for
+    /// certain. Returns whether the worker is found to drain and was not before.
     pub fn worker_query_ended(
-        &mut self, now: Time, worker: WorkerId, queried_at: Time, outcome: Outcome,
+        &mut self, now: Time, worker: WorkerId, queried_at: Time, outcome: Outcome, is_identified: bool,
     ) -> bool {
         let Some(own) = self.workers.get_mut(&worker).filter(|w| w.queried_at == Some(queried_at)) else {
             return false;
         };
         own.queried_at = None;
         if outcome == Outcome::Ok {
-            (own.confirmed_at, own.drains) = (Some(queried_at), false);
+            (own.confirmed_at, own.drains, own.is_identified) = (Some(queried_at), false, is_identified);
             return false;
         }
         own.retry_at = now + QUERY_RETRY_DELAY;
--- a/src/list_lease/tests.rs
+++ b/src/list_lease/tests.rs
@@ -26,7 +26,7 @@
 
 fn query(lease: &mut ListLease, at: Time, outcome: Outcome) {
     lease.worker_queried(at, WORKER);
-    lease.worker_query_ended(at + Time(10), WORKER, at, outcome);
+    lease.worker_query_ended(at + Time(10), WORKER, at, outcome, true);
 }
 
 #[test]
@@ -153,7 +153,7 @@
     let mut lease = unanswered(30);
     query(&mut lease, START + Time(50_000), Outcome::Ok);
     lease.confirm(START + Time(58_000));
-    lease.worker_query_ended(START + Time(59_000), WORKER, START + Time(50_000), Outcome::Ok);
+    lease.worker_query_ended(START + Time(59_000), WORKER, START + Time(50_000), Outcome::Ok, true);
     assert_eq!(lease.send_until(WORKER), lease.list_until());
 }
 
@@ -164,3 +164,19 @@
     lease.query_sent(START + Time(30_000));
     assert!(!lease.needs_query(START + Time(30_000), WORKER), "the process was suspended");
 }
+
+/// Guards against taking the answer of whichever process has the worker's address for that of the listed one.
+#[test]
+fn past_the_lease_on_the_list_a_worker_is_identified_only_by_its_own_answer() {
+    let mut lease = unanswered(30);
+    let at = START + Time(50_000);
+    assert!(lease.is_identified(lease.list_until(), WORKER) && !lease.is_identified(at, WORKER));
+    for is_identified in [true, false] {
+        lease.worker_queried(at, WORKER);
+        lease.worker_query_ended(at, WORKER, at, Outcome::Ok, is_identified);
+        assert_eq!(lease.is_identified(at, WORKER), is_identified);
+        assert!(lease.send_until(WORKER) > at, "it does not drain, whichever it is");
+    }
+    lease.confirm(START + Time(60_000));
+    assert!(lease.is_identified(START + Time(60_000), WORKER));
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -327,9 +327,12 @@
     }
 
     /// A worker answered the query of `queried_at` whether it drains, or did not answer it.
-    pub fn drain_query_ended(&mut self, now: Time, worker: WorkerId, queried_at: Time, outcome: Outcome) {
+    /// `is_identified`: the query went out on a connection to the listed process.
+    pub fn drain_query_ended(
+        &mut self, now: Time, worker: WorkerId, queried_at: Time, outcome: Outcome, is_identified: bool,
+    ) {
         let Some(lease) = &mut self.lease else { return };
-        if lease.worker_query_ended(now, worker, queried_at, outcome) {
+        if lease.worker_query_ended(now, worker, queried_at, outcome, is_identified) {
             self.host.log(&format!("worker {} drains, by its own answer", worker.0));
         }
         self.serve_queues(now);
@@ -586,21 +589,23 @@
         self.workers.values().filter(|w| w.lifecycle == Lifecycle::Ready)
     }
 
-    /// Whether the method's effect class allows a further attempt to `worker`, or a denial (no worker).
-    fn is_repeatable(&self, now: Time, rpc: &Rpc, worker: Option<&Worker>) -> bool {
+    /// Whether the method's effect class allows a further attempt to `worker`, or a denial (no worker). While discovery
+    /// does not tell, a worker whose address may have passed to another process is in no known zone or cell.
+    fn is_repeatable(&self, now: Time, rpc: &Rpc, worker: Option<WorkerId>) -> bool {
         let Some(first) = rpc.attempts.iter().find(|a| a.open || !a.never_ran) else { return true };
         let group = self.method_setting(rpc.method, "group").and_then(Value::as_str);
         match self.method_setting(rpc.method, "effect").and_then(Value::as_str) {
             Some("read_like") => true,
             Some("idempotency_key") => {
                 let Some(to) = worker else { return group == Some("all") };
-                let from = &self.workers[&first.worker];
+                let (from, to, id) = (&self.workers[&first.worker], &self.workers[&to], to);
+                let is_identified = || first.is_identified && self.is_identified(now, id);
                 let memory_span =
                     self.method_setting(rpc.method, "memorySpan").and_then(Value::as_f64).unwrap_or(0.0);
                 let same_group = match group {
                     Some("all") => true,
-                    Some("zone") => to.zone == from.zone,
-                    _ => to.cell == from.cell,
+                    Some("zone") => to.zone == from.zone && is_identified(),
+                    _ => to.cell == from.cell && is_identified(),
                 };
                 same_group && now < first.sent_at + Time::from_ms(memory_span)
             }
@@ -609,7 +614,8 @@
     }
 
     fn is_repeatable_anywhere(&self, now: Time, rpc: &Rpc) -> bool {
-        self.ready_workers().any(|w| self.is_repeatable(now, rpc, Some(w)))
+        let ready = self.workers.iter().filter(|(_, w)| w.lifecycle == Lifecycle::Ready);
+        ready.into_iter().any(|(id, _)| self.is_repeatable(now, rpc, Some(*id)))
     }
 
     // Choice of the worker: filter, score, share loads under way.
@@ -694,7 +700,7 @@
             // it still has the copy and any other worker might have to load one.
             let untried = rpc.attempts.iter().all(|a| a.worker != id || a.never_ran || a.connection_broke);
             let room = own < ceiling && accepts && untried && !w.suspect;
-            if !room || !self.cold_budget_left(now, w) || !self.is_repeatable(now, rpc, Some(w)) {
+            if !room || !self.cold_budget_left(now, w) || !self.is_repeatable(now, rpc, Some(id)) {
                 continue;
             }
             let util = decayed(
@@ -776,6 +782,7 @@
         let pull = self.setting("loadInfo", "how").is_some_and(|how| how == "pull");
         let probes = pull && self.allowed("limits", "probes");
         let send_by = self.send_until(to);
+        let is_identified = self.is_identified(now, to);
         let (Some(rpc), Some(w)) = (self.rpcs.get_mut(&id), self.workers.get_mut(&to)) else { return };
         rpc.waiting = false;
         let tenant = rpc.tenant;
@@ -793,6 +800,7 @@
             warm,
             own_ahead,
             overdue,
+            is_identified,
         });
         belief.own_in_flight += 1;
         let function = rpc.function;
@@ -818,6 +826,15 @@
         self.lease.as_ref().map_or(NO_LIMIT, |lease| lease.send_until(worker))
     }
 
+    /// Whether a worker is the listed one for certain; see `ListLease::is_identified`. The connection that shows it must
+    /// still be up: the process may have gone since.
+    fn is_identified(&self, now: Time, worker: WorkerId) -> bool {
+        self.lease.as_ref().is_none_or(|lease| {
+            lease.is_identified(now, worker)
+                && (!lease.is_outage() || self.host.is_connected_since(worker, lease.confirmed_at()))
+        })
+    }
+
     /// Asks the best of the workers whose lease has ended whether they drain, if discovery does not tell.
     fn query_best(&mut self, now: Time, function: FunctionId, mut expired: Vec<Candidate>) {
         expired.sort_by(|a, b| b.score.total_cmp(&a.score));
@@ -830,7 +847,8 @@
         let needed = |lease: &&mut ListLease| lease.needs_query(now, worker);
         if let Some(lease) = self.lease.as_mut().filter(needed) {
             lease.worker_queried(now, worker);
-            self.host.query_drain(worker, function);
+            let established_by = lease.confirmed_at();
+            self.host.query_drain(worker, function, established_by);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,6 +132,8 @@
     pub own_ahead: u64,
     /// How often it has been counted as overdue.
     pub overdue: u32,
+    /// Whether the worker was the listed one, in the listed zone and cell, for certain when it was sent.
+    pub is_identified: bool,
 }
 
 pub struct Rpc {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,7 +1,7 @@
 //! A scheduler with a fake host, which records the scheduler's actions as text, and a simulated clock.
 #![allow(dead_code)]
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use curlewpoint::host::Host;
@@ -11,11 +11,15 @@
 
 type Actions = Rc<RefCell<Vec<String>>>;
 
-pub struct FakeHost(Actions);
+pub struct FakeHost {
+    actions: Actions,
+    /// Old connections to workers are up.
+    connected: Rc<Cell<bool>>,
+}
 
 impl FakeHost {
     fn record(&self, action: String) {
-        self.0.borrow_mut().push(action);
+        self.actions.borrow_mut().push(action);
     }
 }
 
@@ -35,7 +39,10 @@
     fn load(&mut self, worker: WorkerId, function: FunctionId, _copies: u64, _send_by: Time) {
         self.record(format!("load {} {}", worker.0, function.0));
     }
-    fn query_drain(&mut self, worker: WorkerId, function: FunctionId) {
+    fn is_connected_since(&self, _worker: WorkerId, _established_by: Time) -> bool {
+        self.connected.get()
+    }
+    fn query_drain(&mut self, worker: WorkerId, function: FunctionId, _established_by: Time) {
         self.record(format!("query_drain {} {}", worker.0, function.0));
     }
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
@@ -61,6 +68,7 @@
 pub struct Harness {
     pub scheduler: Scheduler<FakeHost>,
     actions: Actions,
+    pub connected: Rc<Cell<bool>>,
     pub now_ms: u64,
     /// RPCs of the function that the worker holds, as answers report.
     pub rpcs_held: u64,
@@ -93,9 +101,11 @@
     pub fn with_settings(settings: Value, workers: u64) -> Harness {
         let actions = Actions::default();
         let settings: Map<String, Value> = settings.as_object().expect("an object").clone();
-        let scheduler = Scheduler::start(FakeHost(Rc::clone(&actions)), 7, settings);
-        let mut harness =
-            Harness { scheduler, actions, now_ms: 100_000, rpcs_held: 0, elapsed_ms: 50, last_rpc: 0 };
+        let connected = Rc::new(Cell::new(true));
+        let host = FakeHost { actions: Rc::clone(&actions), connected: Rc::clone(&connected) };
+        let scheduler = Scheduler::start(host, 7, settings);
+        let (now_ms, rpcs_held, elapsed_ms, last_rpc) = (100_000, 0, 50, 0);
+        let mut harness = Harness { scheduler, actions, connected, now_ms, rpcs_held, elapsed_ms, last_rpc };
         (1..=workers).for_each(|w| harness.list_worker(w, Lifecycle::Ready, 0));
         harness
     }
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -4,7 +4,8 @@
 
 use curlewpoint::list_lease::ListLeaseTerms;
 use curlewpoint::types::*;
-use harness::{Harness, IDEMPOTENT};
+use harness::{Harness, IDEMPOTENT, TOKENED};
+use test_case::test_case;
 
 const TERMS: ListLeaseTerms = ListLeaseTerms {
     notified_within: Time(15_000),
@@ -16,7 +17,11 @@
 
 /// A scheduler with two workers and a list that was just confirmed.
 fn leased(workers_answer: bool) -> Harness {
-    let mut s = Harness::new(2);
+    leased_with(2, workers_answer)
+}
+
+fn leased_with(workers: u64, workers_answer: bool) -> Harness {
+    let mut s = Harness::new(workers);
     let now = s.now();
     s.scheduler.lease_list(now, now, ListLeaseTerms { workers_answer, ..TERMS });
     s.scheduler.list_confirmed(now, now);
@@ -61,9 +66,9 @@
     assert!(s.workers_tried(rpc).is_empty());
     assert_eq!(s.actions("query_drain").len(), 2);
     let queried_at = s.now();
-    s.scheduler.drain_query_ended(s.now(), WorkerId(1), queried_at, Outcome::Full);
+    s.scheduler.drain_query_ended(s.now(), WorkerId(1), queried_at, Outcome::Full, true);
     assert!(s.workers_tried(rpc).is_empty());
-    s.scheduler.drain_query_ended(s.now(), WorkerId(2), queried_at, Outcome::Ok);
+    s.scheduler.drain_query_ended(s.now(), WorkerId(2), queried_at, Outcome::Ok, true);
     assert_eq!(s.workers_tried(rpc), [2]);
     // The worker in use is asked again before its own lease ends, the other one after a pause.
     outage(&mut s, 1_000);
@@ -74,6 +79,29 @@
     assert_eq!(s.actions("log worker 1 drains").len(), 1);
 }
 
+/// Guards against a tokened RPC that runs in two groups: the process that answers at a worker's address need not be the
+/// listed one, so an attempt there is not repeated, and none is repeated there. Untokened RPCs are sent all the same.
+#[test_case(true, true, 2 ; "both are the listed workers")]
+#[test_case(false, true, 1 ; "another process may have answered")]
+#[test_case(true, false, 1 ; "the connection to the listed process has ended since")]
+fn in_an_outage_an_attempt_is_repeated_in_its_group_only_at_identified_workers(
+    is_identified: bool, is_connected: bool, attempts: usize,
+) {
+    // Workers 1 and 3 are in the same zone.
+    let mut s = leased_with(3, true);
+    outage(&mut s, 3_000);
+    s.connected.set(is_connected);
+    let (rpc, queried_at) = (s.rpc(TOKENED, 9), s.now());
+    for worker in [1, 3] {
+        s.scheduler.drain_query_ended(s.now(), WorkerId(worker), queried_at, Outcome::Ok, is_identified);
+    }
+    assert_eq!(s.workers_tried(rpc).len(), 1, "a first attempt needs no group");
+    s.end_attempt(rpc, 0, Outcome::Error, CopyReport::Warm);
+    let read = s.rpc(IDEMPOTENT, 9);
+    assert_eq!(s.workers_tried(read).len(), 1);
+    assert_eq!(s.workers_tried(rpc).len(), attempts);
+}
+
 #[test]
 fn in_an_outage_where_orders_are_not_allowed_nothing_is_sent_past_the_lease() {
     let mut s = leased(false);
