Node: what a client left behind unread is not sent on

An id that had run could also run again: ids of calls denied at full speed displaced the 16,384 that are remembered within a second.

Cause: the end of a connection was noticed only once all before it was read, and reading pauses for a busy engine. Ids were remembered whether or not a worker had received them.

Change: before a command is passed on, the kernel is asked whether the peer has ended the connection (POLLRDHUP); if so, what was received and not passed on is dropped. Only ids that a worker received are remembered.

Where the close itself waits behind unread data in the client's kernel (calls of 16 KiB) it cannot be seen, and calls still go out.

--- a/crates/curlewpoint-link/src/stream.rs
+++ b/crates/curlewpoint-link/src/stream.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::net::Shutdown;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -55,6 +56,13 @@
 }
 
 impl ReadHalf {
+    /// Whether the peer has ended the connection, however much that it sent before is unread.
+    pub fn is_ended_by_peer(&self) -> bool {
+        let mut descriptors = [PollFd::new(&*self.0, PollFlags::RDHUP)];
+        let polled = poll(&mut descriptors, Some(&Timespec::default()));
+        polled.is_ok_and(|count| count > 0)
+    }
+
     /// Waits until something may have arrived, so that no buffer is held until then.
     pub fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<Result<()>> {
         self.0.poll_read_ready(cx)
--- a/crates/curlewpoint-node/src/client_task.rs
+++ b/crates/curlewpoint-node/src/client_task.rs
@@ -193,6 +193,10 @@
                 next = self.reader.next(), if self.is_reading && self.ahead.has_room() => Some(next.into()),
                 // A full channel blocks this client's task only.
                 permit = command_tx.reserve(), if !self.ahead.is_empty() => {
+                    if self.reader.is_ended_by_peer() && !self.closing.is_cancelled() {
+                        self.drop_received();
+                        return true;
+                    }
                     let (Ok(permit), Some(words)) = (permit, self.ahead.pop()) else { return true };
                     self.passed_on += 1;
                     permit.send(Event::ClientCommand(self.id, words));
@@ -207,6 +211,12 @@
         }
     }
 
+    /// Drops what a client that has left sent before and was not passed on, however much of it is still unread.
+    fn drop_received(&mut self) {
+        self.ahead = ReadAhead::new(READ_AHEAD_LIMIT);
+        self.is_reading = false;
+    }
+
     async fn handle(&mut self, input: Input) -> ControlFlow<()> {
         match input {
             Input::Command(words) => self.command_read(words).await,
--- a/crates/curlewpoint-node/src/clients/tests.rs
+++ b/crates/curlewpoint-node/src/clients/tests.rs
@@ -61,6 +61,24 @@
     assert!(command_rx.try_recv().is_err());
 }
 
+/// Guards against calls that start after their client has left with much still unread: more than is read ahead of a busy
+/// engine. None of them is passed on once the engine takes commands again.
+#[tokio::test]
+async fn nothing_is_passed_on_for_a_client_that_has_left_behind_more_than_is_read_ahead() {
+    const CALLS: usize = 4 * READ_AHEAD_LIMIT.0;
+    let (address, mut priority_rx, mut command_rx) = blocked_listener(8).await;
+    let mut client = TcpStream::connect(address).await.unwrap();
+    for tag in 1..=CALLS {
+        client.write_all(&command(&["CALL", &tag.to_string(), "read", "", "body"])).await.unwrap();
+    }
+    let connected = with_timeout(priority_rx.recv()).await;
+    assert!(matches!(connected, Some(Event::ClientConnected(..))));
+    drop(client);
+    assert!(matches!(with_timeout(command_rx.recv()).await, Some(Event::Stop)));
+    assert!(matches!(with_timeout(priority_rx.recv()).await, Some(Event::ClientDisconnected(_))));
+    assert!(command_rx.try_recv().is_err());
+}
+
 /// A cancel overtakes blocked calls, and a call that it withdraws is never passed on.
 #[tokio::test]
 async fn a_cancel_overtakes_blocked_calls_and_withdraws_its_own() {
--- a/crates/curlewpoint-node/src/command_reader.rs
+++ b/crates/curlewpoint-node/src/command_reader.rs
@@ -53,6 +53,11 @@
         self.parsed < self.buffer.len()
     }
 
+    /// Whether the client has ended the connection, however much is still unread.
+    pub fn is_ended_by_peer(&self) -> bool {
+        self.read.is_ended_by_peer()
+    }
+
     /// Drops what was received, and returns the connection.
     pub fn discard(&mut self) -> &mut ReadHalf {
         (self.buffer, self.parsed) = Default::default();
--- a/crates/curlewpoint-node/src/driver.rs
+++ b/crates/curlewpoint-node/src/driver.rs
@@ -493,7 +493,11 @@
 
     fn rpc_forgotten(&mut self, rpc: RpcId) {
         let Some(id) = self.open_ids.remove(&rpc) else { return };
-        self.sockets.used_reqs.remove(&id);
+        if self.sockets.used_reqs.remove(&id).is_none() {
+            // No worker knows it. Clients whose calls are refused at full speed would displace those that are known.
+            self.known_ids.remove(&id);
+            return;
+        }
         self.recent_ids.push_back((Instant::now(), id));
         self.expire_recent_ids(MAX_RECENT_IDS);
     }
@@ -505,3 +509,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
