Serve: what a client left behind unread is not sent on

Before an RPC is passed on, the kernel is asked whether the peer has ended the connection; if so, what was not passed on is dropped.

Result: the new test fails without the change (an RPC is passed on) and passes.

--- a/crates/curlewpoint-gateway/src/clients.rs
+++ b/crates/curlewpoint-gateway/src/clients.rs
@@ -196,13 +196,15 @@
                 Some(Err(error)) => unreadable = Some(error),
             },
             // A full channel delays only this client.
-            permit = context.request_tx.reserve(), if !queue.is_empty() => match (permit, queue.pop()) {
-                (Ok(permit), Some(queued)) => {
-                    passed_on += 1;
-                    permit.send(queued.event);
+            permit = context.request_tx.reserve(), if !queue.is_empty() => {
+                // What a client that has left behind unread is dropped, as is what is queued.
+                if reader.get_ref().is_ended_by_peer() && !closing.is_cancelled() {
+                    break;
                 }
-                _ => break,
-            },
+                let (Ok(permit), Some(queued)) = (permit, queue.pop()) else { break };
+                passed_on += 1;
+                permit.send(queued.event);
+            }
             () = closing.cancelled(), if queue.is_empty() && !reading => break,
             () = closing.cancelled(), if queue.is_empty() && reading => match next_if_ready(&mut reader).await {
                 Some(Ok(frame)) => received = Some(frame),
--- a/crates/curlewpoint-gateway/src/clients/tests.rs
+++ b/crates/curlewpoint-gateway/src/clients/tests.rs
@@ -67,6 +67,23 @@
     assert!(request_rx.try_recv().is_err());
 }
 
+/// Guards against RPCs that start after their client has left with much still unread: more than is read ahead of a busy
+/// engine. None of them is passed on once the engine takes requests again.
+#[tokio::test]
+async fn nothing_is_passed_on_for_a_client_that_has_left_behind_more_than_is_read_ahead() {
+    const RPCS: u64 = 4 * READ_AHEAD.0 as u64;
+    let (address, mut priority_rx, mut request_rx) = listener_with_full_request_channel().await;
+    let link = connected(address).await;
+    (1..=RPCS).for_each(|tag| send(&link.outbox, Kind::RPC, tag));
+    let connected_event = soon(priority_rx.recv()).await;
+    assert!(matches!(connected_event, Some(Event::ClientConnected(..))));
+    drop(link.outbox);
+    assert!(soon(link.writer).await.is_ok(), "all is written and the connection is ended");
+    assert!(matches!(soon(request_rx.recv()).await, Some(Event::Stop)));
+    assert!(matches!(soon(priority_rx.recv()).await, Some(Event::ClientDisconnected(..))));
+    assert!(request_rx.try_recv().is_err());
+}
+
 /// A cancel overtakes queued RPCs, and the RPC that it cancels is never passed on.
 #[tokio::test]
 async fn a_cancel_overtakes_queued_rpcs_and_drops_its_own() {
