Serve: pipelined HTTP requests of a client that has left are not sent on

Callers saw, in a trial on real processes (serve held by SIGSTOP while 10 HTTP clients sent 100 pipelined requests each and closed): two requests of each connection went to workers after their client had left.

Cause: the HTTP server reads requests ahead and notices the end of a connection only behind them.

Change: before a request is handled, the kernel is asked whether the client has ended the connection; then nothing is accepted. The wait of a test in tests/sockets/hard.rs that had no bound has one, and shows what happened.

--- a/crates/curlewpoint-gateway/src/http.rs
+++ b/crates/curlewpoint-gateway/src/http.rs
@@ -12,7 +12,7 @@
 use curlewpoint::types::Time;
 use curlewpoint_catalogue::{method_from_path, BodyError, Effect, Method as Described, Release};
 use curlewpoint_engine::{Answer, ClientId, Refusal};
-use curlewpoint_link::{linger, Clock, LINGER_LIMITS};
+use curlewpoint_link::{is_ended_by_peer, linger, Clock, LINGER_LIMITS};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -107,11 +107,18 @@
 #[derive(Clone)]
 struct SharedReadHalf(Arc<Mutex<OwnedReadHalf>>);
 
+impl SharedReadHalf {
+    /// Whether the client has ended the connection, however much is still unread.
+    fn is_ended_by_peer(&self) -> bool {
+        is_ended_by_peer(self.0.lock().unwrap_or_else(PoisonError::into_inner).as_ref())
+    }
+}
+
 impl AsyncRead for SharedReadHalf {
     fn poll_read(
         self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        // Never contended: the other owner reads only after the server has finished.
+        // Hardly contended: the other owners read only after the server has finished.
         Pin::new(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner)).poll_read(cx, buf)
     }
 }
@@ -158,9 +165,17 @@
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
     let mut shared_read = SharedReadHalf(Arc::new(Mutex::new(read)));
+    let connection = shared_read.clone();
     let service = tower::service_fn(move |request: Request<hyper::body::Incoming>| {
         let endpoint = Arc::clone(&endpoint);
-        async move { Ok::<_, std::convert::Infallible>(endpoint.respond(request.map(Body::new)).await) }
+        // The server notices the end of a connection only behind the requests that it has read by then.
+        let is_ended = connection.is_ended_by_peer();
+        async move {
+            Ok::<_, std::convert::Infallible>(match is_ended {
+                true => client_has_left(),
+                false => endpoint.respond(request.map(Body::new)).await,
+            })
+        }
     });
     let mut server = auto::Builder::new(TokioExecutor::new());
     server
@@ -229,6 +244,11 @@
     Refused { status, name, detail: detail.into() }
 }
 
+/// The response to a request of a client that has ended its connection since.
+fn client_has_left() -> Response {
+    problem(StatusCode::BAD_REQUEST, "malformed", "the client has ended the connection", None, Time(0))
+}
+
 /// An RFC 9457 problem.
 fn problem(status: StatusCode, name: &str, detail: &str, rpc: Option<&str>, retry_after: Time) -> Response {
     let title = match name {
--- a/crates/curlewpoint-lab/tests/sockets/common.rs
+++ b/crates/curlewpoint-lab/tests/sockets/common.rs
@@ -4,9 +4,11 @@
 use curlewpoint_config::Config;
 use curlewpoint_emulator::ListEntry;
 use curlewpoint_gateway::RunningScheduler;
+use curlewpoint_lab::test_servers::wire::PeerId;
 use curlewpoint_lab::test_servers::TestListService;
 pub use curlewpoint_lab::test_servers::{encode_answer, ScriptedWorker};
 use curlewpoint_lab::{NativeClient, Transcript, TranscriptEvent, REHEARSAL_CONFIG};
+use curlewpoint_wire::Frame;
 
 pub fn config() -> Config {
     with_long_dial_limit(
@@ -55,6 +57,12 @@
         found.unwrap_or_else(|_| panic!("the event did not occur: {:?}", self.transcript.events()))
     }
 
+    /// Waits for the next attempt at a worker, and fails the test with what has happened if none comes.
+    pub async fn next_attempt(&self, worker: &mut ScriptedWorker) -> (PeerId, Frame) {
+        let attempt = tokio::time::timeout(std::time::Duration::from_secs(30), worker.next_attempt()).await;
+        attempt.unwrap_or_else(|_| panic!("no attempt came: {:?}", self.transcript.events()))
+    }
+
     pub async fn final_answer(&self, key: u64) -> curlewpoint_engine::Answer {
         match self.wait_for(|s| matches!(s, TranscriptEvent::FinalAnswer { key: k, .. } if *k == key)).await.1
         {
--- a/crates/curlewpoint-lab/tests/sockets/hard.rs
+++ b/crates/curlewpoint-lab/tests/sockets/hard.rs
@@ -180,13 +180,13 @@
     let stage = Stage { transcript, list, gateway, client };
     stage.send_rpc(1, "read-fields", LONG_MS);
     publish_worker(&stage.list, &a, Lifecycle::Ready);
-    let asked = a.next_attempt().await;
+    let asked = stage.next_attempt(&mut a).await;
     a.respond(&asked, Outcome::Ok);
     assert_eq!(stage.final_answer(1).await, Answer::Ok);
     stage.list.down_until(stage.transcript.now() + Time(600_000));
     for key in 2..5 {
         stage.send_rpc(key, "read-fields", LONG_MS);
-        let asked = a.next_attempt().await;
+        let asked = stage.next_attempt(&mut a).await;
         a.respond(&asked, Outcome::Ok);
         assert_eq!(stage.final_answer(key).await, Answer::Ok);
     }
--- a/crates/curlewpoint-lab/tests/sockets/http.rs
+++ b/crates/curlewpoint-lab/tests/sockets/http.rs
@@ -507,3 +507,22 @@
     let f = gateway.wait().await;
     assert_eq!((f.taken, f.ok, f.left), (2, 1, 1));
 }
+
+/// Guards against requests that are sent on after their client has left: they were pipelined, and are read behind its end.
+/// On one thread, so that the client has left before the gateway reads.
+#[tokio::test]
+async fn pipelined_requests_of_a_client_that_has_left_are_not_sent_on() {
+    let mut a = ScriptedWorker::start("a").await;
+    let d = start_gateway("left", &[&a]).await;
+    let request = |body| {
+        format!("POST /v1/read-fields/m HTTP/1.1\r\nhost: x\r\ncontent-type: application/octet-stream\r\ncontent-length: 1\r\n\r\n{body}")
+    };
+    let mut leaving = std::net::TcpStream::connect(&d.http).unwrap();
+    std::io::Write::write_all(&mut leaving, request("x").repeat(8).as_bytes()).unwrap();
+    drop(leaving);
+    let mut staying = TcpStream::connect(&d.http).await.unwrap();
+    staying.write_all(request("y").as_bytes()).await.unwrap();
+    let first = a.next_attempt().await;
+    assert_eq!(&first.1.body[..], b"y");
+    a.respond(&first, Outcome::Ok);
+}
--- a/crates/curlewpoint-link/src/lib.rs
+++ b/crates/curlewpoint-link/src/lib.rs
@@ -22,4 +22,4 @@
 pub use outbox::{Outbox, OutboxMessage, SendError, Ticket, SLOW_FRAME_MS};
 pub use read_ahead::{next_if_ready, now_or_never, ClosingReadLimit, ReadAhead};
 pub use socket::{dial, is_local_error, is_transient_accept_error, linger, LINGER_LIMITS};
-pub use stream::{split, ReadHalf, WriteHalf};
+pub use stream::{is_ended_by_peer, split, ReadHalf, WriteHalf};
--- a/crates/curlewpoint-link/src/stream.rs
+++ b/crates/curlewpoint-link/src/stream.rs
@@ -34,6 +34,13 @@
     (ReadHalf(Arc::clone(&stream)), WriteHalf(stream))
 }
 
+/// Whether the peer has ended a connection, however much that it sent before is unread.
+pub fn is_ended_by_peer(stream: &TcpStream) -> bool {
+    let mut descriptors = [PollFd::new(stream, PollFlags::RDHUP)];
+    let polled = poll(&mut descriptors, Some(&Timespec::default()));
+    polled.is_ok_and(|count| count > 0)
+}
+
 /// Repeats a call until it neither is interrupted nor would block.
 fn retry_call<T>(
     cx: &mut Context<'_>, mut ready: impl FnMut(&mut Context<'_>) -> Poll<Result<()>>,
@@ -58,9 +65,7 @@
 impl ReadHalf {
     /// Whether the peer has ended the connection, however much that it sent before is unread.
     pub fn is_ended_by_peer(&self) -> bool {
-        let mut descriptors = [PollFd::new(&*self.0, PollFlags::RDHUP)];
-        let polled = poll(&mut descriptors, Some(&Timespec::default()));
-        polled.is_ok_and(|count| count > 0)
+        is_ended_by_peer(&self.0)
     }
 
     /// Waits until something may have arrived, so that no buffer is held until then.
