--- a/crates/curlewpoint-node/src/command_reader.rs
+++ b/crates/curlewpoint-node/src/command_reader.rs
@@ -3,13 +3,13 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use curlewpoint_link::ReadHalf;
 use curlewpoint_platform::resp::{CommandDecoder, CommandLayout, ParsedCommand, RespError};
-use std::sync::Arc;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::time::{sleep, Sleep};
 use tokio_stream::Stream;
