Test: a client that leaves after its HTTP request is queued

a_disconnect_overtakes_a_queued_request let its client leave before the gateway read the request, and expected the request in the queue behind the disconnect.

The test now checks both: a client that left before its request was read queues nothing, and the disconnect of one that leaves once its request is queued overtakes it, with the reply channel closed as before.

--- a/crates/curlewpoint-gateway/src/http/tests.rs
+++ b/crates/curlewpoint-gateway/src/http/tests.rs
@@ -54,17 +54,26 @@
     client
 }
 
-/// Guards against accepting requests whose client has disconnected: the disconnect overtakes the request, and the
-/// engine's task sees that its reply channel is closed.
+/// Guards against accepting requests whose client has disconnected: one that has left before its request was read queues
+/// none, and the disconnect of one that leaves later overtakes the request, whose reply channel is then closed.
 #[tokio::test]
 async fn a_disconnect_overtakes_a_queued_request() {
     let (address, mut priority_rx, mut request_rx) = endpoint(2).await;
     drop(send_request(address).await);
+    let leaving = send_request(address).await;
+    soon(async {
+        while request_rx.is_empty() {
+            yield_now().await;
+        }
+    })
+    .await;
+    drop(leaving);
     let Some(Event::ClientDisconnected(disconnected, 0)) = soon(priority_rx.recv()).await else {
         panic!("no disconnect")
     };
     let Ok(Event::Request(id, request)) = request_rx.try_recv() else { panic!("no request was queued") };
     assert!(id == disconnected && request.reply_tx.is_closed());
+    assert!(request_rx.try_recv().is_err(), "the first client's request");
 }
 
 /// A disconnect that finds the channel full waits until there is room and is not lost.
